Serve a program's calls end to end through replicated partitions

Separate processes: heathtrestled (gateway, programs and dispatcher roles), heathtrestlectl, and stand-ins for the model engine and the platform. One reducer turns events into effects; partitions are Raft groups with three replicas; programs, budgets and attempts are records in them.

Seen: three daemons form a cluster through the platform's compare-and-set, a program makes streamed and whole calls and a booking through three different gateways, and its engine memory is released when it ends.

--- /dev/null
+++ b/src/config/relay.hpp
@@ -0,0 +1,54 @@
+// Spreads the configuration over the region: a few watchers read the platform,
+// everyone else gets each change along a tree, and gaps are pulled from peers.
+// The platform is never asked by more than the watchers, and a node that joins
+// while it is down learns everything from a peer.
+#pragma once
+
+#include "base/ids.hpp"
+#include "base/time.hpp"
+#include "config/configuration_store.hpp"
+#include "core/step.hpp"
+#include "membership/member_table.hpp"
+
+#include <cstddef>
+
+namespace heathtrestle::config {
+
+struct relay_options {
+  std::size_t watchers = 2;
+  std::size_t fan_out = 8;
+  duration_ms pull_interval{500};
+  duration_ms watcher_check_interval{1000};
+};
+
+class relay {
+public:
+  explicit relay(relay_options options) : options_(options) {}
+
+  /// A delta read from the platform by this node.
+  void on_read(configuration_store &store,
+               const membership::member_table &members,
+               wire::ConfigurationDelta delta, core::step &step);
+  void on_delta(configuration_store &store,
+                const membership::member_table &members, node_id sender,
+                const wire::ConfigurationDelta &delta, core::step &step);
+  void on_pull(const configuration_store &store, node_id sender,
+               const wire::ConfigurationPull &pull, core::step &step);
+  /// A peer mentioned its revision.
+  void on_peer_revision(const configuration_store &store, node_id peer,
+                        std::uint64_t revision, core::step &step);
+  /// Decides whether this node is one of the watchers.
+  void tick(const membership::member_table &members, core::step &step);
+
+private:
+  void forward(const membership::member_table &members,
+               const wire::ConfigurationDelta &delta, core::step &step) const;
+  void pull(const configuration_store &store, node_id peer, core::step &step);
+
+  relay_options options_;
+  timestamp last_pull_{};
+  timestamp last_check_{};
+  bool watching_ = false;
+};
+
+} // namespace heathtrestle::config
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,165 @@
+// heathtrestlectl: runs operators' statements from its arguments, from a file
+// or at a prompt.
+#include "ctl/table.hpp"
+#include "http/client.hpp"
+#include "http/io_thread.hpp"
+#include "runtime/fiber_pool.hpp"
+
+#include <boost/program_options.hpp>
+#include <editline/readline.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace heathtrestle;
+namespace options = boost::program_options;
+
+constexpr int exit_code_refused = 1;
+constexpr int exit_code_usage = 2;
+constexpr std::uint32_t status_ok = 200;
+
+struct invocation {
+  std::string address = "127.0.0.1:8080";
+  std::string format = "table";
+  std::string file;
+  std::vector<std::string> words;
+};
+
+/// Sends statements and prints the answers.
+class session {
+public:
+  explicit session(invocation given) : given_(std::move(given)), client_(io_) {}
+
+  /// @return true when the statement was carried out.
+  bool run(const std::string &statement) {
+    std::promise<result<http::response>> promise;
+    auto answered = promise.get_future();
+    fibers_.spawn([&] {
+      http::request request;
+      request.method = "POST";
+      request.path = "/v1/statements";
+      request.body = statement;
+      promise.set_value(client_.send(given_.address, request));
+    });
+    const auto answer = answered.get();
+    if (!answer) {
+      fmt::print(stderr, "{}\n", describe(answer.error()));
+      return false;
+    }
+    const bool accepted = answer.value().status == status_ok;
+    const std::string text = given_.format == "json"
+                                 ? answer.value().body
+                                 : ctl::format_answer(answer.value().body);
+    fmt::print(accepted ? stdout : stderr, "{}", text);
+    return accepted;
+  }
+
+  /// Runs each line of a file; empty lines and lines that begin with `#` are
+  /// passed over.
+  bool run_file(std::istream &lines) {
+    std::string line;
+    bool all = true;
+    while (std::getline(lines, line)) {
+      if (!line.empty() && line.front() != '#') {
+        all = run(line) && all;
+      }
+    }
+    return all;
+  }
+
+  void run_prompt() {
+    using_history();
+    while (char *line = ::readline("heathtrestle> ")) {
+      const std::string statement(line);
+      std::free(line); // NOLINT: the library allocates with malloc
+      if (statement == "quit" || statement == "exit") {
+        return;
+      }
+      if (!statement.empty()) {
+        add_history(statement.c_str());
+        run(statement);
+      }
+    }
+  }
+
+private:
+  invocation given_;
+  http::io_thread io_;
+  http::client client_;
+  runtime::fiber_pool fibers_{1};
+};
+
+std::string joined(const std::vector<std::string> &words) {
+  std::string text;
+  for (const std::string &word : words) {
+    text += (text.empty() ? "" : " ") + word;
+  }
+  return text;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  invocation given;
+  options::options_description flags("Flags");
+  flags.add_options()("help", "print this text")(
+      "address", options::value(&given.address)->default_value(given.address),
+      "the HTTP address of any daemon, ip:port")(
+      "format", options::value(&given.format)->default_value(given.format),
+      "table or json")("file", options::value(&given.file),
+                       "runs the statements in this file, one a line")(
+      "statement", options::value(&given.words), "the statement");
+  options::positional_options_description positions;
+  positions.add("statement", -1);
+  options::variables_map values;
+  try {
+    options::store(options::command_line_parser(argc, argv)
+                       .options(flags)
+                       .positional(positions)
+                       .run(),
+                   values);
+    options::notify(values);
+  } catch (const options::error &failure) {
+    fmt::print(stderr, "{}\n", failure.what());
+    return exit_code_usage;
+  }
+  if (values.contains("help")) {
+    std::ostringstream text;
+    text << "heathtrestlectl [flags] [statement]: asks and commands a cluster\n"
+         << "\nWithout a statement or a file it reads statements at a prompt.\n"
+         << flags;
+    fmt::print("{}", text.str());
+    return EXIT_SUCCESS;
+  }
+  if (given.format != "table" && given.format != "json") {
+    fmt::print(stderr, "--format: expected table or json\n");
+    return exit_code_usage;
+  }
+  session session(given);
+  if (!given.file.empty()) {
+    std::ifstream lines(given.file);
+    if (!lines) {
+      fmt::print(stderr, "{}: cannot be read\n", given.file);
+      return exit_code_usage;
+    }
+    return session.run_file(lines) ? EXIT_SUCCESS : exit_code_refused;
+  }
+  if (!given.words.empty()) {
+    return session.run(joined(given.words)) ? EXIT_SUCCESS : exit_code_refused;
+  }
+  if (::isatty(STDIN_FILENO) == 0) {
+    return session.run_file(std::cin) ? EXIT_SUCCESS : exit_code_refused;
+  }
+  session.run_prompt();
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/daemon/operator_api.hpp
@@ -0,0 +1,17 @@
+// Runs operators' statements: questions over all daemons, and changes of the
+// configuration by compare-and-set on the platform.
+#pragma once
+
+#include "http/server.hpp"
+
+#include <cstdint>
+
+namespace heathtrestle::daemon {
+
+class daemon_runtime;
+
+/// Answers `POST /v1/statements`, whose body is the statement's text.
+/// @return the HTTP status that was sent.
+std::uint32_t run_statement(daemon_runtime &runtime, http::exchange &exchange);
+
+} // namespace heathtrestle::daemon
--- /dev/null
+++ b/src/gateway/pending_table.cpp
@@ -0,0 +1,131 @@
+#include "gateway/pending_table.hpp"
+
+#include "base/error.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace heathtrestle::gateway {
+
+pending_table::pending_table(gateway_options options) : options_(options) {}
+
+void pending_table::on_arrived(gateway_view &view,
+                               const wire::ClientArrived &arrived) {
+  pending &waiting = pending_[arrived.request().request_id()];
+  waiting.request = arrived.request();
+  waiting.arrived = view.step.now();
+  const duration_ms limit =
+      arrived.time_limit_ms() == 0
+          ? options_.default_time_limit
+          : duration_ms{static_cast<std::int64_t>(arrived.time_limit_ms())};
+  waiting.deadline = view.step.now() + limit;
+  send(view, waiting);
+}
+
+void pending_table::on_gone(const wire::ClientGone &gone) {
+  pending_.erase(gone.request_id());
+}
+
+void pending_table::on_reply(gateway_view &view,
+                             const wire::ClientReply &reply) {
+  const auto found = pending_.find(reply.request_id());
+  if (found == pending_.end()) {
+    return; // answered already, or the caller has gone
+  }
+  if (reply.has_redirect()) {
+    if (view.members.merge(reply.redirect())) {
+      send(view, found->second);
+    }
+    return;
+  }
+  wire::ReplyToClient &effect = *view.step.add().mutable_reply_to_client();
+  effect.set_request_id(reply.request_id());
+  *effect.mutable_reply() = reply;
+  pending_.erase(found);
+}
+
+void pending_table::on_chunk(gateway_view &view,
+                             const wire::StreamChunk &chunk) {
+  const auto found = pending_.find(chunk.request_id());
+  if (found == pending_.end()) {
+    return;
+  }
+  pending &waiting = found->second;
+  if (waiting.engine_request != chunk.engine_request()) {
+    waiting.engine_request = chunk.engine_request();
+    waiting.attempt_text.clear();
+  }
+  if (chunk.offset() > waiting.attempt_text.size()) {
+    return; // a chunk is missing; the final answer is whole
+  }
+  const std::size_t known = waiting.attempt_text.size() - chunk.offset();
+  if (known >= chunk.text().size()) {
+    return;
+  }
+  waiting.attempt_text += chunk.text().substr(known);
+  // A retried attempt may word its answer anew: only text that continues what
+  // the caller has already been sent is passed on.
+  const bool continues = waiting.attempt_text.starts_with(waiting.streamed);
+  if (!continues || waiting.attempt_text.size() == waiting.streamed.size()) {
+    return;
+  }
+  wire::StreamToClient &effect = *view.step.add().mutable_stream_to_client();
+  effect.set_request_id(chunk.request_id());
+  effect.set_offset(waiting.streamed.size());
+  effect.set_text(waiting.attempt_text.substr(waiting.streamed.size()));
+  waiting.streamed = waiting.attempt_text;
+}
+
+void pending_table::tick(gateway_view &view) {
+  const timestamp now = view.step.now();
+  std::vector<std::string> given_up;
+  for (auto &[request_id, waiting] : pending_) {
+    const bool never_left =
+        !waiting.ever_sent && now - waiting.arrived >= options_.not_ready_limit;
+    if (now >= waiting.deadline || never_left) {
+      give_up(view, request_id, waiting);
+      given_up.push_back(request_id);
+    } else if (now - waiting.last_sent >= options_.resend_interval) {
+      send(view, waiting);
+    }
+  }
+  for (const std::string &request_id : given_up) {
+    pending_.erase(request_id);
+  }
+}
+
+void pending_table::send(gateway_view &view, pending &waiting) {
+  waiting.last_sent = view.step.now();
+  const auto leader =
+      view.members.leader_of(partition_id{waiting.request.partition()});
+  if (!leader.has_value()) {
+    return;
+  }
+  waiting.ever_sent = true;
+  wire::Envelope envelope;
+  *envelope.mutable_client_request() = waiting.request;
+  view.step.send(node_id{leader->node()}, std::move(envelope));
+}
+
+void pending_table::give_up(gateway_view &view, const std::string &request_id,
+                            const pending &waiting) {
+  const error_code code =
+      waiting.ever_sent ? error_code::deadline_exceeded : error_code::not_ready;
+  wire::ReplyToClient &effect = *view.step.add().mutable_reply_to_client();
+  effect.set_request_id(request_id);
+  effect.mutable_reply()->set_request_id(request_id);
+  wire::Failure &failure = *effect.mutable_reply()->mutable_failure();
+  failure.set_code(std::string(name_of(code)));
+  failure.set_http_status(http_status_of(code));
+  failure.set_step("route");
+  failure.set_peer(fmt::format("partition {}", waiting.request.partition()));
+  failure.set_message(
+      waiting.ever_sent
+          ? "no answer in time; ask again with the same key for the outcome"
+          : "the partition has no leader yet; nothing was sent");
+  failure.set_ran(waiting.ever_sent ? wire::RAN_UNKNOWN : wire::RAN_NOT_RUN);
+  failure.set_retry_after_ms(options_.retry_after_ms);
+  view.step.log(logging::event::gateway_gave_up, request_id);
+}
+
+} // namespace heathtrestle::gateway
--- /dev/null
+++ b/src/membership/member_table.cpp
@@ -0,0 +1,286 @@
+#include "membership/member_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include <fmt/format.h>
+
+namespace heathtrestle::membership {
+
+namespace {
+
+/// News is sent this many times the logarithm of the cluster's size.
+constexpr double transmission_factor = 3.0;
+constexpr std::size_t members_per_message = 6;
+constexpr std::size_t leaders_per_message = 16;
+
+bool overrides(const wire::Member &news, const wire::Member &known) {
+  if (news.incarnation() != known.incarnation()) {
+    return news.incarnation() > known.incarnation();
+  }
+  if (news.status() != known.status()) {
+    return news.status() > known.status();
+  }
+  return news.leaving() && !known.leaving();
+}
+
+logging::event event_of(wire::MemberStatus status) {
+  switch (status) {
+  case wire::MEMBER_SUSPECT:
+    return logging::event::member_suspected;
+  case wire::MEMBER_DEAD:
+    return logging::event::member_dead;
+  case wire::MEMBER_LEFT:
+    return logging::event::member_left;
+  default:
+    return logging::event::member_joined;
+  }
+}
+
+std::uint64_t rendezvous_weight(partition_id partition,
+                                const wire::Member &member) {
+  return stable_hash(fmt::format("{}/{}", partition, member.node()));
+}
+
+} // namespace
+
+member_table::member_table(wire::Member self) : self_id_(self.node()) {
+  spread(self);
+  members_[self_id_].member = std::move(self);
+}
+
+const wire::Member &member_table::self() const {
+  return members_.at(self_id_).member;
+}
+
+void member_table::merge(const wire::Member &news, core::step &step) {
+  const node_id node{news.node()};
+  if (node == self_id_) {
+    wire::Member &own = members_.at(self_id_).member;
+    const bool about_this_boot = news.boot() == own.boot();
+    if (!about_this_boot && news.incarnation() > own.incarnation()) {
+      step.log(logging::event::duplicate_node_name,
+               fmt::format("another process runs as {}", own.name()));
+      return;
+    }
+    const bool wrong = about_this_boot && news.status() != own.status() &&
+                       news.incarnation() >= own.incarnation();
+    if (wrong) {
+      own.set_incarnation(news.incarnation() + 1);
+      spread(own);
+      step.log(logging::event::member_refuted, own.name());
+    }
+    return;
+  }
+  const auto known = members_.find(node);
+  if (known != members_.end() && !overrides(news, known->second.member)) {
+    return;
+  }
+  const bool fresh = known == members_.end();
+  if (fresh && news.status() >= wire::MEMBER_DEAD) {
+    return; // nothing to learn from a member that is gone already
+  }
+  const bool status_changed =
+      fresh || known->second.member.status() != news.status();
+  member_state &state = members_[node];
+  state.member = news;
+  if (status_changed) {
+    state.status_since = step.now();
+    step.log(event_of(news.status()), news.name());
+  }
+  spread(news);
+}
+
+void member_table::set_status(node_id node, wire::MemberStatus status,
+                              core::step &step) {
+  const auto found = members_.find(node);
+  if (found == members_.end() || found->second.member.status() == status) {
+    return;
+  }
+  found->second.member.set_status(status);
+  found->second.status_since = step.now();
+  spread(found->second.member);
+  step.log(event_of(status), found->second.member.name());
+}
+
+void member_table::set_self_leaving(core::step & /*step*/) {
+  wire::Member &own = members_.at(self_id_).member;
+  own.set_leaving(true);
+  own.set_incarnation(own.incarnation() + 1);
+  spread(own);
+}
+
+void member_table::set_self_left(core::step & /*step*/) {
+  wire::Member &own = members_.at(self_id_).member;
+  own.set_status(wire::MEMBER_LEFT);
+  own.set_incarnation(own.incarnation() + 1);
+  spread(own);
+}
+
+void member_table::note_revision(node_id node, std::uint64_t revision) {
+  const auto found = members_.find(node);
+  if (found != members_.end()) {
+    found->second.configuration_revision =
+        std::max(found->second.configuration_revision, revision);
+  }
+}
+
+const member_state *member_table::find(node_id node) const {
+  const auto found = members_.find(node);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+bool member_table::is_running(const replica_id &replica) const {
+  const member_state *state = find(replica.node);
+  return state != nullptr && state->member.boot() == replica.boot.value() &&
+         state->member.status() < wire::MEMBER_DEAD;
+}
+
+std::vector<const wire::Member *> member_table::running() const {
+  std::vector<const wire::Member *> result;
+  for (const auto &[node, state] : members_) {
+    if (state.member.status() < wire::MEMBER_DEAD) {
+      result.push_back(&state.member);
+    }
+  }
+  return result;
+}
+
+std::size_t member_table::running_count() const { return running().size(); }
+
+void member_table::forget_older_than(duration_ms age, timestamp now) {
+  std::erase_if(members_, [age, now](const auto &entry) {
+    return entry.second.member.status() >= wire::MEMBER_DEAD &&
+           now > entry.second.status_since + age;
+  });
+}
+
+bool member_table::merge(const wire::LeaderHint &hint) {
+  const partition_id partition{hint.partition()};
+  const auto known = leaders_.find(partition);
+  if (known != leaders_.end() && known->second.term() >= hint.term()) {
+    return false;
+  }
+  leaders_[partition] = hint;
+  leader_rumors_[partition] = {hint, transmissions()};
+  return true;
+}
+
+std::optional<wire::LeaderHint>
+member_table::leader_of(partition_id partition) const {
+  const auto known = leaders_.find(partition);
+  if (known == leaders_.end() || known->second.node() == 0) {
+    return std::nullopt;
+  }
+  return known->second;
+}
+
+void member_table::forget_leader(partition_id partition, term_id term) {
+  const auto known = leaders_.find(partition);
+  if (known != leaders_.end() && known->second.term() == term.value()) {
+    known->second.set_node(0);
+  }
+}
+
+void member_table::set_founding(const wire::Founding &founding) {
+  if (!founding_.has_value()) {
+    founding_ = founding;
+  }
+}
+
+std::uint32_t member_table::partitions() const {
+  return founding_.has_value() ? founding_->partitions() : 0;
+}
+
+std::vector<replica_id>
+member_table::founding_voters(partition_id partition) const {
+  std::vector<replica_id> voters;
+  if (!founding_.has_value()) {
+    return voters;
+  }
+  std::vector<const wire::Member *> founders;
+  for (const wire::Member &founder : founding_->founders()) {
+    founders.push_back(&founder);
+  }
+  for (const wire::Member *member :
+       rank_for_partition(partition, founders, {}, founding_->replication())) {
+    voters.push_back(replica_of(*member));
+  }
+  return voters;
+}
+
+void member_table::attach_news(wire::Envelope &envelope) {
+  std::size_t attached = 0;
+  for (auto item = member_rumors_.begin();
+       item != member_rumors_.end() && attached < members_per_message;) {
+    *envelope.add_members() = item->second.item;
+    ++attached;
+    --item->second.transmissions_left;
+    item = item->second.transmissions_left == 0 ? member_rumors_.erase(item)
+                                                : std::next(item);
+  }
+  attached = 0;
+  for (auto item = leader_rumors_.begin();
+       item != leader_rumors_.end() && attached < leaders_per_message;) {
+    *envelope.add_leaders() = item->second.item;
+    ++attached;
+    --item->second.transmissions_left;
+    item = item->second.transmissions_left == 0 ? leader_rumors_.erase(item)
+                                                : std::next(item);
+  }
+}
+
+wire::MembershipSync member_table::full_sync(bool reply_wanted) const {
+  wire::MembershipSync sync;
+  sync.set_reply_wanted(reply_wanted);
+  for (const auto &[node, state] : members_) {
+    *sync.add_members() = state.member;
+  }
+  for (const auto &[partition, hint] : leaders_) {
+    *sync.add_leaders() = hint;
+  }
+  if (founding_.has_value()) {
+    *sync.mutable_founding() = *founding_;
+  }
+  return sync;
+}
+
+void member_table::spread(const wire::Member &member) {
+  member_rumors_[node_id{member.node()}] = {member, transmissions()};
+}
+
+std::uint32_t member_table::transmissions() const {
+  const double size =
+      static_cast<double>(std::max<std::size_t>(2, members_.size()));
+  return static_cast<std::uint32_t>(
+      std::ceil(transmission_factor * std::log2(size)));
+}
+
+std::vector<const wire::Member *>
+rank_for_partition(partition_id partition,
+                   const std::vector<const wire::Member *> &candidates,
+                   const std::vector<std::string> &taken, std::size_t count) {
+  std::vector<const wire::Member *> ranked = candidates;
+  std::sort(ranked.begin(), ranked.end(),
+            [partition](const wire::Member *left, const wire::Member *right) {
+              const auto left_weight = rendezvous_weight(partition, *left);
+              const auto right_weight = rendezvous_weight(partition, *right);
+              return std::pair(left_weight, left->node()) >
+                     std::pair(right_weight, right->node());
+            });
+  std::set<std::string> zones(taken.begin(), taken.end());
+  std::vector<const wire::Member *> chosen;
+  std::vector<const wire::Member *> passed_over;
+  for (const wire::Member *member : ranked) {
+    const bool new_zone = zones.insert(member->zone()).second;
+    (new_zone ? chosen : passed_over).push_back(member);
+  }
+  chosen.insert(chosen.end(), passed_over.begin(), passed_over.end());
+  if (chosen.size() > count) {
+    chosen.resize(count);
+  }
+  return chosen;
+}
+
+} // namespace heathtrestle::membership
--- /dev/null
+++ b/src/programs/backend_choice.cpp
@@ -0,0 +1,107 @@
+#include "programs/backend_choice.hpp"
+
+#include "base/ids.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace heathtrestle::programs {
+
+namespace {
+
+/// Relative load above which the holder of the cache is passed over, as long
+/// as another one is under half of it.
+constexpr double affinity_load_limit = 1.5;
+constexpr double clear_advantage = 0.5;
+
+double relative_load(const candidate &candidate) {
+  return static_cast<double>(candidate.queue_length) /
+         static_cast<double>(std::max<std::uint32_t>(1, candidate.slots));
+}
+
+std::optional<std::size_t> index_of(const std::vector<candidate> &candidates,
+                                    const std::string &name) {
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    if (candidates[index].name == name) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t rendezvous(const std::vector<candidate> &candidates,
+                       const std::string &key) {
+  std::size_t best = 0;
+  std::uint64_t best_weight = 0;
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const std::uint64_t weight =
+        stable_hash(candidates[index].name, stable_hash(key));
+    if (weight >= best_weight) {
+      best_weight = weight;
+      best = index;
+    }
+  }
+  return best;
+}
+
+std::size_t better_of_two(const std::vector<candidate> &candidates,
+                          core::step &step) {
+  const std::size_t first = step.draw_below(candidates.size());
+  const std::size_t second = step.draw_below(candidates.size());
+  const bool first_is_better =
+      relative_load(candidates[first]) <= relative_load(candidates[second]);
+  return first_is_better ? first : second;
+}
+
+} // namespace
+
+std::size_t random_placement::choose(const std::vector<candidate> &candidates,
+                                     const placement_request & /*request*/,
+                                     core::step &step) const {
+  return step.draw_below(candidates.size());
+}
+
+std::size_t
+least_loaded_placement::choose(const std::vector<candidate> &candidates,
+                               const placement_request & /*request*/,
+                               core::step & /*step*/) const {
+  const auto least =
+      std::min_element(candidates.begin(), candidates.end(),
+                       [](const candidate &left, const candidate &right) {
+                         return relative_load(left) < relative_load(right);
+                       });
+  return static_cast<std::size_t>(least - candidates.begin());
+}
+
+std::size_t affinity_placement::choose(const std::vector<candidate> &candidates,
+                                       const placement_request &request,
+                                       core::step &step) const {
+  std::optional<std::size_t> preferred = index_of(candidates, request.affinity);
+  if (!preferred.has_value() && !request.prefix_key.empty()) {
+    preferred = rendezvous(candidates, request.prefix_key);
+  }
+  const std::size_t other = better_of_two(candidates, step);
+  if (!preferred.has_value()) {
+    return other;
+  }
+  const double preferred_load = relative_load(candidates[*preferred]);
+  const double other_load = relative_load(candidates[other]);
+  const bool overloaded = preferred_load > affinity_load_limit &&
+                          other_load < preferred_load * clear_advantage;
+  return overloaded ? other : *preferred;
+}
+
+const placement_policy &placement_policy_named(std::string_view name) {
+  static const random_placement random;
+  static const least_loaded_placement least_loaded;
+  static const affinity_placement affinity;
+  if (name == "random") {
+    return random;
+  }
+  if (name == "least_loaded") {
+    return least_loaded;
+  }
+  return affinity;
+}
+
+} // namespace heathtrestle::programs
--- /dev/null
+++ b/src/raft/consensus.hpp
@@ -0,0 +1,197 @@
+// One replica of a partition's log: leader election with pre-vote, log
+// replication, single-replica membership changes and leadership transfer.
+//
+// Pure: time and random numbers are passed in, messages come out of an outbox.
+// The algorithm is Raft (Ongaro 2014). A replica that keeps no disk never
+// returns under its old identity, since a replica id contains the boot number;
+// it joins again through a logged change of the replica set.
+#pragma once
+
+#include "base/error.hpp"
+#include "base/ids.hpp"
+#include "base/time.hpp"
+#include "wire/messages.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace heathtrestle::raft {
+
+enum class role : std::uint8_t { follower, candidate, leader };
+
+struct options {
+  duration_ms heartbeat_interval{300};
+  /// An election starts after a silence of one to two of these.
+  duration_ms election_timeout{1500};
+  /// Applied entries kept for followers that lag; older ones need a snapshot.
+  std::size_t retained_entries = 256;
+  std::size_t entries_per_append = 128;
+};
+
+/// A message to one replica.
+struct outgoing {
+  replica_id to;
+  wire::Envelope envelope;
+};
+
+/// A heartbeat to one follower; the sender joins them by peer.
+struct outgoing_heartbeat {
+  replica_id to;
+  wire::Heartbeat heartbeat;
+};
+
+/// What a step of the algorithm wants sent.
+struct outbox {
+  std::vector<outgoing> messages;
+  std::vector<outgoing_heartbeat> heartbeats;
+  /// Followers whose next entry has been dropped: send them the state.
+  std::vector<replica_id> snapshots_wanted;
+};
+
+/// Why an entry was not proposed.
+enum class propose_error : std::uint8_t {
+  not_leader,
+  change_in_progress,
+  term_not_established,
+};
+
+class consensus {
+public:
+  /// @param initial voters at the partition's birth; empty for a replica that
+  /// learns them from a leader's snapshot.
+  consensus(partition_id partition, replica_id self,
+            const std::vector<replica_id> &initial, options settings,
+            timestamp now, std::uint64_t random);
+
+  void tick(timestamp now, std::uint64_t random, outbox &out);
+
+  void handle(const wire::VoteRequest &request, timestamp now,
+              std::uint64_t random, outbox &out);
+  void handle(const wire::VoteReply &reply, timestamp now, outbox &out);
+  void handle(const wire::AppendRequest &request, timestamp now,
+              std::uint64_t random, outbox &out);
+  void handle(const wire::AppendReply &reply, timestamp now, outbox &out);
+  /// @return the reply's term for the sender of the heartbeat.
+  std::uint64_t handle(const replica_id &leader,
+                       const wire::Heartbeat &heartbeat, timestamp now,
+                       std::uint64_t random);
+  void handle(const replica_id &follower, const wire::HeartbeatReply &reply,
+              timestamp now, outbox &out);
+  /// @return true when the snapshot's state must replace the state machine's.
+  bool handle(const wire::SnapshotRequest &request, timestamp now,
+              std::uint64_t random, outbox &out);
+  void handle(const wire::TransferLeadership &request, timestamp now,
+              std::uint64_t random, outbox &out);
+
+  /// Appends a command. Its index is committed once `take_committed` yields
+  /// it in the term of the proposal.
+  result_or<log_index, propose_error> propose(wire::Command command,
+                                              timestamp now, outbox &out);
+
+  /// Starts sending the log to a replica that does not vote yet.
+  void add_learner(replica_id learner, timestamp now, outbox &out);
+  void drop_learner(const replica_id &learner);
+  /// @return true when the learner holds nearly the whole log.
+  [[nodiscard]] bool caught_up(const replica_id &learner) const;
+
+  /// Replaces the replica set by one that differs in one replica.
+  std::optional<propose_error> change_replicas(std::vector<replica_id> voters,
+                                               timestamp now, outbox &out);
+
+  /// Hands leadership to the most advanced voter for which `eligible` holds.
+  /// @return false when no such voter is up to date.
+  bool transfer_leadership(const std::set<replica_id> &eligible, outbox &out);
+
+  /// Entries committed since the last call, in order.
+  std::vector<wire::LogEntry> take_committed();
+
+  /// The header of a snapshot of the applied state; the caller adds the state.
+  [[nodiscard]] wire::SnapshotRequest snapshot_header() const;
+
+  [[nodiscard]] role current_role() const { return role_; }
+  [[nodiscard]] bool is_leader() const { return role_ == role::leader; }
+  /// True once an entry of the leader's own term is committed: only then does
+  /// the leader know every entry that its predecessors committed.
+  [[nodiscard]] bool established() const;
+  [[nodiscard]] term_id term() const { return term_id{term_}; }
+  [[nodiscard]] log_index commit_index() const { return log_index{commit_}; }
+  [[nodiscard]] log_index last_index() const { return log_index{last()}; }
+  [[nodiscard]] std::size_t log_entries() const { return log_.size(); }
+  [[nodiscard]] const std::vector<replica_id> &voters() const {
+    return voters_;
+  }
+  [[nodiscard]] std::optional<replica_id> leader() const { return leader_; }
+  [[nodiscard]] bool is_voter(const replica_id &replica) const;
+  /// True when this replica is out of the committed set and may be deleted.
+  [[nodiscard]] bool retired() const;
+  /// When the leader last heard from `replica`.
+  [[nodiscard]] std::optional<timestamp>
+  last_heard(const replica_id &replica) const;
+
+private:
+  struct progress {
+    std::uint64_t next = 1;
+    std::uint64_t match = 0;
+    timestamp last_heard{};
+    timestamp snapshot_sent{};
+    bool snapshot_pending = false;
+  };
+
+  [[nodiscard]] std::uint64_t last() const { return base_index_ + log_.size(); }
+  [[nodiscard]] std::uint64_t term_at(std::uint64_t index) const;
+  [[nodiscard]] std::uint64_t last_term() const { return term_at(last()); }
+  [[nodiscard]] const wire::LogEntry &entry(std::uint64_t index) const;
+  [[nodiscard]] std::size_t majority() const { return voters_.size() / 2 + 1; }
+  [[nodiscard]] bool heard_from_majority(timestamp now) const;
+
+  void become_follower(std::uint64_t term, timestamp now, std::uint64_t random);
+  void become_leader(timestamp now, outbox &out);
+  void start_election(bool pre_vote, bool transfer, timestamp now,
+                      std::uint64_t random, outbox &out);
+  void count_votes(timestamp now, outbox &out);
+  void reset_election_deadline(timestamp now, std::uint64_t random);
+  void append(wire::LogEntry entry);
+  void truncate_after(std::uint64_t index);
+  void refresh_voters();
+  void replicate(timestamp now, outbox &out);
+  void replicate_to(const replica_id &peer, timestamp now, outbox &out);
+  void advance_commit(timestamp now, outbox &out);
+  void compact();
+  void send(const replica_id &to, wire::Envelope envelope, outbox &out) const;
+
+  partition_id partition_;
+  replica_id self_;
+  options options_;
+
+  role role_ = role::follower;
+  std::uint64_t term_ = 0;
+  std::optional<replica_id> voted_for_;
+  std::optional<replica_id> leader_;
+
+  // log_[i] has index base_index_ + 1 + i.
+  std::deque<wire::LogEntry> log_;
+  std::uint64_t base_index_ = 0;
+  std::uint64_t base_term_ = 0;
+  std::vector<replica_id> base_voters_;
+  std::uint64_t commit_ = 0;
+  std::uint64_t applied_ = 0;
+  std::uint64_t term_start_index_ = 0;
+
+  std::vector<replica_id> voters_;
+  std::uint64_t voters_index_ = 0;
+
+  bool pre_vote_round_ = false;
+  bool transfer_round_ = false;
+  std::set<replica_id> votes_;
+  timestamp election_deadline_{};
+  timestamp next_heartbeat_{};
+  timestamp leader_heard_{};
+  timestamp election_started_{};
+  std::map<replica_id, progress> peers_;
+};
+
+} // namespace heathtrestle::raft
