--- a/src/bench/program_player.cpp
+++ b/src/bench/program_player.cpp
@@ -79,12 +79,13 @@
   return done ? std::optional(text) : std::nullopt;
 }
 
-std::string ran_of(const std::string &body) {
+std::string error_field(const std::string &body, std::string_view field) {
   const json::value value(parse_object(body));
   boost::system::error_code failure;
-  const json::value *ran = value.find_pointer("/error/ran", failure);
-  return ran != nullptr && ran->is_string() ? std::string(ran->as_string())
-                                            : std::string();
+  const json::value *found =
+      value.find_pointer(fmt::format("/error/{}", field), failure);
+  const bool is_text = found != nullptr && found->is_string();
+  return is_text ? std::string(found->as_string()) : std::string();
 }
 
 } // namespace
@@ -177,7 +178,6 @@
   request.path = "/v1/chat/completions";
   request.headers["Heathtrestle-Program"] = id_;
   request.headers["Heathtrestle-Agent"] = call.agent;
-  request.headers["Idempotency-Key"] = key;
   request.body =
       json::serialize(json::object{{"model", call.target},
                                    {"messages", std::move(messages)},
@@ -185,7 +185,7 @@
                                    {"stream", stream}});
   const auto deadline = steady::now() + options_.patience;
   while (steady::now() < deadline) {
-    const auto answer = ask(request);
+    const auto answer = ask_call(request, key);
     if (!answer.has_value() || answer->status != status_ok) {
       complain(key + " got no answer: " +
                (answer.has_value() ? answer->body : "patience ended"));
@@ -216,17 +216,16 @@
   http::request request;
   request.method = "POST";
   request.path = fmt::format("/v1/programs/{}/tools/{}", id_, call.target);
-  request.headers["Idempotency-Key"] = key;
   request.headers["Heathtrestle-Unrepeatable"] =
       call.unrepeatable ? "true" : "false";
   request.body = json::serialize(json::object{{"case", call.text}});
-  const auto answer = ask(std::move(request));
+  const auto answer = ask_call(std::move(request), key);
   if (answer.has_value() && answer->status == status_ok) {
     result_.bookings_confirmed += call.unrepeatable ? 1 : 0;
     return true;
   }
   const bool unknown = answer.has_value() && call.unrepeatable &&
-                       ran_of(answer->body) == "outcome_unknown";
+                       error_field(answer->body, "ran") == "outcome_unknown";
   if (unknown) {
     ++result_.bookings_unknown;
     return true; // a true answer; a person would look into it
@@ -289,13 +288,15 @@
       continue;
     }
     const std::uint32_t status = answer.value().status;
+    const std::string &body =
+        status == status_ok ? streamed : answer.value().body;
+    const bool settled = error_field(body, "retry_with") == "new_key";
     const auto retry_after = answer.value().headers.find("Retry-After");
     const bool come_back =
         retry_after != answer.value().headers.end() &&
         (status >= status_server_error || status == status_too_many);
     if (!come_back) {
-      return answered{status, status == status_ok ? streamed
-                                                  : answer.value().body};
+      return answered{status, body, false};
     }
     ++result_.refusals;
     int seconds = 1;
@@ -304,6 +305,25 @@
                     seconds);
     ++next_daemon_;
     boost::this_fiber::sleep_for(std::chrono::seconds(seconds));
+    if (settled) {
+      return answered{status, body, true};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<program_player::answered>
+program_player::ask_call(http::request request, const std::string &key) {
+  const auto deadline = steady::now() + options_.patience;
+  for (std::uint32_t number = 0; steady::now() < deadline; ++number) {
+    request.headers["Idempotency-Key"] =
+        number == 0 ? key : fmt::format("{}-again-{}", key, number);
+    auto answer = ask(request);
+    const bool not_run = answer.has_value() && answer->settled &&
+                         error_field(answer->body, "ran") == "not_run";
+    if (!not_run) {
+      return answer;
+    }
   }
   return std::nullopt;
 }
--- a/src/bench/program_player.hpp
+++ b/src/bench/program_player.hpp
@@ -22,6 +22,7 @@
   struct answered {
     std::uint32_t status = 0;
     std::string body;
+    bool settled = false; // refused for good under its key
   };
 
   bool create();
@@ -33,6 +34,9 @@
   void end();
   /// Sends a request to one daemon after another until the answer is final.
   std::optional<answered> ask(http::request request);
+  /// Asks for a call; one that was not run is asked for under a new key.
+  std::optional<answered> ask_call(http::request request,
+                                   const std::string &key);
   void complain(std::string what);
   [[nodiscard]] std::string key_of(std::size_t stage, std::size_t call) const;
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -319,6 +319,8 @@
     envelope.set_from(members_.self_id().value());
     envelope.set_from_boot(members_.self().boot());
     envelope.set_configuration_revision(configuration_.revision());
+    // Only messages to random peers carry news: heartbeats would spend its
+    // few transmissions on the same peers over and over.
     const bool carries_news = message.to() != members_.self_id().value() &&
                               (envelope.has_ping() || envelope.has_ack() ||
                                envelope.has_heartbeat_batch() ||
--- a/src/daemon/api.cpp
+++ b/src/daemon/api.cpp
@@ -46,13 +46,14 @@
 class pending_request {
 public:
   pending_request(daemon_runtime &runtime, wire::ClientRequest request,
-                  std::uint64_t time_limit_ms)
+                  std::uint64_t time_limit_ms, bool key_is_fresh)
       : runtime_(runtime),
         handle_(runtime.clients(), runtime.new_request_id()) {
     request.set_request_id(handle_.id());
     wire::Event event;
     *event.mutable_client_arrived()->mutable_request() = std::move(request);
     event.mutable_client_arrived()->set_time_limit_ms(time_limit_ms);
+    event.mutable_client_arrived()->set_key_is_fresh(key_is_fresh);
     runtime.post(std::move(event));
   }
   ~pending_request() {
@@ -134,7 +135,7 @@
     return respond(exchange, failure_response(request.error()));
   }
   *request.value().mutable_create_program() = command.value();
-  pending_request pending(runtime, std::move(request.value()), 0);
+  pending_request pending(runtime, std::move(request.value()), 0, false);
   return answer_program(exchange, pending.final_reply(), status_created);
 }
 
@@ -150,7 +151,7 @@
   } else {
     request.value().mutable_read_program()->set_program(program);
   }
-  pending_request pending(runtime, std::move(request.value()), 0);
+  pending_request pending(runtime, std::move(request.value()), 0, false);
   return answer_program(exchange, pending.final_reply(), 200);
 }
 
@@ -253,7 +254,8 @@
   }
   *request.value().mutable_submit_call() = call.value().submit;
   pending_request pending(runtime, std::move(request.value()),
-                          call.value().time_limit_ms);
+                          call.value().time_limit_ms,
+                          call.value().key_is_fresh);
   if (call.value().stream) {
     return answer_streamed(exchange, pending, call.value().submit.call());
   }
--- a/src/daemon/api_replies.cpp
+++ b/src/daemon/api_replies.cpp
@@ -46,6 +46,7 @@
   fields["peer"] = failure.peer();
   fields["ran"] = name_of(failure.ran());
   fields["retry_after_ms"] = failure.retry_after_ms();
+  fields["retry_with"] = failure.settled() ? "new_key" : "same_key";
   json::object body;
   body["error"] = std::move(fields);
   return body;
--- a/src/daemon/api_requests.cpp
+++ b/src/daemon/api_requests.cpp
@@ -128,8 +128,10 @@
                                "have at most {} bytes",
                                longest_name));
   }
+  call.key_is_fresh = key.empty();
   fields.set_key(key.empty() ? fallback_key : key);
   fields.set_agent(agent.empty() ? std::string(main_agent) : agent);
+  fields.set_after(request.header("Heathtrestle-After"));
   BOOST_OUTCOME_TRY(const bool unrepeatable,
                     read_flag_header(request, "Heathtrestle-Unrepeatable"));
   fields.set_unrepeatable(unrepeatable);
--- a/src/gateway/pending_table.cpp
+++ b/src/gateway/pending_table.cpp
@@ -14,6 +14,7 @@
   pending &waiting = pending_[arrived.request().request_id()];
   waiting.request = arrived.request();
   waiting.arrived = view.step.now();
+  waiting.key_is_fresh = arrived.key_is_fresh();
   const duration_ms limit =
       arrived.time_limit_ms() == 0
           ? options_.default_time_limit
@@ -98,13 +99,21 @@
   waiting.last_sent = view.step.now();
   const auto leader =
       view.members.leader_of(partition_id{waiting.request.partition()});
-  if (!leader.has_value()) {
-    return;
+  node_id target;
+  if (leader.has_value()) {
+    target = node_id{leader->node()};
+  } else {
+    // Some other member may know the leader and redirect, or be it.
+    const auto running = view.members.running();
+    if (running.size() < 2 || view.members.partitions() == 0) {
+      return;
+    }
+    target = node_id{running[view.step.draw_below(running.size())]->node()};
   }
   waiting.ever_sent = true;
   wire::Envelope envelope;
   *envelope.mutable_client_request() = waiting.request;
-  view.step.send(node_id{leader->node()}, std::move(envelope));
+  view.step.send(target, std::move(envelope));
 }
 
 void pending_table::give_up(gateway_view &view, const std::string &request_id,
@@ -123,7 +132,9 @@
       waiting.ever_sent
           ? "no answer in time; ask again with the same key for the outcome"
           : "the partition has no leader yet; nothing was sent");
-  failure.set_ran(waiting.ever_sent ? wire::RAN_UNKNOWN : wire::RAN_NOT_RUN);
+  // A key that the caller chose may have been sent by another gateway before.
+  const bool surely_not_run = !waiting.ever_sent && waiting.key_is_fresh;
+  failure.set_ran(surely_not_run ? wire::RAN_NOT_RUN : wire::RAN_UNKNOWN);
   failure.set_retry_after_ms(options_.retry_after_ms);
   view.step.log(logging::event::gateway_gave_up, request_id);
 }
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -108,10 +108,16 @@
 }
 
 void failure_detector::join(member_table &members, core::step &step) {
-  if (members.running_count() > 1 || step.now() < next_join_) {
+  const bool knows_all =
+      members.running_count() > 1 && members.founding().has_value();
+  if (knows_all || step.now() < next_join_) {
     return;
   }
   next_join_ = step.now() + options_.join_interval;
+  if (members.running_count() > 1) {
+    sync(members, step); // a peer may know of a founding that was missed here
+    return;
+  }
   for (const std::string &seed : seeds_) {
     if (seed == members.self().rpc_address()) {
       continue;
--- a/src/programs/coordinator.cpp
+++ b/src/programs/coordinator.cpp
@@ -25,6 +25,8 @@
     return command.create_program().id();
   case wire::Command::kRecordCall:
     return command.record_call().program();
+  case wire::Command::kRefuseCall:
+    return command.refuse_call().program();
   case wire::Command::kStartAttempt:
     return command.start_attempt().program();
   case wire::Command::kFinishCall:
@@ -43,6 +45,15 @@
   return none;
 }
 
+/// The key of a call that a client's request records; empty for others.
+std::string key_of_call(const wire::Command &command) {
+  if (command.has_record_call()) {
+    return command.record_call().request().key();
+  }
+  return command.has_refuse_call() ? command.refuse_call().request().key()
+                                   : std::string();
+}
+
 } // namespace
 
 void coordinator::on_established(coordinator_view &view) {
@@ -88,7 +99,7 @@
   case wire::ClientRequest::BODY_NOT_SET:
     return;
   }
-  view.proposals.push_back({std::move(command), client, std::nullopt});
+  view.proposals.push_back({std::move(command), client});
 }
 
 void coordinator::on_proposed(log_index index, proposal proposed) {
@@ -131,13 +142,12 @@
   if (origin.has_value() && origin->reply_to.has_value()) {
     const waiter &client = *origin->reply_to;
     wire::ClientReply message;
-    if (command.has_record_call() && !outcome.refusal.has_value()) {
-      const std::string &key = command.record_call().request().key();
+    const std::string key = key_of_call(command);
+    const bool recorded =
+        program != nullptr && find_call(*program, key) != nullptr;
+    if (!key.empty() && recorded) {
       waiters_[{program_name, key}].push_back(client);
       answer_waiters(view, program_name, key);
-    } else if (origin->refusal.has_value()) {
-      *message.mutable_failure() = *origin->refusal;
-      reply(view, client, std::move(message));
     } else if (outcome.refusal.has_value()) {
       *message.mutable_failure() = *outcome.refusal;
       reply(view, client, std::move(message));
@@ -164,9 +174,9 @@
   const wire::ProgramRecord *program =
       view.store.find(program_id{program_name});
   if (program == nullptr) {
-    refuse_after_commit(view, client, program_name,
-                        refusal_of(error_code::not_found,
-                                   fmt::format("no program {}", program_name)));
+    refuse_call(view, client, program_name, submitted.call(),
+                refusal_of(error_code::not_found,
+                           fmt::format("no program {}", program_name)));
     return;
   }
   const call_id id{program_name, submitted.call().key()};
@@ -206,11 +216,15 @@
   if (already_proposed) {
     return; // the gateway asks again; by then the record is applied
   }
-  const auto refuse_call = [&](wire::Failure failure) {
-    refuse_after_commit(view, client, program.id(), std::move(failure));
+  const std::string &after = request.after();
+  if (!after.empty() && find_call(program, after) == nullptr) {
+    return; // its predecessor is still on its way; the gateway asks again
+  }
+  const auto refuse_this = [&](wire::Failure failure) {
+    refuse_call(view, client, program.id(), request, std::move(failure));
   };
   if (auto mismatch = reduce_to_new_messages(program, request)) {
-    refuse_call(std::move(*mismatch));
+    refuse_this(std::move(*mismatch));
     return;
   }
   std::uint64_t reserve = 0;
@@ -222,13 +236,13 @@
     const config::model_object *model =
         view.configuration.model(request.target());
     if (model == nullptr) {
-      refuse_call(refusal_of(error_code::not_found,
+      refuse_this(refusal_of(error_code::not_found,
                              fmt::format("no model {}", request.target())));
       return;
     }
     const auto reserved = reserve_chat(program, request, *model, price);
     if (!reserved.has_value()) {
-      refuse_call(refusal_of(
+      refuse_this(refusal_of(
           error_code::budget_exhausted,
           fmt::format("budget {}, spent {}, reserved {}: not enough for the "
                       "prompt and one token",
@@ -240,7 +254,7 @@
   } else {
     const config::tool_object *tool = view.configuration.tool(request.target());
     if (tool == nullptr) {
-      refuse_call(refusal_of(error_code::not_found,
+      refuse_this(refusal_of(error_code::not_found,
                              fmt::format("no tool {}", request.target())));
       return;
     }
@@ -253,20 +267,23 @@
   *record.mutable_request() = std::move(request);
   record.set_reserve(reserve);
   record.set_price(price);
-  view.proposals.push_back({std::move(command), client, std::nullopt});
+  view.proposals.push_back({std::move(command), client});
 }
 
-void coordinator::refuse_after_commit(coordinator_view &view,
-                                      const waiter &client,
-                                      const std::string &program,
-                                      wire::Failure failure) {
+void coordinator::refuse_call(coordinator_view &view, const waiter &client,
+                              const std::string &program,
+                              wire::CallRequest request,
+                              wire::Failure failure) {
   wire::Command command;
-  command.mutable_read_barrier()->set_program(program);
-  view.proposals.push_back({std::move(command), client, std::move(failure)});
+  wire::RefuseCall &refusal = *command.mutable_refuse_call();
+  refusal.set_program(program);
+  *refusal.mutable_request() = std::move(request);
+  *refusal.mutable_failure() = std::move(failure);
+  view.proposals.push_back({std::move(command), client});
 }
 
 void coordinator::propose(coordinator_view &view, wire::Command command) {
-  view.proposals.push_back({std::move(command), std::nullopt, std::nullopt});
+  view.proposals.push_back({std::move(command), std::nullopt});
 }
 
 void coordinator::answer_waiters(coordinator_view &view,
--- a/src/programs/coordinator.hpp
+++ b/src/programs/coordinator.hpp
@@ -45,9 +45,6 @@
 struct proposal {
   wire::Command command;
   std::optional<waiter> reply_to;
-  /// Sent instead of the command's own result. Committed first, because only
-  /// then is it sure that no other leader has taken up the same request.
-  std::optional<wire::Failure> refusal;
 };
 
 /// What the coordinator sees of its node during one reduction.
@@ -114,8 +111,11 @@
   void propose_record(coordinator_view &view, const waiter &client,
                       const wire::ProgramRecord &program,
                       wire::CallRequest request);
-  void refuse_after_commit(coordinator_view &view, const waiter &client,
-                           const std::string &program, wire::Failure failure);
+  /// Refuses a call through the log: only then is it sure that no other leader
+  /// has taken up the same request, and that no copy of it will run.
+  void refuse_call(coordinator_view &view, const waiter &client,
+                   const std::string &program, wire::CallRequest request,
+                   wire::Failure failure);
   void propose(coordinator_view &view, wire::Command command);
 
   void schedule(coordinator_view &view, const std::string &program);
--- a/src/programs/coordinator_attempts.cpp
+++ b/src/programs/coordinator_attempts.cpp
@@ -61,9 +61,23 @@
     return;
   }
   for (const wire::CallRecord *call : runnable_calls(*program)) {
-    if (!in_transition_.contains({program_name, call->request().key()})) {
-      start_attempt(view, *program, *call, {}, false);
+    if (in_transition_.contains({program_name, call->request().key()})) {
+      continue;
+    }
+    const wire::CallRecord *before = find_call(*program, call->request().after());
+    if (before != nullptr && before->state() != wire::CALL_COMPLETED) {
+      // Made to build on an answer that there is not.
+      wire::FinishCall command;
+      command.set_state(wire::CALL_NOT_RUN);
+      *command.mutable_failure() = failure_of(
+          error_code::conflict,
+          fmt::format("call {}, which it comes after, was not completed",
+                      call->request().after()),
+          "order", "", wire::RAN_NOT_RUN, options_.overload_retry_after_ms);
+      finish(view, *program, *call, std::move(command));
+      continue;
     }
+    start_attempt(view, *program, *call, {}, false);
   }
 }
 
--- a/src/programs/program_store.cpp
+++ b/src/programs/program_store.cpp
@@ -20,6 +20,22 @@
   return {.refusal = refuse(code, std::move(message)), .finished_keys = {}};
 }
 
+/// Settles a call as not run under its key.
+apply_result record_refusal(wire::ProgramRecord &program,
+                            const wire::CallRequest &request,
+                            wire::Failure failure) {
+  failure.set_settled(true);
+  wire::CallRecord &call = *program.add_calls();
+  *call.mutable_request() = request;
+  call.mutable_request()->clear_messages();
+  call.mutable_request()->clear_arguments();
+  call.set_position(program.next_position());
+  call.set_state(wire::CALL_NOT_RUN);
+  *call.mutable_failure() = std::move(failure);
+  program.set_next_position(program.next_position() + 1);
+  return {.refusal = call.failure(), .finished_keys = {request.key()}};
+}
+
 apply_result no_such_program(const std::string &id) {
   return refused(error_code::not_found, fmt::format("no program {}", id));
 }
@@ -90,6 +106,14 @@
   return failure;
 }
 
+std::uint32_t turns_of(const wire::ProgramRecord &program) {
+  return static_cast<std::uint32_t>(
+      std::count_if(program.calls().begin(), program.calls().end(),
+                    [](const wire::CallRecord &call) {
+                      return call.state() != wire::CALL_NOT_RUN;
+                    }));
+}
+
 bool is_final(wire::CallState state) {
   return state != wire::CALL_WAITING && state != wire::CALL_RUNNING;
 }
@@ -134,7 +158,12 @@
     }
     const bool first_of_agent =
         seen_agents.insert(call.request().agent()).second;
-    if (first_of_agent && call.state() == wire::CALL_WAITING) {
+    const wire::CallRecord *before =
+        call.request().after().empty()
+            ? nullptr
+            : find_call(program, call.request().after());
+    const bool held = before != nullptr && !is_final(before->state());
+    if (first_of_agent && !held && call.state() == wire::CALL_WAITING) {
       runnable.push_back(&call);
     }
   }
@@ -194,6 +223,8 @@
     return apply(command.create_program());
   case wire::Command::kRecordCall:
     return apply(command.record_call());
+  case wire::Command::kRefuseCall:
+    return apply(command.refuse_call());
   case wire::Command::kStartAttempt:
     return apply(command.start_attempt());
   case wire::Command::kFinishCall:
@@ -256,22 +287,28 @@
     return {}; // a repeated request; its first record stands
   }
   if (program->ended()) {
-    return refused(error_code::program_ended,
-                   fmt::format("program {} has ended: {}", program->id(),
-                               program->end_reason()));
+    return record_refusal(
+        *program, request,
+        refuse(error_code::program_ended,
+               fmt::format("program {} has ended: {}", program->id(),
+                           program->end_reason())));
   }
-  if (program->next_position() >= program->turn_limit()) {
-    return refused(error_code::turn_limit,
-                   fmt::format("program {} has used its {} turns",
-                               program->id(), program->turn_limit()));
+  if (turns_of(*program) >= program->turn_limit()) {
+    return record_refusal(
+        *program, request,
+        refuse(error_code::turn_limit,
+               fmt::format("program {} has used its {} turns", program->id(),
+                           program->turn_limit())));
   }
   const std::uint64_t committed = program->spent() + program->reserved();
   if (committed + command.reserve() > program->budget()) {
-    return refused(error_code::budget_exhausted,
-                   fmt::format("the call may cost {}, of budget {} there is "
-                               "{} left",
-                               command.reserve(), program->budget(),
-                               program->budget() - committed));
+    return record_refusal(
+        *program, request,
+        refuse(error_code::budget_exhausted,
+               fmt::format("the call may cost {}, of budget {} there is {} "
+                           "left",
+                           command.reserve(), program->budget(),
+                           program->budget() - committed)));
   }
   wire::CallRecord &call = *program->add_calls();
   *call.mutable_request() = request;
@@ -283,6 +320,17 @@
   return {};
 }
 
+apply_result program_store::apply(const wire::RefuseCall &command) {
+  wire::ProgramRecord *program = find_mutable(command.program());
+  if (program == nullptr) {
+    return {.refusal = command.failure(), .finished_keys = {}};
+  }
+  if (find_call(*program, command.request().key()) != nullptr) {
+    return {}; // another copy of the request came first; its record stands
+  }
+  return record_refusal(*program, command.request(), command.failure());
+}
+
 apply_result program_store::apply(const wire::StartAttempt &command) {
   wire::ProgramRecord *program = find_mutable(command.program());
   wire::CallRecord *call =
@@ -319,6 +367,7 @@
   call->set_answer(command.answer());
   *call->mutable_usage() = command.usage();
   *call->mutable_failure() = command.failure();
+  call->mutable_failure()->set_settled(true);
   settle(*program, *call, command.cost());
   const bool completed = command.state() == wire::CALL_COMPLETED;
   if (completed && call->request().kind() == wire::CALL_CHAT) {
@@ -347,6 +396,7 @@
         refuse(error_code::program_ended,
                fmt::format("program {} has ended: {}", program->id(),
                            program->end_reason()));
+    call.mutable_failure()->set_settled(true);
     settle(*program, call, 0);
     outcome.finished_keys.push_back(call.request().key());
   }
--- a/src/programs/program_store.hpp
+++ b/src/programs/program_store.hpp
@@ -1,8 +1,8 @@
 // The state machine of a partition: the records of its programs.
 //
 // Commands reach it in log order on every replica, so `apply` is a function of
-// the state and the command alone. What a refused command leaves behind is
-// nothing: the refusal is returned and the state is as before.
+// the state and the command alone. A refused command leaves nothing behind,
+// except that a refused call stays refused: its key is recorded as not run.
 #pragma once
 
 #include "base/ids.hpp"
@@ -41,6 +41,7 @@
 private:
   apply_result apply(const wire::CreateProgram &command);
   apply_result apply(const wire::RecordCall &command);
+  apply_result apply(const wire::RefuseCall &command);
   apply_result apply(const wire::StartAttempt &command);
   apply_result apply(const wire::FinishCall &command);
   apply_result apply(const wire::EndProgram &command);
@@ -62,10 +63,14 @@
 const wire::AgentRecord *find_agent(const wire::ProgramRecord &program,
                                     const std::string &name);
 
+/// Calls that count against the turn limit: all but those that did not run.
+std::uint32_t turns_of(const wire::ProgramRecord &program);
+
 /// True for states that a call never leaves.
 bool is_final(wire::CallState state);
 
-/// The waiting calls whose turn it is: the first unfinished call of each agent.
+/// The waiting calls whose turn it is: the first unfinished call of each
+/// agent, unless it names a call to come after that is not final yet.
 std::vector<const wire::CallRecord *>
 runnable_calls(const wire::ProgramRecord &program);
 
--- a/src/programs/reservation.cpp
+++ b/src/programs/reservation.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Tokens that the framing of an assistant's message adds to its text, at most.
+constexpr std::uint64_t message_framing_tokens = 40;
+
 std::uint64_t tokens_in(std::uint64_t bytes, std::uint32_t bytes_per_token) {
   return (bytes + bytes_per_token - 1) / bytes_per_token;
 }
@@ -39,7 +42,7 @@
         call.request().agent() == request.agent() && !is_final(call.state());
     if (comes_before) {
       tokens += token_bound(call.request().messages(), minimum_bytes_per_token);
-      tokens += call.request().max_output_tokens();
+      tokens += call.request().max_output_tokens() + message_framing_tokens;
     }
   }
   return tokens;
--- /dev/null
+++ b/src/sim/caller.cpp
@@ -0,0 +1,351 @@
+#include "sim/caller.hpp"
+
+#include "base/ids.hpp"
+#include "stand_ins/answer.hpp"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace heathtrestle::sim {
+
+namespace {
+
+std::string user_message(const std::string &text) {
+  return boost::json::serialize(
+      boost::json::object{{"content", text}, {"role", "user"}});
+}
+
+std::string text_of(const std::string &assistant_message) {
+  boost::system::error_code failure;
+  const auto value = boost::json::parse(assistant_message, failure);
+  const bool usable = !failure && value.is_object() &&
+                      value.as_object().contains("content") &&
+                      value.at("content").is_string();
+  return usable ? std::string(value.at("content").as_string())
+                : assistant_message;
+}
+
+} // namespace
+
+caller::caller(world &cluster, const bench::program_plan &plan,
+               std::size_t number, caller_options options)
+    : world_(cluster), plan_(plan), number_(number), options_(options),
+      id_(fmt::format("program-{}", number)) {}
+
+void caller::start() {
+  world_.clock().after(
+      static_cast<microseconds>(plan_.arrival.count()) * per_millisecond,
+      [self = shared_from_this()] {
+        self->began_ = self->world_.clock().now();
+        ++self->world_.seen().programs_started;
+        self->create();
+      });
+}
+
+void caller::create() {
+  wire::ClientRequest request;
+  request.set_partition(partition());
+  wire::CreateProgram &command = *request.mutable_create_program();
+  command.set_id(id_);
+  command.set_tenant(plan_.tenant);
+  command.set_program_class(plan_.program_class);
+  command.set_name(plan_.name);
+  command.set_budget(4000000);
+  command.set_turn_limit(400);
+  ask_about_program(request, [self = shared_from_this()](
+                                 const wire::ClientReply &reply) {
+    if (reply.has_program()) {
+      self->created_ = true;
+      self->next_stage();
+    } else {
+      self->world_.seen().complaints.push_back(
+          fmt::format("{} was refused: {}", self->id_,
+                      reply.failure().ShortDebugString()));
+    }
+  });
+}
+
+void caller::next_stage() {
+  if (stage_ >= plan_.stages.size()) {
+    latency_ms_ = static_cast<double>(elapsed()) / per_millisecond;
+    end();
+    return;
+  }
+  const bench::stage_plan &stage = plan_.stages[stage_];
+  std::vector<call_pointer> calls;
+  for (std::size_t index = 0; index < stage.calls.size(); ++index) {
+    calls.push_back(make_call(stage.calls[index], index));
+  }
+  const auto alone_on_main = [](const bench::stage_plan &which) {
+    return which.calls.size() == 1 &&
+           which.calls.front().kind == bench::call_kind::chat &&
+           which.calls.front().agent == "main";
+  };
+  const bool could_pipeline =
+      stage_ + 1 < plan_.stages.size() && alone_on_main(stage) &&
+      alone_on_main(plan_.stages[stage_ + 1]);
+  const double drawn =
+      static_cast<double>(world_.random()() % 1000) / 1000.0;
+  if (could_pipeline && drawn < options_.pipelining) {
+    ++stage_;
+    const call_pointer second =
+        make_call(plan_.stages[stage_].calls.front(), 0);
+    second->after = calls.front();
+    calls.front()->next = second;
+    second->append = true;
+    calls.front()->append = true;
+    calls.push_back(second);
+  }
+  pause_ = 0;
+  for (const call_pointer &call : calls) {
+    pause_ = std::max(pause_, static_cast<microseconds>(
+                                  call->plan.pause.count()) *
+                                  per_millisecond);
+  }
+  no_wait_ms_ += static_cast<double>(pause_) / per_millisecond;
+  ++stage_;
+  open_calls_ = calls.size();
+  for (const call_pointer &call : calls) {
+    send(call);
+  }
+}
+
+caller::call_pointer caller::make_call(const bench::call_plan &plan,
+                                       std::size_t call) {
+  auto made = std::make_shared<open_call>();
+  made->plan = plan;
+  made->base_key = fmt::format("s{}-{}", stage_, call);
+  made->key = made->base_key;
+  return made;
+}
+
+void caller::send(const call_pointer &call) {
+  const std::size_t node = pick_node();
+  wire::ClientRequest request;
+  request.set_partition(partition());
+  request.mutable_submit_call()->set_program(id_);
+  wire::CallRequest &fields = *request.mutable_submit_call()->mutable_call();
+  fields.set_key(call->key);
+  fields.set_agent(call->plan.agent);
+  fields.set_target(call->plan.target);
+  fields.set_unrepeatable(call->plan.unrepeatable);
+  if (call->after != nullptr) {
+    fields.set_after(call->after->key);
+  }
+  if (call->plan.kind == bench::call_kind::tool) {
+    fields.set_kind(wire::CALL_TOOL);
+    fields.set_arguments("{}");
+  } else {
+    fields.set_kind(wire::CALL_CHAT);
+    fields.set_max_output_tokens(call->plan.max_tokens);
+    if (call->append) {
+      fields.set_history_mode(wire::HISTORY_APPEND);
+    } else {
+      for (const std::string &message : conversations_[call->plan.agent]) {
+        fields.add_messages(message);
+      }
+    }
+    fields.add_messages(user_message(call->plan.text));
+  }
+  const auto self = shared_from_this();
+  const auto again = [self, call] {
+    call->connection.clear();
+    self->world_.clock().after(self->options_.retry_pause, [self, call] {
+      if (!call->answered && call->connection.empty()) {
+        self->send(call);
+      }
+    });
+  };
+  const std::string connection = world_.ask(
+      node, std::move(request), 0,
+      [self, call](const wire::ClientReply &reply) {
+        self->on_reply(call, reply);
+      },
+      again);
+  call->connection = connection;
+  world_.clock().after(options_.patience, [self, call, connection, again] {
+    if (!call->answered && call->connection == connection) {
+      self->world_.hang_up(connection);
+      again();
+    }
+  });
+}
+
+void caller::on_reply(const call_pointer &call,
+                      const wire::ClientReply &reply) {
+  if (call->answered) {
+    return;
+  }
+  if (reply.has_outcome() &&
+      reply.outcome().call().state() == wire::CALL_COMPLETED) {
+    on_completed(call, reply.outcome().call());
+    return;
+  }
+  if (reply.has_program()) {
+    world_.seen().complaints.push_back(
+        fmt::format("{} {} got another request's answer", id_, call->key));
+    call->answered = true;
+    return;
+  }
+  on_refused(call, reply.has_failure() ? reply.failure()
+                                       : reply.outcome().call().failure());
+}
+
+void caller::on_completed(const call_pointer &call,
+                          const wire::CallRecord &record) {
+  if (call->after != nullptr && !call->after->answered) {
+    call->early = record; // taken in once its predecessor's answer is here
+    return;
+  }
+  call->answered = true;
+  final_answer answer;
+  answer.program = id_;
+  answer.key = call->key;
+  answer.agent = call->plan.agent;
+  answer.unrepeatable = call->plan.unrepeatable;
+  answer.tool = call->plan.kind == bench::call_kind::tool;
+  answer.completed = true;
+  answer.ran = wire::RAN_RAN;
+  if (answer.tool) {
+    answer.text = record.answer();
+    answer.expected =
+        fmt::format("{{\"invocation\":\"{}/{}\"}}", id_, call->key);
+  } else {
+    std::vector<std::string> &conversation = conversations_[answer.agent];
+    conversation.push_back(user_message(call->plan.text));
+    answer.expected =
+        stand_ins::expected_answer(conversation, call->plan.max_tokens);
+    answer.text = text_of(record.answer());
+    conversation.push_back(stand_ins::assistant_message(answer.expected));
+  }
+  world_.seen().answers.push_back(std::move(answer));
+  if (call->next != nullptr && call->next->early.has_value()) {
+    on_completed(call->next, *call->next->early);
+  }
+  call_done();
+}
+
+void caller::on_refused(const call_pointer &call,
+                        const wire::Failure &failure) {
+  final_answer answer;
+  answer.program = id_;
+  answer.key = call->key;
+  answer.agent = call->plan.agent;
+  answer.unrepeatable = call->plan.unrepeatable;
+  answer.tool = call->plan.kind == bench::call_kind::tool;
+  answer.ran = failure.ran();
+  answer.code = failure.code();
+  world_.seen().answers.push_back(std::move(answer));
+
+  const bool gives_up =
+      call->plan.unrepeatable && failure.ran() == wire::RAN_UNKNOWN &&
+      failure.settled();
+  if (gives_up) {
+    call->answered = true;
+    call_done(); // a person would look into it
+    return;
+  }
+  if (failure.retry_after_ms() == 0 && failure.settled() &&
+      failure.ran() == wire::RAN_NOT_RUN) {
+    call->answered = true;
+    world_.seen().complaints.push_back(
+        fmt::format("{} {} refused: {}", id_, call->key,
+                    failure.ShortDebugString()));
+    call_done();
+    return;
+  }
+  if (failure.settled()) {
+    call->key = fmt::format("{}-again-{}", call->base_key, ++call->renamed);
+  }
+  call->connection.clear();
+  const auto self = shared_from_this();
+  const microseconds pause =
+      std::max<microseconds>(failure.retry_after_ms() * per_millisecond,
+                             options_.retry_pause);
+  world_.clock().after(pause, [self, call] {
+    if (!call->answered && call->connection.empty()) {
+      self->send(call);
+    }
+  });
+}
+
+void caller::call_done() {
+  if (--open_calls_ > 0) {
+    return;
+  }
+  world_.clock().after(pause_,
+                       [self = shared_from_this()] { self->next_stage(); });
+}
+
+void caller::end() {
+  wire::ClientRequest request;
+  request.set_partition(partition());
+  request.mutable_end_program()->set_program(id_);
+  request.mutable_end_program()->set_reason("done");
+  ask_about_program(request, [self = shared_from_this()](
+                                 const wire::ClientReply &) {
+    self->ended_ = true;
+    ++self->world_.seen().programs_finished;
+    self->world_.seen().latencies_ms.push_back(self->latency_ms_);
+  });
+}
+
+void caller::ask_about_program(const wire::ClientRequest &request,
+                               reply_action done) {
+  auto asked = std::make_shared<open_question>();
+  asked->request = request;
+  asked->done = std::move(done);
+  ask_again(asked);
+}
+
+void caller::ask_again(const std::shared_ptr<open_question> &asked) {
+  const auto self = shared_from_this();
+  const std::uint32_t round = ++asked->round;
+  // Whatever ends a round first starts the next one; the rest finds it over.
+  const auto next_round = [self, asked, round] {
+    if (asked->round == round && !asked->answered) {
+      ++asked->round;
+      self->world_.clock().after(self->options_.retry_pause,
+                                 [self, asked] { self->ask_again(asked); });
+    }
+  };
+  const std::string connection = world_.ask(
+      pick_node(), asked->request, 0,
+      [asked, next_round](const wire::ClientReply &reply) {
+        const bool come_back =
+            reply.has_failure() && reply.failure().retry_after_ms() > 0;
+        if (come_back) {
+          next_round();
+        } else if (!asked->answered) {
+          asked->answered = true;
+          asked->done(reply);
+        }
+      },
+      next_round);
+  world_.clock().after(options_.patience, [self, connection, next_round] {
+    self->world_.hang_up(connection);
+    next_round();
+  });
+}
+
+std::size_t caller::pick_node() {
+  // A balancer before the daemons sees dead ones, but not frozen ones.
+  const std::size_t first = world_.random()() % world_.node_count();
+  for (std::size_t step = 0; step < world_.node_count(); ++step) {
+    const std::size_t node = (first + step) % world_.node_count();
+    if (world_.alive(node)) {
+      return node;
+    }
+  }
+  return first;
+}
+
+std::uint32_t caller::partition() const {
+  return partition_of(id_, world_.options().node.partition_count).value();
+}
+
+microseconds caller::elapsed() const { return world_.clock().now() - began_; }
+
+} // namespace heathtrestle::sim
--- /dev/null
+++ b/src/sim/checker.cpp
@@ -0,0 +1,268 @@
+#include "sim/checker.hpp"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+#include <fmt/format.h>
+
+namespace heathtrestle::sim {
+
+namespace {
+
+constexpr std::array<std::string_view, invariant_count> names{
+    "order",        "history",      "budget",          "memory",
+    "whole_answer", "not_run",      "at_most_once",    "leaving_backend",
+    "planned_stop", "configuration", "liveness"};
+
+/// "a few seconds" and "within seconds" of the brief.
+constexpr microseconds drain_limit = 3 * per_second;
+constexpr microseconds spread_limit = 5 * per_second;
+
+using violations = std::vector<std::pair<invariant, std::string>>;
+
+std::string call_of(const std::string &engine_request) {
+  return engine_request.substr(0, engine_request.rfind('/'));
+}
+
+/// The latest committed record of a program over all running replicas.
+const wire::ProgramRecord *record_of(world &cluster,
+                                     const std::string &program) {
+  const partition_id partition =
+      partition_of(program, cluster.options().node.partition_count);
+  const wire::ProgramRecord *best = nullptr;
+  std::uint64_t best_commit = 0;
+  for (std::size_t node = 0; node < cluster.node_count(); ++node) {
+    if (!cluster.alive(node)) {
+      continue;
+    }
+    const auto &partitions = cluster.node(node).partitions();
+    const raft::consensus *log = partitions.log_of(partition);
+    if (log == nullptr || log->commit_index().value() < best_commit) {
+      continue;
+    }
+    const auto *store = partitions.store_of(partition);
+    const auto *found = store->find(program_id{program});
+    best_commit = log->commit_index().value();
+    best = found;
+  }
+  return best;
+}
+
+void check_order(world &cluster, violations &found) {
+  // Within an agent a call starts only after the one before it is final, so
+  // of two calls the earlier one's starts all come first.
+  std::map<std::string, microseconds> first_start;
+  std::map<std::string, microseconds> last_start;
+  for (const engine_start &start : cluster.seen().engine_starts) {
+    const std::string call = call_of(start.engine_request);
+    first_start.try_emplace(call, start.when);
+    last_start[call] = start.when;
+  }
+  std::map<std::string, std::string> previous; // by program and agent
+  for (const final_answer &answer : cluster.seen().answers) {
+    if (answer.tool || !answer.completed) {
+      continue;
+    }
+    const std::string call = answer.program + "/" + answer.key;
+    std::string &before = previous[answer.program + "/" + answer.agent];
+    const bool known =
+        first_start.contains(call) && first_start.contains(before);
+    if (known && first_start[call] <= last_start[before]) {
+      found.emplace_back(invariant::order,
+                         fmt::format("{} started before {}", call, before));
+    }
+    before = call;
+  }
+}
+
+void check_programs(world &cluster,
+                    const std::vector<std::shared_ptr<caller>> &callers,
+                    violations &found) {
+  for (const auto &each : callers) {
+    if (!each->ended()) {
+      found.emplace_back(invariant::liveness,
+                         each->program() + " did not come to its end");
+    }
+    if (!each->created()) {
+      continue;
+    }
+    const wire::ProgramRecord *record = record_of(cluster, each->program());
+    if (record == nullptr) {
+      found.emplace_back(invariant::history, each->program() + " is lost");
+      continue;
+    }
+    std::map<std::string, std::vector<std::string>> recorded;
+    for (const wire::AgentRecord &agent : record->agents()) {
+      recorded[agent.name()] = {agent.history().begin(),
+                                agent.history().end()};
+    }
+    if (recorded != each->conversations()) {
+      found.emplace_back(invariant::history,
+                         each->program() + " has another history");
+    }
+    if (record->spent() + record->reserved() > record->budget()) {
+      found.emplace_back(invariant::budget,
+                         each->program() + " has overspent");
+    }
+    constexpr std::uint64_t price = 2; // of every class, see configure
+    std::uint64_t used = 0;
+    for (const wire::CallRecord &call : record->calls()) {
+      const bool chat = call.request().kind() == wire::CALL_CHAT;
+      used += chat ? price * (call.usage().prompt_tokens() +
+                              call.usage().output_tokens())
+                   : 0;
+    }
+    if (used > record->spent()) {
+      found.emplace_back(
+          invariant::budget,
+          fmt::format("{} used {} and was charged {}", each->program(), used,
+                      record->spent()));
+    }
+  }
+}
+
+void check_memory(world &cluster, violations &found) {
+  for (std::size_t index = 0; index < cluster.engine_count(); ++index) {
+    if (!cluster.engine(index).alive()) {
+      continue;
+    }
+    for (const std::string &program :
+         cluster.engine(index).cache().programs()) {
+      const wire::ProgramRecord *record = record_of(cluster, program);
+      if (record == nullptr || record->ended()) {
+        found.emplace_back(invariant::memory,
+                           fmt::format("engine-{} holds memory for {}", index,
+                                       program));
+      }
+    }
+  }
+}
+
+void check_answers(world &cluster, violations &found) {
+  std::set<std::string> started;
+  std::map<std::string, std::uint32_t> starts;
+  for (const engine_start &start : cluster.seen().engine_starts) {
+    started.insert(call_of(start.engine_request));
+    ++starts[call_of(start.engine_request)];
+  }
+  for (const auto &[call, runs] : cluster.seen().tool_runs) {
+    started.insert(call);
+  }
+  for (const final_answer &answer : cluster.seen().answers) {
+    const std::string call = answer.program + "/" + answer.key;
+    if (answer.completed && answer.text != answer.expected) {
+      found.emplace_back(invariant::whole_answer,
+                         fmt::format("{} got \"{}\", not \"{}\"", call,
+                                     answer.text, answer.expected));
+    }
+    const bool said_not_run =
+        !answer.completed && answer.ran == wire::RAN_NOT_RUN;
+    if (said_not_run && started.contains(call)) {
+      found.emplace_back(invariant::not_run,
+                         fmt::format("{} was refused as not run ({}) and ran",
+                                     call, answer.code));
+    }
+    const auto tool_runs = cluster.seen().tool_runs.find(call);
+    const std::uint32_t runs =
+        answer.tool ? (tool_runs == cluster.seen().tool_runs.end()
+                           ? 0
+                           : tool_runs->second)
+                    : starts[call];
+    if (answer.unrepeatable && runs > 1) {
+      found.emplace_back(invariant::at_most_once,
+                         fmt::format("{} ran {} times", call, runs));
+    }
+  }
+}
+
+void check_drains(world &cluster, violations &found) {
+  for (const engine_start &start : cluster.seen().engine_starts) {
+    const auto drained =
+        cluster.seen().drains_accepted.find(start.backend);
+    const bool late = drained != cluster.seen().drains_accepted.end() &&
+                      start.when > drained->second + drain_limit;
+    if (late) {
+      found.emplace_back(
+          invariant::leaving_backend,
+          fmt::format("{} got {} {} ms after its drain was accepted",
+                      start.backend, start.engine_request,
+                      (start.when - drained->second) / per_millisecond));
+    }
+  }
+}
+
+} // namespace
+
+std::string_view name_of(invariant which) {
+  return names.at(static_cast<std::size_t>(which));
+}
+
+bool verdict::violates(invariant which) const {
+  return std::any_of(
+      violations.begin(), violations.end(),
+      [which](const auto &entry) { return entry.first == which; });
+}
+
+void watcher::sample(world &cluster) {
+  const microseconds now = cluster.clock().now();
+  std::uint64_t due = 0; // newest revision that must be in force by now
+  for (const auto &[revision, accepted] : cluster.seen().changes_accepted) {
+    if (accepted + spread_limit <= now) {
+      due = std::max(due, revision);
+    }
+  }
+  for (std::size_t index = 0; index < cluster.node_count(); ++index) {
+    if (!cluster.reachable(index)) {
+      up_since_[index] = now;
+      continue;
+    }
+    const std::uint64_t boot = cluster.node(index).members().self().boot();
+    const std::uint64_t revision =
+        cluster.node(index).configuration().revision();
+    auto &[known_boot, known_revision] = revisions_[index];
+    if (known_boot != boot) {
+      known_boot = boot;
+      known_revision = 0;
+      up_since_[index] = now;
+    }
+    if (revision < known_revision) {
+      complaints_.push_back(fmt::format("node-{} went from revision {} to {}",
+                                        index, known_revision, revision));
+    }
+    known_revision = revision;
+    const bool undisturbed =
+        up_since_[index] + spread_limit <= now &&
+        cluster.undisturbed_since() + spread_limit <= now;
+    if (undisturbed && revision < due) {
+      complaints_.push_back(fmt::format("node-{} has revision {}, {} is due",
+                                        index, revision, due));
+    }
+  }
+}
+
+verdict check(world &cluster,
+              const std::vector<std::shared_ptr<caller>> &callers,
+              const watcher &watched) {
+  verdict result;
+  check_order(cluster, result.violations);
+  check_programs(cluster, callers, result.violations);
+  check_memory(cluster, result.violations);
+  check_answers(cluster, result.violations);
+  check_drains(cluster, result.violations);
+  if (cluster.seen().cut_by_planned_stop > 0) {
+    result.violations.emplace_back(
+        invariant::planned_stop,
+        fmt::format("{} requests were cut off",
+                    cluster.seen().cut_by_planned_stop));
+  }
+  for (const std::string &complaint : watched.complaints()) {
+    result.violations.emplace_back(invariant::configuration, complaint);
+  }
+  for (const std::string &complaint : cluster.seen().complaints) {
+    result.violations.emplace_back(invariant::liveness, complaint);
+  }
+  return result;
+}
+
+} // namespace heathtrestle::sim
--- /dev/null
+++ b/src/sim/observations.hpp
@@ -0,0 +1,50 @@
+// What really happened in a simulation, as seen from outside the daemons: the
+// ground on which the checker judges.
+#pragma once
+
+#include "sim/virtual_clock.hpp"
+#include "wire/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace heathtrestle::sim {
+
+/// A generation that an engine began.
+struct engine_start {
+  microseconds when = 0;
+  std::string backend;
+  std::string engine_request; // program/key/attempt
+};
+
+/// A final answer as a caller got it.
+struct final_answer {
+  std::string program;
+  std::string key;
+  std::string agent;
+  bool unrepeatable = false;
+  bool tool = false;
+  bool completed = false;
+  wire::RanStatus ran = wire::RAN_NOT_RUN; // of refusals and failures
+  std::string code;
+  std::string text;
+  std::string expected; // of completed chats
+};
+
+struct observations {
+  std::vector<engine_start> engine_starts;
+  std::map<std::string, std::uint32_t> tool_runs; // by program/key
+  std::vector<final_answer> answers;
+  std::map<std::string, microseconds> drains_accepted; // by back end
+  /// Accepted changes: the revision and when it was accepted.
+  std::vector<std::pair<std::uint64_t, microseconds>> changes_accepted;
+  std::vector<std::string> complaints; // seen while running
+  std::uint64_t cut_by_planned_stop = 0;
+  std::uint64_t programs_finished = 0;
+  std::uint64_t programs_started = 0;
+  std::vector<double> latencies_ms;
+};
+
+} // namespace heathtrestle::sim
--- /dev/null
+++ b/src/sim/sim_engine.hpp
@@ -0,0 +1,100 @@
+// A model engine in virtual time: batches, a prefix cache, dedupe by request,
+// streams that can be resumed, and a fence by epoch.
+#pragma once
+
+#include "sim/observations.hpp"
+#include "sim/virtual_clock.hpp"
+#include "stand_ins/engine/prefix_cache.hpp"
+#include "wire/messages.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace heathtrestle::sim {
+
+struct engine_model {
+  std::uint32_t batch = 8;
+  std::size_t cache_blocks = 4096;
+  double step_base_ms = 20;    // one token for each running request
+  double step_request_ms = 1;
+  double prefill_token_ms = 0.05;
+  std::uint32_t tokens_per_step = 4; // steps joined, to save events
+};
+
+/// Where a stream's progress goes; returns false when nobody listens any more.
+using progress_sink = std::function<void(wire::Event)>;
+
+class sim_engine {
+public:
+  sim_engine(std::string name, engine_model model, virtual_clock &clock,
+             observations &seen, bool dedupes);
+
+  void start(const wire::StartEngineRequest &order, progress_sink sink);
+  void cancel(const wire::CancelEngineRequest &order);
+  /// @return false when the engine is dead or the order is stale.
+  bool release(const wire::ReleaseEngineMemory &order);
+
+  /// The process ends: everything is forgotten, streams break.
+  void kill();
+  void restart();
+
+  [[nodiscard]] bool alive() const { return alive_; }
+  [[nodiscard]] const stand_ins::prefix_cache &cache() const { return cache_; }
+
+  /// Work done, for the measures.
+  struct totals {
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t cached_tokens = 0;
+    std::uint64_t output_tokens = 0;
+    /// Tokens prefilled that this engine had cached for the program before.
+    std::uint64_t refilled_tokens = 0;
+    double busy_ms = 0;
+    double block_seconds_used = 0;
+    /// Block-seconds held for programs that have ended.
+    double block_seconds_wasted = 0;
+  };
+  [[nodiscard]] const totals &work() const { return totals_; }
+
+private:
+  struct generation {
+    std::string id;
+    std::string program;
+    std::uint32_t priority = 0;
+    std::string prompt;
+    std::string answer;
+    std::size_t produced = 0;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t cached_tokens = 0;
+    bool done = false;
+    std::vector<std::pair<progress_sink, std::size_t>> listeners;
+  };
+
+  void schedule_step();
+  void step(std::uint64_t life);
+  void tell(generation &about);
+  void finish_with(const wire::StartEngineRequest &order,
+                   const progress_sink &sink, wire::DispatchStatus status,
+                   std::string detail);
+
+  std::string name_;
+  engine_model model_;
+  virtual_clock &clock_;
+  observations &seen_;
+  bool dedupes_;
+  bool alive_ = true;
+  std::uint64_t life_ = 0;
+  std::uint64_t epoch_ = 0;
+  stand_ins::prefix_cache cache_;
+  std::map<std::string, std::shared_ptr<generation>> generations_;
+  std::vector<std::shared_ptr<generation>> waiting_;
+  std::vector<std::shared_ptr<generation>> running_;
+  std::map<std::string, std::uint64_t> longest_prompt_; // by program
+  bool stepping_ = false;
+  totals totals_;
+};
+
+} // namespace heathtrestle::sim
--- /dev/null
+++ b/src/sim/virtual_clock.hpp
@@ -0,0 +1,56 @@
+// Virtual time and the queue of what happens when.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+namespace heathtrestle::sim {
+
+/// Microseconds since the start of the simulation.
+using microseconds = std::uint64_t;
+
+inline constexpr microseconds per_millisecond = 1000;
+inline constexpr microseconds per_second = 1000000;
+
+class virtual_clock {
+public:
+  using action = std::function<void()>;
+
+  [[nodiscard]] microseconds now() const { return now_; }
+  [[nodiscard]] std::uint64_t now_ms() const { return now_ / per_millisecond; }
+
+  void after(microseconds delay, action what) {
+    queue_.push({now_ + delay, next_number_++, std::move(what)});
+  }
+
+  /// Runs everything up to `end`, which becomes the present.
+  void run_until(microseconds end) {
+    while (!queue_.empty() && queue_.top().when <= end) {
+      now_ = queue_.top().when;
+      // The action may add to the queue, so it is moved out first.
+      const action what = std::move(const_cast<entry &>(queue_.top()).what);
+      queue_.pop();
+      what();
+    }
+    now_ = end;
+  }
+
+private:
+  struct entry {
+    microseconds when;
+    std::uint64_t number; // keeps the order of equal times
+    action what;
+    bool operator<(const entry &other) const {
+      return std::pair(when, number) > std::pair(other.when, other.number);
+    }
+  };
+
+  microseconds now_ = 0;
+  std::uint64_t next_number_ = 0;
+  std::priority_queue<entry> queue_;
+};
+
+} // namespace heathtrestle::sim
