Keep replicas in distinct zones, and never forget a removed replica's log

A removed replica was deleted after a silence and created anew under the same identity; its leader's stale progress made the two exchange appends without end, and the amnesia would have made its vote unsafe.

Change: leaders add a replica in an uncovered zone and then drop one of the two that share a zone; removed replicas keep their log; a leader forgets a removed peer only after telling it of the commit.

--- a/src/cluster/partition_maintenance.cpp
+++ b/src/cluster/partition_maintenance.cpp
@@ -3,12 +3,16 @@
 #include "cluster/partition_table.hpp"
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace heathtrestle::cluster {
 
 namespace {
 
+/// A learner that has not caught up after this long is given up.
 constexpr duration_ms learner_patience{15000};
+constexpr duration_ms failed_learner_pause{60000};
 
 bool votes(const std::vector<replica_id> &voters, const replica_id &replica) {
   return std::find(voters.begin(), voters.end(), replica) != voters.end();
@@ -33,6 +37,9 @@
 void partition_table::maintain(partition_view &view, partition_id partition,
                                replica &target, raft::outbox &out) {
   const timestamp now = view.step.now();
+  std::erase_if(target.failed_learners, [now](const auto &entry) {
+    return now - entry.second >= failed_learner_pause;
+  });
   if (target.learner.has_value()) {
     const replica_id learner = *target.learner;
     const bool hopeless = !view.members.is_running(learner) ||
@@ -45,6 +52,7 @@
       }
     } else if (hopeless) {
       target.log.drop_learner(learner);
+      target.failed_learners[learner] = now;
       target.learner.reset();
     }
     return;
@@ -72,10 +80,10 @@
       leaving.push_back(voter);
     }
   }
+  const std::uint32_t wanted = view.members.founding()->replication();
   if (leaving.empty()) {
-    return std::nullopt;
+    return staying > wanted ? voter_in_shared_zone(view, target) : std::nullopt;
   }
-  const std::uint32_t wanted = view.members.founding()->replication();
   const bool replaced = staying >= wanted;
   // With no process to put in its place a voter that leaves on purpose may go
   // first, as long as two others hold every record.
@@ -88,24 +96,56 @@
   return std::nullopt;
 }
 
+std::optional<replica_id>
+partition_table::voter_in_shared_zone(const partition_view &view,
+                                      const replica &target) const {
+  std::map<std::string, std::size_t> voters_in_zone;
+  for (const replica_id &voter : target.log.voters()) {
+    ++voters_in_zone[zone_of(view, voter)];
+  }
+  std::optional<replica_id> any;
+  for (const replica_id &voter : target.log.voters()) {
+    if (voter == view.members.self_replica()) {
+      continue;
+    }
+    any = voter;
+    if (voters_in_zone[zone_of(view, voter)] > 1) {
+      return voter;
+    }
+  }
+  return any;
+}
+
+std::string partition_table::zone_of(const partition_view &view,
+                                     const replica_id &voter) {
+  const membership::member_state *state = view.members.find(voter.node);
+  return state == nullptr ? std::string() : state->member.zone();
+}
+
 void partition_table::add_replacement(partition_view &view,
                                       partition_id partition, replica &target,
                                       raft::outbox &out) {
   const std::vector<replica_id> &voters = target.log.voters();
   std::vector<std::string> zones;
   for (const replica_id &voter : voters) {
-    const membership::member_state *state = view.members.find(voter.node);
     if (!should_replace(view, voter)) {
-      zones.push_back(state->member.zone());
+      zones.push_back(zone_of(view, voter));
     }
   }
-  if (zones.size() >= view.members.founding()->replication()) {
+  const std::set<std::string> distinct(zones.begin(), zones.end());
+  const std::uint32_t wanted = view.members.founding()->replication();
+  const bool complete = zones.size() >= wanted;
+  if (complete && (distinct.size() >= wanted || zones.size() > wanted)) {
     return;
   }
   std::vector<const wire::Member *> candidates;
   for (const wire::Member *member : view.members.running()) {
+    // A set that is complete but crowded in a zone only wants another zone.
+    const bool useful = !complete || !distinct.contains(member->zone());
     const bool fit = member->status() == wire::MEMBER_ALIVE &&
-                     !member->leaving() && !votes(voters, replica_of(*member));
+                     !member->leaving() && useful &&
+                     !votes(voters, replica_of(*member)) &&
+                     !target.failed_learners.contains(replica_of(*member));
     if (fit) {
       candidates.push_back(member);
     }
--- a/src/cluster/partition_table.cpp
+++ b/src/cluster/partition_table.cpp
@@ -171,7 +171,6 @@
 
 void partition_table::tick(partition_view &view) {
   const timestamp now = view.step.now();
-  std::vector<partition_id> retired;
   for (auto &[partition, held] : replicas_) {
     replica &target = *held;
     raft::outbox out;
@@ -187,16 +186,6 @@
       }
     }
     settle(view, partition, target, out);
-    if (!target.log.retired()) {
-      target.retired_since = now;
-    } else if (now - target.retired_since >= options_.retirement_delay) {
-      retired.push_back(partition);
-    }
-  }
-  for (const partition_id partition : retired) {
-    view.step.log(logging::event::replica_deleted,
-                  fmt::format("partition {}", partition));
-    replicas_.erase(partition);
   }
   for (auto &[peer, batch] : heartbeats_) {
     *batch.mutable_leader() = to_wire(view.members.self_replica());
@@ -287,7 +276,6 @@
       replica{.log = std::move(log),
               .store = {},
               .coordinator = programs::coordinator(options_.programs)});
-  created->retired_since = view.step.now();
   view.step.log(logging::event::replica_created,
                 fmt::format("partition {}", partition));
   return *(replicas_[partition] = std::move(created));
--- a/src/cluster/partition_table.hpp
+++ b/src/cluster/partition_table.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace heathtrestle::cluster {
 
@@ -23,8 +24,6 @@
   duration_ms maintenance_interval{1000};
   /// How long a voter's process must be gone before it is replaced.
   duration_ms replacement_delay{4000};
-  /// A replica outside the set is deleted after this long without a leader.
-  duration_ms retirement_delay{20000};
 };
 
 /// The other tables that partitions look at during one reduction.
@@ -77,9 +76,10 @@
     bool established = false;
     term_id established_term{};
     timestamp last_maintenance{};
-    timestamp retired_since{};
     std::optional<replica_id> learner{};
     timestamp learner_since{};
+    /// Processes that did not catch up in time, and when they were given up.
+    std::map<replica_id, timestamp> failed_learners{};
   };
 
   replica *find(partition_id partition);
@@ -107,6 +107,12 @@
                 raft::outbox &out);
   std::optional<replica_id> voter_to_remove(partition_view &view,
                                             const replica &target) const;
+  /// A voter that may go when there is one too many: one that shares its zone
+  /// with another before any other.
+  std::optional<replica_id> voter_in_shared_zone(const partition_view &view,
+                                                 const replica &target) const;
+  static std::string zone_of(const partition_view &view,
+                             const replica_id &voter);
   void add_replacement(partition_view &view, partition_id partition,
                        replica &target, raft::outbox &out);
   [[nodiscard]] bool should_replace(const partition_view &view,
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -322,9 +322,7 @@
     // Only messages to random peers carry news: heartbeats would spend its
     // few transmissions on the same peers over and over.
     const bool carries_news = message.to() != members_.self_id().value() &&
-                              (envelope.has_ping() || envelope.has_ack() ||
-                               envelope.has_heartbeat_batch() ||
-                               envelope.has_heartbeat_reply_batch());
+                              (envelope.has_ping() || envelope.has_ack());
     if (carries_news) {
       members_.attach_news(envelope);
     }
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -64,6 +64,7 @@
       become_follower(term_, now, random);
       return;
     }
+    forget_removed(now);
     if (now >= next_heartbeat_) {
       // Aligned to the clock, so that all partitions led here beat at once
       // and their heartbeats to one peer travel in one message.
@@ -228,7 +229,7 @@
   if (reply.match_index() > state.match) {
     state.match = reply.match_index();
     state.snapshot_pending = false;
-    advance_commit(now, out);
+    advance_commit(now);
   }
   state.next = std::max(state.next, state.match + 1);
   if (state.next <= last()) {
@@ -332,20 +333,22 @@
   append(std::move(next));
   const log_index index{last()};
   replicate(now, out);
-  advance_commit(now, out);
+  advance_commit(now);
   return index;
 }
 
 void consensus::add_learner(replica_id learner, timestamp now, outbox &out) {
-  if (role_ != role::leader || peers_.contains(learner)) {
+  if (role_ != role::leader || is_voter(learner)) {
     return;
   }
+  learners_.insert(learner);
   peers_[learner] = progress{.next = last() + 1, .last_heard = now};
   replicate_to(learner, now, out);
 }
 
 void consensus::drop_learner(const replica_id &learner) {
-  if (!contains(voters_, learner)) {
+  learners_.erase(learner);
+  if (!is_voter(learner)) {
     peers_.erase(learner);
   }
 }
@@ -376,12 +379,13 @@
   next.set_index(last() + 1);
   append(std::move(next));
   for (const replica_id &voter : voters_) {
+    learners_.erase(voter);
     if (voter != self_ && !peers_.contains(voter)) {
       peers_[voter] = progress{.next = last(), .last_heard = now};
     }
   }
   replicate(now, out);
-  advance_commit(now, out);
+  advance_commit(now);
   return std::nullopt;
 }
 
@@ -443,7 +447,8 @@
 }
 
 bool consensus::retired() const {
-  return !voters_.empty() && !is_voter(self_) && role_ != role::leader;
+  return !voters_.empty() && voters_index_ <= commit_ && !is_voter(self_) &&
+         role_ != role::leader;
 }
 
 std::optional<timestamp>
@@ -481,6 +486,7 @@
   role_ = role::follower;
   leader_.reset();
   peers_.clear();
+  learners_.clear();
   votes_.clear();
   reset_election_deadline(now, random);
 }
@@ -502,7 +508,7 @@
   append(std::move(marker));
   term_start_index_ = last();
   replicate(now, out);
-  advance_commit(now, out);
+  advance_commit(now);
 }
 
 void consensus::start_election(bool pre_vote, bool transfer, timestamp now,
@@ -630,7 +636,7 @@
   send(peer, std::move(envelope), out);
 }
 
-void consensus::advance_commit(timestamp now, outbox &out) {
+void consensus::advance_commit(timestamp now) {
   std::vector<std::uint64_t> matches;
   for (const replica_id &voter : voters_) {
     const auto found = peers_.find(voter);
@@ -653,15 +659,25 @@
     become_follower(term_, now, term_);
     return;
   }
-  if (replicas_committed) {
-    std::erase_if(peers_, [this, now](const auto &peer) {
-      const bool learner = !is_voter(peer.first);
-      const bool silent =
-          now > peer.second.last_heard + 10 * options_.election_timeout;
-      return learner && silent;
-    });
+}
+
+void consensus::forget_removed(timestamp now) {
+  if (voters_index_ > commit_) {
+    return; // who is a voter is not settled yet
+  }
+  for (auto &[peer, state] : peers_) {
+    const bool belongs = is_voter(peer) || learners_.contains(peer);
+    if (belongs) {
+      state.removed_at.reset();
+    } else if (!state.removed_at.has_value()) {
+      state.removed_at = now;
+    }
   }
-  (void)out;
+  std::erase_if(peers_, [this, now](const auto &entry) {
+    const auto &removed_at = entry.second.removed_at;
+    return removed_at.has_value() &&
+           now >= *removed_at + 3 * options_.election_timeout;
+  });
 }
 
 void consensus::compact() {
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -126,7 +126,9 @@
   }
   [[nodiscard]] std::optional<replica_id> leader() const { return leader_; }
   [[nodiscard]] bool is_voter(const replica_id &replica) const;
-  /// True when this replica is out of the committed set and may be deleted.
+  /// True when this replica knows that it is out of the committed set. It
+  /// keeps its log all the same: a candidate that has not heard of the removal
+  /// could still ask for its vote, and only the log makes that vote safe.
   [[nodiscard]] bool retired() const;
   /// When the leader last heard from `replica`.
   [[nodiscard]] std::optional<timestamp>
@@ -139,6 +141,9 @@
     timestamp last_heard{};
     timestamp snapshot_sent{};
     bool snapshot_pending = false;
+    /// Set when the peer is neither a voter nor a learner any more; it is told
+    /// the commit of its removal for a while.
+    std::optional<timestamp> removed_at{};
   };
 
   [[nodiscard]] std::uint64_t last() const { return base_index_ + log_.size(); }
@@ -159,8 +164,10 @@
   void refresh_voters();
   void replicate(timestamp now, outbox &out);
   void replicate_to(const replica_id &peer, timestamp now, outbox &out);
-  void advance_commit(timestamp now, outbox &out);
+  void advance_commit(timestamp now);
   void compact();
+  /// Marks peers that are out of the committed set, and forgets them later.
+  void forget_removed(timestamp now);
   void send(const replica_id &to, wire::Envelope envelope, outbox &out) const;
 
   partition_id partition_;
@@ -192,6 +199,7 @@
   timestamp leader_heard_{};
   timestamp election_started_{};
   std::map<replica_id, progress> peers_;
+  std::set<replica_id> learners_;
 };
 
 } // namespace heathtrestle::raft
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -44,6 +44,7 @@
   std::vector<std::string> faults;
   std::string switched_off = "none";
   std::string verbose = "no";
+  std::string show;
   config::settings_schema schema;
   schema.integer("seed", seed, 0, 1ULL << 62U, "first seed");
   schema.integer("seeds", seeds, 1, 1000000, "runs, one a seed");
@@ -53,6 +54,7 @@
   schema.texts("fault", faults,
                "a kind of fault to draw from, repeated; none given: all");
   schema.text("off", switched_off, "a mechanism to switch off");
+  schema.text("show", show, "a program whose replicas are described");
   schema.choice("verbose", verbose, {"no", "yes"}, "print all faults");
   const auto choice = config::parse_command_line(
       argc, argv, "heathtrestle-sim",
@@ -73,6 +75,7 @@
   for (std::uint64_t number = 0; number < seeds; ++number) {
     sim::scenario_options options = sim::standard_scenario(seed + number);
     options.world.nodes = nodes;
+    options.show = show;
     options.world.switched_off = *mutation;
     options.workload.programs = static_cast<std::uint32_t>(programs);
     options.fault_count = static_cast<std::uint32_t>(fault_count);
@@ -96,6 +99,9 @@
     for (const std::string &name : seen) {
       ++violated[name];
     }
+    for (const std::string &line : result.shown) {
+      fmt::print("{}\n", line);
+    }
     print(seed + number, result, verbose == "yes");
   }
   fmt::print("{} of {} runs hold\n", held, seeds);
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -190,6 +190,42 @@
   });
 }
 
+/// What every replica holds of a program.
+std::vector<std::string> describe_program(world &cluster,
+                                          const std::string &program) {
+  std::vector<std::string> lines;
+  const partition_id partition =
+      partition_of(program, cluster.options().node.partition_count);
+  for (std::size_t index = 0; index < cluster.node_count(); ++index) {
+    if (!cluster.alive(index)) {
+      continue;
+    }
+    core::node &node = cluster.node(index);
+    const raft::consensus *log = node.partitions().log_of(partition);
+    const auto hint = node.members().leader_of(partition);
+    lines.push_back(fmt::format(
+        "node-{} boot {:x} knows leader term {} node {:x}, revision {}", index,
+        node.members().self().boot(), hint.has_value() ? hint->term() : 0,
+        hint.has_value() ? hint->boot() : 0, node.configuration().revision()));
+    if (log == nullptr) {
+      continue;
+    }
+    const auto *record =
+        node.partitions().store_of(partition)->find(program_id{program});
+    std::string voters;
+    for (const replica_id &voter : log->voters()) {
+      voters += fmt::format(" {}", voter);
+    }
+    lines.push_back(fmt::format(
+        "  partition {} role {} term {} commit {} of {} voters{}", partition,
+        static_cast<int>(log->current_role()), log->term(),
+        log->commit_index(), log->last_index(), voters));
+    lines.push_back("  " + (record == nullptr ? std::string("no record")
+                                              : record->ShortDebugString()));
+  }
+  return lines;
+}
+
 } // namespace
 
 std::string_view name_of(fault_kind which) {
@@ -251,6 +287,9 @@
   cluster.clock().run_until(2 * options.warm_up + options.fault_span +
                             options.rest);
   result.judged = check(cluster, callers, watched);
+  if (!options.show.empty()) {
+    result.shown = describe_program(cluster, options.show);
+  }
   result.programs = callers.size();
   result.finished = cluster.seen().programs_finished;
   result.engine_starts = cluster.seen().engine_starts.size();
--- a/src/sim/scenario.hpp
+++ b/src/sim/scenario.hpp
@@ -44,6 +44,8 @@
   microseconds fault_span = 40 * per_second;
   /// Time given to come to rest after the last fault.
   microseconds rest = 120 * per_second;
+  /// A program whose replicas are described at the end; empty: none.
+  std::string show;
 };
 
 struct scenario_result {
@@ -53,6 +55,7 @@
   std::uint64_t finished = 0;
   std::uint64_t engine_starts = 0;
   std::uint64_t answers = 0;
+  std::vector<std::string> shown;
 };
 
 /// The defaults for a run with all kinds of faults.
