--- a/src/bench/workload.cpp
+++ b/src/bench/workload.cpp
@@ -238,6 +238,13 @@
     const boost::random::uniform_int_distribution<std::size_t> tenant(
         0, owner.tenants.size() - 1);
     program.tenant = owner.tenants[tenant(random)].name;
+    for (stage_plan &stage : program.stages) {
+      for (call_plan &call : stage.calls) {
+        call.unrepeatable = call.unrepeatable ||
+                            (options.unrepeatable_share > 0 &&
+                             chance(random, options.unrepeatable_share));
+      }
+    }
     programs.push_back(std::move(program));
   }
   return programs;
--- a/src/bench/workload.hpp
+++ b/src/bench/workload.hpp
@@ -66,6 +66,8 @@
   /// Share of programs in the most urgent class, from 0 to 1; negative: the
   /// profile's own.
   double urgent_share = -1.0;
+  /// Share of chat calls that must not run twice, from 0 to 1.
+  double unrepeatable_share = 0.0;
 };
 
 /// @param name "bagmati-valley" or "ensam".
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -274,6 +274,8 @@
       step.now() - drain_started_ >= options_.drain_limit;
   if ((idle && holds_nothing) || patience_over) {
     drained_ = true;
+    auto gateway_view = gateway_view_of(step);
+    gateway_.give_up_all(gateway_view);
     members_.set_self_left(step);
     for (const wire::Member *member : members_.running()) {
       wire::Envelope envelope;
--- a/src/gateway/pending_table.cpp
+++ b/src/gateway/pending_table.cpp
@@ -95,6 +95,13 @@
   }
 }
 
+void pending_table::give_up_all(gateway_view &view) {
+  for (const auto &[request_id, waiting] : pending_) {
+    give_up(view, request_id, waiting);
+  }
+  pending_.clear();
+}
+
 void pending_table::send(gateway_view &view, pending &waiting) {
   waiting.last_sent = view.step.now();
   const auto leader =
--- a/src/gateway/pending_table.hpp
+++ b/src/gateway/pending_table.hpp
@@ -37,6 +37,8 @@
   void on_reply(gateway_view &view, const wire::ClientReply &reply);
   void on_chunk(gateway_view &view, const wire::StreamChunk &chunk);
   void tick(gateway_view &view);
+  /// Gives every open request its final answer, for a stop that cannot wait.
+  void give_up_all(gateway_view &view);
 
   [[nodiscard]] std::size_t size() const { return pending_.size(); }
 
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -220,10 +220,16 @@
   progress &state = found->second;
   state.last_heard = now;
   if (!reply.success()) {
-    state.next =
+    const std::uint64_t next =
         std::max(state.match, std::min(reply.match_index(), last())) + 1;
+    // Only a step back is followed up at once; a follower that refuses the
+    // same place again hears more with the next heartbeat.
+    const bool steps_back = next < state.next;
+    state.next = next;
     state.snapshot_pending = false;
-    replicate_to(follower, now, out);
+    if (steps_back) {
+      replicate_to(follower, now, out);
+    }
     return;
   }
   if (reply.match_index() > state.match) {
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -45,6 +45,7 @@
   std::string switched_off = "none";
   std::string verbose = "no";
   std::string show;
+  std::uint64_t tool_ms = 20;
   config::settings_schema schema;
   schema.integer("seed", seed, 0, 1ULL << 62U, "first seed");
   schema.integer("seeds", seeds, 1, 1000000, "runs, one a seed");
@@ -54,6 +55,7 @@
   schema.texts("fault", faults,
                "a kind of fault to draw from, repeated; none given: all");
   schema.text("off", switched_off, "a mechanism to switch off");
+  schema.integer("tool_ms", tool_ms, 1, 100000, "time that a tool takes");
   schema.text("show", show, "a program whose replicas are described");
   schema.choice("verbose", verbose, {"no", "yes"}, "print all faults");
   const auto choice = config::parse_command_line(
@@ -76,6 +78,7 @@
     sim::scenario_options options = sim::standard_scenario(seed + number);
     options.world.nodes = nodes;
     options.show = show;
+    options.world.tool_time = tool_ms * sim::per_millisecond;
     options.world.switched_off = *mutation;
     options.workload.programs = static_cast<std::uint32_t>(programs);
     options.fault_count = static_cast<std::uint32_t>(fault_count);
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -36,6 +36,7 @@
   double loss = 0.0;                     // share of messages lost
   double duplication = 0.0;              // share of messages sent twice
   microseconds tick = 50 * per_millisecond;
+  microseconds tool_time = 20 * per_millisecond;
   mutation switched_off = mutation::none;
   /// Called for every event that is reduced, with its effects.
   std::function<void(std::size_t node, const wire::Event &,
@@ -65,6 +66,8 @@
   [[nodiscard]] std::size_t node_count() const { return nodes_.size(); }
   [[nodiscard]] bool alive(std::size_t node) const;
   [[nodiscard]] bool reachable(std::size_t node) const;
+  /// True when callers can connect: alive and not being stopped.
+  [[nodiscard]] bool accepting(std::size_t node) const;
   core::node &node(std::size_t index) { return *nodes_[index].running; }
   /// Ends a process at once; it forgets everything.
   void kill(std::size_t node);
@@ -128,6 +131,7 @@
     microseconds frozen_until = 0;
     bool watching = false;
     bool watch_running = false;
+    bool draining = false;
     std::vector<wire::Event> held; // came while frozen
   };
   struct connection {
