--- a/src/cluster/partition_maintenance.cpp
+++ b/src/cluster/partition_maintenance.cpp
@@ -12,7 +12,7 @@
 
 /// A learner that has not caught up after this long is given up.
 constexpr duration_ms learner_patience{15000};
-constexpr duration_ms failed_learner_pause{60000};
+constexpr duration_ms failed_learner_pause{10000};
 
 bool votes(const std::vector<replica_id> &voters, const replica_id &replica) {
   return std::find(voters.begin(), voters.end(), replica) != voters.end();
@@ -96,6 +96,26 @@
   return std::nullopt;
 }
 
+bool partition_table::some_voter_is_gone_for_good(const partition_view &view,
+                                                  const replica &target) const {
+  const std::vector<replica_id> &voters = target.log.voters();
+  if (voters.size() < view.members.founding()->replication()) {
+    return true; // a place is free anyway
+  }
+  return std::any_of(
+      voters.begin(), voters.end(), [&](const replica_id &voter) {
+        const membership::member_state *state = view.members.find(voter.node);
+        const bool another_process =
+            state == nullptr || state->member.boot() != voter.boot.value();
+        if (another_process || state->member.leaving()) {
+          return true;
+        }
+        const bool dead = state->member.status() >= wire::MEMBER_DEAD;
+        return dead && view.step.now() - state->status_since >=
+                           options_.presumed_death_delay;
+      });
+}
+
 std::optional<replica_id>
 partition_table::voter_in_shared_zone(const partition_view &view,
                                       const replica &target) const {
@@ -150,6 +170,14 @@
       candidates.push_back(member);
     }
   }
+  if (!complete && !some_voter_is_gone_for_good(view, target)) {
+    // The silent voter may only be cut off and still hold every record. A
+    // second replica in a zone that has one would not survive that zone, so
+    // only another zone takes the place of a voter that may come back.
+    std::erase_if(candidates, [&distinct](const wire::Member *member) {
+      return distinct.contains(member->zone());
+    });
+  }
   const auto ranked =
       membership::rank_for_partition(partition, candidates, zones, 1);
   if (ranked.empty()) {
--- a/src/cluster/partition_table.hpp
+++ b/src/cluster/partition_table.hpp
@@ -24,6 +24,9 @@
   duration_ms maintenance_interval{1000};
   /// How long a voter's process must be gone before it is replaced.
   duration_ms replacement_delay{4000};
+  /// How long a silent voter may still come back, when the only replacements
+  /// are in zones that hold a replica already.
+  duration_ms presumed_death_delay{30000};
 };
 
 /// The other tables that partitions look at during one reduction.
@@ -111,6 +114,9 @@
   /// with another before any other.
   std::optional<replica_id> voter_in_shared_zone(const partition_view &view,
                                                  const replica &target) const;
+  /// True when a voter's process surely or very probably never returns.
+  bool some_voter_is_gone_for_good(const partition_view &view,
+                                   const replica &target) const;
   static std::string zone_of(const partition_view &view,
                              const replica_id &voter);
   void add_replacement(partition_view &view, partition_id partition,
--- a/src/sim/scenario.hpp
+++ b/src/sim/scenario.hpp
@@ -44,6 +44,8 @@
   microseconds fault_span = 40 * per_second;
   /// Time given to come to rest after the last fault.
   microseconds rest = 120 * per_second;
+  /// Longer programs are given up to this much more time to end.
+  microseconds longest_extension = 300 * per_second;
   /// Actions after which a run counts as one that does not come to rest.
   std::uint64_t action_limit = 3000000;
   /// A program whose replicas are described at the end; empty: none.
