--- a/src/cluster/partition_maintenance.cpp
+++ b/src/cluster/partition_maintenance.cpp
@@ -163,8 +163,8 @@
     // A set that is complete but crowded in a zone only wants another zone.
     const bool useful = !complete || !distinct.contains(member->zone());
     const bool fit = member->status() == wire::MEMBER_ALIVE &&
-                     !member->leaving() && useful &&
-                     !votes(voters, replica_of(*member)) &&
+                     member->holds_partitions() && !member->leaving() &&
+                     useful && !votes(voters, replica_of(*member)) &&
                      !target.failed_learners.contains(replica_of(*member));
     if (fit) {
       candidates.push_back(member);
--- a/src/config/settings_schema.cpp
+++ b/src/config/settings_schema.cpp
@@ -32,6 +32,26 @@
   return whole ? std::optional(number) : std::nullopt;
 }
 
+/// An assignment that takes one number within a range.
+/// @param store puts the number where it belongs.
+template <typename Number, typename Store>
+auto number_assignment(Number least, Number most, Store store) {
+  return [least, most, store](const std::vector<std::string> &values) {
+    const auto number = values.size() == 1
+                            ? parse_number<Number>(values.front())
+                            : std::nullopt;
+    if (!number.has_value() || *number < least || *number > most) {
+      return false;
+    }
+    store(*number);
+    return true;
+  };
+}
+
+bool contains(const std::vector<std::string> &texts, const std::string &text) {
+  return std::find(texts.begin(), texts.end(), text) != texts.end();
+}
+
 /// A TOML value as the texts that `setting::assign` takes; nothing for types
 /// that no setting has.
 std::optional<std::vector<std::string>> texts_of(const toml::node &node) {
@@ -129,19 +149,8 @@
        .expected = fmt::format("a whole number from {} to {}", least, most),
        .initial = std::to_string(target),
        .help = std::move(help),
-       .required = false,
-       .is_list = false,
-       .assign = [&target, least,
-                  most](const std::vector<std::string> &values) {
-         const auto number = values.size() == 1
-                                 ? parse_number<std::uint64_t>(values.front())
-                                 : std::nullopt;
-         if (!number.has_value() || *number < least || *number > most) {
-           return false;
-         }
-         target = *number;
-         return true;
-       }});
+       .assign = number_assignment<std::uint64_t>(
+           least, most, [&target](std::uint64_t number) { target = number; })});
 }
 
 void settings_schema::real(std::string key, double &target, double least,
@@ -150,19 +159,8 @@
        .expected = fmt::format("a number from {} to {}", least, most),
        .initial = fmt::format("{}", target),
        .help = std::move(help),
-       .required = false,
-       .is_list = false,
-       .assign = [&target, least,
-                  most](const std::vector<std::string> &values) {
-         const auto number = values.size() == 1
-                                 ? parse_number<double>(values.front())
-                                 : std::nullopt;
-         if (!number.has_value() || *number < least || *number > most) {
-           return false;
-         }
-         target = *number;
-         return true;
-       }});
+       .assign = number_assignment<double>(
+           least, most, [&target](double number) { target = number; })});
 }
 
 void settings_schema::milliseconds(std::string key,
@@ -173,37 +171,25 @@
        .expected = fmt::format("whole milliseconds from {} to {}", least, most),
        .initial = std::to_string(target.count()),
        .help = std::move(help),
-       .required = false,
-       .is_list = false,
-       .assign = [&target, least,
-                  most](const std::vector<std::string> &values) {
-         const auto number = values.size() == 1
-                                 ? parse_number<std::uint64_t>(values.front())
-                                 : std::nullopt;
-         if (!number.has_value() || *number < least || *number > most) {
-           return false;
-         }
-         target = std::chrono::milliseconds(*number);
-         return true;
-       }});
+       .assign = number_assignment<std::uint64_t>(
+           least, most, [&target](std::uint64_t number) {
+             target = std::chrono::milliseconds(number);
+           })});
 }
 
 void settings_schema::choice(std::string key, std::string &target,
-                             std::vector<std::string> choices,
+                             std::vector<std::string> options,
                              std::string help) {
   std::string expected =
-      fmt::format("one of \"{}\"", fmt::join(choices, "\", \""));
+      fmt::format("one of \"{}\"", fmt::join(options, "\", \""));
   add({.key = std::move(key),
        .expected = std::move(expected),
        .initial = target,
        .help = std::move(help),
-       .required = false,
-       .is_list = false,
-       .assign = [&target, choices = std::move(choices)](
+       .assign = [&target, options = std::move(options)](
                      const std::vector<std::string> &values) {
          const bool known =
-             values.size() == 1 && std::find(choices.begin(), choices.end(),
-                                             values.front()) != choices.end();
+             values.size() == 1 && contains(options, values.front());
          if (known) {
            target = values.front();
          }
@@ -211,6 +197,30 @@
        }});
 }
 
+void settings_schema::choices(std::string key, std::vector<std::string> &target,
+                              std::vector<std::string> options,
+                              std::string help) {
+  std::string expected =
+      fmt::format("a list of some of \"{}\"", fmt::join(options, "\", \""));
+  add({.key = std::move(key),
+       .expected = std::move(expected),
+       .initial = fmt::format("[{}]", fmt::join(target, ", ")),
+       .help = std::move(help),
+       .is_list = true,
+       .assign = [&target, options = std::move(options)](
+                     const std::vector<std::string> &values) {
+         const bool known = !values.empty() &&
+                            std::all_of(values.begin(), values.end(),
+                                        [&options](const std::string &value) {
+                                          return contains(options, value);
+                                        });
+         if (known) {
+           target = values;
+         }
+         return known;
+       }});
+}
+
 void settings_schema::address(std::string key, std::string &target,
                               std::string help, bool required) {
   add({.key = std::move(key),
--- a/src/config/settings_schema.hpp
+++ b/src/config/settings_schema.hpp
@@ -39,6 +39,9 @@
                     std::uint64_t least, std::uint64_t most, std::string help);
   void choice(std::string key, std::string &target,
               std::vector<std::string> options, std::string help);
+  /// A list of which every member must be one of the options.
+  void choices(std::string key, std::vector<std::string> &target,
+               std::vector<std::string> options, std::string help);
   void address(std::string key, std::string &target, std::string help,
                bool required = false);
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -221,19 +221,26 @@
     return;
   }
   next_founding_ = step.now() + options_.founding_interval;
-  const std::vector<const wire::Member *> running = members_.running();
-  const bool enough = running.size() >= options_.founding_members;
+  std::vector<const wire::Member *> holders = members_.running();
+  std::erase_if(holders, [](const wire::Member *member) {
+    return !member->holds_partitions();
+  });
+  const bool enough =
+      !holders.empty() && holders.size() >= options_.founding_members;
+  if (!enough) {
+    return;
+  }
   // One proposer at a time spares the platform; two would do no harm, since
   // the platform takes only the first proposal.
-  const bool is_first = node_id{running.front()->node()} == members_.self_id();
-  if (!enough || !is_first) {
+  const bool is_first = node_id{holders.front()->node()} == members_.self_id();
+  if (!is_first) {
     return;
   }
   wire::Founding &founding =
       *step.add().mutable_propose_founding()->mutable_founding();
   founding.set_partitions(options_.partition_count);
   founding.set_replication(options_.replication);
-  for (const wire::Member *member : running) {
+  for (const wire::Member *member : holders) {
     *founding.add_founders() = *member;
   }
 }
--- a/src/daemon/api.cpp
+++ b/src/daemon/api.cpp
@@ -294,6 +294,14 @@
                                .headers = {{"Content-Type", "text/plain"}},
                                .body = print_metrics(runtime)})};
   }
+  if (!has_role(runtime.settings(), gateway_role)) {
+    return {"none",
+            respond(exchange, failure_response(
+                                  error{.code = error_code::not_found,
+                                        .message = "this daemon is no gateway",
+                                        .step = "route",
+                                        .peer = runtime.settings().name}))};
+  }
   if (method == "POST" && is({"v1", "programs"})) {
     return {"/v1/programs", create_program(runtime, exchange)};
   }
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -1,5 +1,7 @@
 #include "daemon/daemon_settings.hpp"
 
+#include <algorithm>
+
 namespace heathtrestle::daemon {
 
 namespace {
@@ -10,6 +12,11 @@
 
 } // namespace
 
+bool has_role(const daemon_settings &settings, std::string_view role) {
+  return std::find(settings.roles.begin(), settings.roles.end(), role) !=
+         settings.roles.end();
+}
+
 void describe_settings(config::settings_schema &schema,
                        daemon_settings &settings) {
   schema.text("node.name", settings.name,
@@ -18,6 +25,9 @@
   schema.text("node.region", settings.region, "region of this machine");
   schema.text("node.cluster", settings.cluster,
               "name of the cluster; others' messages are rejected");
+  schema.choices("node.roles", settings.roles, {"gateway", "partitions"},
+                 "what this daemon does: serve callers, hold partitions "
+                 "(programs and dispatching)");
   schema.integer("node.workers", settings.workers, 1, 64,
                  "threads that reduce events and run fibers");
   schema.address("listen.rpc", settings.rpc_address,
--- a/src/daemon/daemon_settings.hpp
+++ b/src/daemon/daemon_settings.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace heathtrestle::daemon {
@@ -17,6 +18,7 @@
   std::string zone = "zone-1";
   std::string region = "region-1";
   std::string cluster = "heathtrestle";
+  std::vector<std::string> roles{"gateway", "partitions"};
   std::uint64_t workers = 2;
   std::string rpc_address;
   std::string http_address;
@@ -40,6 +42,12 @@
   std::string trace_file;
 };
 
+/// The roles that a daemon can have.
+inline constexpr std::string_view gateway_role = "gateway";
+inline constexpr std::string_view partitions_role = "partitions";
+
+bool has_role(const daemon_settings &settings, std::string_view role);
+
 /// Binds every key to its variable.
 void describe_settings(config::settings_schema &schema,
                        daemon_settings &settings);
--- a/src/daemon/runtime.cpp
+++ b/src/daemon/runtime.cpp
@@ -40,6 +40,7 @@
   member.set_http_address(settings.http_address);
   member.set_zone(settings.zone);
   member.set_region(settings.region);
+  member.set_holds_partitions(has_role(settings, partitions_role));
   // Grows with every start, so that news of a new process beats news of the
   // one before. A clock set back delays that news and endangers nothing.
   member.set_incarnation(wall_clock_milliseconds());
--- a/src/programs/backend_choice.cpp
+++ b/src/programs/backend_choice.cpp
@@ -44,10 +44,19 @@
   return best;
 }
 
+/// The less loaded of two drawn at random, neither of them `excluded`.
+/// @param candidates at least one that is not excluded.
 std::size_t better_of_two(const std::vector<candidate> &candidates,
+                          std::optional<std::size_t> excluded,
                           core::step &step) {
-  const std::size_t first = step.draw_below(candidates.size());
-  const std::size_t second = step.draw_below(candidates.size());
+  const auto draw = [&] {
+    const std::size_t choices =
+        candidates.size() - (excluded.has_value() ? 1 : 0);
+    const std::size_t drawn = step.draw_below(choices);
+    return excluded.has_value() && drawn >= *excluded ? drawn + 1 : drawn;
+  };
+  const std::size_t first = draw();
+  const std::size_t second = draw();
   const bool first_is_better =
       relative_load(candidates[first]) <= relative_load(candidates[second]);
   return first_is_better ? first : second;
@@ -80,10 +89,13 @@
   if (!preferred.has_value() && !request.prefix_key.empty()) {
     preferred = rendezvous(candidates, request.prefix_key);
   }
-  const std::size_t other = better_of_two(candidates, step);
   if (!preferred.has_value()) {
-    return other;
+    return better_of_two(candidates, std::nullopt, step);
   }
+  if (candidates.size() == 1) {
+    return *preferred;
+  }
+  const std::size_t other = better_of_two(candidates, preferred, step);
   const double preferred_load = relative_load(candidates[*preferred]);
   const double other_load = relative_load(candidates[other]);
   const bool overloaded = preferred_load > affinity_load_limit &&
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -220,14 +220,13 @@
   progress &state = found->second;
   state.last_heard = now;
   if (!reply.success()) {
-    const std::uint64_t next =
+    state.next =
         std::max(state.match, std::min(reply.match_index(), last())) + 1;
-    // Only a step back is followed up at once; a follower that refuses the
-    // same place again hears more with the next heartbeat.
-    const bool steps_back = next < state.next;
-    state.next = next;
     state.snapshot_pending = false;
-    if (steps_back) {
+    // A follower that holds less than it once acknowledged would refuse the
+    // same place again and again; it hears more with the next heartbeat.
+    const bool may_succeed = reply.match_index() >= state.match;
+    if (may_succeed) {
       replicate_to(follower, now, out);
     }
     return;
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -36,12 +36,12 @@
     made.member.set_rpc_address(name);
     made.member.set_zone(fmt::format("zone-{}", zone_of(index)));
     made.member.set_region("region-1");
+    made.member.set_holds_partitions(true);
     node_by_id_[made.member.node()] = index;
     node_by_address_[name] = index;
     // Processes do not all start in the same instant.
-    clock_.after(random_() % per_second, [this, index] {
-      start_process(index);
-    });
+    clock_.after(random_() % per_second,
+                 [this, index] { start_process(index); });
   }
   for (std::size_t index = 0; index < options_.engines; ++index) {
     engines_.push_back(std::make_unique<sim_engine>(
@@ -75,8 +75,7 @@
   started.held.clear();
   started.watching = false;
   started.draining = false;
-  started.running =
-      std::make_unique<core::node>(started.member, options_.node);
+  started.running = std::make_unique<core::node>(started.member, options_.node);
   schedule_tick(index, started.boot);
 }
 
@@ -401,7 +400,8 @@
         *event.mutable_engine_memory_released();
     released.set_backend(order.backend());
     released.set_program(order.program());
-    released.set_released(lost || (target != nullptr && target->release(order)));
+    released.set_released(lost ||
+                          (target != nullptr && target->release(order)));
     post(index, boot, engine_latency, std::move(event));
   });
 }
@@ -473,9 +473,8 @@
 world::seen_by_daemons(wire::ConfigurationDelta delta) const {
   for (wire::ConfigurationObject &object : *delta.mutable_objects()) {
     std::string &document = *object.mutable_document();
-    const bool hides_drain =
-        options_.switched_off == mutation::no_drain &&
-        document.find("draining") != std::string::npos;
+    const bool hides_drain = options_.switched_off == mutation::no_drain &&
+                             document.find("draining") != std::string::npos;
     if (hides_drain) {
       document.replace(document.find("draining"), 8, "active");
     }
--- /dev/null
+++ b/tests/docs/documents_test.cpp
@@ -0,0 +1,76 @@
+// Holds the documents to the code: every event and every setting is described,
+// and nothing is described that does not exist.
+#include "daemon/daemon_settings.hpp"
+#include "logging/event_catalogue.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+namespace heathtrestle {
+namespace {
+
+std::string read_document(const std::string &name) {
+  std::ifstream file(std::string(HEATHTRESTLE_SOURCE_DIR) + "/docs/" + name);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// The first cells of a document's tables that look like `pattern`.
+std::set<std::string> first_cells(const std::string &document,
+                                  const std::string &pattern) {
+  std::set<std::string> cells;
+  const std::regex row("\n\\| `?(" + pattern + ")`? \\|");
+  for (std::sregex_iterator match(document.begin(), document.end(), row), end;
+       match != end; ++match) {
+    cells.insert((*match)[1]);
+  }
+  return cells;
+}
+
+class documents_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(documents_test);
+  CPPUNIT_TEST(every_event_is_in_the_catalogue);
+  CPPUNIT_TEST(every_setting_is_described);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void every_event_is_in_the_catalogue() {
+    std::set<std::string> numbers;
+    const std::string document = read_document("EVENTS.md");
+    for (const logging::event_row &row : logging::event_table) {
+      const std::string number =
+          std::to_string(static_cast<std::uint32_t>(row.number));
+      CPPUNIT_ASSERT_MESSAGE("two events have the number " + number,
+                             numbers.insert(number).second);
+      const std::string described =
+          "| " + number + " | " + std::string(row.name) + " |";
+      CPPUNIT_ASSERT_MESSAGE(described,
+                             document.find(described) != std::string::npos);
+    }
+    CPPUNIT_ASSERT(first_cells(document, "[0-9]+") == numbers);
+  }
+
+  void every_setting_is_described() {
+    daemon::daemon_settings settings;
+    config::settings_schema schema;
+    daemon::describe_settings(schema, settings);
+    std::set<std::string> keys;
+    const std::string document = read_document("SETTINGS.md");
+    for (const config::setting &each : schema.settings()) {
+      keys.insert(each.key);
+      CPPUNIT_ASSERT_MESSAGE(each.key + ": " + each.help,
+                             document.find(each.help) != std::string::npos);
+    }
+    CPPUNIT_ASSERT(first_cells(document, "[a-z]+\\.[a-z_]+") == keys);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(documents_test);
+
+} // namespace
+} // namespace heathtrestle
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,27 @@
+// Runs all unit tests, or those whose path begins with an argument.
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+int main(int argc, char **argv) {
+  CppUnit::TestResult controller;
+  CppUnit::TestResultCollector results;
+  CppUnit::BriefTestProgressListener progress;
+  controller.addListener(&results);
+  controller.addListener(&progress);
+  CppUnit::TestRunner runner;
+  runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  runner.run(controller, argc > 1 ? argv[1] : std::string());
+  CppUnit::CompilerOutputter(&results, std::cerr).write();
+  const int failed = results.testFailuresTotal();
+  const int run = results.runTests();
+  std::cout << run - failed << " passed, " << failed << " failed\n";
+  return run > 0 && failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/raft/consensus_test.cpp
@@ -0,0 +1,328 @@
+#include "raft/consensus.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace heathtrestle::raft {
+namespace {
+
+constexpr partition_id the_partition{};
+
+replica_id replica(std::uint64_t number) {
+  return {node_id{number}, boot_id{number}};
+}
+
+/// Replicas that exchange messages at once, except over links that are cut.
+class group {
+public:
+  explicit group(std::size_t count) {
+    std::vector<replica_id> voters;
+    for (std::uint64_t number = 1; number <= count; ++number) {
+      voters.push_back(replica(number));
+    }
+    for (const replica_id &each : voters) {
+      add(each, voters);
+    }
+  }
+
+  void add(const replica_id &who, const std::vector<replica_id> &voters) {
+    replicas_[who] = std::make_unique<consensus>(
+        the_partition, who, voters, options{}, now_, who.node.value() * 77);
+  }
+
+  consensus &at(std::uint64_t number) { return *replicas_.at(replica(number)); }
+
+  void run(duration_ms span) {
+    const timestamp end = now_ + span;
+    while (now_ < end) {
+      now_ += duration_ms{50};
+      for (auto &[who, each] : replicas_) {
+        if (isolated.contains(who.node.value())) {
+          continue;
+        }
+        outbox out;
+        each->tick(now_, random_ += 13, out);
+        deliver(who, out);
+      }
+      note_leaders();
+    }
+  }
+
+  std::uint64_t propose(std::uint64_t number, const std::string &program) {
+    wire::Command command;
+    command.mutable_forget_program()->set_program(program);
+    outbox out;
+    const auto index = at(number).propose(command, now_, out);
+    deliver(replica(number), out);
+    return index ? index.value().value() : 0;
+  }
+
+  std::optional<std::uint64_t> leader() {
+    for (auto &[who, each] : replicas_) {
+      if (each->established() && !isolated.contains(who.node.value())) {
+        return who.node.value();
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::vector<std::string> applied(std::uint64_t number) {
+    for (const wire::LogEntry &entry : at(number).take_committed()) {
+      if (entry.has_command()) {
+        applied_[number].push_back(entry.command().forget_program().program());
+      }
+    }
+    return applied_[number];
+  }
+
+  void deliver(const replica_id &from, outbox &out) {
+    for (outgoing &message : out.messages) {
+      if (!linked(from, message.to)) {
+        continue;
+      }
+      outbox replies;
+      hand_over(*replicas_.at(message.to), message.envelope, replies);
+      deliver(message.to, replies);
+    }
+    for (const outgoing_heartbeat &heartbeat : out.heartbeats) {
+      if (!linked(from, heartbeat.to)) {
+        continue;
+      }
+      wire::HeartbeatReply reply;
+      reply.set_term(replicas_.at(heartbeat.to)
+                         ->handle(from, heartbeat.heartbeat, now_, random_));
+      outbox replies;
+      replicas_.at(from)->handle(heartbeat.to, reply, now_, replies);
+      deliver(from, replies);
+    }
+    for (const replica_id &behind : out.snapshots_wanted) {
+      if (linked(from, behind)) {
+        outbox replies;
+        replicas_.at(behind)->handle(replicas_.at(from)->snapshot_header(),
+                                     now_, random_, replies);
+        deliver(behind, replies);
+      }
+    }
+  }
+
+  [[nodiscard]] timestamp now() const { return now_; }
+
+  std::set<std::uint64_t> isolated;
+  /// Terms that had two leaders.
+  std::size_t split_terms = 0;
+
+private:
+  bool linked(const replica_id &from, const replica_id &to) const {
+    return replicas_.contains(to) && !isolated.contains(from.node.value()) &&
+           !isolated.contains(to.node.value());
+  }
+
+  void hand_over(consensus &target, const wire::Envelope &envelope,
+                 outbox &out) {
+    if (envelope.has_vote_request()) {
+      target.handle(envelope.vote_request(), now_, random_, out);
+    } else if (envelope.has_vote_reply()) {
+      target.handle(envelope.vote_reply(), now_, out);
+    } else if (envelope.has_append_request()) {
+      target.handle(envelope.append_request(), now_, random_, out);
+    } else if (envelope.has_append_reply()) {
+      target.handle(envelope.append_reply(), now_, out);
+    } else if (envelope.has_transfer_leadership()) {
+      target.handle(envelope.transfer_leadership(), now_, random_, out);
+    }
+  }
+
+  void note_leaders() {
+    for (auto &[who, each] : replicas_) {
+      if (each->is_leader()) {
+        const auto [known, fresh] =
+            leaders_.try_emplace(each->term().value(), who);
+        split_terms += !fresh && known->second != who ? 1 : 0;
+      }
+    }
+  }
+
+  timestamp now_ = timestamp_from(1000);
+  std::uint64_t random_ = 1;
+  std::map<replica_id, std::unique_ptr<consensus>> replicas_;
+  std::map<std::uint64_t, std::vector<std::string>> applied_;
+  std::map<std::uint64_t, replica_id> leaders_;
+};
+
+class consensus_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(consensus_test);
+  CPPUNIT_TEST(elects_one_leader);
+  CPPUNIT_TEST(committed_entries_survive_the_leader);
+  CPPUNIT_TEST(an_isolated_leader_commits_nothing_and_steps_down);
+  CPPUNIT_TEST(a_replica_that_lost_touch_does_not_raise_the_term);
+  CPPUNIT_TEST(an_old_term_is_refused);
+  CPPUNIT_TEST(a_learner_becomes_a_voter);
+  CPPUNIT_TEST(replicas_change_one_at_a_time);
+  CPPUNIT_TEST(a_far_behind_follower_gets_a_snapshot);
+  CPPUNIT_TEST(leadership_is_handed_over);
+  CPPUNIT_TEST(a_follower_that_forgot_is_not_flooded);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void elects_one_leader() {
+    group three(3);
+    three.run(duration_ms{6000});
+    CPPUNIT_ASSERT(three.leader().has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, three.split_terms);
+  }
+
+  void committed_entries_survive_the_leader() {
+    group three(3);
+    three.run(duration_ms{6000});
+    const std::uint64_t first = *three.leader();
+    three.propose(first, "a");
+    three.run(duration_ms{600});
+    CPPUNIT_ASSERT(three.applied(first) == std::vector<std::string>{"a"});
+    three.isolated = {first};
+    three.run(duration_ms{8000});
+    const std::uint64_t second = *three.leader();
+    CPPUNIT_ASSERT(second != first);
+    CPPUNIT_ASSERT(three.applied(second) == std::vector<std::string>{"a"});
+  }
+
+  void an_isolated_leader_commits_nothing_and_steps_down() {
+    group three(3);
+    three.run(duration_ms{6000});
+    const std::uint64_t old_leader = *three.leader();
+    three.isolated = {old_leader};
+    three.propose(old_leader, "lost");
+    three.run(duration_ms{8000});
+    const std::uint64_t new_leader = *three.leader();
+    three.propose(new_leader, "kept");
+    three.isolated.clear();
+    three.run(duration_ms{4000});
+    CPPUNIT_ASSERT(!three.at(old_leader).is_leader());
+    CPPUNIT_ASSERT(three.applied(old_leader) ==
+                   std::vector<std::string>{"kept"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, three.split_terms);
+  }
+
+  void a_replica_that_lost_touch_does_not_raise_the_term() {
+    group three(3);
+    three.run(duration_ms{6000});
+    const std::uint64_t leader = *three.leader();
+    const term_id term = three.at(leader).term();
+    const std::uint64_t other = leader == 1 ? 2 : 1;
+    three.isolated = {other};
+    three.run(duration_ms{20000});
+    three.isolated.clear();
+    three.run(duration_ms{4000});
+    CPPUNIT_ASSERT(three.at(leader).term() == term);
+    CPPUNIT_ASSERT(three.at(leader).is_leader());
+  }
+
+  void an_old_term_is_refused() {
+    group three(3);
+    three.run(duration_ms{6000});
+    const std::uint64_t leader = *three.leader();
+    const std::uint64_t follower = leader == 1 ? 2 : 1;
+    wire::AppendRequest stale;
+    stale.set_term(0);
+    *stale.mutable_leader() = to_wire(replica(3));
+    outbox out;
+    three.at(follower).handle(stale, three.now(), 1, out);
+    const wire::AppendReply &reply =
+        out.messages.front().envelope.append_reply();
+    CPPUNIT_ASSERT(!reply.success());
+    CPPUNIT_ASSERT(reply.term() > 0);
+  }
+
+  void a_learner_becomes_a_voter() {
+    group three(3);
+    three.run(duration_ms{6000});
+    const std::uint64_t leader = *three.leader();
+    three.propose(leader, "a");
+    three.add(replica(4), {});
+    outbox out;
+    three.at(leader).add_learner(replica(4), three.now(), out);
+    three.deliver(replica(leader), out);
+    three.run(duration_ms{2000});
+    CPPUNIT_ASSERT(three.at(leader).caught_up(replica(4)));
+    std::vector<replica_id> voters = three.at(leader).voters();
+    voters.push_back(replica(4));
+    outbox change;
+    CPPUNIT_ASSERT(
+        !three.at(leader).change_replicas(voters, three.now(), change));
+    three.deliver(replica(leader), change);
+    three.run(duration_ms{1000});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, three.at(4).voters().size());
+    CPPUNIT_ASSERT(three.applied(4) == std::vector<std::string>{"a"});
+  }
+
+  void replicas_change_one_at_a_time() {
+    group three(3);
+    three.run(duration_ms{6000});
+    const std::uint64_t leader = *three.leader();
+    outbox out;
+    const auto two_at_once =
+        three.at(leader).change_replicas({replica(leader)}, three.now(), out);
+    CPPUNIT_ASSERT(two_at_once == propose_error::change_in_progress);
+    // The others cannot answer, so the first change stays uncommitted.
+    three.isolated = {1, 2, 3};
+    std::vector<replica_id> fewer = three.at(leader).voters();
+    std::erase(fewer, replica(leader == 1 ? 2 : 1));
+    CPPUNIT_ASSERT(!three.at(leader).change_replicas(fewer, three.now(), out));
+    CPPUNIT_ASSERT(
+        three.at(leader).change_replicas({replica(leader)}, three.now(), out) ==
+        propose_error::change_in_progress);
+  }
+
+  void a_far_behind_follower_gets_a_snapshot() {
+    group three(3);
+    three.run(duration_ms{6000});
+    const std::uint64_t leader = *three.leader();
+    const std::uint64_t behind = leader == 1 ? 2 : 1;
+    three.isolated = {behind};
+    for (int number = 0; number < 2000; ++number) {
+      three.propose(leader, "x");
+      three.at(leader).take_committed();
+    }
+    CPPUNIT_ASSERT(three.at(leader).log_entries() < 1000);
+    three.isolated.clear();
+    three.run(duration_ms{3000});
+    CPPUNIT_ASSERT(three.at(behind).commit_index() ==
+                   three.at(leader).commit_index());
+  }
+
+  void leadership_is_handed_over() {
+    group three(3);
+    three.run(duration_ms{6000});
+    const std::uint64_t leader = *three.leader();
+    const std::uint64_t wanted = leader == 1 ? 2 : 1;
+    outbox out;
+    CPPUNIT_ASSERT(
+        three.at(leader).transfer_leadership({replica(wanted)}, out));
+    three.deliver(replica(leader), out);
+    three.run(duration_ms{100});
+    CPPUNIT_ASSERT(three.at(wanted).is_leader());
+    CPPUNIT_ASSERT(!three.at(leader).is_leader());
+  }
+
+  void a_follower_that_forgot_is_not_flooded() {
+    group three(3);
+    three.run(duration_ms{6000});
+    const std::uint64_t leader = *three.leader();
+    three.propose(leader, "a");
+    wire::AppendReply forgot;
+    forgot.set_term(three.at(leader).term().value());
+    *forgot.mutable_follower() = to_wire(replica(leader == 1 ? 2 : 1));
+    forgot.set_match_index(0);
+    outbox out;
+    three.at(leader).handle(forgot, three.now(), out);
+    CPPUNIT_ASSERT(out.messages.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(consensus_test);
+
+} // namespace
+} // namespace heathtrestle::raft
