--- a/src/bench/driver.cpp
+++ b/src/bench/driver.cpp
@@ -35,8 +35,9 @@
 
 void count_bookings(http::client &client, const driver_options &options,
                     run_report &report) {
-  const json::object counts = get_object(
-      client, options.platform, fmt::format("/v1/tools/{}/counts", booking_tool));
+  const json::object counts =
+      get_object(client, options.platform,
+                 fmt::format("/v1/tools/{}/counts", booking_tool));
   const std::string marker = fmt::format("/{}-", options.run);
   for (const json::key_value_pair &entry : counts) {
     const std::string key(entry.key());
@@ -54,8 +55,7 @@
                             const driver_options &options) {
   std::set<std::string> holders;
   for (const std::string &engine : options.engines) {
-    const json::object held =
-        get_object(client, engine, "/v1/cache/programs");
+    const json::object held = get_object(client, engine, "/v1/cache/programs");
     const json::value *programs = held.if_contains("programs");
     if (programs == nullptr) {
       continue;
@@ -196,18 +196,18 @@
 std::string report_lines(const run_report &report) {
   std::string lines;
   for (const program_result &program : report.programs) {
-    lines += json::serialize(json::object{
-                 {"name", program.name},
-                 {"class", program.program_class},
-                 {"tenant", program.tenant},
-                 {"finished", program.finished},
-                 {"history_right", program.history_right},
-                 {"latency_ms", program.latency_ms},
-                 {"no_wait_ms", program.no_wait_ms},
-                 {"calls", program.calls},
-                 {"retries", program.retries},
-                 {"refusals", program.refusals}}) +
-             "\n";
+    lines +=
+        json::serialize(json::object{{"name", program.name},
+                                     {"class", program.program_class},
+                                     {"tenant", program.tenant},
+                                     {"finished", program.finished},
+                                     {"history_right", program.history_right},
+                                     {"latency_ms", program.latency_ms},
+                                     {"no_wait_ms", program.no_wait_ms},
+                                     {"calls", program.calls},
+                                     {"retries", program.retries},
+                                     {"refusals", program.refusals}}) +
+        "\n";
   }
   return lines;
 }
--- a/src/bench/load_main.cpp
+++ b/src/bench/load_main.cpp
@@ -48,8 +48,7 @@
     return config::exit_code_bad_settings;
   }
   workload.programs = static_cast<std::uint32_t>(programs);
-  driver.patience =
-      std::chrono::duration_cast<std::chrono::seconds>(patience);
+  driver.patience = std::chrono::duration_cast<std::chrono::seconds>(patience);
   driver.run = std::random_device{}();
   http::io_thread io;
   http::client client(io);
--- a/src/bench/program_player.cpp
+++ b/src/bench/program_player.cpp
@@ -149,11 +149,11 @@
   for (boost::fibers::fiber &each : side_calls) {
     each.join();
   }
-  const auto longest = std::max_element(
-      stage.calls.begin(), stage.calls.end(),
-      [](const call_plan &left, const call_plan &right) {
-        return left.pause < right.pause;
-      });
+  const auto longest =
+      std::max_element(stage.calls.begin(), stage.calls.end(),
+                       [](const call_plan &left, const call_plan &right) {
+                         return left.pause < right.pause;
+                       });
   result_.no_wait_ms += static_cast<double>(longest->pause.count());
   boost::this_fiber::sleep_for(longest->pause);
   return all;
@@ -178,11 +178,10 @@
   request.path = "/v1/chat/completions";
   request.headers["Heathtrestle-Program"] = id_;
   request.headers["Heathtrestle-Agent"] = call.agent;
-  request.body =
-      json::serialize(json::object{{"model", call.target},
-                                   {"messages", std::move(messages)},
-                                   {"max_tokens", call.max_tokens},
-                                   {"stream", stream}});
+  request.body = json::serialize(json::object{{"model", call.target},
+                                              {"messages", std::move(messages)},
+                                              {"max_tokens", call.max_tokens},
+                                              {"stream", stream}});
   const auto deadline = steady::now() + options_.patience;
   while (steady::now() < deadline) {
     const auto answer = ask_call(request, key);
@@ -191,9 +190,8 @@
                (answer.has_value() ? answer->body : "patience ended"));
       return false;
     }
-    const auto text = stream
-                          ? text_of_stream(answer->body)
-                          : std::optional(text_of_completion(answer->body));
+    const auto text = stream ? text_of_stream(answer->body)
+                             : std::optional(text_of_completion(answer->body));
     if (!text.has_value()) {
       ++result_.retries; // the stream broke; the key gets the whole answer
       continue;
@@ -275,12 +273,11 @@
     const std::string &daemon =
         options_.daemons[next_daemon_ % options_.daemons.size()];
     std::string streamed;
-    const auto answer =
-        client_.send(daemon, request, call_timeouts,
-                     [&streamed](std::string_view part) {
-                       streamed += part;
-                       return true;
-                     });
+    const auto answer = client_.send(daemon, request, call_timeouts,
+                                     [&streamed](std::string_view part) {
+                                       streamed += part;
+                                       return true;
+                                     });
     if (!answer) {
       ++result_.retries;
       ++next_daemon_;
--- a/src/bench/statistics.cpp
+++ b/src/bench/statistics.cpp
@@ -11,8 +11,8 @@
     return 0;
   }
   const double wanted = std::ceil(share * static_cast<double>(values.size()));
-  const auto rank = std::clamp<std::size_t>(static_cast<std::size_t>(wanted),
-                                            1, values.size()) -
+  const auto rank = std::clamp<std::size_t>(static_cast<std::size_t>(wanted), 1,
+                                            values.size()) -
                     1;
   const auto position = values.begin() + static_cast<std::ptrdiff_t>(rank);
   std::nth_element(values.begin(), position, values.end());
--- a/src/bench/workload.cpp
+++ b/src/bench/workload.cpp
@@ -112,8 +112,8 @@
   call.target = model;
   const double bytes =
       lognormal(random, shape.median_prompt_bytes * scale, text_spread);
-  call.text = make_text(random, std::max<std::size_t>(
-                                    8, static_cast<std::size_t>(bytes)));
+  call.text = make_text(
+      random, std::max<std::size_t>(8, static_cast<std::size_t>(bytes)));
   call.max_tokens = static_cast<std::uint32_t>(std::clamp(
       lognormal(random, shape.median_answer_tokens, text_spread), 4.0, 256.0));
   call.pause = std::chrono::milliseconds(static_cast<std::int64_t>(
@@ -135,8 +135,7 @@
   program_plan program;
   program.program_class = shape.program_class;
   program.name = shape.name;
-  const double drawn =
-      lognormal(random, shape.median_turns, shape.turn_spread);
+  const double drawn = lognormal(random, shape.median_turns, shape.turn_spread);
   const auto turns = std::clamp(static_cast<std::uint32_t>(drawn),
                                 shape.least_turns, shape.most_turns);
   constexpr double lookup_chance = 0.2;
@@ -185,13 +184,12 @@
   double urgent_total = 0;
   double other_total = 0;
   for (const program_shape &shape : shapes) {
-    (shape.program_class == urgent ? urgent_total : other_total) +=
-        shape.share;
+    (shape.program_class == urgent ? urgent_total : other_total) += shape.share;
   }
   for (program_shape &shape : shapes) {
     const bool is_urgent = shape.program_class == urgent;
-    shape.share *= is_urgent ? share / urgent_total
-                             : (1.0 - share) / other_total;
+    shape.share *=
+        is_urgent ? share / urgent_total : (1.0 - share) / other_total;
   }
 }
 
@@ -221,8 +219,7 @@
   const profile owner = profile_named(options.profile);
   std::vector<program_shape> shapes = shapes_of(owner.name);
   if (options.urgent_share >= 0) {
-    set_urgent_share(shapes, owner.classes.front().name,
-                     options.urgent_share);
+    set_urgent_share(shapes, owner.classes.front().name, options.urgent_share);
   }
   const boost::random::exponential_distribution<> gap(
       options.arrivals_per_second);
@@ -240,9 +237,9 @@
     program.tenant = owner.tenants[tenant(random)].name;
     for (stage_plan &stage : program.stages) {
       for (call_plan &call : stage.calls) {
-        call.unrepeatable = call.unrepeatable ||
-                            (options.unrepeatable_share > 0 &&
-                             chance(random, options.unrepeatable_share));
+        call.unrepeatable =
+            call.unrepeatable || (options.unrepeatable_share > 0 &&
+                                  chance(random, options.unrepeatable_share));
       }
     }
     programs.push_back(std::move(program));
--- a/src/daemon/api_requests.hpp
+++ b/src/daemon/api_requests.hpp
@@ -15,7 +15,7 @@
 struct parsed_call {
   wire::SubmitCall submit;
   bool stream = false;
-  bool key_is_fresh = false; // the caller gave no key
+  bool key_is_fresh = false;       // the caller gave no key
   std::uint64_t time_limit_ms = 0; // 0: none
 };
 
--- a/src/gateway/pending_table.hpp
+++ b/src/gateway/pending_table.hpp
@@ -49,7 +49,7 @@
     timestamp deadline{};
     timestamp last_sent{};
     bool ever_sent = false;
-    bool key_is_fresh = false; // made here, so nobody else can have sent it
+    bool key_is_fresh = false;  // made here, so nobody else can have sent it
     std::string streamed;       // what the caller has been sent
     std::string engine_request; // attempt that chunks are taken from
     std::string attempt_text;   // what came of that attempt
--- a/src/platform_client/platform_client.cpp
+++ b/src/platform_client/platform_client.cpp
@@ -93,13 +93,11 @@
 
 result<std::uint64_t> platform_client::write(const write_request &request) {
   const auto first = write_once(request);
-  const bool certain = first || first.error().ran == ran_status::not_run ||
-                       first.error().code == error_code::conflict;
-  if (certain && (first || first.error().code != error_code::conflict)) {
+  const bool certain = first || first.error().ran == ran_status::not_run;
+  if (certain) {
     return first;
   }
-  // Either the answer was lost, or the conflict may be with this very change,
-  // taken in by an attempt whose answer was lost.
+  // The answer was lost. What is there now tells whether the change was made.
   for (int attempt = 0; attempt < read_back_tries; ++attempt) {
     const auto found = read(request.kind, request.name);
     if (!found) {
@@ -112,13 +110,17 @@
     const std::uint64_t version =
         exists && !found.value()->removed ? found.value()->version : 0;
     if (version != request.expected_version) {
-      return fail(error_code::conflict,
-                  fmt::format("{} {} has version {}, expected {}", request.kind,
-                              request.name, version, request.expected_version),
-                  "compare and set", address_);
+      // Another change lies on top; this one may or may not lie under it.
+      error overtaken = first.error();
+      overtaken.code = error_code::conflict;
+      overtaken.message = fmt::format(
+          "the answer was lost and {} {} has version {} by another change; "
+          "whether this change was made before it is not known",
+          request.kind, request.name, version);
+      return overtaken;
     }
-    // Not there: the write was lost on its way. It cannot arrive later than
-    // this one, or it would fail on the version.
+    // Not there: the write was lost on its way. Written again it takes effect
+    // at most once, since both copies expect the same version.
     const auto again = write_once(request);
     if (again) {
       return again;
--- a/src/programs/coordinator_attempts.cpp
+++ b/src/programs/coordinator_attempts.cpp
@@ -64,7 +64,8 @@
     if (in_transition_.contains({program_name, call->request().key()})) {
       continue;
     }
-    const wire::CallRecord *before = find_call(*program, call->request().after());
+    const wire::CallRecord *before =
+        find_call(*program, call->request().after());
     if (before != nullptr && before->state() != wire::CALL_COMPLETED) {
       // Made to build on an answer that there is not.
       wire::FinishCall command;
--- a/src/sim/caller.cpp
+++ b/src/sim/caller.cpp
@@ -35,13 +35,13 @@
       id_(fmt::format("program-{}", number)) {}
 
 void caller::start() {
-  world_.clock().after(
-      static_cast<microseconds>(plan_.arrival.count()) * per_millisecond,
-      [self = shared_from_this()] {
-        self->began_ = self->world_.clock().now();
-        ++self->world_.seen().programs_started;
-        self->create();
-      });
+  world_.clock().after(static_cast<microseconds>(plan_.arrival.count()) *
+                           per_millisecond,
+                       [self = shared_from_this()] {
+                         self->began_ = self->world_.clock().now();
+                         ++self->world_.seen().programs_started;
+                         self->create();
+                       });
 }
 
 void caller::create() {
@@ -60,9 +60,8 @@
       self->created_ = true;
       self->next_stage();
     } else {
-      self->world_.seen().complaints.push_back(
-          fmt::format("{} was refused: {}", self->id_,
-                      reply.failure().ShortDebugString()));
+      self->world_.seen().complaints.push_back(fmt::format(
+          "{} was refused: {}", self->id_, reply.failure().ShortDebugString()));
     }
   });
 }
@@ -83,11 +82,10 @@
            which.calls.front().kind == bench::call_kind::chat &&
            which.calls.front().agent == "main";
   };
-  const bool could_pipeline =
-      stage_ + 1 < plan_.stages.size() && alone_on_main(stage) &&
-      alone_on_main(plan_.stages[stage_ + 1]);
-  const double drawn =
-      static_cast<double>(world_.random()() % 1000) / 1000.0;
+  const bool could_pipeline = stage_ + 1 < plan_.stages.size() &&
+                              alone_on_main(stage) &&
+                              alone_on_main(plan_.stages[stage_ + 1]);
+  const double drawn = static_cast<double>(world_.random()() % 1000) / 1000.0;
   if (could_pipeline && drawn < options_.pipelining) {
     ++stage_;
     const call_pointer second =
@@ -100,9 +98,9 @@
   }
   pause_ = 0;
   for (const call_pointer &call : calls) {
-    pause_ = std::max(pause_, static_cast<microseconds>(
-                                  call->plan.pause.count()) *
-                                  per_millisecond);
+    pause_ =
+        std::max(pause_, static_cast<microseconds>(call->plan.pause.count()) *
+                             per_millisecond);
   }
   no_wait_ms_ += static_cast<double>(pause_) / per_millisecond;
   ++stage_;
@@ -239,9 +237,8 @@
   answer.code = failure.code();
   world_.seen().answers.push_back(std::move(answer));
 
-  const bool gives_up =
-      call->plan.unrepeatable && failure.ran() == wire::RAN_UNKNOWN &&
-      failure.settled();
+  const bool gives_up = call->plan.unrepeatable &&
+                        failure.ran() == wire::RAN_UNKNOWN && failure.settled();
   if (gives_up) {
     call->answered = true; // a person would look into it
     if (call->next != nullptr) {
@@ -253,9 +250,8 @@
   if (failure.retry_after_ms() == 0 && failure.settled() &&
       failure.ran() == wire::RAN_NOT_RUN) {
     call->answered = true;
-    world_.seen().complaints.push_back(
-        fmt::format("{} {} refused: {}", id_, call->key,
-                    failure.ShortDebugString()));
+    world_.seen().complaints.push_back(fmt::format(
+        "{} {} refused: {}", id_, call->key, failure.ShortDebugString()));
     call_done();
     return;
   }
@@ -264,9 +260,8 @@
   }
   call->connection.clear();
   const auto self = shared_from_this();
-  const microseconds pause =
-      std::max<microseconds>(failure.retry_after_ms() * per_millisecond,
-                             options_.retry_pause);
+  const microseconds pause = std::max<microseconds>(
+      failure.retry_after_ms() * per_millisecond, options_.retry_pause);
   world_.clock().after(pause, [self, call] {
     if (!call->answered && call->connection.empty()) {
       self->send(call);
@@ -287,12 +282,12 @@
   request.set_partition(partition());
   request.mutable_end_program()->set_program(id_);
   request.mutable_end_program()->set_reason("done");
-  ask_about_program(request, [self = shared_from_this()](
-                                 const wire::ClientReply &) {
-    self->ended_ = true;
-    ++self->world_.seen().programs_finished;
-    self->world_.seen().latencies_ms.push_back(self->latency_ms_);
-  });
+  ask_about_program(
+      request, [self = shared_from_this()](const wire::ClientReply &) {
+        self->ended_ = true;
+        ++self->world_.seen().programs_finished;
+        self->world_.seen().latencies_ms.push_back(self->latency_ms_);
+      });
 }
 
 void caller::ask_about_program(const wire::ClientRequest &request,
--- a/src/sim/caller.hpp
+++ b/src/sim/caller.hpp
@@ -75,8 +75,7 @@
   void call_done();
   void end();
   /// Sends a request about the program itself until it is answered.
-  void ask_about_program(const wire::ClientRequest &request,
-                         reply_action done);
+  void ask_about_program(const wire::ClientRequest &request, reply_action done);
   void ask_again(const std::shared_ptr<open_question> &asked);
   std::size_t pick_node();
   [[nodiscard]] std::uint32_t partition() const;
--- a/src/sim/checker.cpp
+++ b/src/sim/checker.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::array<std::string_view, invariant_count> names{
-    "order",        "history",      "budget",          "memory",
-    "whole_answer", "not_run",      "at_most_once",    "leaving_backend",
+    "order",        "history",       "budget",       "memory",
+    "whole_answer", "not_run",       "at_most_once", "leaving_backend",
     "planned_stop", "configuration", "liveness"};
 
 /// "a few seconds" and "within seconds" of the brief.
@@ -94,8 +94,7 @@
     }
     std::map<std::string, std::vector<std::string>> recorded;
     for (const wire::AgentRecord &agent : record->agents()) {
-      recorded[agent.name()] = {agent.history().begin(),
-                                agent.history().end()};
+      recorded[agent.name()] = {agent.history().begin(), agent.history().end()};
     }
     auto conversations = each->conversations();
     // An agent without a completed call has no history on either side.
@@ -106,8 +105,7 @@
                          each->program() + " has another history");
     }
     if (record->spent() + record->reserved() > record->budget()) {
-      found.emplace_back(invariant::budget,
-                         each->program() + " has overspent");
+      found.emplace_back(invariant::budget, each->program() + " has overspent");
     }
     constexpr std::uint64_t price = 2; // of every class, see configure
     std::uint64_t used = 0;
@@ -118,10 +116,9 @@
                    : 0;
     }
     if (used > record->spent()) {
-      found.emplace_back(
-          invariant::budget,
-          fmt::format("{} used {} and was charged {}", each->program(), used,
-                      record->spent()));
+      found.emplace_back(invariant::budget,
+                         fmt::format("{} used {} and was charged {}",
+                                     each->program(), used, record->spent()));
     }
   }
 }
@@ -135,9 +132,9 @@
          cluster.engine(index).cache().programs()) {
       const wire::ProgramRecord *record = record_of(cluster, program);
       if (record == nullptr || record->ended()) {
-        found.emplace_back(invariant::memory,
-                           fmt::format("engine-{} holds memory for {}", index,
-                                       program));
+        found.emplace_back(
+            invariant::memory,
+            fmt::format("engine-{} holds memory for {}", index, program));
       }
     }
   }
@@ -169,10 +166,10 @@
     }
     const auto tool_runs = cluster.seen().tool_runs.find(call);
     const std::uint32_t runs =
-        answer.tool ? (tool_runs == cluster.seen().tool_runs.end()
-                           ? 0
-                           : tool_runs->second)
-                    : starts[call];
+        answer.tool
+            ? (tool_runs == cluster.seen().tool_runs.end() ? 0
+                                                           : tool_runs->second)
+            : starts[call];
     if (answer.unrepeatable && runs > 1) {
       found.emplace_back(invariant::at_most_once,
                          fmt::format("{} ran {} times", call, runs));
@@ -182,8 +179,7 @@
 
 void check_drains(world &cluster, violations &found) {
   for (const engine_start &start : cluster.seen().engine_starts) {
-    const auto drained =
-        cluster.seen().drains_accepted.find(start.backend);
+    const auto drained = cluster.seen().drains_accepted.find(start.backend);
     const bool late = drained != cluster.seen().drains_accepted.end() &&
                       start.when > drained->second + drain_limit;
     if (late) {
@@ -235,9 +231,8 @@
                                         index, known_revision, revision));
     }
     known_revision = revision;
-    const bool undisturbed =
-        up_since_[index] + spread_limit <= now &&
-        cluster.undisturbed_since() + spread_limit <= now;
+    const bool undisturbed = up_since_[index] + spread_limit <= now &&
+                             cluster.undisturbed_since() + spread_limit <= now;
     if (undisturbed && revision < due) {
       complaints_.push_back(fmt::format("node-{} has revision {}, {} is due",
                                         index, revision, due));
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -103,8 +103,7 @@
       set_platform(sim_platform::fault::lose_answers, duration);
       return;
     case fault_kind::engine_death: {
-      sim_engine &engine =
-          world_.engine(random_() % world_.engine_count());
+      sim_engine &engine = world_.engine(random_() % world_.engine_count());
       engine.kill();
       world_.clock().after(duration, [&engine] { engine.restart(); });
       return;
@@ -169,11 +168,10 @@
   std::size_t pick_node() { return random_() % world_.node_count(); }
 
   void note(fault_kind kind, std::size_t node, microseconds duration) {
-    result_.faults.push_back(
-        fmt::format("{:6.2f} s {} node-{} for {:.2f} s",
-                    static_cast<double>(world_.clock().now()) / per_second,
-                    name_of(kind), node,
-                    static_cast<double>(duration) / per_second));
+    result_.faults.push_back(fmt::format(
+        "{:6.2f} s {} node-{} for {:.2f} s",
+        static_cast<double>(world_.clock().now()) / per_second, name_of(kind),
+        node, static_cast<double>(duration) / per_second));
   }
 
   world &world_;
@@ -218,8 +216,8 @@
     }
     lines.push_back(fmt::format(
         "  partition {} role {} term {} commit {} of {} voters{}", partition,
-        static_cast<int>(log->current_role()), log->term(),
-        log->commit_index(), log->last_index(), voters));
+        static_cast<int>(log->current_role()), log->term(), log->commit_index(),
+        log->last_index(), voters));
     lines.push_back("  " + (record == nullptr ? std::string("no record")
                                               : record->ShortDebugString()));
   }
@@ -270,8 +268,7 @@
   watcher watched;
   world_options world_settings = options.world;
   world cluster(world_settings);
-  const bench::profile owner =
-      bench::profile_named(options.workload.profile);
+  const bench::profile owner = bench::profile_named(options.workload.profile);
   cluster.clock().after(per_second, [&] { cluster.configure(owner); });
   const std::vector<bench::program_plan> plans =
       bench::make_workload(options.workload);
--- a/src/sim/scenario.hpp
+++ b/src/sim/scenario.hpp
@@ -13,17 +13,17 @@
 
 /// Kinds of fault that a scenario may draw from.
 enum class fault_kind : std::uint8_t {
-  kill,            // a daemon dies and starts again, having forgotten all
-  freeze,          // a daemon stands still and wakes believing as before
-  cut_one_way,     // one daemon's messages to another are lost
+  kill,        // a daemon dies and starts again, having forgotten all
+  freeze,      // a daemon stands still and wakes believing as before
+  cut_one_way, // one daemon's messages to another are lost
   cut_both_ways,
-  zone_loss,       // all daemons of a zone die
-  zone_cut,        // a zone is cut off from the others
+  zone_loss, // all daemons of a zone die
+  zone_cut,  // a zone is cut off from the others
   platform_down,
   platform_lost_answers,
   engine_death,
   tool_hang,
-  planned_stop,    // a daemon is stopped in good order and started again
+  planned_stop, // a daemon is stopped in good order and started again
   backend_drain,
   configuration_race, // operators change the same objects
 };
--- a/src/sim/sim_engine.cpp
+++ b/src/sim/sim_engine.cpp
@@ -131,8 +131,7 @@
                                        admitted->prompt_tokens);
     const std::uint64_t prefilled =
         admitted->prompt_tokens - admitted->cached_tokens;
-    prefill_ms +=
-        model_.prefill_token_ms * static_cast<double>(prefilled);
+    prefill_ms += model_.prefill_token_ms * static_cast<double>(prefilled);
     totals_.prompt_tokens += admitted->prompt_tokens;
     totals_.cached_tokens += admitted->cached_tokens;
     std::uint64_t &longest = longest_prompt_[admitted->program];
@@ -159,9 +158,8 @@
     return; // the process that planned this step has died
   }
   stepping_ = false;
-  const std::size_t bytes =
-      static_cast<std::size_t>(model_.tokens_per_step) *
-      stand_ins::bytes_per_token;
+  const std::size_t bytes = static_cast<std::size_t>(model_.tokens_per_step) *
+                            stand_ins::bytes_per_token;
   const auto running = running_;
   for (const auto &each : running) {
     each->produced = std::min(each->answer.size(), each->produced + bytes);
--- a/src/sim/sim_engine.hpp
+++ b/src/sim/sim_engine.hpp
@@ -19,7 +19,7 @@
 struct engine_model {
   std::uint32_t batch = 8;
   std::size_t cache_blocks = 4096;
-  double step_base_ms = 20;    // one token for each running request
+  double step_base_ms = 20; // one token for each running request
   double step_request_ms = 1;
   double prefill_token_ms = 0.05;
   std::uint32_t tokens_per_step = 4; // steps joined, to save events
--- a/src/sim/virtual_clock.hpp
+++ b/src/sim/virtual_clock.hpp
@@ -29,9 +29,9 @@
 
   /// Runs everything up to `end`, which becomes the present.
   /// @return false when `action_limit` actions did not suffice.
-  bool run_until(microseconds end,
-                 std::uint64_t action_limit =
-                     std::numeric_limits<std::uint64_t>::max()) {
+  bool run_until(
+      microseconds end,
+      std::uint64_t action_limit = std::numeric_limits<std::uint64_t>::max()) {
     std::uint64_t actions = 0;
     while (!queue_.empty() && queue_.top().when <= end) {
       if (++actions > action_limit) {
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -30,11 +30,11 @@
   std::size_t engines = 4;
   engine_model engine;
   core::node_options node;
-  microseconds zone_latency = 250;       // one way inside a zone
+  microseconds zone_latency = 250;        // one way inside a zone
   microseconds cross_zone_latency = 1500; // one way between zones
-  double jitter = 0.3;                   // share of the latency
-  double loss = 0.0;                     // share of messages lost
-  double duplication = 0.0;              // share of messages sent twice
+  double jitter = 0.3;                    // share of the latency
+  double loss = 0.0;                      // share of messages lost
+  double duplication = 0.0;               // share of messages sent twice
   microseconds tick = 50 * per_millisecond;
   microseconds tool_time = 20 * per_millisecond;
   mutation switched_off = mutation::none;
@@ -91,8 +91,7 @@
   [[nodiscard]] std::size_t engine_count() const { return engines_.size(); }
   /// Notes that a fault lasts for so long.
   void disturb(microseconds duration) {
-    undisturbed_since_ =
-        std::max(undisturbed_since_, clock_.now() + duration);
+    undisturbed_since_ = std::max(undisturbed_since_, clock_.now() + duration);
   }
   [[nodiscard]] microseconds undisturbed_since() const {
     return undisturbed_since_;
@@ -147,7 +146,8 @@
   void send(std::size_t from, const wire::SendMessage &message);
   void transmit(std::size_t from, std::size_t to, wire::Envelope envelope);
   void start_engine(std::size_t index, wire::StartEngineRequest order);
-  void release_memory(std::size_t index, const wire::ReleaseEngineMemory &order);
+  void release_memory(std::size_t index,
+                      const wire::ReleaseEngineMemory &order);
   void invoke_tool(std::size_t index, wire::InvokeTool order);
   void propose_founding(std::size_t index, const wire::Founding &founding);
   void watch(std::size_t index);
@@ -157,7 +157,8 @@
   void post(std::size_t index, std::uint64_t boot, microseconds delay,
             wire::Event event);
   sim_engine *engine_at(const std::string &backend);
-  wire::ConfigurationDelta seen_by_daemons(wire::ConfigurationDelta delta) const;
+  wire::ConfigurationDelta
+  seen_by_daemons(wire::ConfigurationDelta delta) const;
   [[nodiscard]] microseconds latency(std::size_t from, std::size_t to);
   [[nodiscard]] double unit_random();
 
