--- a/src/bench/program_player.hpp
+++ b/src/bench/program_player.hpp
@@ -33,7 +33,7 @@
   void check_history();
   void end();
   /// Sends a request to one daemon after another until the answer is final.
-  std::optional<answered> ask(http::request request);
+  std::optional<answered> ask(const http::request &request);
   /// Asks for a call; one that was not run is asked for under a new key.
   std::optional<answered> ask_call(http::request request,
                                    const std::string &key);
--- a/src/cluster/partition_maintenance.cpp
+++ b/src/cluster/partition_maintenance.cpp
@@ -47,7 +47,7 @@
     if (target.log.caught_up(learner)) {
       std::vector<replica_id> voters = target.log.voters();
       voters.push_back(learner);
-      if (!target.log.change_replicas(std::move(voters), now, out)) {
+      if (!target.log.change_replicas(voters, now, out)) {
         target.learner.reset();
       }
     } else if (hopeless) {
@@ -60,7 +60,7 @@
   if (const auto removed = voter_to_remove(view, target)) {
     std::vector<replica_id> voters = target.log.voters();
     std::erase(voters, *removed);
-    target.log.change_replicas(std::move(voters), now, out);
+    target.log.change_replicas(voters, now, out);
     return;
   }
   add_replacement(view, partition, target, out);
--- a/src/ctl/table.cpp
+++ b/src/ctl/table.cpp
@@ -30,6 +30,7 @@
   std::vector<std::vector<std::string>> lines{columns};
   for (const json::value &row : table.at("rows").as_array()) {
     std::vector<std::string> cells;
+    cells.reserve(columns.size());
     for (const std::string &column : columns) {
       cells.push_back(cell_text(row.as_object().if_contains(column)));
     }
--- a/src/daemon/daemon_settings.cpp
+++ b/src/daemon/daemon_settings.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr std::uint64_t hour_ms = 3600000;
-constexpr std::uint64_t week_ms = 7 * 24 * hour_ms;
+constexpr std::uint64_t hours_per_week = 168;
+constexpr std::uint64_t week_ms = hours_per_week * hour_ms;
 constexpr std::uint64_t largest_body = 1ULL << 30U;
 
 } // namespace
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -283,7 +283,7 @@
 
 result<http::response> run(daemon_runtime &runtime,
                            const query::remove_statement &statement) {
-  const auto change = [](json::object) -> result<std::string> {
+  const auto change = [](const json::object &) -> result<std::string> {
     return std::string();
   };
   return change_object(runtime, statement.kind, statement.name,
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -269,7 +269,13 @@
   return std::unique_ptr<server>(new server(std::move(shared)));
 }
 
-server::~server() { stop_accepting(); }
+server::~server() {
+  try {
+    stop_accepting();
+  } catch (const std::exception &failure) {
+    logging::write(logging::event::http_server_failed, failure.what());
+  }
+}
 
 std::string server::address() const { return state_->bound_address; }
 
--- a/src/platform_client/platform_client.cpp
+++ b/src/platform_client/platform_client.cpp
@@ -92,7 +92,7 @@
 }
 
 result<std::uint64_t> platform_client::write(const write_request &request) {
-  const auto first = write_once(request);
+  auto first = write_once(request);
   const bool certain = first || first.error().ran == ran_status::not_run;
   if (certain) {
     return first;
@@ -121,7 +121,7 @@
     }
     // Not there: the write was lost on its way. Written again it takes effect
     // at most once, since both copies expect the same version.
-    const auto again = write_once(request);
+    auto again = write_once(request);
     if (again) {
       return again;
     }
--- a/src/programs/coordinator.hpp
+++ b/src/programs/coordinator.hpp
@@ -157,6 +157,8 @@
                       const wire::ProgramRecord &program);
   void end_running_calls(coordinator_view &view,
                          const wire::ProgramRecord &program);
+  void describe_program(const wire::ProgramRecord &program, timestamp now,
+                        wire::StatusReply &reply) const;
   void tick_attempts(coordinator_view &view);
   void tick_programs(coordinator_view &view);
 
--- a/src/programs/coordinator_sweep.cpp
+++ b/src/programs/coordinator_sweep.cpp
@@ -4,6 +4,24 @@
 
 namespace heathtrestle::programs {
 
+namespace {
+
+/// Adds a row with what it says of the program.
+wire::CallRow &add_row(const wire::ProgramRecord &program,
+                       wire::StatusReply &reply) {
+  wire::CallRow &row = *reply.add_calls();
+  row.set_program(program.id());
+  row.set_tenant(program.tenant());
+  row.set_program_class(program.program_class());
+  row.set_name(program.name());
+  row.set_spent(program.spent());
+  row.set_budget(program.budget());
+  row.set_turns(turns_of(program));
+  return row;
+}
+
+} // namespace
+
 void coordinator::tick(coordinator_view &view) {
   tick_attempts(view);
   tick_programs(view);
@@ -134,54 +152,45 @@
 void coordinator::describe(const program_store &store, timestamp now,
                            std::uint32_t limit,
                            wire::StatusReply &reply) const {
-  for (const auto &[id, program] : store.programs()) {
-    if (program.ended()) {
+  for (const auto &entry : store.programs()) {
+    if (static_cast<std::uint32_t>(reply.calls_size()) >= limit) {
+      return;
+    }
+    if (!entry.second.ended()) {
+      describe_program(entry.second, now, reply);
+    }
+  }
+}
+
+void coordinator::describe_program(const wire::ProgramRecord &program,
+                                   timestamp now,
+                                   wire::StatusReply &reply) const {
+  bool has_unfinished = false;
+  for (const wire::CallRecord &call : program.calls()) {
+    if (is_final(call.state())) {
       continue;
     }
-    bool has_unfinished = false;
-    const auto add_row = [&](std::string_view state) -> wire::CallRow & {
-      wire::CallRow &row = *reply.add_calls();
-      row.set_program(program.id());
-      row.set_tenant(program.tenant());
-      row.set_program_class(program.program_class());
-      row.set_name(program.name());
-      row.set_spent(program.spent());
-      row.set_budget(program.budget());
-      row.set_turns(static_cast<std::uint32_t>(program.next_position()));
-      row.set_state(std::string(state));
-      return row;
-    };
-    for (const wire::CallRecord &call : program.calls()) {
-      if (is_final(call.state())) {
-        continue;
-      }
-      if (static_cast<std::uint32_t>(reply.calls_size()) >= limit) {
-        return;
-      }
-      has_unfinished = true;
-      const auto followed =
-          attempts_.find({program.id(), call.request().key()});
-      const bool running = followed != attempts_.end();
-      const bool stalled = running && followed->second.stalled;
-      wire::CallRow &row =
-          add_row(stalled ? "stalled" : (running ? "running" : "waiting"));
-      row.set_agent(call.request().agent());
-      row.set_key(call.request().key());
-      row.set_target(call.request().target());
-      row.set_backend(call.backend());
-      if (running) {
-        row.set_age_ms(static_cast<std::uint64_t>(
-            (now - followed->second.started).count()));
-      }
+    has_unfinished = true;
+    wire::CallRow &row = add_row(program, reply);
+    row.set_agent(call.request().agent());
+    row.set_key(call.request().key());
+    row.set_target(call.request().target());
+    row.set_backend(call.backend());
+    const auto followed = attempts_.find({program.id(), call.request().key()});
+    if (followed == attempts_.end()) {
+      row.set_state("waiting");
+      continue;
     }
-    if (!has_unfinished &&
-        static_cast<std::uint32_t>(reply.calls_size()) < limit) {
-      wire::CallRow &row = add_row("idle");
-      const auto seen = last_activity_.find(program.id());
-      if (seen != last_activity_.end()) {
-        row.set_age_ms(
-            static_cast<std::uint64_t>((now - seen->second).count()));
-      }
+    row.set_state(followed->second.stalled ? "stalled" : "running");
+    row.set_age_ms(
+        static_cast<std::uint64_t>((now - followed->second.started).count()));
+  }
+  if (!has_unfinished) {
+    wire::CallRow &row = add_row(program, reply);
+    row.set_state("idle");
+    const auto seen = last_activity_.find(program.id());
+    if (seen != last_activity_.end()) {
+      row.set_age_ms(static_cast<std::uint64_t>((now - seen->second).count()));
     }
   }
 }
--- a/src/query/statement.cpp
+++ b/src/query/statement.cpp
@@ -40,9 +40,11 @@
 const auto identifier = x3::rule<struct identifier_tag, std::string>("a name") =
     x3::lexeme[x3::alpha >> *(x3::alnum | x3::char_('_'))];
 
+const auto double_quoted = x3::lexeme[('"' >> *(x3::char_ - '"')) > '"'];
+const auto single_quoted = x3::lexeme[('\'' >> *(x3::char_ - '\'')) > '\''];
+
 const auto quoted = x3::rule<struct quoted_tag, std::string>("a quoted text") =
-    x3::lexeme['"' >> *(x3::char_ - '"') > '"'] |
-    x3::lexeme['\'' >> *(x3::char_ - '\'') > '\''];
+    double_quoted | single_quoted;
 
 /// An object's name or an unquoted text.
 const auto name = x3::rule<struct name_tag, std::string>("a name") =
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -365,7 +365,7 @@
 }
 
 std::optional<propose_error>
-consensus::change_replicas(std::vector<replica_id> voters, timestamp now,
+consensus::change_replicas(const std::vector<replica_id> &voters, timestamp now,
                            outbox &out) {
   if (role_ != role::leader) {
     return propose_error::not_leader;
@@ -592,12 +592,12 @@
 void consensus::refresh_voters() {
   voters_ = base_voters_;
   voters_index_ = base_index_;
-  for (auto logged = log_.rbegin(); logged != log_.rend(); ++logged) {
-    if (logged->has_replicas()) {
-      voters_ = from_wire_set(logged->replicas());
-      voters_index_ = logged->index();
-      return;
-    }
+  const auto latest = std::find_if(
+      log_.rbegin(), log_.rend(),
+      [](const wire::LogEntry &logged) { return logged.has_replicas(); });
+  if (latest != log_.rend()) {
+    voters_ = from_wire_set(latest->replicas());
+    voters_index_ = latest->index();
   }
 }
 
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -99,8 +99,9 @@
   [[nodiscard]] bool caught_up(const replica_id &learner) const;
 
   /// Replaces the replica set by one that differs in one replica.
-  std::optional<propose_error> change_replicas(std::vector<replica_id> voters,
-                                               timestamp now, outbox &out);
+  std::optional<propose_error>
+  change_replicas(const std::vector<replica_id> &voters, timestamp now,
+                  outbox &out);
 
   /// Hands leadership to the most advanced voter for which `eligible` holds.
   /// @return false when no such voter is up to date.
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -208,7 +208,7 @@
 std::string world::ask(std::size_t node, wire::ClientRequest request,
                        std::uint64_t time_limit_ms, reply_sink replied,
                        std::function<void()> broken) {
-  const std::string id = fmt::format("request-{}", next_request_++);
+  std::string id = fmt::format("request-{}", next_request_++);
   request.set_request_id(id);
   if (options_.switched_off == mutation::no_order &&
       request.has_submit_call()) {
@@ -275,7 +275,7 @@
     start_engine(index, std::move(*effect.mutable_start_engine_request()));
     return;
   case wire::Effect::kCancelEngineRequest: {
-    const wire::CancelEngineRequest order = effect.cancel_engine_request();
+    const wire::CancelEngineRequest &order = effect.cancel_engine_request();
     clock_.after(engine_latency, [this, order] {
       if (sim_engine *target = engine_at(order.backend())) {
         target->cancel(order);
