--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -22,7 +22,8 @@
 
 failure_detector::failure_detector(detector_options options,
                                    std::vector<std::string> seeds)
-    : options_(options), seeds_(std::move(seeds)) {}
+    : options_(options), seeds_(std::move(seeds)),
+      sync_pause_(options.first_sync_interval) {}
 
 void failure_detector::tick(member_table &members, core::step &step) {
   join(members, step);
@@ -32,20 +33,28 @@
     next_probe_ = step.now() + options_.probe_interval;
     start_probe(members, step);
   }
-  if (step.now() >= next_sync_) {
-    // The first sync comes at a random moment, so that nodes started together
-    // do not all sync together.
-    const bool first = next_sync_ == timestamp{};
-    const auto span = static_cast<std::size_t>(options_.sync_interval.count());
-    const duration_ms spread{static_cast<std::int64_t>(step.draw_below(span))};
-    next_sync_ = step.now() + (first ? spread : options_.sync_interval);
-    if (!first) {
-      sync(members, step);
-    }
-  }
+  tick_sync(members, step);
   members.forget_older_than(options_.dead_retention, step.now());
 }
 
+void failure_detector::tick_sync(const member_table &members,
+                                 core::step &step) {
+  if (step.now() < next_sync_) {
+    return;
+  }
+  const bool first = next_sync_ == timestamp{};
+  if (!first) {
+    sync(members, step);
+  }
+  // A member that joined just now knows little and asks often; later news
+  // travels with the probes, and syncs only mend what was missed. The random
+  // share keeps members that started together from syncing together.
+  sync_pause_ = std::min(2 * sync_pause_, options_.sync_interval);
+  const auto pause = static_cast<std::size_t>(sync_pause_.count());
+  next_sync_ = step.now() + sync_pause_ / 2 +
+               duration_ms{static_cast<std::int64_t>(step.draw_below(pause))};
+}
+
 void failure_detector::handle(const wire::Envelope &from,
                               const wire::Ping &ping,
                               const member_table &members, core::step &step) {
--- a/src/membership/failure_detector.hpp
+++ b/src/membership/failure_detector.hpp
@@ -16,6 +16,8 @@
   duration_ms direct_timeout{300};
   duration_ms probe_timeout{900};
   duration_ms suspicion_timeout{3000};
+  /// Between full exchanges with a random member: at first, and in the end.
+  duration_ms first_sync_interval{1000};
   duration_ms sync_interval{60000};
   duration_ms join_interval{500};
   duration_ms dead_retention{600000};
@@ -54,6 +56,7 @@
   void start_probe(const member_table &members, core::step &step);
   void check_probes(member_table &members, core::step &step);
   void check_suspects(member_table &members, core::step &step);
+  void tick_sync(const member_table &members, core::step &step);
   void sync(const member_table &members, core::step &step);
 
   detector_options options_;
@@ -63,6 +66,7 @@
   std::map<std::uint64_t, relayed_probe> relayed_;
   timestamp next_probe_{};
   timestamp next_sync_{};
+  duration_ms sync_pause_;
   timestamp next_join_{};
 };
 
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -12,7 +12,7 @@
 
 /// News is sent this many times the logarithm of the cluster's size.
 constexpr double transmission_factor = 3.0;
-constexpr std::size_t members_per_message = 6;
+constexpr std::size_t members_per_message = 8;
 constexpr std::size_t leaders_per_message = 16;
 
 bool overrides(const wire::Member &news, const wire::Member &known) {
@@ -43,6 +43,34 @@
   return stable_hash(fmt::format("{}/{}", partition, member.node()));
 }
 
+/// Takes the news that was sent least often so far, and counts it as sent.
+template <typename Key, typename Item>
+std::vector<Item> take_news(std::map<Key, rumor<Item>> &rumors,
+                            std::size_t most) {
+  std::vector<Key> keys;
+  keys.reserve(rumors.size());
+  for (const auto &[key, each] : rumors) {
+    keys.push_back(key);
+  }
+  const std::size_t count = std::min(most, keys.size());
+  std::partial_sort(keys.begin(),
+                    keys.begin() + static_cast<std::ptrdiff_t>(count),
+                    keys.end(), [&rumors](const Key &left, const Key &right) {
+                      return rumors.at(left).transmissions_left >
+                             rumors.at(right).transmissions_left;
+                    });
+  keys.resize(count);
+  std::vector<Item> taken;
+  for (const Key &key : keys) {
+    rumor<Item> &spreading = rumors.at(key);
+    taken.push_back(spreading.item);
+    if (--spreading.transmissions_left == 0) {
+      rumors.erase(key);
+    }
+  }
+  return taken;
+}
+
 } // namespace
 
 member_table::member_table(wire::Member self) : self_id_(self.node()) {
@@ -211,23 +239,12 @@
 }
 
 void member_table::attach_news(wire::Envelope &envelope) {
-  std::size_t attached = 0;
-  for (auto item = member_rumors_.begin();
-       item != member_rumors_.end() && attached < members_per_message;) {
-    *envelope.add_members() = item->second.item;
-    ++attached;
-    --item->second.transmissions_left;
-    item = item->second.transmissions_left == 0 ? member_rumors_.erase(item)
-                                                : std::next(item);
+  for (wire::Member &member : take_news(member_rumors_, members_per_message)) {
+    *envelope.add_members() = std::move(member);
   }
-  attached = 0;
-  for (auto item = leader_rumors_.begin();
-       item != leader_rumors_.end() && attached < leaders_per_message;) {
-    *envelope.add_leaders() = item->second.item;
-    ++attached;
-    --item->second.transmissions_left;
-    item = item->second.transmissions_left == 0 ? leader_rumors_.erase(item)
-                                                : std::next(item);
+  for (wire::LeaderHint &hint :
+       take_news(leader_rumors_, leaders_per_message)) {
+    *envelope.add_leaders() = std::move(hint);
   }
 }
 
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -347,6 +347,10 @@
     ++traffic_.messages_by_kind[kind];
     traffic_.bytes_by_kind[kind] += bytes;
   }
+  if (from != to && options_.encode_messages) {
+    const std::string encoded = envelope.SerializeAsString();
+    envelope.ParseFromString(encoded);
+  }
   if (from != to && unit_random() < options_.loss) {
     return;
   }
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -37,6 +37,9 @@
   double duplication = 0.0;               // share of messages sent twice
   microseconds tick = 50 * per_millisecond;
   microseconds tool_time = 20 * per_millisecond;
+  /// Encodes and decodes every message between daemons, so that processor time
+  /// counts as it would in separate processes.
+  bool encode_messages = false;
   mutation switched_off = mutation::none;
   /// Called for every event that is reduced, with its effects.
   std::function<void(std::size_t node, const wire::Event &,
