--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -28,13 +28,13 @@
 void failure_detector::tick(member_table &members, core::step &step) {
   join(members, step);
   check_probes(members, step);
-  check_suspects(members, step);
   if (step.now() >= next_probe_) {
+    check_suspects(members, step);
     next_probe_ = step.now() + options_.probe_interval;
+    members.forget_older_than(options_.dead_retention, step.now());
     start_probe(members, step);
   }
   tick_sync(members, step);
-  members.forget_older_than(options_.dead_retention, step.now());
 }
 
 void failure_detector::tick_sync(const member_table &members,
@@ -117,13 +117,14 @@
 }
 
 void failure_detector::join(member_table &members, core::step &step) {
-  const bool knows_all =
-      members.running_count() > 1 && members.founding().has_value();
-  if (knows_all || step.now() < next_join_) {
+  if (step.now() < next_join_) {
     return;
   }
   next_join_ = step.now() + options_.join_interval;
   if (members.running_count() > 1) {
+    if (members.founding().has_value()) {
+      return;
+    }
     sync(members, step); // a peer may know of a founding that was missed here
     return;
   }
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -1,6 +1,7 @@
 #include "membership/member_table.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <set>
 
@@ -40,7 +41,8 @@
 
 std::uint64_t rendezvous_weight(partition_id partition,
                                 const wire::Member &member) {
-  return stable_hash(fmt::format("{}/{}", partition, member.node()));
+  const std::array<std::uint64_t, 2> key{partition.value(), member.node()};
+  return stable_hash({reinterpret_cast<const char *>(key.data()), sizeof key});
 }
 
 /// Takes the news that was sent least often so far, and counts it as sent.
@@ -175,7 +177,12 @@
   return result;
 }
 
-std::size_t member_table::running_count() const { return running().size(); }
+std::size_t member_table::running_count() const {
+  return static_cast<std::size_t>(
+      std::count_if(members_.begin(), members_.end(), [](const auto &entry) {
+        return entry.second.member.status() < wire::MEMBER_DEAD;
+      }));
+}
 
 void member_table::forget_older_than(duration_ms age, timestamp now) {
   std::erase_if(members_, [age, now](const auto &entry) {
@@ -278,18 +285,20 @@
 rank_for_partition(partition_id partition,
                    const std::vector<const wire::Member *> &candidates,
                    const std::vector<std::string> &taken, std::size_t count) {
-  std::vector<const wire::Member *> ranked = candidates;
+  std::vector<std::pair<std::uint64_t, const wire::Member *>> ranked;
+  ranked.reserve(candidates.size());
+  for (const wire::Member *member : candidates) {
+    ranked.emplace_back(rendezvous_weight(partition, *member), member);
+  }
   std::sort(ranked.begin(), ranked.end(),
-            [partition](const wire::Member *left, const wire::Member *right) {
-              const auto left_weight = rendezvous_weight(partition, *left);
-              const auto right_weight = rendezvous_weight(partition, *right);
-              return std::pair(left_weight, left->node()) >
-                     std::pair(right_weight, right->node());
+            [](const auto &left, const auto &right) {
+              return std::pair(left.first, left.second->node()) >
+                     std::pair(right.first, right.second->node());
             });
   std::set<std::string> zones(taken.begin(), taken.end());
   std::vector<const wire::Member *> chosen;
   std::vector<const wire::Member *> passed_over;
-  for (const wire::Member *member : ranked) {
+  for (const auto &[weight, member] : ranked) {
     const bool new_zone = zones.insert(member->zone()).second;
     (new_zone ? chosen : passed_over).push_back(member);
   }
--- a/src/sim/capacity_main.cpp
+++ b/src/sim/capacity_main.cpp
@@ -61,7 +61,7 @@
 bool form(sim::world &cluster) {
   constexpr sim::microseconds longest = 120 * sim::per_second;
   while (cluster.clock().now() < longest) {
-    cluster.clock().run_until(cluster.clock().now() + sim::per_second);
+    cluster.clock().run_until(cluster.clock().now() + 5 * sim::per_second);
     bool all = true;
     for (std::size_t node = 0; node < cluster.node_count(); ++node) {
       all = all && cluster.alive(node) && cluster.node(node).ready();
