Send reminders instead of whole requests, and no order from a leader out of contact

Cause 1: a request that waited was sent whole again every 0.7 s by its gateway and every second by the program's leader; under overload that multiplied the load. Reminders carry only the key; who lacks the rest asks for it.

--- a/src/cluster/partition_table.cpp
+++ b/src/cluster/partition_table.cpp
@@ -211,10 +211,12 @@
   }
 }
 
-std::optional<term_id> partition_table::led_term(partition_id partition) const {
+std::optional<term_id> partition_table::led_term(partition_id partition,
+                                                 timestamp now) const {
   const auto found = replicas_.find(partition);
   const bool led = found != replicas_.end() && found->second->established &&
-                   found->second->log.is_leader();
+                   found->second->log.is_leader() &&
+                   found->second->log.in_contact(now);
   return led ? std::optional(found->second->established_term) : std::nullopt;
 }
 
--- a/src/cluster/partition_table.hpp
+++ b/src/cluster/partition_table.hpp
@@ -57,8 +57,10 @@
   void transfer_all(partition_view &view);
 
   /// @return the term in which this node leads the partition and knows all
-  /// that is committed; nothing when it does not.
-  [[nodiscard]] std::optional<term_id> led_term(partition_id partition) const;
+  /// that is committed; nothing when it does not, or when it has lost touch
+  /// with the majority and may have been replaced.
+  [[nodiscard]] std::optional<term_id> led_term(partition_id partition,
+                                                timestamp now) const;
   [[nodiscard]] std::uint32_t led_count() const;
   [[nodiscard]] std::uint32_t replica_count() const;
   /// Partitions in whose committed replica set this process stands.
--- a/src/dispatch/dispatch_table.cpp
+++ b/src/dispatch/dispatch_table.cpp
@@ -35,6 +35,10 @@
   if (!term.has_value() || term->value() != request.backend_term()) {
     return; // meant for another leader; the sender asks again
   }
+  if (request.reminder()) {
+    send_reply(view, reply_to(request, wire::DISPATCH_UNKNOWN));
+    return;
+  }
   attempt taken;
   taken.request = request;
   taken.arrived = view.step.now();
@@ -397,7 +401,8 @@
   if (partitions == 0) {
     return std::nullopt;
   }
-  return view.partitions.led_term(partition_of(backend, partitions));
+  return view.partitions.led_term(partition_of(backend, partitions),
+                                  view.step.now());
 }
 
 } // namespace heathtrestle::dispatch
--- a/src/gateway/pending_table.cpp
+++ b/src/gateway/pending_table.cpp
@@ -2,11 +2,28 @@
 
 #include "base/error.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
 namespace heathtrestle::gateway {
 
+namespace {
+
+/// The same request without the content of its call.
+wire::ClientRequest reminder_of(const wire::ClientRequest &request) {
+  wire::ClientRequest reminder;
+  reminder.set_request_id(request.request_id());
+  reminder.set_partition(request.partition());
+  wire::SubmitCall &submit = *reminder.mutable_submit_call();
+  submit.set_program(request.submit_call().program());
+  submit.mutable_call()->set_key(request.submit_call().call().key());
+  submit.set_reminder(true);
+  return reminder;
+}
+
+} // namespace
+
 pending_table::pending_table(gateway_options options) : options_(options) {}
 
 void pending_table::on_arrived(gateway_view &view,
@@ -20,6 +37,7 @@
           ? options_.default_time_limit
           : duration_ms{static_cast<std::int64_t>(arrived.time_limit_ms())};
   waiting.deadline = view.step.now() + limit;
+  waiting.resend_pause = options_.resend_interval;
   send(view, waiting);
 }
 
@@ -39,6 +57,11 @@
     }
     return;
   }
+  if (reply.send_whole()) {
+    found->second.sent_whole_to = 0;
+    send(view, found->second);
+    return;
+  }
   wire::ReplyToClient &effect = *view.step.add().mutable_reply_to_client();
   effect.set_request_id(reply.request_id());
   *effect.mutable_reply() = reply;
@@ -86,7 +109,9 @@
     if (now >= waiting.deadline || never_left) {
       give_up(view, request_id, waiting);
       given_up.push_back(request_id);
-    } else if (now - waiting.last_sent >= options_.resend_interval) {
+    } else if (now - waiting.last_sent >= waiting.resend_pause) {
+      waiting.resend_pause =
+          std::min(2 * waiting.resend_pause, options_.longest_resend_interval);
       send(view, waiting);
     }
   }
@@ -119,7 +144,17 @@
   }
   waiting.ever_sent = true;
   wire::Envelope envelope;
-  *envelope.mutable_client_request() = waiting.request;
+  wire::ClientRequest &request = *envelope.mutable_client_request();
+  const bool has_whole =
+      leader.has_value() && waiting.sent_whole_to == leader->term();
+  if (waiting.request.has_submit_call() && has_whole) {
+    // The leader of this term should have it; only its key is sent again, so
+    // that waiting callers do not multiply the load that makes them wait.
+    request = reminder_of(waiting.request);
+  } else {
+    request = waiting.request;
+    waiting.sent_whole_to = leader.has_value() ? leader->term() : 0;
+  }
   view.step.send(target, std::move(envelope));
 }
 
--- a/src/gateway/pending_table.hpp
+++ b/src/gateway/pending_table.hpp
@@ -16,6 +16,8 @@
 
 struct gateway_options {
   duration_ms resend_interval{700};
+  /// Each time nothing comes back the pause doubles, up to this.
+  duration_ms longest_resend_interval{2800};
   /// A request that could not be sent to any leader is refused after this.
   duration_ms not_ready_limit{6000};
   /// A request without a time limit of its own is given up after this.
@@ -49,12 +51,16 @@
     timestamp deadline{};
     timestamp last_sent{};
     bool ever_sent = false;
+    /// The term of the leader that was sent the whole request; 0: none.
+    std::uint64_t sent_whole_to = 0;
+    duration_ms resend_pause{};
     bool key_is_fresh = false;  // made here, so nobody else can have sent it
     std::string streamed;       // what the caller has been sent
     std::string engine_request; // attempt that chunks are taken from
     std::string attempt_text;   // what came of that attempt
   };
 
+  /// Sends the request, as a reminder where the leader should have it.
   void send(gateway_view &view, pending &waiting);
   void give_up(gateway_view &view, const std::string &request_id,
                const pending &waiting);
--- a/src/programs/coordinator.cpp
+++ b/src/programs/coordinator.cpp
@@ -181,6 +181,12 @@
   }
   const call_id id{program_name, submitted.call().key()};
   const wire::CallRecord *known = find_call(*program, id.second);
+  if (known == nullptr && submitted.reminder()) {
+    wire::ClientReply message;
+    message.set_send_whole(true);
+    reply(view, client, std::move(message));
+    return;
+  }
   if (known == nullptr) {
     propose_record(view, client, *program, submitted.call());
     return;
--- a/src/programs/coordinator.hpp
+++ b/src/programs/coordinator.hpp
@@ -99,6 +99,8 @@
     bool started_here = false;
     std::set<std::uint64_t> asked;   // dispatcher terms asked to start it
     std::set<std::uint64_t> refused; // of those, the ones that declined
+    /// The dispatcher's term that was sent the whole prompt; 0: none.
+    std::uint64_t sent_whole_to = 0;
     timestamp last_sent{};
     timestamp last_progress{};
     timestamp started{};
--- a/src/programs/coordinator_attempts.cpp
+++ b/src/programs/coordinator_attempts.cpp
@@ -216,8 +216,15 @@
     state.asked.insert(dispatcher->term());
   }
   request.set_model(call.request().target());
-  for (const std::string &message : prompt_of(program, call)) {
-    request.add_messages(message);
+  // A dispatcher's term is one process: what it was sent whole once need not
+  // be sent again, and it says so if it never arrived.
+  const bool has_whole = state.sent_whole_to == dispatcher->term();
+  request.set_reminder(has_whole);
+  if (!has_whole) {
+    state.sent_whole_to = dispatcher->term();
+    for (const std::string &message : prompt_of(program, call)) {
+      request.add_messages(message);
+    }
   }
   request.set_max_output_tokens(call.request().max_output_tokens());
   request.set_tenant(program.tenant());
@@ -283,6 +290,10 @@
   switch (reply.status()) {
   case wire::DISPATCH_ACCEPTED:
     return;
+  case wire::DISPATCH_UNKNOWN:
+    state.sent_whole_to = 0;
+    send_dispatch(view, program, *call, state);
+    return;
   case wire::DISPATCH_COMPLETED:
     finish_completed(view, program, *call, assistant_message(reply.text()),
                      reply.usage(), cost_of(reply.usage(), call->price()));
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -58,7 +58,7 @@
 
 void consensus::tick(timestamp now, std::uint64_t random, outbox &out) {
   if (role_ == role::leader) {
-    if (!heard_from_majority(now)) {
+    if (!heard_from_majority(now, 2 * options_.election_timeout)) {
       // A majority may already follow another leader. Nothing can be committed
       // here, so say so instead of letting callers wait.
       become_follower(term_, now, random);
@@ -473,10 +473,10 @@
   return log_.at(index - base_index_ - 1);
 }
 
-bool consensus::heard_from_majority(timestamp now) const {
+bool consensus::heard_from_majority(timestamp now, duration_ms within) const {
   std::size_t heard = is_voter(self_) ? 1 : 0;
   for (const auto &[peer, state] : peers_) {
-    const bool recent = now < state.last_heard + 2 * options_.election_timeout;
+    const bool recent = now < state.last_heard + within;
     heard += recent && is_voter(peer) ? 1 : 0;
   }
   return heard >= majority();
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -118,6 +118,11 @@
   /// True once an entry of the leader's own term is committed: only then does
   /// the leader know every entry that its predecessors committed.
   [[nodiscard]] bool established() const;
+  /// True when a majority answered within an election's time. A leader that
+  /// stood still fails this on waking, before it has heard that it was deposed.
+  [[nodiscard]] bool in_contact(timestamp now) const {
+    return heard_from_majority(now, options_.election_timeout);
+  }
   [[nodiscard]] term_id term() const { return term_id{term_}; }
   [[nodiscard]] log_index commit_index() const { return log_index{commit_}; }
   [[nodiscard]] log_index last_index() const { return log_index{last()}; }
@@ -152,7 +157,8 @@
   [[nodiscard]] std::uint64_t last_term() const { return term_at(last()); }
   [[nodiscard]] const wire::LogEntry &entry(std::uint64_t index) const;
   [[nodiscard]] std::size_t majority() const { return voters_.size() / 2 + 1; }
-  [[nodiscard]] bool heard_from_majority(timestamp now) const;
+  [[nodiscard]] bool heard_from_majority(timestamp now,
+                                         duration_ms within) const;
 
   void become_follower(std::uint64_t term, timestamp now, std::uint64_t random);
   void become_leader(timestamp now, outbox &out);
--- a/tests/gateway/pending_table_test.cpp
+++ b/tests/gateway/pending_table_test.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(pending_table_test);
   CPPUNIT_TEST(asks_the_leader_again_until_answered);
   CPPUNIT_TEST(a_redirect_is_followed_at_once);
+  CPPUNIT_TEST(what_was_sent_whole_is_only_reminded_of);
   CPPUNIT_TEST(not_run_is_said_only_of_what_never_left);
   CPPUNIT_TEST(a_key_of_the_callers_may_have_been_sent_elsewhere);
   CPPUNIT_TEST(text_is_passed_on_once_and_in_order);
@@ -57,6 +58,29 @@
                          second.effects().back().send().to());
   }
 
+  void what_was_sent_whole_is_only_reminded_of() {
+    know_leader("leader", 1);
+    tests::step_fixture first(1000);
+    arrive(first, false);
+    CPPUNIT_ASSERT(!first.sent()[0].client_request().submit_call().reminder());
+    tests::step_fixture second(2000);
+    tick(second);
+    CPPUNIT_ASSERT(second.sent()[0].client_request().submit_call().reminder());
+    // The whole request was lost on its way: the leader asks for it.
+    tests::step_fixture third(2100);
+    wire::ClientReply unknown;
+    unknown.set_request_id("r");
+    unknown.set_send_whole(true);
+    gateway_view view{third.step(), *members_};
+    table_->on_reply(view, unknown);
+    CPPUNIT_ASSERT(!third.sent()[0].client_request().submit_call().reminder());
+    // Another leader has not been sent it at all.
+    know_leader("next", 2);
+    tests::step_fixture fourth(9000);
+    tick(fourth);
+    CPPUNIT_ASSERT(!fourth.sent()[0].client_request().submit_call().reminder());
+  }
+
   void not_run_is_said_only_of_what_never_left() {
     tests::step_fixture first(1000);
     arrive(first, true);
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -165,6 +165,7 @@
   CPPUNIT_TEST(a_far_behind_follower_gets_a_snapshot);
   CPPUNIT_TEST(leadership_is_handed_over);
   CPPUNIT_TEST(a_follower_that_forgot_is_not_flooded);
+  CPPUNIT_TEST(a_leader_that_stood_still_is_out_of_contact);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -320,6 +321,16 @@
     three.at(leader).handle(forgot, three.now(), out);
     CPPUNIT_ASSERT(out.messages.empty());
   }
+
+  void a_leader_that_stood_still_is_out_of_contact() {
+    group three(3);
+    three.run(duration_ms{6000});
+    const consensus &leader = three.at(*three.leader());
+    CPPUNIT_ASSERT(leader.in_contact(three.now()));
+    // It wakes eight seconds later and still believes that it leads.
+    CPPUNIT_ASSERT(leader.is_leader());
+    CPPUNIT_ASSERT(!leader.in_contact(three.now() + duration_ms{8000}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(consensus_test);
