--- a/src/daemon/runtime.cpp
+++ b/src/daemon/runtime.cpp
@@ -3,6 +3,7 @@
 #include "daemon/api.hpp"
 #include "engine_client/engine_client.hpp"
 #include "logging/log.hpp"
+#include "replay/trace.hpp"
 
 #include <boost/fiber/operations.hpp>
 #include <google/protobuf/util/delimited_message_util.h>
@@ -72,6 +73,10 @@
   trace_writer trace;
   if (!settings_.trace_file.empty()) {
     trace_.open(settings_.trace_file, std::ios::binary | std::ios::trunc);
+    google::protobuf::util::SerializeDelimitedToOstream(
+        replay::header_record(node_->members().self(),
+                              node_options_of(settings_)),
+        &trace_);
     trace = [this](const wire::Event &event, const core::effect_list &effects) {
       write_trace(event, effects);
     };
--- /dev/null
+++ b/src/replay/main.cpp
@@ -0,0 +1,70 @@
+// heathtrestle-replay: runs recorded traces through the real reducer and
+// checks the outcomes that are stated for them.
+#include "config/settings_schema.hpp"
+#include "replay/outcomes.hpp"
+#include "replay/trace.hpp"
+
+#include <fmt/format.h>
+
+#include <cstdlib>
+
+namespace {
+
+using namespace heathtrestle;
+
+/// @return true when every stated outcome is shown.
+bool check(const std::string &path, const std::string &outcomes_path) {
+  const auto trace = replay::read_trace(path);
+  if (!trace) {
+    fmt::print(stderr, "{}\n", describe(trace.error()));
+    return false;
+  }
+  const auto outcomes = replay::read_outcomes(outcomes_path);
+  if (!outcomes) {
+    fmt::print(stderr, "{}\n", describe(outcomes.error()));
+    return false;
+  }
+  const auto counts = replay::replay_and_count(trace.value());
+  bool all = true;
+  for (const replay::stated_outcome &stated : outcomes.value()) {
+    const std::uint64_t count =
+        counts.at(static_cast<std::size_t>(stated.kind));
+    const bool shown = count >= stated.least && count <= stated.most;
+    all = all && shown;
+    fmt::print("{}: {} {} = {}, stated {} to {}\n", path,
+               shown ? "shown" : "NOT SHOWN", replay::name_of(stated.kind),
+               count, stated.least, stated.most);
+  }
+  fmt::print("{}: {} events replayed\n", path, trace.value().size() - 1);
+  return all;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  std::vector<std::string> traces;
+  config::settings_schema schema;
+  schema.texts("trace", traces,
+               "a recorded trace, repeated; FILE.toml beside FILE.trace states "
+               "its outcomes");
+  const auto choice = config::parse_command_line(
+      argc, argv, "heathtrestle-replay",
+      "runs recorded traces through the reducer and checks stated outcomes",
+      schema);
+  if (choice != config::start_choice::run) {
+    return choice == config::start_choice::exit_success
+               ? EXIT_SUCCESS
+               : config::exit_code_bad_settings;
+  }
+  if (traces.empty()) {
+    fmt::print(stderr, "--trace: at least one is needed\n");
+    return config::exit_code_bad_settings;
+  }
+  std::size_t held = 0;
+  for (const std::string &trace : traces) {
+    const std::string stem = trace.substr(0, trace.rfind('.'));
+    held += check(trace, stem + ".toml") ? 1 : 0;
+  }
+  fmt::print("{} passed, {} failed\n", held, traces.size() - held);
+  return held == traces.size() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/src/sim/main.cpp
+++ b/src/sim/main.cpp
@@ -45,6 +45,9 @@
   std::string switched_off = "none";
   std::string verbose = "no";
   std::string show;
+  std::string record;
+  std::uint64_t record_node = 0;
+  std::string profile = "bagmati-valley";
   std::uint64_t tool_ms = 20;
   config::settings_schema schema;
   schema.integer("seed", seed, 0, 1ULL << 62U, "first seed");
@@ -56,6 +59,10 @@
                "a kind of fault to draw from, repeated; none given: all");
   schema.text("off", switched_off, "a mechanism to switch off");
   schema.integer("tool_ms", tool_ms, 1, 100000, "time that a tool takes");
+  schema.text("record", record, "writes the trace of a daemon here");
+  schema.integer("record_node", record_node, 0, 400, "whose trace");
+  schema.choice("profile", profile, {"bagmati-valley", "ensam"},
+                "whose programs to play");
   schema.text("show", show, "a program whose replicas are described");
   schema.choice("verbose", verbose, {"no", "yes"}, "print all faults");
   const auto choice = config::parse_command_line(
@@ -78,6 +85,9 @@
     sim::scenario_options options = sim::standard_scenario(seed + number);
     options.world.nodes = nodes;
     options.show = show;
+    options.record = record;
+    options.recorded_node = record_node;
+    options.workload.profile = profile;
     options.world.tool_time = tool_ms * sim::per_millisecond;
     options.world.switched_off = *mutation;
     options.workload.programs = static_cast<std::uint32_t>(programs);
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -1,9 +1,13 @@
 #include "sim/scenario.hpp"
 
+#include "replay/trace.hpp"
+
 #include <algorithm>
 #include <array>
+#include <fstream>
 
 #include <fmt/format.h>
+#include <google/protobuf/util/delimited_message_util.h>
 
 namespace heathtrestle::sim {
 
@@ -267,7 +271,40 @@
   scenario_result result;
   watcher watched;
   world_options world_settings = options.world;
+  std::ofstream trace;
+  std::uint64_t recorded_boot = 0;
+  world *observed = nullptr;
+  if (!options.record.empty()) {
+    trace.open(options.record, std::ios::binary | std::ios::trunc);
+    world_settings.observe = [&](std::size_t node, const wire::Event &event,
+                                 const core::effect_list &effects) {
+      if (node != options.recorded_node) {
+        return;
+      }
+      const wire::Member &self = observed->node(node).members().self();
+      const bool another_process =
+          recorded_boot != 0 && recorded_boot != self.boot();
+      if (another_process) {
+        return; // a trace is of one process
+      }
+      const auto write = [&trace](const wire::TraceRecord &record) {
+        google::protobuf::util::SerializeDelimitedToOstream(record, &trace);
+      };
+      if (recorded_boot == 0) {
+        recorded_boot = self.boot();
+        write(replay::header_record(observed->started_as(node),
+                                    observed->options().node));
+      }
+      wire::TraceRecord record;
+      *record.mutable_event() = event;
+      for (const wire::Effect &effect : effects) {
+        *record.add_effects() = effect;
+      }
+      write(record);
+    };
+  }
   world cluster(world_settings);
+  observed = &cluster;
   const bench::profile owner = bench::profile_named(options.workload.profile);
   cluster.clock().after(per_second, [&] { cluster.configure(owner); });
   const std::vector<bench::program_plan> plans =
--- a/src/sim/scenario.hpp
+++ b/src/sim/scenario.hpp
@@ -48,6 +48,9 @@
   microseconds longest_extension = 300 * per_second;
   /// Actions after which a run counts as one that does not come to rest.
   std::uint64_t action_limit = 3000000;
+  /// Where the trace of `recorded_node` is written; empty: nowhere.
+  std::string record;
+  std::size_t recorded_node = 0;
   /// A program whose replicas are described at the end; empty: none.
   std::string show;
 };
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -71,6 +71,10 @@
   [[nodiscard]] bool reachable(std::size_t node) const;
   /// True when callers can connect: alive and not being stopped.
   [[nodiscard]] bool accepting(std::size_t node) const;
+  /// The member record with which the node's process began.
+  [[nodiscard]] const wire::Member &started_as(std::size_t node) const {
+    return nodes_[node].member;
+  }
   core::node &node(std::size_t index) { return *nodes_[index].running; }
   /// Ends a process at once; it forgets everything.
   void kill(std::size_t node);
