--- a/src/replay/main.cpp
+++ b/src/replay/main.cpp
@@ -45,7 +45,7 @@
   std::vector<std::string> traces;
   config::settings_schema schema;
   schema.texts("trace", traces,
-               "a recorded trace, repeated; FILE.toml beside FILE.trace states "
+               "a recorded trace, repeated; FILE.toml beside FILE.trace or FILE.trace.gz states "
                "its outcomes");
   const auto choice = config::parse_command_line(
       argc, argv, "heathtrestle-replay",
@@ -62,7 +62,7 @@
   }
   std::size_t held = 0;
   for (const std::string &trace : traces) {
-    const std::string stem = trace.substr(0, trace.rfind('.'));
+    const std::string stem = trace.substr(0, trace.rfind(".trace"));
     held += check(trace, stem + ".toml") ? 1 : 0;
   }
   fmt::print("{} passed, {} failed\n", held, traces.size() - held);
--- a/src/replay/trace.cpp
+++ b/src/replay/trace.cpp
@@ -1,5 +1,6 @@
 #include "replay/trace.hpp"
 
+#include <google/protobuf/io/gzip_stream.h>
 #include <google/protobuf/io/zero_copy_stream_impl.h>
 #include <google/protobuf/util/delimited_message_util.h>
 
@@ -65,13 +66,18 @@
 
 result<std::vector<wire::TraceRecord>> read_trace(const std::string &path) {
   std::ifstream file(path, std::ios::binary);
-  google::protobuf::io::IstreamInputStream input(&file);
+  google::protobuf::io::IstreamInputStream plain(&file);
+  google::protobuf::io::GzipInputStream unpacked(&plain);
+  google::protobuf::io::ZeroCopyInputStream *input = &plain;
+  if (path.ends_with(".gz")) {
+    input = &unpacked;
+  }
   std::vector<wire::TraceRecord> records;
   bool clean_end = false;
   while (!clean_end) {
     wire::TraceRecord record;
     const bool read = google::protobuf::util::ParseDelimitedFromZeroCopyStream(
-        &record, &input, &clean_end);
+        &record, input, &clean_end);
     if (read) {
       records.push_back(std::move(record));
     } else if (!clean_end) {
