--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -87,6 +87,12 @@
   local statements=(
     'add tenant ward-office weight = 2'
     'add tenant depot weight = 1'
+    'add tenant harbour-relief weight = 1'
+    'add tenant parish-fund weight = 1'
+    'add tenant cyclone-aid weight = 1'
+    'add tenant seed-trust weight = 1'
+    'add class urgent priority = 0, price = 10, budget = 50000000, turn_limit = 200'
+    'add class standard priority = 2, price = 4, budget = 50000000, turn_limit = 200'
     'add class counter priority = 0, price = 10, budget = 50000000, turn_limit = 200'
     'add class review priority = 2, price = 4, budget = 50000000, turn_limit = 200'
     'add model model-a minimum_bytes_per_token = 4'
--- a/src/bench/driver.cpp
+++ b/src/bench/driver.cpp
@@ -50,9 +50,9 @@
   }
 }
 
-/// @return programs for which some engine still holds memory.
-std::uint32_t count_holders(http::client &client,
-                            const driver_options &options) {
+/// @return programs of this run for which some engine still holds memory.
+std::uint32_t count_holders(http::client &client, const driver_options &options,
+                            const std::set<std::string> &own) {
   std::set<std::string> holders;
   for (const std::string &engine : options.engines) {
     const json::object held = get_object(client, engine, "/v1/cache/programs");
@@ -61,7 +61,10 @@
       continue;
     }
     for (const json::value &program : programs->as_array()) {
-      holders.emplace(program.at("program").as_string());
+      const std::string id(program.at("program").as_string());
+      if (own.contains(id)) {
+        holders.insert(id);
+      }
     }
   }
   return static_cast<std::uint32_t>(holders.size());
@@ -69,9 +72,13 @@
 
 void wait_for_release(http::client &client, const driver_options &options,
                       run_report &report) {
+  std::set<std::string> own;
+  for (const program_result &program : report.programs) {
+    own.insert(program.id);
+  }
   const auto deadline = steady::now() + release_patience;
   do {
-    report.programs_holding_memory = count_holders(client, options);
+    report.programs_holding_memory = count_holders(client, options, own);
     if (report.programs_holding_memory == 0) {
       return;
     }
--- a/src/bench/driver.hpp
+++ b/src/bench/driver.hpp
@@ -24,6 +24,7 @@
 
 /// What came of one program.
 struct program_result {
+  std::string id;
   std::string name;
   std::string program_class;
   std::string tenant;
--- a/src/bench/program_player.cpp
+++ b/src/bench/program_player.cpp
@@ -133,6 +133,7 @@
     return false;
   }
   id_ = std::string(parse_object(answer->body).at("id").as_string());
+  result_.id = id_;
   return true;
 }
 
--- a/src/sim/observations.hpp
+++ b/src/sim/observations.hpp
@@ -3,9 +3,11 @@
 #pragma once
 
 #include "sim/virtual_clock.hpp"
+#include "stand_ins/engine/prefix_cache.hpp"
 #include "wire/messages.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -34,6 +36,8 @@
 };
 
 struct observations {
+  /// Everything that any engine ever had cached.
+  stand_ins::prefix_cache ever_cached{std::numeric_limits<std::size_t>::max()};
   std::vector<engine_start> engine_starts;
   std::map<std::string, std::uint32_t> tool_runs; // by program/key
   std::vector<final_answer> answers;
