Fence engines at once when a back end gets another dispatcher

Cause: engines learned of a new term only with the next order, so that an old dispatcher that woke could still send one to a back end that got none.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -47,6 +47,9 @@
     dispatch_.on_memory_released(view, event.engine_memory_released());
     break;
   }
+  case wire::Event::kEngineFenced:
+    dispatch_.on_fenced(event.engine_fenced());
+    break;
   case wire::Event::kToolFinished: {
     auto view = partition_view_of(step);
     partitions_.on_tool_finished(view, event.tool_finished());
--- a/src/core/table_locks.cpp
+++ b/src/core/table_locks.cpp
@@ -36,6 +36,7 @@
   case wire::Event::kEngineProgress:
   case wire::Event::kEngineFinished:
   case wire::Event::kEngineMemoryReleased:
+  case wire::Event::kEngineFenced:
   case wire::Event::kEngineLoad:
     return with_dispatch;
   case wire::Event::kToolFinished:
--- a/src/daemon/event_loop.cpp
+++ b/src/daemon/event_loop.cpp
@@ -58,6 +58,8 @@
     return stable_hash(event.engine_finished().backend());
   case wire::Event::kEngineMemoryReleased:
     return stable_hash(event.engine_memory_released().backend());
+  case wire::Event::kEngineFenced:
+    return stable_hash(event.engine_fenced().backend());
   case wire::Event::kToolFinished:
     return event.tool_finished().partition();
   default:
--- a/src/daemon/runtime.cpp
+++ b/src/daemon/runtime.cpp
@@ -167,6 +167,11 @@
       engine_client::release_memory(client_, order, sink);
     });
     return;
+  case wire::Effect::kFenceEngine:
+    fibers_->spawn([this, sink, order = effect.fence_engine()] {
+      engine_client::fence_engine(client_, order, sink);
+    });
+    return;
   case wire::Effect::kInvokeTool:
     fibers_->spawn([this, sink, order = effect.invoke_tool()] {
       engine_client::invoke_tool(client_, order, sink);
--- a/src/dispatch/dispatch_table.cpp
+++ b/src/dispatch/dispatch_table.cpp
@@ -177,7 +177,15 @@
   view.step.send(node_id{leader->node()}, std::move(envelope));
 }
 
+void dispatch_table::on_fenced(const wire::EngineFenced &fenced) {
+  const auto queue = queues_.find(fenced.backend());
+  if (fenced.fenced() && queue != queues_.end()) {
+    queue->second.fenced_term = fenced.epoch();
+  }
+}
+
 void dispatch_table::tick(dispatch_view &view) {
+  fence_engines(view);
   refuse_waiting(view);
   give_up_silent(view);
   std::erase_if(attempts_, [&](const auto &entry) {
@@ -331,6 +339,26 @@
   view.step.send(node_id{source.request.gateway()}, std::move(envelope));
 }
 
+void dispatch_table::fence_engines(dispatch_view &view) {
+  for (const auto &[name, backend] : view.configuration.backends()) {
+    const std::optional<term_id> term = led_term(view, name);
+    if (!term.has_value()) {
+      continue;
+    }
+    backend_queue &queue = queues_[name];
+    const bool due =
+        view.step.now() - queue.fence_sent >= options_.fence_interval;
+    if (queue.fenced_term == term->value() || !due) {
+      continue;
+    }
+    queue.fence_sent = view.step.now();
+    wire::FenceEngine &order = *view.step.add().mutable_fence_engine();
+    order.set_backend(name);
+    order.set_address(backend.address);
+    order.set_epoch(term->value());
+  }
+}
+
 void dispatch_table::refuse_waiting(dispatch_view &view) {
   for (auto &[id, held] : attempts_) {
     if (held.state != attempt_state::waiting) {
--- a/src/dispatch/dispatch_table.hpp
+++ b/src/dispatch/dispatch_table.hpp
@@ -24,6 +24,8 @@
   duration_ms answer_retention{120000};
   /// An engine stream that is silent for this long is given up.
   duration_ms engine_silence_limit{30000};
+  /// Between tries to tell an engine of a new term.
+  duration_ms fence_interval{1000};
 };
 
 /// The other tables that dispatching looks at during one reduction.
@@ -45,6 +47,7 @@
   void on_finished(dispatch_view &view, const wire::EngineFinished &finished);
   void on_memory_released(dispatch_view &view,
                           const wire::EngineMemoryReleased &released);
+  void on_fenced(const wire::EngineFenced &fenced);
   void tick(dispatch_view &view);
 
   /// Attempts whose engine stream runs through this node.
@@ -67,6 +70,9 @@
     std::size_t running = 0;
     std::size_t waiting = 0;
     virtual_times served;
+    /// The term that the engine is known to hold as its fence; 0: none.
+    std::uint64_t fenced_term = 0;
+    timestamp fence_sent{};
   };
 
   void repeat_answer(dispatch_view &view, attempt &known,
@@ -82,6 +88,9 @@
                   std::uint64_t offset, std::string text);
   void refuse_waiting(dispatch_view &view);
   void give_up_silent(dispatch_view &view);
+  /// Tells the engines of back ends that were taken over of the new term, so
+  /// that orders of an earlier leader that wakes late are refused.
+  void fence_engines(dispatch_view &view);
   [[nodiscard]] wire::DispatchReply
   reply_to(const wire::DispatchRequest &request,
            wire::DispatchStatus status) const;
--- a/src/engine_client/engine_client.cpp
+++ b/src/engine_client/engine_client.cpp
@@ -232,6 +232,21 @@
   post(std::move(event));
 }
 
+void fence_engine(http::client &client, const wire::FenceEngine &order,
+                  const event_sink &post) {
+  http::request request;
+  request.method = "POST";
+  request.path = "/v1/fence";
+  request.headers["X-Epoch"] = std::to_string(order.epoch());
+  const auto answer = client.send(order.address(), request, order_timeouts);
+  wire::Event event;
+  wire::EngineFenced &fenced = *event.mutable_engine_fenced();
+  fenced.set_backend(order.backend());
+  fenced.set_epoch(order.epoch());
+  fenced.set_fenced(answer && answer.value().status == status_ok);
+  post(std::move(event));
+}
+
 void invoke_tool(http::client &client, const wire::InvokeTool &order,
                  const event_sink &post) {
   http::request request;
--- a/src/engine_client/engine_client.hpp
+++ b/src/engine_client/engine_client.hpp
@@ -26,6 +26,10 @@
                     const wire::ReleaseEngineMemory &order,
                     const event_sink &post);
 
+/// Tells an engine of a new epoch.
+void fence_engine(http::client &client, const wire::FenceEngine &order,
+                  const event_sink &post);
+
 /// Invokes a tool, or asks for the outcome of an earlier invocation.
 void invoke_tool(http::client &client, const wire::InvokeTool &order,
                  const event_sink &post);
--- a/src/sim/sim_engine.cpp
+++ b/src/sim/sim_engine.cpp
@@ -77,11 +77,18 @@
   generations_.erase(found);
 }
 
+bool sim_engine::fence(std::uint64_t epoch) {
+  if (!alive_ || epoch < epoch_) {
+    return false;
+  }
+  epoch_ = epoch;
+  return true;
+}
+
 bool sim_engine::release(const wire::ReleaseEngineMemory &order) {
-  if (!alive_ || order.epoch() < epoch_) {
+  if (!fence(order.epoch())) {
     return false;
   }
-  epoch_ = order.epoch();
   cache_.release(order.program());
   return true;
 }
--- a/src/sim/sim_engine.hpp
+++ b/src/sim/sim_engine.hpp
@@ -38,6 +38,9 @@
   /// @return false when the engine is dead or the order is stale.
   bool release(const wire::ReleaseEngineMemory &order);
 
+  /// @return false when the engine is dead or the order is stale.
+  bool fence(std::uint64_t epoch);
+
   /// The process ends: everything is forgotten, streams break.
   void kill();
   void restart();
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -286,6 +286,9 @@
   case wire::Effect::kReleaseEngineMemory:
     release_memory(index, effect.release_engine_memory());
     return;
+  case wire::Effect::kFenceEngine:
+    fence_engine(index, effect.fence_engine());
+    return;
   case wire::Effect::kInvokeTool:
     invoke_tool(index, std::move(*effect.mutable_invoke_tool()));
     return;
@@ -410,6 +413,19 @@
   });
 }
 
+void world::fence_engine(std::size_t index, const wire::FenceEngine &order) {
+  const std::uint64_t boot = nodes_[index].boot;
+  clock_.after(engine_latency, [this, index, boot, order] {
+    sim_engine *target = engine_at(order.backend());
+    wire::Event event;
+    wire::EngineFenced &fenced = *event.mutable_engine_fenced();
+    fenced.set_backend(order.backend());
+    fenced.set_epoch(order.epoch());
+    fenced.set_fenced(target != nullptr && target->fence(order.epoch()));
+    post(index, boot, engine_latency, std::move(event));
+  });
+}
+
 void world::invoke_tool(std::size_t index, wire::InvokeTool order) {
   if (options_.switched_off == mutation::always_start) {
     order.set_start_allowed(true);
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -155,6 +155,7 @@
   void start_engine(std::size_t index, wire::StartEngineRequest order);
   void release_memory(std::size_t index,
                       const wire::ReleaseEngineMemory &order);
+  void fence_engine(std::size_t index, const wire::FenceEngine &order);
   void invoke_tool(std::size_t index, wire::InvokeTool order);
   void propose_founding(std::size_t index, const wire::Founding &founding);
   void watch(std::size_t index);
--- a/src/stand_ins/engine/engine.cpp
+++ b/src/stand_ins/engine/engine.cpp
@@ -59,6 +59,10 @@
     export_cache(exchange);
   } else if (post && request.path == "/v1/cache/import") {
     import_cache(exchange);
+  } else if (post && request.path == "/v1/fence") {
+    if (check_epoch(exchange)) {
+      accept(exchange, {{"fenced", true}});
+    }
   } else if (post && request.path == "/v1/drain") {
     start_drain(exchange);
   } else if (request.path == "/v1/load") {
