--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -5,49 +5,6 @@
 
 namespace heathtrestle::raft {
 
-namespace {
-
-/// A learner this close to the end of the log may become a voter.
-constexpr std::uint64_t learner_lag_limit = 8;
-/// A snapshot that brought no answer is sent again after this long.
-constexpr duration_ms snapshot_retry{2000};
-
-bool contains(const std::vector<replica_id> &replicas,
-              const replica_id &replica) {
-  return std::find(replicas.begin(), replicas.end(), replica) != replicas.end();
-}
-
-std::vector<replica_id> from_wire_set(const wire::ReplicaSet &replicas) {
-  std::vector<replica_id> voters;
-  for (const wire::ReplicaId &voter : replicas.voters()) {
-    voters.push_back(from_wire(voter));
-  }
-  return voters;
-}
-
-wire::ReplicaSet to_wire_set(const std::vector<replica_id> &voters) {
-  wire::ReplicaSet replicas;
-  for (const replica_id &voter : voters) {
-    *replicas.add_voters() = to_wire(voter);
-  }
-  return replicas;
-}
-
-/// @return true when `after` adds or removes exactly one replica.
-bool differs_in_one(const std::vector<replica_id> &before,
-                    const std::vector<replica_id> &after) {
-  std::size_t changes = 0;
-  for (const replica_id &replica : after) {
-    changes += contains(before, replica) ? 0 : 1;
-  }
-  for (const replica_id &replica : before) {
-    changes += contains(after, replica) ? 0 : 1;
-  }
-  return changes == 1;
-}
-
-} // namespace
-
 consensus::consensus(partition_id partition, replica_id self,
                      const std::vector<replica_id> &initial, options settings,
                      timestamp now, std::uint64_t random)
@@ -147,178 +104,6 @@
   count_votes(now, out);
 }
 
-void consensus::handle(const wire::AppendRequest &request, timestamp now,
-                       std::uint64_t random, outbox &out) {
-  const replica_id sender = from_wire(request.leader());
-  wire::Envelope envelope;
-  wire::AppendReply &reply = *envelope.mutable_append_reply();
-  reply.set_partition(partition_.value());
-  *reply.mutable_follower() = to_wire(self_);
-
-  if (request.term() < term_) {
-    reply.set_term(term_);
-    reply.set_match_index(last());
-    send(sender, std::move(envelope), out);
-    return;
-  }
-  if (request.term() > term_ || role_ != role::follower) {
-    become_follower(request.term(), now, random);
-  }
-  leader_ = sender;
-  leader_heard_ = now;
-  if (!voted_for_.has_value()) {
-    // The term has its leader; no other candidate may get this vote.
-    voted_for_ = sender;
-  }
-  reset_election_deadline(now, random);
-  reply.set_term(term_);
-
-  const std::uint64_t previous = request.previous_index();
-  const bool gap = previous > last();
-  const bool differs = !gap && previous >= base_index_ &&
-                       term_at(previous) != request.previous_term();
-  if (gap || differs) {
-    const std::uint64_t hint = gap ? last() : previous - 1;
-    reply.set_match_index(std::max(hint, commit_));
-    send(sender, std::move(envelope), out);
-    return;
-  }
-  std::uint64_t matched = previous;
-  for (const wire::LogEntry &received : request.entries()) {
-    matched = received.index();
-    if (received.index() <= base_index_) {
-      continue; // applied and dropped here, hence committed and the same
-    }
-    if (received.index() <= last()) {
-      if (term_at(received.index()) == received.term()) {
-        continue;
-      }
-      truncate_after(received.index() - 1);
-    }
-    append(received);
-  }
-  commit_ = std::max(commit_, std::min(request.commit(), matched));
-  reply.set_success(true);
-  reply.set_match_index(matched);
-  send(sender, std::move(envelope), out);
-}
-
-void consensus::handle(const wire::AppendReply &reply, timestamp now,
-                       outbox &out) {
-  if (reply.term() > term_) {
-    become_follower(reply.term(), now, reply.term());
-    return;
-  }
-  if (role_ != role::leader || reply.term() != term_) {
-    return;
-  }
-  const replica_id follower = from_wire(reply.follower());
-  const auto found = peers_.find(follower);
-  if (found == peers_.end()) {
-    return;
-  }
-  progress &state = found->second;
-  state.last_heard = now;
-  if (!reply.success()) {
-    state.next =
-        std::max(state.match, std::min(reply.match_index(), last())) + 1;
-    state.snapshot_pending = false;
-    // A follower that holds less than it once acknowledged would refuse the
-    // same place again and again; it hears more with the next heartbeat.
-    const bool may_succeed = reply.match_index() >= state.match;
-    if (may_succeed) {
-      replicate_to(follower, now, out);
-    }
-    return;
-  }
-  if (reply.match_index() > state.match) {
-    state.match = reply.match_index();
-    state.snapshot_pending = false;
-    advance_commit(now);
-  }
-  state.next = std::max(state.next, state.match + 1);
-  if (state.next <= last()) {
-    replicate_to(follower, now, out);
-  }
-}
-
-std::uint64_t consensus::handle(const replica_id &leader,
-                                const wire::Heartbeat &heartbeat, timestamp now,
-                                std::uint64_t random) {
-  if (heartbeat.term() < term_) {
-    return term_;
-  }
-  if (heartbeat.term() > term_ || role_ != role::follower) {
-    become_follower(heartbeat.term(), now, random);
-  }
-  leader_ = leader;
-  leader_heard_ = now;
-  if (!voted_for_.has_value()) {
-    voted_for_ = leader;
-  }
-  reset_election_deadline(now, random);
-  // Safe: the leader never announces more than this log is known to match.
-  commit_ = std::max(commit_, std::min(heartbeat.commit(), last()));
-  return term_;
-}
-
-void consensus::handle(const replica_id &follower,
-                       const wire::HeartbeatReply &reply, timestamp now,
-                       outbox &out) {
-  if (reply.term() > term_) {
-    become_follower(reply.term(), now, reply.term());
-    return;
-  }
-  const auto found = peers_.find(follower);
-  if (role_ != role::leader || found == peers_.end()) {
-    return;
-  }
-  progress &state = found->second;
-  state.last_heard = now;
-  if (state.match < last()) {
-    state.next = state.match + 1; // whatever was under way may be lost
-    replicate_to(follower, now, out);
-  }
-}
-
-bool consensus::handle(const wire::SnapshotRequest &request, timestamp now,
-                       std::uint64_t random, outbox &out) {
-  const replica_id sender = from_wire(request.leader());
-  wire::Envelope envelope;
-  wire::AppendReply &reply = *envelope.mutable_append_reply();
-  reply.set_partition(partition_.value());
-  *reply.mutable_follower() = to_wire(self_);
-  if (request.term() < term_) {
-    reply.set_term(term_);
-    send(sender, std::move(envelope), out);
-    return false;
-  }
-  if (request.term() > term_ || role_ != role::follower) {
-    become_follower(request.term(), now, random);
-  }
-  leader_ = sender;
-  leader_heard_ = now;
-  if (!voted_for_.has_value()) {
-    voted_for_ = sender;
-  }
-  reset_election_deadline(now, random);
-  const bool newer = request.last_index() > commit_;
-  if (newer) {
-    log_.clear();
-    base_index_ = request.last_index();
-    base_term_ = request.last_term();
-    base_voters_ = from_wire_set(request.replicas());
-    commit_ = base_index_;
-    applied_ = base_index_;
-    refresh_voters();
-  }
-  reply.set_term(term_);
-  reply.set_success(true);
-  reply.set_match_index(request.last_index());
-  send(sender, std::move(envelope), out);
-  return newer;
-}
-
 void consensus::handle(const wire::TransferLeadership &request, timestamp now,
                        std::uint64_t random, outbox &out) {
   if (request.term() == term_ && role_ == role::follower && is_voter(self_)) {
@@ -326,82 +111,14 @@
   }
 }
 
-result_or<log_index, propose_error>
-consensus::propose(wire::Command command, timestamp now, outbox &out) {
-  if (role_ != role::leader) {
-    return propose_error::not_leader;
-  }
-  wire::LogEntry next;
-  *next.mutable_command() = std::move(command);
-  next.set_term(term_);
-  next.set_index(last() + 1);
-  append(std::move(next));
-  const log_index index{last()};
-  replicate(now, out);
-  advance_commit(now);
-  return index;
-}
-
-void consensus::add_learner(replica_id learner, timestamp now, outbox &out) {
-  if (role_ != role::leader || is_voter(learner)) {
-    return;
-  }
-  learners_.insert(learner);
-  peers_[learner] = progress{.next = last() + 1, .last_heard = now};
-  replicate_to(learner, now, out);
-}
-
-void consensus::drop_learner(const replica_id &learner) {
-  learners_.erase(learner);
-  if (!is_voter(learner)) {
-    peers_.erase(learner);
-  }
-}
-
-bool consensus::caught_up(const replica_id &learner) const {
-  const auto found = peers_.find(learner);
-  return found != peers_.end() && found->second.match > 0 &&
-         found->second.match + learner_lag_limit >= last();
-}
-
-std::optional<propose_error>
-consensus::change_replicas(const std::vector<replica_id> &voters, timestamp now,
-                           outbox &out) {
-  if (role_ != role::leader) {
-    return propose_error::not_leader;
-  }
-  if (!established()) {
-    // Without a committed entry of this term a change proposed by an earlier
-    // leader could still take effect beside this one.
-    return propose_error::term_not_established;
-  }
-  if (voters_index_ > commit_ || !differs_in_one(voters_, voters)) {
-    return propose_error::change_in_progress;
-  }
-  wire::LogEntry next;
-  *next.mutable_replicas() = to_wire_set(voters);
-  next.set_term(term_);
-  next.set_index(last() + 1);
-  append(std::move(next));
-  for (const replica_id &voter : voters_) {
-    learners_.erase(voter);
-    if (voter != self_ && !peers_.contains(voter)) {
-      peers_[voter] = progress{.next = last(), .last_heard = now};
-    }
-  }
-  replicate(now, out);
-  advance_commit(now);
-  return std::nullopt;
-}
-
 bool consensus::transfer_leadership(const std::set<replica_id> &eligible,
                                     outbox &out) {
   if (role_ != role::leader) {
     return false;
   }
   for (const auto &[peer, state] : peers_) {
-    const bool fit = eligible.contains(peer) && contains(voters_, peer) &&
-                     state.match == last();
+    const bool fit =
+        eligible.contains(peer) && is_voter(peer) && state.match == last();
     if (fit) {
       wire::Envelope envelope;
       envelope.mutable_transfer_leadership()->set_partition(partition_.value());
@@ -413,42 +130,12 @@
   return false;
 }
 
-std::vector<wire::LogEntry> consensus::take_committed() {
-  std::vector<wire::LogEntry> entries;
-  while (applied_ < commit_) {
-    ++applied_;
-    entries.push_back(entry(applied_));
-  }
-  compact();
-  return entries;
-}
-
-wire::SnapshotRequest consensus::snapshot_header() const {
-  wire::SnapshotRequest header;
-  header.set_partition(partition_.value());
-  header.set_term(term_);
-  *header.mutable_leader() = to_wire(self_);
-  header.set_last_index(applied_);
-  header.set_last_term(term_at(applied_));
-  std::vector<replica_id> voters = base_voters_;
-  for (const wire::LogEntry &logged : log_) {
-    if (logged.index() > applied_) {
-      break;
-    }
-    if (logged.has_replicas()) {
-      voters = from_wire_set(logged.replicas());
-    }
-  }
-  *header.mutable_replicas() = to_wire_set(voters);
-  return header;
-}
-
 bool consensus::established() const {
   return role_ == role::leader && commit_ >= term_start_index_;
 }
 
 bool consensus::is_voter(const replica_id &replica) const {
-  return contains(voters_, replica);
+  return std::find(voters_.begin(), voters_.end(), replica) != voters_.end();
 }
 
 bool consensus::retired() const {
@@ -465,14 +152,6 @@
   return found->second.last_heard;
 }
 
-std::uint64_t consensus::term_at(std::uint64_t index) const {
-  return index == base_index_ ? base_term_ : entry(index).term();
-}
-
-const wire::LogEntry &consensus::entry(std::uint64_t index) const {
-  return log_.at(index - base_index_ - 1);
-}
-
 bool consensus::heard_from_majority(timestamp now, duration_ms within) const {
   std::size_t heard = is_voter(self_) ? 1 : 0;
   for (const auto &[peer, state] : peers_) {
@@ -496,6 +175,20 @@
   reset_election_deadline(now, random);
 }
 
+void consensus::follow(const replica_id &leader, std::uint64_t term,
+                       timestamp now, std::uint64_t random) {
+  if (term > term_ || role_ != role::follower) {
+    become_follower(term, now, random);
+  }
+  leader_ = leader;
+  leader_heard_ = now;
+  if (!voted_for_.has_value()) {
+    // The term has its leader; no other candidate may get this vote.
+    voted_for_ = leader;
+  }
+  reset_election_deadline(now, random);
+}
+
 void consensus::become_leader(timestamp now, outbox &out) {
   role_ = role::leader;
   leader_ = self_;
@@ -572,136 +265,6 @@
                        duration_ms{static_cast<std::int64_t>(spread)};
 }
 
-void consensus::append(wire::LogEntry entry) {
-  const bool changes_voters = entry.has_replicas();
-  log_.push_back(std::move(entry));
-  if (changes_voters) {
-    refresh_voters();
-  }
-}
-
-void consensus::truncate_after(std::uint64_t index) {
-  while (last() > index) {
-    log_.pop_back();
-  }
-  if (voters_index_ > index) {
-    refresh_voters();
-  }
-}
-
-void consensus::refresh_voters() {
-  voters_ = base_voters_;
-  voters_index_ = base_index_;
-  const auto latest = std::find_if(
-      log_.rbegin(), log_.rend(),
-      [](const wire::LogEntry &logged) { return logged.has_replicas(); });
-  if (latest != log_.rend()) {
-    voters_ = from_wire_set(latest->replicas());
-    voters_index_ = latest->index();
-  }
-}
-
-void consensus::replicate(timestamp now, outbox &out) {
-  std::vector<replica_id> targets;
-  for (const auto &[peer, state] : peers_) {
-    targets.push_back(peer);
-  }
-  for (const replica_id &peer : targets) {
-    replicate_to(peer, now, out);
-  }
-}
-
-void consensus::replicate_to(const replica_id &peer, timestamp now,
-                             outbox &out) {
-  progress &state = peers_.at(peer);
-  if (state.next <= base_index_) {
-    const bool wait =
-        state.snapshot_pending && now < state.snapshot_sent + snapshot_retry;
-    if (!wait) {
-      state.snapshot_pending = true;
-      state.snapshot_sent = now;
-      out.snapshots_wanted.push_back(peer);
-    }
-    return;
-  }
-  wire::Envelope envelope;
-  wire::AppendRequest &request = *envelope.mutable_append_request();
-  request.set_partition(partition_.value());
-  request.set_term(term_);
-  *request.mutable_leader() = to_wire(self_);
-  request.set_previous_index(state.next - 1);
-  request.set_previous_term(term_at(state.next - 1));
-  request.set_commit(commit_);
-  const std::uint64_t end =
-      std::min(last(), state.next + options_.entries_per_append - 1);
-  for (std::uint64_t index = state.next; index <= end; ++index) {
-    *request.add_entries() = entry(index);
-  }
-  state.next = end + 1;
-  send(peer, std::move(envelope), out);
-}
-
-void consensus::advance_commit(timestamp now) {
-  std::vector<std::uint64_t> matches;
-  for (const replica_id &voter : voters_) {
-    const auto found = peers_.find(voter);
-    const bool known = found != peers_.end();
-    matches.push_back(voter == self_ ? last()
-                                     : (known ? found->second.match : 0));
-  }
-  if (matches.empty()) {
-    return;
-  }
-  std::sort(matches.begin(), matches.end(), std::greater<>());
-  const std::uint64_t held = matches[majority() - 1];
-  // Only entries of the own term are committed by counting (Raft, 5.4.2).
-  if (held <= commit_ || held <= base_index_ || term_at(held) != term_) {
-    return;
-  }
-  commit_ = held;
-  const bool replicas_committed = voters_index_ <= commit_;
-  if (replicas_committed && !is_voter(self_)) {
-    become_follower(term_, now, term_);
-    return;
-  }
-}
-
-void consensus::forget_removed(timestamp now) {
-  if (voters_index_ > commit_) {
-    return; // who is a voter is not settled yet
-  }
-  for (auto &[peer, state] : peers_) {
-    const bool belongs = is_voter(peer) || learners_.contains(peer);
-    if (belongs) {
-      state.removed_at.reset();
-    } else if (!state.removed_at.has_value()) {
-      state.removed_at = now;
-    }
-  }
-  std::erase_if(peers_, [this, now](const auto &entry) {
-    const auto &removed_at = entry.second.removed_at;
-    return removed_at.has_value() &&
-           now >= *removed_at + 3 * options_.election_timeout;
-  });
-}
-
-void consensus::compact() {
-  const std::uint64_t kept = applied_ - base_index_;
-  if (kept <= 2 * options_.retained_entries) {
-    return;
-  }
-  const std::uint64_t new_base = applied_ - options_.retained_entries;
-  const std::uint64_t new_base_term = term_at(new_base);
-  while (base_index_ < new_base) {
-    if (log_.front().has_replicas()) {
-      base_voters_ = from_wire_set(log_.front().replicas());
-    }
-    log_.pop_front();
-    ++base_index_;
-  }
-  base_term_ = new_base_term;
-}
-
 void consensus::send(const replica_id &to, wire::Envelope envelope,
                      outbox &out) const {
   out.messages.push_back({to, std::move(envelope)});
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -161,6 +161,9 @@
                                          duration_ms within) const;
 
   void become_follower(std::uint64_t term, timestamp now, std::uint64_t random);
+  /// Accepts the leader of a term that is not older than the own.
+  void follow(const replica_id &leader, std::uint64_t term, timestamp now,
+              std::uint64_t random);
   void become_leader(timestamp now, outbox &out);
   void start_election(bool pre_vote, bool transfer, timestamp now,
                       std::uint64_t random, outbox &out);
--- a/src/replay/main.cpp
+++ b/src/replay/main.cpp
@@ -45,7 +45,8 @@
   std::vector<std::string> traces;
   config::settings_schema schema;
   schema.texts("trace", traces,
-               "a recorded trace, repeated; FILE.toml beside FILE.trace or FILE.trace.gz states "
+               "a recorded trace, repeated; FILE.toml beside FILE.trace or "
+               "FILE.trace.gz states "
                "its outcomes");
   const auto choice = config::parse_command_line(
       argc, argv, "heathtrestle-replay",
--- a/src/replay/outcomes.cpp
+++ b/src/replay/outcomes.cpp
@@ -154,10 +154,10 @@
     const std::size_t recorded = record.effects().size();
     for (std::size_t index = 0; index < std::max(effects.size(), recorded);
          ++index) {
-      const bool same = index < effects.size() && index < recorded &&
-                        effects[index].SerializeAsString() ==
-                            record.effects(static_cast<int>(index))
-                                .SerializeAsString();
+      const bool same =
+          index < effects.size() && index < recorded &&
+          effects[index].SerializeAsString() ==
+              record.effects(static_cast<int>(index)).SerializeAsString();
       if (!same) {
         seen.add_difference();
       }
--- a/src/replay/outcomes.hpp
+++ b/src/replay/outcomes.hpp
@@ -12,18 +12,18 @@
 
 /// What happens to be counted.
 enum class outcome_kind : std::uint8_t {
-  calls_completed,       // replies to callers with a completed call
-  calls_not_run,         // replies that say "not run"
-  calls_unknown,         // replies that say that the outcome is unknown
-  tools_started,         // orders that may start a tool
-  tools_started_twice,   // unrepeatable invocations with two such orders
-  generations_started,   // orders that may start a generation
-  generations_resumed,   // orders that may only resume one
+  calls_completed,     // replies to callers with a completed call
+  calls_not_run,       // replies that say "not run"
+  calls_unknown,       // replies that say that the outcome is unknown
+  tools_started,       // orders that may start a tool
+  tools_started_twice, // unrepeatable invocations with two such orders
+  generations_started, // orders that may start a generation
+  generations_resumed, // orders that may only resume one
   leaderships_gained,
-  calls_resumed,         // taken up by a new leader
+  calls_resumed, // taken up by a new leader
   calls_stalled,
-  memory_releases,       // orders to return engine memory
-  effects_differing,     // effects that the replay did not reproduce
+  memory_releases,   // orders to return engine memory
+  effects_differing, // effects that the replay did not reproduce
 
 };
 
--- a/src/replay/trace.cpp
+++ b/src/replay/trace.cpp
@@ -32,8 +32,7 @@
   for (const std::string &seed : options.seeds) {
     header.add_seeds(seed);
   }
-  header.set_heartbeat_ms(
-      count_of(options.partitions.raft.heartbeat_interval));
+  header.set_heartbeat_ms(count_of(options.partitions.raft.heartbeat_interval));
   header.set_election_ms(count_of(options.partitions.raft.election_timeout));
   header.set_probe_ms(count_of(options.detector.probe_interval));
   header.set_suspicion_ms(count_of(options.detector.suspicion_timeout));
--- a/src/stand_ins/engine/engine.cpp
+++ b/src/stand_ins/engine/engine.cpp
@@ -1,12 +1,12 @@
 #include "stand_ins/engine/engine.hpp"
 
 #include "stand_ins/answer.hpp"
+#include "stand_ins/replies.hpp"
 
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <mutex>
 
 namespace heathtrestle::stand_ins {
@@ -19,22 +19,6 @@
 constexpr std::chrono::seconds generation_retention{300};
 constexpr std::uint32_t default_max_tokens = 64;
 
-std::uint64_t number_of(const std::string &text) {
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
-void refuse(http::exchange &exchange, std::uint32_t status,
-            std::string_view why) {
-  exchange.respond(http::json_response(
-      status, json::serialize(json::object{{"error", why}}) + "\n"));
-}
-
-void accept(http::exchange &exchange, const json::object &body) {
-  exchange.respond(http::json_response(200, json::serialize(body) + "\n"));
-}
-
 std::string event_of(const json::object &data) {
   return fmt::format("data: {}\n\n", json::serialize(data));
 }
--- a/src/stand_ins/platform/main.cpp
+++ b/src/stand_ins/platform/main.cpp
@@ -1,10 +1,9 @@
 // heathtrestle-platform: a stand-in for the platform's services.
 #include "config/settings_schema.hpp"
-#include "logging/log.hpp"
-#include "runtime/stop_signals.hpp"
 #include "stand_ins/platform/platform.hpp"
+#include "stand_ins/serve.hpp"
 
-#include <cstdlib>
+#include <memory>
 
 int main(int argc, char **argv) {
   using namespace heathtrestle;
@@ -22,28 +21,16 @@
   schema.choice("log.level", settings.log_level,
                 {"debug", "info", "warning", "error"},
                 "least severity that is logged");
-  const auto choice = config::parse_command_line(
-      argc, argv, "heathtrestle-platform",
-      "a stand-in for the platform's services", schema);
-  if (choice != config::start_choice::run) {
-    return choice == config::start_choice::exit_success
-               ? EXIT_SUCCESS
-               : config::exit_code_bad_settings;
-  }
-  logging::configure("platform " + settings.address,
-                     logging::severity_from(settings.log_level));
-  const sigset_t signals = runtime::block_stop_signals();
-  http::io_thread io;
-  runtime::fiber_pool fibers(2);
-  stand_ins::platform platform(settings, fibers);
-  const auto server = http::server::start(
-      io, fibers, {.address = settings.address},
-      [&platform](http::exchange &exchange) { platform.handle(exchange); });
-  if (!server) {
-    logging::write(logging::event::http_server_failed,
-                   describe(server.error()));
-    return EXIT_FAILURE;
-  }
-  runtime::wait_for_stop(signals);
-  std::_Exit(EXIT_SUCCESS);
+  std::unique_ptr<stand_ins::platform> served;
+  return stand_ins::serve(
+      argc, argv, schema,
+      {.name = "heathtrestle-platform",
+       .purpose = "a stand-in for the platform's services",
+       .address = settings.address,
+       .log_level = settings.log_level},
+      [&](runtime::fiber_pool &fibers) {
+        served = std::make_unique<stand_ins::platform>(settings, fibers);
+        return
+            [&served](http::exchange &exchange) { served->handle(exchange); };
+      });
 }
--- a/src/stand_ins/platform/platform.cpp
+++ b/src/stand_ins/platform/platform.cpp
@@ -1,10 +1,11 @@
 #include "stand_ins/platform/platform.hpp"
 
+#include "stand_ins/replies.hpp"
+
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <mutex>
 #include <vector>
 
@@ -17,22 +18,6 @@
 
 constexpr std::chrono::hours hang_time{1};
 
-std::uint64_t number_of(const std::string &text) {
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
-}
-
-void refuse(http::exchange &exchange, std::uint32_t status,
-            std::string_view why) {
-  exchange.respond(http::json_response(
-      status, json::serialize(json::object{{"error", why}}) + "\n"));
-}
-
-void accept(http::exchange &exchange, const json::object &body) {
-  exchange.respond(http::json_response(200, json::serialize(body) + "\n"));
-}
-
 std::vector<std::string> segments_of(const std::string &path) {
   std::vector<std::string> segments;
   std::size_t start = 1;
