--- a/src/platform_client/platform_client.cpp
+++ b/src/platform_client/platform_client.cpp
@@ -146,13 +146,13 @@
   }
   const auto fields = object_of(answer.value().body);
   if (answer.value().status == status_conflict) {
-    return fail(error_code::conflict,
-                fmt::format("{} {} has version {}, expected {}", request.kind,
-                            request.name,
-                            fields.has_value() ? number_in(*fields, "version")
-                                               : 0,
-                            request.expected_version),
-                "compare and set", address_);
+    return fail(
+        error_code::conflict,
+        fmt::format("{} {} has version {}, expected {}", request.kind,
+                    request.name,
+                    fields.has_value() ? number_in(*fields, "version") : 0,
+                    request.expected_version),
+        "compare and set", address_);
   }
   if (answer.value().status != status_ok || !fields.has_value()) {
     return bad_answer("compare and set", address_, answer.value());
