--- a/src/cluster/partition_table.hpp
+++ b/src/cluster/partition_table.hpp
@@ -4,7 +4,7 @@
 
 #include "base/ids.hpp"
 #include "config/configuration_store.hpp"
-#include "core/step.hpp"
+#include "effects/step.hpp"
 #include "membership/member_table.hpp"
 #include "programs/coordinator.hpp"
 #include "programs/program_store.hpp"
@@ -31,7 +31,7 @@
 
 /// The other tables that partitions look at during one reduction.
 struct partition_view {
-  core::step &step;
+  effects::step &step;
   const config::configuration_store &configuration;
   membership::member_table &members;
 };
--- a/src/config/relay.cpp
+++ b/src/config/relay.cpp
@@ -8,7 +8,7 @@
 
 void relay::on_read(configuration_store &store,
                     const membership::member_table &members,
-                    wire::ConfigurationDelta delta, core::step &step) {
+                    wire::ConfigurationDelta delta, effects::step &step) {
   if (store.apply(delta) != delta_outcome::applied) {
     return;
   }
@@ -20,7 +20,8 @@
 
 void relay::on_delta(configuration_store &store,
                      const membership::member_table &members, node_id sender,
-                     const wire::ConfigurationDelta &delta, core::step &step) {
+                     const wire::ConfigurationDelta &delta,
+                     effects::step &step) {
   switch (store.apply(delta)) {
   case delta_outcome::applied:
     step.log(logging::event::configuration_applied,
@@ -38,7 +39,7 @@
 }
 
 void relay::on_pull(const configuration_store &store, node_id sender,
-                    const wire::ConfigurationPull &pull, core::step &step) {
+                    const wire::ConfigurationPull &pull, effects::step &step) {
   if (store.revision() <= pull.after_revision()) {
     return;
   }
@@ -49,14 +50,14 @@
 }
 
 void relay::on_peer_revision(const configuration_store &store, node_id peer,
-                             std::uint64_t revision, core::step &step) {
+                             std::uint64_t revision, effects::step &step) {
   const bool due = step.now() - last_pull_ >= options_.pull_interval;
   if (revision > store.revision() && due) {
     pull(store, peer, step);
   }
 }
 
-void relay::tick(const membership::member_table &members, core::step &step) {
+void relay::tick(const membership::member_table &members, effects::step &step) {
   if (step.now() - last_check_ < options_.watcher_check_interval) {
     return;
   }
@@ -82,7 +83,7 @@
 
 void relay::forward(const membership::member_table &members,
                     const wire::ConfigurationDelta &delta,
-                    core::step &step) const {
+                    effects::step &step) const {
   // The running members in the order of their ids, turned so that the root is
   // first, form a heap: the children of position i are fan_out*i+1 and up.
   std::vector<node_id> order;
@@ -106,7 +107,7 @@
 }
 
 void relay::pull(const configuration_store &store, node_id peer,
-                 core::step &step) {
+                 effects::step &step) {
   last_pull_ = step.now();
   wire::Envelope envelope;
   envelope.mutable_configuration_pull()->set_after_revision(store.revision());
--- a/src/config/relay.hpp
+++ b/src/config/relay.hpp
@@ -7,7 +7,7 @@
 #include "base/ids.hpp"
 #include "base/time.hpp"
 #include "config/configuration_store.hpp"
-#include "core/step.hpp"
+#include "effects/step.hpp"
 #include "membership/member_table.hpp"
 
 #include <cstddef>
@@ -28,22 +28,24 @@
   /// A delta read from the platform by this node.
   void on_read(configuration_store &store,
                const membership::member_table &members,
-               wire::ConfigurationDelta delta, core::step &step);
+               wire::ConfigurationDelta delta, effects::step &step);
   void on_delta(configuration_store &store,
                 const membership::member_table &members, node_id sender,
-                const wire::ConfigurationDelta &delta, core::step &step);
+                const wire::ConfigurationDelta &delta, effects::step &step);
   void on_pull(const configuration_store &store, node_id sender,
-               const wire::ConfigurationPull &pull, core::step &step);
+               const wire::ConfigurationPull &pull, effects::step &step);
   /// A peer mentioned its revision.
   void on_peer_revision(const configuration_store &store, node_id peer,
-                        std::uint64_t revision, core::step &step);
+                        std::uint64_t revision, effects::step &step);
   /// Decides whether this node is one of the watchers.
-  void tick(const membership::member_table &members, core::step &step);
+  void tick(const membership::member_table &members, effects::step &step);
 
 private:
   void forward(const membership::member_table &members,
-               const wire::ConfigurationDelta &delta, core::step &step) const;
-  void pull(const configuration_store &store, node_id peer, core::step &step);
+               const wire::ConfigurationDelta &delta,
+               effects::step &step) const;
+  void pull(const configuration_store &store, node_id peer,
+            effects::step &step);
 
   relay_options options_;
   timestamp last_pull_{};
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -12,8 +12,8 @@
 #include "cluster/partition_table.hpp"
 #include "config/configuration_store.hpp"
 #include "config/relay.hpp"
-#include "core/step.hpp"
 #include "dispatch/dispatch_table.hpp"
+#include "effects/step.hpp"
 #include "gateway/pending_table.hpp"
 #include "membership/failure_detector.hpp"
 #include "membership/member_table.hpp"
@@ -27,6 +27,9 @@
 
 namespace heathtrestle::core {
 
+using effects::effect_list;
+using effects::step;
+
 /// The tables in the order in which their locks are taken.
 enum class table : std::uint8_t {
   configuration,
--- a/src/daemon/event_loop.cpp
+++ b/src/daemon/event_loop.cpp
@@ -95,7 +95,7 @@
   while (auto event = queues_[index]->pop()) {
     event->set_now_ms(monotonic_milliseconds());
     event->set_random(random());
-    core::effect_list effects = node_.reduce(*event);
+    effects::effect_list effects = node_.reduce(*event);
     if (trace_) {
       trace_(*event, effects);
     }
--- a/src/daemon/event_loop.hpp
+++ b/src/daemon/event_loop.hpp
@@ -21,7 +21,7 @@
 using effect_runner = std::function<void(wire::Effect)>;
 /// Sees every event with its effects, in order, when there is one worker.
 using trace_writer =
-    std::function<void(const wire::Event &, const core::effect_list &)>;
+    std::function<void(const wire::Event &, const effects::effect_list &)>;
 
 class event_loop {
 public:
--- a/src/daemon/runtime.cpp
+++ b/src/daemon/runtime.cpp
@@ -77,7 +77,8 @@
         replay::header_record(node_->members().self(),
                               node_options_of(settings_)),
         &trace_);
-    trace = [this](const wire::Event &event, const core::effect_list &effects) {
+    trace = [this](const wire::Event &event,
+                   const effects::effect_list &effects) {
       write_trace(event, effects);
     };
   }
@@ -288,7 +289,7 @@
 }
 
 void daemon_runtime::write_trace(const wire::Event &event,
-                                 const core::effect_list &effects) {
+                                 const effects::effect_list &effects) {
   wire::TraceRecord record;
   *record.mutable_event() = event;
   for (const wire::Effect &effect : effects) {
--- a/src/daemon/runtime.hpp
+++ b/src/daemon/runtime.hpp
@@ -53,7 +53,8 @@
   void propose_founding(const wire::Founding &founding);
   void watch_platform();
   void tick();
-  void write_trace(const wire::Event &event, const core::effect_list &effects);
+  void write_trace(const wire::Event &event,
+                   const effects::effect_list &effects);
 
   daemon_settings settings_;
   std::uint64_t boot_;
--- a/src/dispatch/dispatch_table.hpp
+++ b/src/dispatch/dispatch_table.hpp
@@ -7,8 +7,8 @@
 #include "base/time.hpp"
 #include "cluster/partition_table.hpp"
 #include "config/configuration_store.hpp"
-#include "core/step.hpp"
 #include "dispatch/scheduling_policy.hpp"
+#include "effects/step.hpp"
 #include "membership/member_table.hpp"
 #include "wire/messages.hpp"
 
@@ -30,7 +30,7 @@
 
 /// The other tables that dispatching looks at during one reduction.
 struct dispatch_view {
-  core::step &step;
+  effects::step &step;
   const config::configuration_store &configuration;
   const membership::member_table &members;
   const cluster::partition_table &partitions;
--- a/src/core/step.hpp
+++ b/src/effects/step.hpp
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-namespace heathtrestle::core {
+namespace heathtrestle::effects {
 
 using effect_list = std::vector<wire::Effect>;
 
@@ -71,4 +71,4 @@
   effect_list &effects_;
 };
 
-} // namespace heathtrestle::core
+} // namespace heathtrestle::effects
--- a/src/gateway/pending_table.hpp
+++ b/src/gateway/pending_table.hpp
@@ -5,7 +5,7 @@
 
 #include "base/ids.hpp"
 #include "base/time.hpp"
-#include "core/step.hpp"
+#include "effects/step.hpp"
 #include "membership/member_table.hpp"
 #include "wire/messages.hpp"
 
@@ -26,7 +26,7 @@
 };
 
 struct gateway_view {
-  core::step &step;
+  effects::step &step;
   membership::member_table &members;
 };
 
--- a/src/membership/failure_detector.cpp
+++ b/src/membership/failure_detector.cpp
@@ -25,7 +25,7 @@
     : options_(options), seeds_(std::move(seeds)),
       sync_pause_(options.first_sync_interval) {}
 
-void failure_detector::tick(member_table &members, core::step &step) {
+void failure_detector::tick(member_table &members, effects::step &step) {
   join(members, step);
   check_probes(members, step);
   if (step.now() >= next_probe_) {
@@ -38,7 +38,7 @@
 }
 
 void failure_detector::tick_sync(const member_table &members,
-                                 core::step &step) {
+                                 effects::step &step) {
   if (step.now() < next_sync_) {
     return;
   }
@@ -57,7 +57,8 @@
 
 void failure_detector::handle(const wire::Envelope &from,
                               const wire::Ping &ping,
-                              const member_table &members, core::step &step) {
+                              const member_table &members,
+                              effects::step &step) {
   wire::Envelope envelope;
   envelope.mutable_ack()->set_sequence(ping.sequence());
   const member_state *sender = members.find(node_id{from.from()});
@@ -69,7 +70,7 @@
 }
 
 void failure_detector::handle(const wire::Ack &ack, member_table &members,
-                              core::step &step) {
+                              effects::step &step) {
   const auto relayed = relayed_.find(ack.sequence());
   if (relayed != relayed_.end()) {
     wire::Envelope envelope;
@@ -92,7 +93,7 @@
 
 void failure_detector::handle(const wire::Envelope &from,
                               const wire::PingRequest &request,
-                              core::step &step) {
+                              effects::step &step) {
   const std::uint64_t sequence = next_sequence_++;
   relayed_[sequence] = {node_id{from.from()}, request.sequence(), step.now()};
   wire::Envelope envelope;
@@ -102,7 +103,7 @@
 
 void failure_detector::handle(const wire::Envelope &from,
                               const wire::MembershipSync &sync,
-                              member_table &members, core::step &step) {
+                              member_table &members, effects::step &step) {
   for (const wire::Member &member : sync.members()) {
     members.merge(member, step);
   }
@@ -116,7 +117,7 @@
   }
 }
 
-void failure_detector::join(member_table &members, core::step &step) {
+void failure_detector::join(member_table &members, effects::step &step) {
   if (step.now() < next_join_) {
     return;
   }
@@ -139,7 +140,7 @@
 }
 
 void failure_detector::start_probe(const member_table &members,
-                                   core::step &step) {
+                                   effects::step &step) {
   const bool probe_dead = step.draw_below(options_.dead_probe_share) == 0;
   std::vector<node_id> candidates = others(members, !probe_dead);
   if (candidates.empty()) {
@@ -156,7 +157,8 @@
   step.send(target, std::move(envelope));
 }
 
-void failure_detector::check_probes(member_table &members, core::step &step) {
+void failure_detector::check_probes(member_table &members,
+                                    effects::step &step) {
   std::vector<std::uint64_t> failed;
   for (auto &[sequence, pending] : probes_) {
     const auto age = step.now() - pending.sent;
@@ -190,7 +192,8 @@
   });
 }
 
-void failure_detector::check_suspects(member_table &members, core::step &step) {
+void failure_detector::check_suspects(member_table &members,
+                                      effects::step &step) {
   std::vector<node_id> overdue;
   for (const auto &[node, state] : members.members()) {
     const bool suspect = state.member.status() == wire::MEMBER_SUSPECT;
@@ -204,7 +207,7 @@
   }
 }
 
-void failure_detector::sync(const member_table &members, core::step &step) {
+void failure_detector::sync(const member_table &members, effects::step &step) {
   const std::vector<node_id> candidates = others(members, true);
   if (candidates.empty()) {
     return;
--- a/src/membership/failure_detector.hpp
+++ b/src/membership/failure_detector.hpp
@@ -31,14 +31,14 @@
 public:
   failure_detector(detector_options options, std::vector<std::string> seeds);
 
-  void tick(member_table &members, core::step &step);
+  void tick(member_table &members, effects::step &step);
   void handle(const wire::Envelope &from, const wire::Ping &ping,
-              const member_table &members, core::step &step);
-  void handle(const wire::Ack &ack, member_table &members, core::step &step);
+              const member_table &members, effects::step &step);
+  void handle(const wire::Ack &ack, member_table &members, effects::step &step);
   void handle(const wire::Envelope &from, const wire::PingRequest &request,
-              core::step &step);
+              effects::step &step);
   void handle(const wire::Envelope &from, const wire::MembershipSync &sync,
-              member_table &members, core::step &step);
+              member_table &members, effects::step &step);
 
 private:
   struct probe {
@@ -52,12 +52,12 @@
     timestamp sent{};
   };
 
-  void join(member_table &members, core::step &step);
-  void start_probe(const member_table &members, core::step &step);
-  void check_probes(member_table &members, core::step &step);
-  void check_suspects(member_table &members, core::step &step);
-  void tick_sync(const member_table &members, core::step &step);
-  void sync(const member_table &members, core::step &step);
+  void join(member_table &members, effects::step &step);
+  void start_probe(const member_table &members, effects::step &step);
+  void check_probes(member_table &members, effects::step &step);
+  void check_suspects(member_table &members, effects::step &step);
+  void tick_sync(const member_table &members, effects::step &step);
+  void sync(const member_table &members, effects::step &step);
 
   detector_options options_;
   std::vector<std::string> seeds_;
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -84,7 +84,7 @@
   return members_.at(self_id_).member;
 }
 
-void member_table::merge(const wire::Member &news, core::step &step) {
+void member_table::merge(const wire::Member &news, effects::step &step) {
   const node_id node{news.node()};
   if (node == self_id_) {
     wire::Member &own = members_.at(self_id_).member;
@@ -123,7 +123,7 @@
 }
 
 void member_table::set_status(node_id node, wire::MemberStatus status,
-                              core::step &step) {
+                              effects::step &step) {
   const auto found = members_.find(node);
   if (found == members_.end() || found->second.member.status() == status) {
     return;
@@ -134,14 +134,14 @@
   step.log(event_of(status), found->second.member.name());
 }
 
-void member_table::set_self_leaving(core::step & /*step*/) {
+void member_table::set_self_leaving(effects::step & /*step*/) {
   wire::Member &own = members_.at(self_id_).member;
   own.set_leaving(true);
   own.set_incarnation(own.incarnation() + 1);
   spread(own);
 }
 
-void member_table::set_self_left(core::step & /*step*/) {
+void member_table::set_self_left(effects::step & /*step*/) {
   wire::Member &own = members_.at(self_id_).member;
   own.set_status(wire::MEMBER_LEFT);
   own.set_incarnation(own.incarnation() + 1);
--- a/src/membership/member_table.hpp
+++ b/src/membership/member_table.hpp
@@ -7,7 +7,7 @@
 
 #include "base/ids.hpp"
 #include "base/time.hpp"
-#include "core/step.hpp"
+#include "effects/step.hpp"
 #include "wire/messages.hpp"
 
 #include <map>
@@ -40,12 +40,12 @@
 
   /// Takes in news of a member; a later incarnation beats an earlier one, and
   /// of the same incarnation the worse status wins.
-  void merge(const wire::Member &news, core::step &step);
+  void merge(const wire::Member &news, effects::step &step);
 
   /// Changes a member's status as seen from here and spreads the news.
-  void set_status(node_id node, wire::MemberStatus status, core::step &step);
-  void set_self_leaving(core::step &step);
-  void set_self_left(core::step &step);
+  void set_status(node_id node, wire::MemberStatus status, effects::step &step);
+  void set_self_leaving(effects::step &step);
+  void set_self_left(effects::step &step);
 
   void note_revision(node_id node, std::uint64_t revision);
 
--- a/src/programs/backend_choice.cpp
+++ b/src/programs/backend_choice.cpp
@@ -48,7 +48,7 @@
 /// @param candidates at least one that is not excluded.
 std::size_t better_of_two(const std::vector<candidate> &candidates,
                           std::optional<std::size_t> excluded,
-                          core::step &step) {
+                          effects::step &step) {
   const auto draw = [&] {
     const std::size_t choices =
         candidates.size() - (excluded.has_value() ? 1 : 0);
@@ -66,14 +66,14 @@
 
 std::size_t random_placement::choose(const std::vector<candidate> &candidates,
                                      const placement_request & /*request*/,
-                                     core::step &step) const {
+                                     effects::step &step) const {
   return step.draw_below(candidates.size());
 }
 
 std::size_t
 least_loaded_placement::choose(const std::vector<candidate> &candidates,
                                const placement_request & /*request*/,
-                               core::step & /*step*/) const {
+                               effects::step & /*step*/) const {
   const auto least =
       std::min_element(candidates.begin(), candidates.end(),
                        [](const candidate &left, const candidate &right) {
@@ -84,7 +84,7 @@
 
 std::size_t affinity_placement::choose(const std::vector<candidate> &candidates,
                                        const placement_request &request,
-                                       core::step &step) const {
+                                       effects::step &step) const {
   std::optional<std::size_t> preferred = index_of(candidates, request.affinity);
   if (!preferred.has_value() && !request.prefix_key.empty()) {
     preferred = rendezvous(candidates, request.prefix_key);
--- a/src/programs/backend_choice.hpp
+++ b/src/programs/backend_choice.hpp
@@ -1,7 +1,7 @@
 // Which back end gets a call: pure policies over a view of the back ends.
 #pragma once
 
-#include "core/step.hpp"
+#include "effects/step.hpp"
 
 #include <cstdint>
 #include <string>
@@ -41,7 +41,7 @@
   /// @return the index of the chosen candidate.
   virtual std::size_t choose(const std::vector<candidate> &candidates,
                              const placement_request &request,
-                             core::step &step) const = 0;
+                             effects::step &step) const = 0;
 };
 
 /// Baseline: any back end.
@@ -49,7 +49,7 @@
 public:
   std::size_t choose(const std::vector<candidate> &candidates,
                      const placement_request &request,
-                     core::step &step) const override;
+                     effects::step &step) const override;
 };
 
 /// Baseline: the shortest queue for its slots.
@@ -57,7 +57,7 @@
 public:
   std::size_t choose(const std::vector<candidate> &candidates,
                      const placement_request &request,
-                     core::step &step) const override;
+                     effects::step &step) const override;
 };
 
 /// The back end that holds the history unless its queue is long against the
@@ -67,7 +67,7 @@
 public:
   std::size_t choose(const std::vector<candidate> &candidates,
                      const placement_request &request,
-                     core::step &step) const override;
+                     effects::step &step) const override;
 };
 
 /// @param name "random", "least_loaded" or "affinity"; any other name gives
--- a/src/programs/coordinator.hpp
+++ b/src/programs/coordinator.hpp
@@ -9,7 +9,7 @@
 #include "base/ids.hpp"
 #include "base/time.hpp"
 #include "config/configuration_store.hpp"
-#include "core/step.hpp"
+#include "effects/step.hpp"
 #include "membership/member_table.hpp"
 #include "programs/program_store.hpp"
 #include "wire/messages.hpp"
@@ -49,7 +49,7 @@
 
 /// What the coordinator sees of its node during one reduction.
 struct coordinator_view {
-  core::step &step;
+  effects::step &step;
   const config::configuration_store &configuration;
   const membership::member_table &members;
   const program_store &store;
--- a/src/replay/outcomes.cpp
+++ b/src/replay/outcomes.cpp
@@ -150,7 +150,7 @@
     if (!record.has_event()) {
       continue;
     }
-    const core::effect_list effects = node.reduce(record.event());
+    const effects::effect_list effects = node.reduce(record.event());
     const std::size_t recorded = record.effects().size();
     for (std::size_t index = 0; index < std::max(effects.size(), recorded);
          ++index) {
--- a/src/sim/capacity_main.cpp
+++ b/src/sim/capacity_main.cpp
@@ -239,8 +239,8 @@
          .slots = 8,
          .queue_length = static_cast<std::uint32_t>(number % 12)});
   }
-  core::effect_list effects;
-  core::step step({}, 1, effects);
+  effects::effect_list effects;
+  effects::step step({}, 1, effects);
   const programs::placement_policy &placement =
       programs::placement_policy_named("affinity");
   std::size_t sum = 0;
--- a/src/sim/scenario.cpp
+++ b/src/sim/scenario.cpp
@@ -277,7 +277,7 @@
   if (!options.record.empty()) {
     trace.open(options.record, std::ios::binary | std::ios::trunc);
     world_settings.observe = [&](std::size_t node, const wire::Event &event,
-                                 const core::effect_list &effects) {
+                                 const effects::effect_list &effects) {
       if (node != options.recorded_node) {
         return;
       }
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -254,7 +254,7 @@
   }
   event.set_now_ms(clock_.now_ms());
   event.set_random(random_());
-  core::effect_list effects = target.running->reduce(event);
+  effects::effect_list effects = target.running->reduce(event);
   if (options_.observe) {
     options_.observe(node, event, effects);
   }
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -43,7 +43,7 @@
   mutation switched_off = mutation::none;
   /// Called for every event that is reduced, with its effects.
   std::function<void(std::size_t node, const wire::Event &,
-                     const core::effect_list &)>
+                     const effects::effect_list &)>
       observe;
 };
 
--- a/tests/support/step_fixture.hpp
+++ b/tests/support/step_fixture.hpp
@@ -1,7 +1,7 @@
 // A step whose effects a test can look at.
 #pragma once
 
-#include "core/step.hpp"
+#include "effects/step.hpp"
 
 #include <string>
 #include <vector>
@@ -13,8 +13,8 @@
   explicit step_fixture(std::uint64_t now_ms = 1000)
       : now_ms_(now_ms), step_(timestamp_from(now_ms), 7, effects_) {}
 
-  core::step &step() { return step_; }
-  core::effect_list &effects() { return effects_; }
+  effects::step &step() { return step_; }
+  effects::effect_list &effects() { return effects_; }
 
   /// The messages sent, without other effects.
   [[nodiscard]] std::vector<wire::Envelope> sent() const {
@@ -38,8 +38,8 @@
 
 private:
   std::uint64_t now_ms_;
-  core::effect_list effects_;
-  core::step step_;
+  effects::effect_list effects_;
+  effects::step step_;
 };
 
 inline wire::Member make_member(const std::string &name,
