--- a/src/programs/coordinator.cpp
+++ b/src/programs/coordinator.cpp
@@ -54,6 +54,53 @@
                                    : std::string();
 }
 
+/// Prices a chat call and reserves its budget, which may shorten its answer.
+/// @return a refusal when the model is not known or the budget too small.
+std::optional<wire::Failure>
+reserve_for_chat(const config::configuration_store &configuration,
+                 const wire::ProgramRecord &program, wire::CallRequest &request,
+                 wire::RecordCall &record) {
+  const config::model_object *model = configuration.model(request.target());
+  if (model == nullptr) {
+    return refusal_of(error_code::not_found,
+                      fmt::format("no model {}", request.target()));
+  }
+  const config::class_object *program_class =
+      configuration.program_class(program.program_class());
+  const std::uint64_t price =
+      program_class == nullptr ? 0 : program_class->price;
+  const auto reserved = reserve_chat(program, request, *model, price);
+  if (!reserved.has_value()) {
+    return refusal_of(
+        error_code::budget_exhausted,
+        fmt::format("budget {}, spent {}, reserved {}: not enough for the "
+                    "prompt and one token",
+                    program.budget(), program.spent(), program.reserved()));
+  }
+  request.set_max_output_tokens(reserved->max_output_tokens);
+  record.set_reserve(reserved->amount);
+  record.set_price(price);
+  return std::nullopt;
+}
+
+/// The same for a call of any kind.
+std::optional<wire::Failure>
+reserve(const config::configuration_store &configuration,
+        const wire::ProgramRecord &program, wire::CallRequest &request,
+        wire::RecordCall &record) {
+  if (request.kind() == wire::CALL_CHAT) {
+    return reserve_for_chat(configuration, program, request, record);
+  }
+  const config::tool_object *tool = configuration.tool(request.target());
+  if (tool == nullptr) {
+    return refusal_of(error_code::not_found,
+                      fmt::format("no tool {}", request.target()));
+  }
+  record.set_reserve(tool->price);
+  record.set_price(tool->price);
+  return std::nullopt;
+}
+
 } // namespace
 
 void coordinator::on_established(coordinator_view &view) {
@@ -140,25 +187,7 @@
     release_memory(view, *program);
   }
   if (origin.has_value() && origin->reply_to.has_value()) {
-    const waiter &client = *origin->reply_to;
-    wire::ClientReply message;
-    const std::string key = key_of_call(command);
-    const bool recorded =
-        program != nullptr && find_call(*program, key) != nullptr;
-    if (!key.empty() && recorded) {
-      waiters_[{program_name, key}].push_back(client);
-      answer_waiters(view, program_name, key);
-    } else if (outcome.refusal.has_value()) {
-      *message.mutable_failure() = *outcome.refusal;
-      reply(view, client, std::move(message));
-    } else if (program != nullptr) {
-      *message.mutable_program() = *program;
-      reply(view, client, std::move(message));
-    } else {
-      *message.mutable_failure() = refusal_of(
-          error_code::not_found, fmt::format("no program {}", program_name));
-      reply(view, client, std::move(message));
-    }
+    answer_origin(view, *origin->reply_to, command, outcome);
   }
   if (program != nullptr) {
     if (!command.has_memory_released() && !command.has_read_barrier()) {
@@ -168,6 +197,33 @@
   }
 }
 
+void coordinator::answer_origin(coordinator_view &view, const waiter &client,
+                                const wire::Command &command,
+                                const apply_result &outcome) {
+  const std::string &program_name = program_in(command);
+  const wire::ProgramRecord *program =
+      view.store.find(program_id{program_name});
+  const std::string key = key_of_call(command);
+  const bool recorded =
+      program != nullptr && find_call(*program, key) != nullptr;
+  if (!key.empty() && recorded) {
+    // The client waits for the call's outcome, not for its record.
+    waiters_[{program_name, key}].push_back(client);
+    answer_waiters(view, program_name, key);
+    return;
+  }
+  wire::ClientReply message;
+  if (outcome.refusal.has_value()) {
+    *message.mutable_failure() = *outcome.refusal;
+  } else if (program != nullptr) {
+    *message.mutable_program() = *program;
+  } else {
+    *message.mutable_failure() = refusal_of(
+        error_code::not_found, fmt::format("no program {}", program_name));
+  }
+  reply(view, client, std::move(message));
+}
+
 void coordinator::submit(coordinator_view &view, const waiter &client,
                          const wire::SubmitCall &submitted) {
   const std::string &program_name = submitted.program();
@@ -226,53 +282,20 @@
   if (!after.empty() && find_call(program, after) == nullptr) {
     return; // its predecessor is still on its way; the gateway asks again
   }
-  const auto refuse_this = [&](wire::Failure failure) {
-    refuse_call(view, client, program.id(), request, std::move(failure));
-  };
-  if (auto mismatch = reduce_to_new_messages(program, request)) {
-    refuse_this(std::move(*mismatch));
-    return;
+  auto refusal = reduce_to_new_messages(program, request);
+  wire::RecordCall record;
+  if (!refusal.has_value()) {
+    refusal = reserve(view.configuration, program, request, record);
   }
-  std::uint64_t reserve = 0;
-  std::uint64_t price = 0;
-  if (request.kind() == wire::CALL_CHAT) {
-    const config::class_object *program_class =
-        view.configuration.program_class(program.program_class());
-    price = program_class == nullptr ? 0 : program_class->price;
-    const config::model_object *model =
-        view.configuration.model(request.target());
-    if (model == nullptr) {
-      refuse_this(refusal_of(error_code::not_found,
-                             fmt::format("no model {}", request.target())));
-      return;
-    }
-    const auto reserved = reserve_chat(program, request, *model, price);
-    if (!reserved.has_value()) {
-      refuse_this(refusal_of(
-          error_code::budget_exhausted,
-          fmt::format("budget {}, spent {}, reserved {}: not enough for the "
-                      "prompt and one token",
-                      program.budget(), program.spent(), program.reserved())));
-      return;
-    }
-    reserve = reserved->amount;
-    request.set_max_output_tokens(reserved->max_output_tokens);
-  } else {
-    const config::tool_object *tool = view.configuration.tool(request.target());
-    if (tool == nullptr) {
-      refuse_this(refusal_of(error_code::not_found,
-                             fmt::format("no tool {}", request.target())));
-      return;
-    }
-    reserve = tool->price;
-    price = tool->price;
+  if (refusal.has_value()) {
+    refuse_call(view, client, program.id(), std::move(request),
+                std::move(*refusal));
+    return;
   }
-  wire::Command command;
-  wire::RecordCall &record = *command.mutable_record_call();
   record.set_program(program.id());
   *record.mutable_request() = std::move(request);
-  record.set_reserve(reserve);
-  record.set_price(price);
+  wire::Command command;
+  *command.mutable_record_call() = std::move(record);
   view.proposals.push_back({std::move(command), client});
 }
 
--- a/src/programs/coordinator.hpp
+++ b/src/programs/coordinator.hpp
@@ -108,6 +108,10 @@
     bool stalled = false;
   };
 
+  /// Answers the client whose request became a command, or lets it wait for
+  /// the call's outcome.
+  void answer_origin(coordinator_view &view, const waiter &client,
+                     const wire::Command &command, const apply_result &outcome);
   void submit(coordinator_view &view, const waiter &client,
               const wire::SubmitCall &submit);
   void propose_record(coordinator_view &view, const waiter &client,
