--- a/src/sim/bench_main.cpp
+++ b/src/sim/bench_main.cpp
@@ -56,6 +56,7 @@
 std::string spread(const std::vector<sim::policy_run_result> &results,
                    Read read, int digits) {
   std::vector<double> values;
+  values.reserve(results.size());
   for (const sim::policy_run_result &result : results) {
     values.push_back(read(result));
   }
