Remove members that nothing reads

The start of an election, whether a round was a transfer, forgetting a leader and the number of followed attempts were written or declared and never used.

--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -211,13 +211,6 @@
   return known->second;
 }
 
-void member_table::forget_leader(partition_id partition, term_id term) {
-  const auto known = leaders_.find(partition);
-  if (known != leaders_.end() && known->second.term() == term.value()) {
-    known->second.set_node(0);
-  }
-}
-
 void member_table::set_founding(const wire::Founding &founding) {
   if (!founding_.has_value()) {
     founding_ = founding;
--- a/src/membership/member_table.hpp
+++ b/src/membership/member_table.hpp
@@ -66,7 +66,6 @@
   bool merge(const wire::LeaderHint &hint);
   [[nodiscard]] std::optional<wire::LeaderHint>
   leader_of(partition_id partition) const;
-  void forget_leader(partition_id partition, term_id term);
 
   void set_founding(const wire::Founding &founding);
   [[nodiscard]] const std::optional<wire::Founding> &founding() const {
--- a/src/programs/coordinator.hpp
+++ b/src/programs/coordinator.hpp
@@ -85,10 +85,6 @@
   void describe(const program_store &store, timestamp now, std::uint32_t limit,
                 wire::StatusReply &reply) const;
 
-  [[nodiscard]] std::size_t running_attempts() const {
-    return attempts_.size();
-  }
-
 private:
   using call_id = std::pair<std::string, std::string>; // program, key
 
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -214,7 +214,6 @@
   role_ = role::candidate;
   leader_.reset();
   pre_vote_round_ = pre_vote;
-  transfer_round_ = transfer;
   votes_ = {self_};
   reset_election_deadline(now, random);
   if (!pre_vote) {
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -202,12 +202,10 @@
   std::uint64_t voters_index_ = 0;
 
   bool pre_vote_round_ = false;
-  bool transfer_round_ = false;
   std::set<replica_id> votes_;
   timestamp election_deadline_{};
   timestamp next_heartbeat_{};
   timestamp leader_heard_{};
-  timestamp election_started_{};
   std::map<replica_id, progress> peers_;
   std::set<replica_id> learners_;
 };
