--- a/src/config/settings_schema.cpp
+++ b/src/config/settings_schema.cpp
@@ -64,6 +64,9 @@
   if (const auto *number = node.as_floating_point()) {
     return std::vector{fmt::format("{}", number->get())};
   }
+  if (const auto *truth = node.as_boolean()) {
+    return std::vector<std::string>{truth->get() ? "true" : "false"};
+  }
   const auto *array = node.as_array();
   if (array == nullptr) {
     return std::nullopt;
@@ -197,6 +200,21 @@
        }});
 }
 
+void settings_schema::flag(std::string key, bool &target, std::string help) {
+  add({.key = std::move(key),
+       .expected = "true or false",
+       .initial = target ? "true" : "false",
+       .help = std::move(help),
+       .assign = [&target](const std::vector<std::string> &values) {
+         const bool known = values.size() == 1 && (values.front() == "true" ||
+                                                   values.front() == "false");
+         if (known) {
+           target = values.front() == "true";
+         }
+         return known;
+       }});
+}
+
 void settings_schema::choices(std::string key, std::vector<std::string> &target,
                               std::vector<std::string> options,
                               std::string help) {
--- a/src/config/settings_schema.hpp
+++ b/src/config/settings_schema.hpp
@@ -37,6 +37,7 @@
             std::string help);
   void milliseconds(std::string key, std::chrono::milliseconds &target,
                     std::uint64_t least, std::uint64_t most, std::string help);
+  void flag(std::string key, bool &target, std::string help);
   void choice(std::string key, std::string &target,
               std::vector<std::string> options, std::string help);
   /// A list of which every member must be one of the options.
--- /dev/null
+++ b/src/forwarding/attempt_plan.hpp
@@ -0,0 +1,100 @@
+// What is done next with one client request: send it to a replica, wait, or
+// answer it. A reducer over what became of the attempts so far; it does no I/O
+// and is handed the time.
+//
+// It keeps two promises. A request that may have run is sent again only when
+// its route allows that, and to no more replicas than the route allows. And
+// "not run" (503) is answered only when no attempt may have run.
+#pragma once
+
+#include "base/time.hpp"
+#include "routing/configuration.hpp"
+
+#include <cstdint>
+#include <set>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace heathtrestle::forwarding {
+
+/// What became of one attempt.
+enum class attempt_outcome : std::uint8_t {
+  not_sent,     // no connection: nothing left this gateway
+  not_executed, // the replica says that it did not run the request
+  lost,         // sent, and no whole answer came: it may have run
+};
+
+/// Send to a replica that is in neither set, or only to one that may have run
+/// the request already.
+struct send_step {
+  std::set<routing::instance_id> excluded;
+  /// When not empty, only these may get it.
+  std::set<routing::instance_id> only;
+};
+
+/// Ask again after a pause: no replica takes the request now.
+struct wait_step {
+  duration_ms pause{0};
+};
+
+/// Answer the client; the request gets no further attempt.
+struct answer_step {
+  std::uint32_t status = 503;
+  /// When to come back; zero where a retry does not help.
+  duration_ms retry_after{0};
+  std::string_view reason;
+};
+
+using next_step = std::variant<send_step, wait_step, answer_step>;
+
+struct plan_limits {
+  /// Attempts after a loss, whichever replicas they go to.
+  std::uint32_t repeats = 4;
+  /// Share of the time until the deadline that a request waits for a place.
+  double patience = 0.45;
+  duration_ms first_pause{4};
+  duration_ms longest_pause{50};
+  duration_ms come_back_after{150};
+};
+
+class attempt_plan {
+public:
+  /// @param deadline when the client, or the route's timeout, gives up.
+  attempt_plan(bool repeatable, std::uint32_t max_attempts, timestamp arrived,
+               timestamp deadline, plan_limits limits = {});
+
+  /// @param instance the replica of the attempt.
+  void on_attempt(const routing::instance_id &instance,
+                  attempt_outcome outcome);
+  /// The replica has ended: it no longer counts among those that may have run
+  /// the request, for no answer of it can come any more.
+  void on_instance_ended(const routing::instance_id &instance);
+  /// No replica fits the last `send_step`.
+  void on_no_candidate();
+
+  [[nodiscard]] next_step next(timestamp now);
+
+  /// True when a replica may have run the request.
+  [[nodiscard]] bool may_have_run() const { return may_have_run_; }
+
+private:
+  [[nodiscard]] answer_step give_up(std::string_view reason) const;
+
+  bool repeatable_;
+  std::uint32_t max_attempts_;
+  timestamp arrived_;
+  timestamp deadline_;
+  plan_limits limits_;
+
+  bool may_have_run_ = false;
+  /// Replicas, still there, that may have run it.
+  std::set<routing::instance_id> ran_at_;
+  /// Replicas that turned it down since the last pause.
+  std::set<routing::instance_id> refused_by_;
+  std::uint32_t losses_ = 0;
+  bool exhausted_ = false;
+  duration_ms pause_;
+};
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/client_request.cpp
@@ -0,0 +1,109 @@
+#include "forwarding/client_request.hpp"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+namespace heathtrestle::forwarding {
+
+namespace {
+
+std::string_view to_view(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/// The most tokens that come out: the second number of "in,out".
+std::uint64_t most_tokens_of(std::string_view usage) {
+  const std::size_t comma = usage.find(',');
+  if (comma == std::string_view::npos) {
+    return 0;
+  }
+  return parse_number(usage.substr(comma + 1)).value_or(0);
+}
+
+} // namespace
+
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+  while (text.starts_with(' ')) {
+    text.remove_prefix(1);
+  }
+  while (text.ends_with(' ')) {
+    text.remove_suffix(1);
+  }
+  std::uint64_t number = 0;
+  const char *end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, number);
+  if (text.empty() || read.ec != std::errc{} || read.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+client_request interpret(beast_http::request<beast_http::string_body> message,
+                         timestamp arrived, const header_names &names) {
+  client_request request;
+  request.arrived = arrived;
+  const auto field = [&message](const std::string &name) {
+    return to_view(message[name]);
+  };
+  const auto duration =
+      [&field](const std::string &name) -> std::optional<duration_ms> {
+    const auto number = parse_number(field(name));
+    if (!number) {
+      return std::nullopt;
+    }
+    return duration_ms{static_cast<std::int64_t>(*number)};
+  };
+  request.attempt_id = field(names.attempt_id);
+  request.client_deadline = duration(names.deadline_ms);
+  request.program_deadline = duration(names.program_deadline);
+  request.session = field(names.session_id);
+  if (request.session.empty()) {
+    request.session = field(names.affinity_key);
+  }
+  request.previous_turn = field(names.previous_turn);
+  const auto budget = parse_number(field(names.token_budget));
+  if (budget && !field(names.program_id).empty()) {
+    request.turn = turn_header{
+        .program = std::string(field(names.program_id)),
+        .session = std::string(field(names.session_id)),
+        .budget = *budget,
+        .most_tokens = most_tokens_of(field(names.token_usage)),
+        .previous = request.previous_turn,
+    };
+  }
+  request.message = std::move(message);
+  return request;
+}
+
+bool is_hop_by_hop(std::string_view name, std::string_view connection) {
+  constexpr std::array fixed{"connection",
+                             "keep-alive",
+                             "proxy-connection",
+                             "proxy-authenticate",
+                             "proxy-authorization",
+                             "te",
+                             "trailer",
+                             "transfer-encoding",
+                             "upgrade",
+                             "content-length"};
+  const boost::beast::string_view wanted(name.data(), name.size());
+  for (const char *each : fixed) {
+    if (boost::beast::iequals(wanted, each)) {
+      return true;
+    }
+  }
+  const beast_http::token_list named(
+      boost::beast::string_view(connection.data(), connection.size()));
+  for (const auto token : named) {
+    if (boost::beast::iequals(wanted, token)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/client_session.cpp
@@ -0,0 +1,221 @@
+#include "forwarding/client_session.hpp"
+
+#include "forwarding/request_exchange.hpp"
+#include "forwarding/socket_options.hpp"
+#include "logging/log.hpp"
+
+#include <array>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace heathtrestle::forwarding {
+
+namespace {
+
+constexpr std::size_t first_read_bytes = 16384;
+/// A client that rests longer than the limit by this much is closed; one that
+/// comes back just in time is served.
+constexpr duration_ms resting_slack{1000};
+constexpr duration_ms linger_limit{500};
+constexpr duration_ms accept_pause{20};
+
+std::uint32_t status_for(boost::system::error_code failure) {
+  constexpr std::uint32_t bad_request = 400;
+  constexpr std::uint32_t content_too_large = 413;
+  constexpr std::uint32_t header_too_large = 431;
+  if (failure == beast_http::error::header_limit ||
+      failure == beast_http::error::buffer_overflow) {
+    return header_too_large;
+  }
+  if (failure == beast_http::error::body_limit) {
+    return content_too_large;
+  }
+  return bad_request;
+}
+
+bool is_protocol_error(boost::system::error_code failure) {
+  return failure.category() ==
+             make_error_code(beast_http::error::bad_method).category() &&
+         failure != beast_http::error::end_of_stream &&
+         failure != beast_http::error::partial_message;
+}
+
+} // namespace
+
+client_session::client_session(gateway &shared, tcp::socket socket)
+    : gateway_(shared), socket_(std::move(socket)), timer_(shared.io()) {
+  gateway_.add_session(*this);
+}
+
+client_session::~client_session() { gateway_.remove_session(*this); }
+
+void client_session::enter(phase next, duration_ms limit) {
+  phase_ = next;
+  const timestamp deadline = steady_now() + limit;
+  const bool sooner = deadline < deadline_;
+  deadline_ = deadline;
+  if (sooner) {
+    timer_.cancel(); // the watch takes up the new deadline
+  }
+}
+
+asio::awaitable<void> client_session::watch_deadline() {
+  const auto self = shared_from_this();
+  while (!closed_) {
+    timer_.expires_at(deadline_);
+    co_await timer_.async_wait(as_result);
+    const bool overdue = phase_ != phase::serving && steady_now() >= deadline_;
+    if (overdue && !closed_) {
+      timed_out_ = true;
+      boost::system::error_code ignored;
+      socket_.cancel(ignored);
+      deadline_ = steady_now() + linger_limit;
+    }
+  }
+}
+
+asio::awaitable<void> client_session::run() {
+  const auto self = shared_from_this();
+  make_live(socket_, gateway_.options().pool.liveness);
+  enter(phase::resting, duration_ms{15000});
+  asio::co_spawn(gateway_.io(), watch_deadline(), asio::detached);
+  bool open = true;
+  while (open) {
+    std::optional<client_request> request = co_await read_request();
+    if (!request) {
+      break;
+    }
+    constexpr duration_ms unbounded{std::chrono::hours(24)};
+    enter(phase::serving, unbounded);
+    gateway_.on_request_started();
+    const auto exchange = std::make_shared<request_exchange>(
+        gateway_, socket_, std::move(*request));
+    open = co_await exchange->run();
+    gateway_.on_request_finished();
+    open = open && !gateway_.draining();
+  }
+  closed_ = true;
+  timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+void client_session::begin_drain() {
+  if (phase_ == phase::resting && buffer_.size() == 0) {
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
+  }
+}
+
+asio::awaitable<std::optional<client_request>> client_session::read_request() {
+  const routing::client_limits limits = gateway_.routes()
+                                            ? gateway_.routes()->limits()
+                                            : routing::client_limits{};
+  timed_out_ = false;
+  if (buffer_.size() == 0) {
+    enter(phase::resting, limits.idle_timeout + resting_slack);
+    const auto [failure, bytes] = co_await socket_.async_read_some(
+        buffer_.prepare(first_read_bytes), as_result);
+    if (failure) {
+      co_return std::nullopt;
+    }
+    buffer_.commit(bytes);
+  }
+  enter(phase::header, limits.header_timeout);
+  request_parser parser;
+  parser.header_limit(limits.header_bytes);
+  parser.body_limit(limits.body_bytes);
+  if (!co_await read_header(parser)) {
+    co_return std::nullopt;
+  }
+  const timestamp arrived = steady_now();
+  if (!parser.is_done()) {
+    enter(phase::body, gateway_.options().body_timeout);
+    const auto [failure, bytes] =
+        co_await beast_http::async_read(socket_, buffer_, parser, as_result);
+    if (failure) {
+      co_await reject(failure);
+      co_return std::nullopt;
+    }
+  }
+  co_return interpret(parser.release(), arrived, gateway_.options().headers);
+}
+
+asio::awaitable<bool> client_session::read_header(request_parser &parser) {
+  const auto [failure, bytes] = co_await beast_http::async_read_header(
+      socket_, buffer_, parser, as_result);
+  if (failure) {
+    co_await reject(failure);
+    co_return false;
+  }
+  const bool expects =
+      beast_http::token_list(parser.get()[beast_http::field::expect])
+          .exists("100-continue");
+  if (expects) {
+    constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+    const auto [lost, written] = co_await asio::async_write(
+        socket_, asio::buffer(go_on.data(), go_on.size()), as_result);
+    co_return !lost;
+  }
+  co_return true;
+}
+
+asio::awaitable<void>
+client_session::reject(boost::system::error_code failure) {
+  constexpr std::uint32_t request_timeout = 408;
+  if (timed_out_) {
+    co_await reject_with(request_timeout);
+  } else if (is_protocol_error(failure)) {
+    co_await reject_with(status_for(failure));
+  }
+}
+
+asio::awaitable<void> client_session::reject_with(std::uint32_t status) {
+  logging::line(logging::event::http_request_rejected)
+      .field("status", status)
+      .write();
+  enter(phase::header, linger_limit);
+  beast_http::response<beast_http::empty_body> answer;
+  answer.result(status);
+  answer.set(beast_http::field::connection, "close");
+  answer.prepare_payload();
+  const auto [lost, written] =
+      co_await beast_http::async_write(socket_, answer, as_result);
+  boost::system::error_code failure = lost;
+  if (!failure) {
+    socket_.shutdown(tcp::socket::shutdown_send, failure);
+  }
+  std::array<char, first_read_bytes> rest{};
+  timed_out_ = false;
+  while (!failure && !timed_out_) {
+    const auto [ended, bytes] =
+        co_await socket_.async_read_some(asio::buffer(rest), as_result);
+    failure = ended;
+  }
+}
+
+asio::awaitable<void> accept_clients(gateway &shared, tcp::acceptor &acceptor) {
+  while (acceptor.is_open()) {
+    tcp::socket socket(shared.io());
+    const auto [failure] = co_await acceptor.async_accept(socket, as_result);
+    if (failure) {
+      // Out of descriptors, or the client has gone already.
+      asio::steady_timer pause(shared.io(), accept_pause);
+      co_await pause.async_wait(as_result);
+      continue;
+    }
+    const auto session =
+        std::make_shared<client_session>(shared, std::move(socket));
+    asio::co_spawn(
+        shared.io(), [session] { return session->run(); }, asio::detached);
+  }
+}
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/client_session.hpp
@@ -0,0 +1,62 @@
+// One client's connection: reads its requests one after another within the
+// configured limits, has each served, and closes when it has rested too long.
+#pragma once
+
+#include "forwarding/client_request.hpp"
+#include "forwarding/gateway.hpp"
+#include "runtime/asio.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace heathtrestle::forwarding {
+
+class client_session : public std::enable_shared_from_this<client_session> {
+public:
+  client_session(gateway &shared, tcp::socket socket);
+  ~client_session();
+  client_session(const client_session &) = delete;
+  client_session &operator=(const client_session &) = delete;
+
+  /// Serves the connection until it ends.
+  asio::awaitable<void> run();
+
+  /// Closes the connection now when it rests, else behind its next answer.
+  void begin_drain();
+
+  [[nodiscard]] tcp::socket &socket() { return socket_; }
+
+private:
+  /// What the connection waits for; each has its own time limit.
+  enum class phase : std::uint8_t { resting, header, body, serving };
+  using request_parser = beast_http::request_parser<beast_http::string_body>;
+
+  void enter(phase next, duration_ms limit);
+  /// Runs while the connection lives; cancels what has waited too long.
+  asio::awaitable<void> watch_deadline();
+
+  asio::awaitable<std::optional<client_request>> read_request();
+  asio::awaitable<bool> read_header(request_parser &parser);
+  asio::awaitable<void> reject(boost::system::error_code failure);
+  /// Answers a request that could not be read, and ends the connection such
+  /// that the answer is not lost behind bytes that nobody reads.
+  asio::awaitable<void> reject_with(std::uint32_t status);
+
+  gateway &gateway_;
+  tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  asio::steady_timer timer_;
+  phase phase_ = phase::resting;
+  timestamp deadline_{};
+  bool timed_out_ = false;
+  bool closed_ = false;
+};
+
+/// Accepts clients until the acceptor is closed.
+asio::awaitable<void> accept_clients(gateway &shared, tcp::acceptor &acceptor);
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/gateway.hpp
@@ -0,0 +1,115 @@
+// What all client connections of one forwarding gateway share. Used from one
+// thread only, so nothing here is locked.
+#pragma once
+
+#include "balance/instance_choice.hpp"
+#include "forwarding/attempt_plan.hpp"
+#include "forwarding/gateway_metrics.hpp"
+#include "forwarding/header_names.hpp"
+#include "forwarding/upstream_pool.hpp"
+#include "records/turn_cache.hpp"
+#include "records/turn_ledger.hpp"
+#include "routing/instance_directory.hpp"
+#include "routing/route_table.hpp"
+#include "runtime/asio.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace heathtrestle::forwarding {
+
+struct gateway_options {
+  std::string name;
+  std::string zone;
+  header_names headers;
+  pool_options pool;
+  plan_limits plan;
+  balance::choice_options choice;
+  /// How long a replica that could not be reached is avoided.
+  duration_ms avoid_for{1000};
+  /// Time to read a body whose header is complete.
+  duration_ms body_timeout{10000};
+  /// Largest answer that is held in memory before it is passed on, bytes.
+  std::uint64_t answer_limit = 16U << 20U;
+  /// Bytes of retained turns that are kept here.
+  std::size_t turn_cache_bytes = 32U << 20U;
+};
+
+class client_session;
+
+class gateway {
+public:
+  /// @param ledger outlives the gateway.
+  gateway(asio::io_context &io, gateway_options options,
+          records::turn_ledger &ledger);
+
+  /// Takes in a configuration. An older one than the present is ignored: what
+  /// is in force only moves up.
+  void apply_routes(routing::configuration settings);
+  /// Null until a configuration is known.
+  [[nodiscard]] const std::shared_ptr<const routing::route_table> &
+  routes() const {
+    return routes_;
+  }
+
+  void put_instance(routing::instance_record record);
+  void remove_instance(const routing::instance_id &id);
+  void replace_instances(std::vector<routing::instance_record> records);
+
+  /// Chooses a replica of `service` for a request.
+  /// @param session what keeps its prompt at one replica; empty for none.
+  /// @return null when no replica fits the step.
+  [[nodiscard]] routing::instance_ptr choose(const routing::service_id &service,
+                                             const send_step &step,
+                                             std::string_view session);
+
+  /// The replica could not be reached or broke off.
+  void on_instance_failed(routing::instance &failed, std::string_view reason);
+  void on_instance_answered(routing::instance &answered, double head_ms);
+
+  /// True once routes and replicas are known and until the drain begins.
+  [[nodiscard]] bool ready() const {
+    return !draining_ && routes_ != nullptr && directory_.size() > 0;
+  }
+  /// Answers what is under way and what still comes, and closes each
+  /// connection behind its answer.
+  void begin_drain();
+  [[nodiscard]] bool draining() const { return draining_; }
+  [[nodiscard]] std::size_t open_requests() const { return open_requests_; }
+
+  void on_request_started() { ++open_requests_; }
+  void on_request_finished() { --open_requests_; }
+  void add_session(client_session &session) { sessions_.insert(&session); }
+  void remove_session(client_session &session) { sessions_.erase(&session); }
+
+  [[nodiscard]] asio::io_context &io() { return io_; }
+  [[nodiscard]] const gateway_options &options() const { return options_; }
+  [[nodiscard]] upstream_pool &pool() { return pool_; }
+  [[nodiscard]] records::turn_ledger &ledger() { return ledger_; }
+  [[nodiscard]] records::turn_cache &turns() { return turns_; }
+  [[nodiscard]] routing::split_rotation &rotation() { return rotation_; }
+  [[nodiscard]] gateway_metrics &metrics() { return metrics_; }
+  [[nodiscard]] const routing::instance_directory &directory() const {
+    return directory_;
+  }
+
+private:
+  asio::io_context &io_;
+  gateway_options options_;
+  records::turn_ledger &ledger_;
+  std::shared_ptr<const routing::route_table> routes_;
+  routing::instance_directory directory_;
+  routing::split_rotation rotation_;
+  upstream_pool pool_;
+  records::turn_cache turns_;
+  gateway_metrics metrics_;
+  std::minstd_rand random_{std::random_device{}()};
+  std::set<client_session *> sessions_;
+  std::size_t open_requests_ = 0;
+  bool draining_ = false;
+};
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/gateway_metrics.cpp
@@ -0,0 +1,81 @@
+#include "forwarding/gateway_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace heathtrestle::forwarding {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries latency_buckets{
+    0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.6, 1.2, 2.4, 5};
+
+prometheus::Family<prometheus::Histogram> &
+histogram(prometheus::Registry &registry, const char *name, const char *help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+gateway_metrics::gateway_metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      finished_(prometheus::BuildCounter()
+                    .Name("heathtrestle_gateway_requests_total")
+                    .Help("Client requests by route and final status")
+                    .Register(*registry_)),
+      latency_(histogram(*registry_, "heathtrestle_gateway_request_seconds",
+                         "Time from a request's arrival to its final answer")),
+      first_event_(histogram(*registry_,
+                             "heathtrestle_gateway_first_event_seconds",
+                             "Time from a request's arrival to its first "
+                             "event")),
+      attempts_(prometheus::BuildCounter()
+                    .Name("heathtrestle_gateway_attempts_total")
+                    .Help("Attempts at replicas by outcome")
+                    .Register(*registry_)),
+      verdicts_(histogram(*registry_, "heathtrestle_gateway_turn_grant_seconds",
+                          "Time until the record group answered a turn")),
+      open_requests_(prometheus::BuildGauge()
+                         .Name("heathtrestle_gateway_open_requests")
+                         .Help("Requests being served")
+                         .Register(*registry_)
+                         .Add({})),
+      configuration_version_(
+          prometheus::BuildGauge()
+              .Name("heathtrestle_gateway_configuration_version")
+              .Help("Version of the routes in force")
+              .Register(*registry_)
+              .Add({})) {}
+
+void gateway_metrics::on_finished(const std::string &route,
+                                  std::uint32_t status, double seconds) {
+  finished_.Add({{"route", route}, {"status", std::to_string(status)}})
+      .Increment();
+  latency_.Add({{"route", route}}, latency_buckets).Observe(seconds);
+}
+
+void gateway_metrics::on_first_event(const std::string &route, double seconds) {
+  first_event_.Add({{"route", route}}, latency_buckets).Observe(seconds);
+}
+
+void gateway_metrics::on_attempt(const std::string &outcome) {
+  attempts_.Add({{"outcome", outcome}}).Increment();
+}
+
+void gateway_metrics::on_turn_verdict(const std::string &verdict,
+                                      double seconds) {
+  verdicts_.Add({{"verdict", verdict}}, latency_buckets).Observe(seconds);
+}
+
+void gateway_metrics::set_open_requests(double count) {
+  open_requests_.Set(count);
+}
+
+void gateway_metrics::set_configuration_version(double version) {
+  configuration_version_.Set(version);
+}
+
+std::string gateway_metrics::text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/gateway_metrics.hpp
@@ -0,0 +1,44 @@
+// Counters and latency histograms of a forwarding gateway.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace heathtrestle::forwarding {
+
+class gateway_metrics {
+public:
+  gateway_metrics();
+
+  /// One client request has its final answer, or its client has gone.
+  /// @param status the answer's status; 0 when there was none.
+  void on_finished(const std::string &route, std::uint32_t status,
+                   double seconds);
+  void on_first_event(const std::string &route, double seconds);
+  void on_attempt(const std::string &outcome);
+  void on_turn_verdict(const std::string &verdict, double seconds);
+  void set_open_requests(double count);
+  void set_configuration_version(double version);
+
+  /// All figures in the Prometheus text format.
+  [[nodiscard]] std::string text() const;
+
+private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Counter> &finished_;
+  prometheus::Family<prometheus::Histogram> &latency_;
+  prometheus::Family<prometheus::Histogram> &first_event_;
+  prometheus::Family<prometheus::Counter> &attempts_;
+  prometheus::Family<prometheus::Histogram> &verdicts_;
+  prometheus::Gauge &open_requests_;
+  prometheus::Gauge &configuration_version_;
+};
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/gateway_process.cpp
@@ -0,0 +1,333 @@
+#include "forwarding/gateway_process.hpp"
+
+#include "forwarding/client_session.hpp"
+#include "forwarding/gateway.hpp"
+#include "http/status_server.hpp"
+#include "logging/log.hpp"
+#include "objects/object_watch.hpp"
+#include "objects/peer_listing.hpp"
+#include "records/group_directory.hpp"
+#include "records/ledger_client.hpp"
+#include "rpc/transport.hpp"
+#include "runtime/process_signals.hpp"
+
+#include <cstdlib>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+namespace heathtrestle::forwarding {
+
+namespace {
+
+constexpr const char *record_cluster = "records";
+constexpr duration_ms housekeeping_interval{1000};
+constexpr duration_ms drain_check{50};
+/// The entry needs two probes to see that this gateway is leaving; until then
+/// new connections still come.
+constexpr duration_ms least_drain{2600};
+constexpr duration_ms exit_margin{500};
+constexpr duration_ms lookup_pause{500};
+constexpr std::uint32_t status_not_found = 404;
+constexpr std::uint32_t status_unavailable = 503;
+
+class gateway_process {
+public:
+  gateway_process(
+      asio::io_context &io, gateway_settings settings,
+      const gateway_binding &binding,
+      const std::function<std::optional<gateway_settings>()> &reload);
+
+  result<void> start();
+
+private:
+  void send(const std::string &address, const wire::Envelope &envelope);
+  void take_configuration(const objects::object &object);
+  std::optional<routing::instance_record>
+  read_instance(const objects::object &object);
+  objects::object_watch::handlers configuration_handlers();
+  objects::object_watch::handlers instance_handlers();
+  http::page peer_page(std::string_view target);
+  asio::awaitable<void> housekeeping();
+  asio::awaitable<void> find_record_group();
+  asio::awaitable<void> drain();
+  void on_reload();
+
+  asio::io_context &io_;
+  gateway_settings settings_;
+  const gateway_binding &binding_;
+  const std::function<std::optional<gateway_settings>()> &reload_;
+  std::vector<std::unique_ptr<objects::peer_listing>> peers_;
+  std::vector<objects::listing_source *> sources_;
+  objects::object_cache cache_;
+  std::unique_ptr<rpc::transport> transport_;
+  records::ledger_client ledger_;
+  gateway gateway_;
+  std::optional<objects::object_watch> configuration_watch_;
+  std::optional<objects::object_watch> instance_watch_;
+  std::optional<tcp::acceptor> acceptor_;
+  std::optional<runtime::process_signals> signals_;
+};
+
+gateway_options options_from(const gateway_settings &settings,
+                             const gateway_binding &binding) {
+  gateway_options options;
+  options.name = settings.name;
+  options.zone = settings.zone;
+  options.headers = binding.headers;
+  return options;
+}
+
+gateway_process::gateway_process(
+    asio::io_context &io, gateway_settings settings,
+    const gateway_binding &binding,
+    const std::function<std::optional<gateway_settings>()> &reload)
+    : io_(io), settings_(std::move(settings)), binding_(binding),
+      reload_(reload), ledger_(io, {.address = settings_.rpc_address},
+                               [this](const std::string &address,
+                                      const wire::Envelope &envelope) {
+                                 send(address, envelope);
+                               }),
+      gateway_(io, options_from(settings_, binding), ledger_) {
+  for (const std::string &seed : settings_.seeds) {
+    if (seed != settings_.peer_address) {
+      peers_.push_back(std::make_unique<objects::peer_listing>(io, seed));
+      sources_.push_back(peers_.back().get());
+    }
+  }
+  configuration_watch_.emplace(
+      io, *binding.store, sources_, cache_,
+      objects::watch_options{.kind = binding.configuration_kind},
+      configuration_handlers());
+  instance_watch_.emplace(io, *binding.store, sources_, cache_,
+                          objects::watch_options{.kind = binding.instance_kind},
+                          instance_handlers());
+}
+
+void gateway_process::send(const std::string &address,
+                           const wire::Envelope &envelope) {
+  transport_->send(address, envelope);
+}
+
+objects::object_watch::handlers gateway_process::configuration_handlers() {
+  return {.on_listing =
+              [this](const objects::listing &listed) {
+                for (const objects::object &each : listed.items) {
+                  take_configuration(each);
+                }
+              },
+          .on_change =
+              [this](const objects::change &changed) {
+                if (!changed.deleted) {
+                  take_configuration(changed.changed);
+                }
+              }};
+}
+
+objects::object_watch::handlers gateway_process::instance_handlers() {
+  return {.on_listing =
+              [this](const objects::listing &listed) {
+                std::vector<routing::instance_record> records;
+                for (const objects::object &each : listed.items) {
+                  if (auto record = read_instance(each)) {
+                    records.push_back(std::move(*record));
+                  }
+                }
+                gateway_.replace_instances(std::move(records));
+              },
+          .on_change =
+              [this](const objects::change &changed) {
+                if (changed.deleted) {
+                  gateway_.remove_instance(
+                      routing::instance_id{changed.changed.name});
+                } else if (auto record = read_instance(changed.changed)) {
+                  gateway_.put_instance(std::move(*record));
+                }
+              }};
+}
+
+void gateway_process::take_configuration(const objects::object &object) {
+  if (object.name != binding_.configuration_name) {
+    return;
+  }
+  auto read = binding_.read_configuration(object.specification);
+  if (!read) {
+    logging::line(logging::event::routes_rejected)
+        .field("object", object.name)
+        .field("revision", object.revision)
+        .field("reason", describe(read.error()))
+        .write();
+    return;
+  }
+  gateway_.apply_routes(std::move(read).value());
+}
+
+std::optional<routing::instance_record>
+gateway_process::read_instance(const objects::object &object) {
+  auto read = binding_.read_instance(object.name, object.specification);
+  if (!read) {
+    logging::line(logging::event::routes_rejected)
+        .field("object", object.name)
+        .field("revision", object.revision)
+        .field("reason", describe(read.error()))
+        .write();
+    return std::nullopt;
+  }
+  return std::move(read).value();
+}
+
+http::page gateway_process::peer_page(std::string_view target) {
+  if (!target.starts_with(objects::peer_objects_path)) {
+    return {.status = status_not_found, .body = {}};
+  }
+  const std::string kind(target.substr(objects::peer_objects_path.size()));
+  const auto known = kind == records::member_kind
+                         ? std::optional(records::to_listing(ledger_.members()))
+                         : cache_.find(kind);
+  if (!known) {
+    return {.status = status_unavailable, .body = {}};
+  }
+  return {.body = objects::encode_listing(*known),
+          .content_type = "application/json"};
+}
+
+result<void> gateway_process::start() {
+  auto transport = rpc::transport::start(
+      {.address = settings_.rpc_address, .cluster = record_cluster},
+      [this](wire::Envelope envelope) {
+        asio::post(io_, [this, message = std::move(envelope)] {
+          ledger_.on_message(message);
+        });
+      });
+  if (!transport) {
+    return transport.error();
+  }
+  transport_ = std::move(transport).value();
+  auto acceptor = http::listen(io_, settings_.client_address);
+  if (!acceptor) {
+    return acceptor.error();
+  }
+  acceptor_.emplace(std::move(acceptor).value());
+  BOOST_OUTCOME_TRY(http::serve_pages(
+      io_, settings_.readiness_address, [this](std::string_view) {
+        return gateway_.ready() ? http::page{.body = "ready\n"}
+                                : http::page{.status = status_unavailable,
+                                             .body = "not ready\n"};
+      }));
+  BOOST_OUTCOME_TRY(http::serve_pages(
+      io_, settings_.peer_address,
+      [this](std::string_view target) { return peer_page(target); }));
+  BOOST_OUTCOME_TRY(http::serve_pages(
+      io_, settings_.metrics_address, [this](std::string_view target) {
+        gateway_.metrics().set_open_requests(
+            static_cast<double>(gateway_.open_requests()));
+        return target == "/metrics"
+                   ? http::page{.body = gateway_.metrics().text()}
+                   : http::page{.status = status_not_found, .body = {}};
+      }));
+  asio::co_spawn(io_, configuration_watch_->run(), asio::detached);
+  asio::co_spawn(io_, instance_watch_->run(), asio::detached);
+  asio::co_spawn(io_, find_record_group(), asio::detached);
+  asio::co_spawn(io_, ledger_.run(), asio::detached);
+  asio::co_spawn(io_, accept_clients(gateway_, *acceptor_), asio::detached);
+  asio::co_spawn(io_, housekeeping(), asio::detached);
+  signals_.emplace(
+      io_, [this] { asio::co_spawn(io_, drain(), asio::detached); },
+      [this] { on_reload(); });
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+asio::awaitable<void> gateway_process::housekeeping() {
+  asio::steady_timer timer(io_);
+  while (true) {
+    timer.expires_after(housekeeping_interval);
+    co_await timer.async_wait(as_result);
+    gateway_.pool().close_expired(steady_now());
+  }
+}
+
+asio::awaitable<void> gateway_process::find_record_group() {
+  asio::steady_timer timer(io_);
+  const std::string kind(records::member_kind);
+  while (true) {
+    if (ledger_.is_lost()) {
+      auto listed = co_await binding_.store->list(kind);
+      for (std::size_t peer = 0; !listed && peer < sources_.size(); ++peer) {
+        listed = co_await sources_[peer]->list(kind);
+      }
+      if (listed) {
+        ledger_.learn_members(records::members_from(listed.value()));
+      }
+    }
+    timer.expires_after(lookup_pause);
+    co_await timer.async_wait(as_result);
+  }
+}
+
+asio::awaitable<void> gateway_process::drain() {
+  const timestamp begun = steady_now();
+  logging::line(logging::event::daemon_stopping)
+      .field("open_requests", gateway_.open_requests())
+      .write();
+  gateway_.begin_drain();
+  const auto grace = std::chrono::duration_cast<duration_ms>(
+      std::chrono::duration<double>(settings_.grace_seconds));
+  const timestamp last = begun + grace - exit_margin;
+  asio::steady_timer timer(io_);
+  while (steady_now() < last) {
+    const bool idle = gateway_.open_requests() == 0 && ledger_.unsettled() == 0;
+    if (idle && steady_now() >= begun + least_drain) {
+      break;
+    }
+    timer.expires_after(drain_check);
+    co_await timer.async_wait(as_result);
+  }
+  logging::line(logging::event::daemon_stopped)
+      .field("open_requests", gateway_.open_requests())
+      .field("unsettled", ledger_.unsettled())
+      .write();
+  std::_Exit(EXIT_SUCCESS);
+}
+
+void gateway_process::on_reload() {
+  const auto fresh = reload_();
+  if (!fresh) {
+    return; // told where the settings are read
+  }
+  logging::line(logging::event::settings_reloaded)
+      .field("log_level_before", settings_.log_level)
+      .field("log_level", fresh->log_level)
+      .field("seeds", fresh->seeds.size())
+      .write();
+  settings_.log_level = fresh->log_level;
+  settings_.grace_seconds = fresh->grace_seconds;
+  logging::set_least(logging::severity_from(fresh->log_level));
+}
+
+} // namespace
+
+int run_gateway(
+    asio::io_context &io, const gateway_settings &settings,
+    const gateway_binding &binding,
+    const std::function<std::optional<gateway_settings>()> &reload) {
+  gateway_process process(io, settings, binding, reload);
+  const auto started = process.start();
+  if (!started) {
+    logging::write(logging::event::http_server_failed,
+                   describe(started.error()));
+    return EXIT_FAILURE;
+  }
+  logging::line(logging::event::daemon_started)
+      .field("clients", settings.client_address)
+      .field("rpc", settings.rpc_address)
+      .write();
+  io.run();
+  return EXIT_SUCCESS;
+}
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/gateway_settings.cpp
@@ -0,0 +1,38 @@
+#include "forwarding/gateway_settings.hpp"
+
+namespace heathtrestle::forwarding {
+
+void describe_settings(config::settings_schema &schema,
+                       gateway_settings &settings) {
+  constexpr double longest_grace = 600;
+  constexpr std::uint64_t most_lines = 100000;
+  schema.text("node.name", settings.name,
+              "name of this process, unique among the gateways", true);
+  schema.text("node.zone", settings.zone, "zone of this machine");
+  schema.address("listen.clients", settings.client_address,
+                 "where clients reach this gateway", true);
+  schema.address("listen.readiness", settings.readiness_address,
+                 "where the entry asks whether this gateway is ready", true);
+  schema.address("listen.peers", settings.peer_address,
+                 "where other processes ask for this one's copies of objects",
+                 true);
+  schema.address("listen.rpc", settings.rpc_address,
+                 "where the record group reaches this gateway", true);
+  schema.address("listen.metrics", settings.metrics_address,
+                 "where counters and histograms are served at /metrics", true);
+  schema.texts("cluster.seeds", settings.seeds,
+               "peer addresses to ask while the object store is down; they "
+               "may be stale");
+  schema.address("store.address", settings.store_address,
+                 "the platform's object store", true);
+  schema.real("timing.grace_seconds", settings.grace_seconds, 0, longest_grace,
+              "seconds from a stop signal until the process is killed");
+  schema.choice("log.level", settings.log_level,
+                {"debug", "info", "warning", "error"},
+                "least severity that is logged");
+  schema.integer("log.lines_per_second", settings.log_lines, 1, most_lines,
+                 "lines a second that are logged at most, and as many again "
+                 "of warnings; the rest is counted");
+}
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/gateway_settings.hpp
@@ -0,0 +1,30 @@
+// The settings of the forwarding gateway.
+#pragma once
+
+#include "config/settings_schema.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace heathtrestle::forwarding {
+
+struct gateway_settings {
+  std::string name;
+  std::string zone;
+  std::string client_address;
+  std::string readiness_address;
+  std::string peer_address;
+  std::string rpc_address;
+  std::string metrics_address;
+  std::vector<std::string> seeds;
+  std::string store_address;
+  double grace_seconds = 8;
+  std::string log_level = "info";
+  std::uint64_t log_lines = 200;
+};
+
+void describe_settings(config::settings_schema &schema,
+                       gateway_settings &settings);
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/header_names.hpp
@@ -0,0 +1,31 @@
+// The names of the header fields that the gateway reads and sets. They belong
+// to the platform that the gateway runs on, so its adapter fills them in.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace heathtrestle::forwarding {
+
+struct header_names {
+  // On requests.
+  std::string attempt_id;       // one client try; echoed by replicas
+  std::string deadline_ms;      // how long the client will wait
+  std::string affinity_key;     // the object that a request concerns
+  std::string token_usage;      // "prompt,most out"
+  std::string program_id;       // the program that a request belongs to
+  std::string session_id;       // one line of a program's turns
+  std::string program_deadline; // time left for the whole program, ms
+  std::string token_budget;     // tokens that the program may generate
+  std::string previous_turn;    // the attempt id of the turn to go on from
+  std::string last_event_id;    // the event after which a stream goes on
+  std::string expected_instance;
+  std::string request_priority; // 0 (first) to 9
+  // On answers.
+  std::string signature;    // proof of the replica that answered
+  std::string not_executed; // the replica did not run the request
+  /// Fields that only the gateway may set: a client's are dropped.
+  std::vector<std::string> gateway_only;
+};
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/request_exchange.cpp
@@ -0,0 +1,772 @@
+#include "forwarding/request_exchange.hpp"
+
+#include "forwarding/socket_options.hpp"
+#include "logging/log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace heathtrestle::forwarding {
+
+namespace {
+
+using field = beast_http::field;
+
+constexpr std::uint32_t status_ok = 200;
+constexpr std::uint32_t status_payment_required = 402;
+constexpr std::uint32_t status_not_found = 404;
+constexpr std::uint32_t status_misdirected = 421;
+constexpr std::uint32_t status_unavailable = 503;
+constexpr std::uint32_t status_gateway_timeout = 504;
+constexpr std::uint32_t status_success_end = 300;
+constexpr std::uint32_t status_informational_end = 200;
+constexpr std::uint32_t status_too_many = 429;
+constexpr std::size_t read_chunk_bytes = 16384;
+constexpr duration_ms startup_retry{500};
+constexpr duration_ms ledger_retry{300};
+/// Share of the time until the deadline that a turn waits for its grant.
+constexpr double grant_patience = 0.5;
+/// A turn that nothing else bounds is kept at least this long.
+constexpr duration_ms least_keep{60000};
+constexpr std::uint64_t unlimited_budget = 1ULL << 62U;
+constexpr std::uint32_t least_urgent = 9;
+constexpr std::string_view answered_reason = "answered";
+
+std::string_view to_view(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/// The seconds of "timeout=N" in a Keep-Alive field; zero when it has none.
+duration_ms keep_alive_of(const beast_http::fields &head) {
+  const std::string_view value = to_view(head[field::keep_alive]);
+  constexpr std::string_view key = "timeout=";
+  const std::size_t start = value.find(key);
+  if (start == std::string_view::npos) {
+    return duration_ms{0};
+  }
+  std::string_view number = value.substr(start + key.size());
+  number = number.substr(0, number.find_first_of(", ;"));
+  return std::chrono::seconds(
+      static_cast<std::int64_t>(parse_number(number).value_or(0)));
+}
+
+std::string_view name_of(attempt_outcome outcome) {
+  switch (outcome) {
+  case attempt_outcome::not_sent:
+    return "not_sent";
+  case attempt_outcome::not_executed:
+    return "not_executed";
+  case attempt_outcome::lost:
+    return "lost";
+  }
+  return "unknown";
+}
+
+std::string_view name_of(records::turn_verdict verdict) {
+  switch (verdict) {
+  case records::turn_verdict::granted:
+    return "granted";
+  case records::turn_verdict::budget_spent:
+    return "budget_spent";
+  case records::turn_verdict::unknown_turn:
+    return "unknown_turn";
+  case records::turn_verdict::unavailable:
+    return "unavailable";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+request_exchange::request_exchange(gateway &shared, tcp::socket &client,
+                                   client_request request)
+    : gateway_(shared), client_(client), request_(std::move(request)),
+      routes_(shared.routes()), deadline_timer_(shared.io()),
+      pause_timer_(shared.io()) {}
+
+asio::awaitable<bool> request_exchange::run() {
+  const auto self = shared_from_this();
+  keep_open_ = request_.message.keep_alive();
+  if (!routes_) {
+    co_await answer(status_unavailable, startup_retry, "no configuration yet");
+    log_end();
+    co_return keep_open_;
+  }
+  route_ = routes_->find(to_view(request_.message[field::host]),
+                         to_view(request_.message.target()));
+  if (route_ == nullptr) {
+    co_await answer(status_not_found, duration_ms{0}, "no such route");
+    log_end();
+    co_return keep_open_;
+  }
+  arm_deadline();
+  watch_client();
+  if (const auto *part = gateway_.rotation().next(*route_)) {
+    service_ = *part;
+  }
+  body_ = request_.message.body();
+  const bool allowed = !needs_grant() || co_await begin_turn();
+  if (allowed) {
+    co_await drive();
+  }
+  settle_turn();
+  disarm();
+  log_end();
+  co_return keep_open_ && !client_gone_;
+}
+
+// Deadline and client watch.
+
+void request_exchange::arm_deadline() {
+  const duration_ms client_limit =
+      request_.client_deadline.value_or(route_->timeout);
+  const bool bounded = route_->timeout.count() > 0;
+  const duration_ms limit =
+      bounded ? std::min(client_limit, route_->timeout) : client_limit;
+  deadline_ = request_.arrived + limit;
+  deadline_timer_.expires_at(deadline_);
+  deadline_timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code cancelled) {
+        const auto self = weak.lock();
+        if (!cancelled && self && !self->done_) {
+          self->abort_attempt();
+        }
+      });
+}
+
+void request_exchange::watch_client() {
+  watching_ = true;
+  client_.async_wait(
+      tcp::socket::wait_read,
+      [weak = weak_from_this()](boost::system::error_code failure) {
+        const auto self = weak.lock();
+        if (!self || self->done_) {
+          return;
+        }
+        self->watching_ = false;
+        if (!failure && peer_has_closed(self->client_)) {
+          self->on_client_gone();
+        }
+      });
+}
+
+void request_exchange::on_client_gone() {
+  client_gone_ = true;
+  pause_timer_.cancel();
+  // A request that must not run twice is left to finish: it is at work for
+  // somebody even when nobody hears of it.
+  const bool worth_stopping =
+      route_->kind != routing::request_kind::non_idempotent;
+  if (worth_stopping) {
+    abort_attempt();
+  }
+}
+
+void request_exchange::abort_attempt() {
+  pause_timer_.cancel();
+  if (active_) {
+    boost::system::error_code ignored;
+    active_->socket.close(ignored);
+  }
+}
+
+void request_exchange::disarm() {
+  done_ = true;
+  deadline_timer_.cancel();
+  if (watching_) {
+    boost::system::error_code ignored;
+    client_.cancel(ignored);
+  }
+}
+
+duration_ms request_exchange::remaining() const {
+  return std::max(deadline_ - steady_now(), duration_ms{0});
+}
+
+// The turn of a program.
+
+bool request_exchange::needs_grant() const {
+  return request_.turn.has_value() || route_->retained;
+}
+
+asio::awaitable<bool> request_exchange::begin_turn() {
+  if (!request_.turn) {
+    request_.turn = turn_header{.program = request_.attempt_id,
+                                .session = request_.session,
+                                .budget = unlimited_budget,
+                                .most_tokens = 0,
+                                .previous = request_.previous_turn};
+  }
+  const turn_header &turn = *request_.turn;
+  const bool continues = route_->retained && !turn.previous.empty();
+  auto known = continues ? gateway_.turns().chain(turn.previous) : std::nullopt;
+  records::turn_request wanted{.program = turn.program,
+                               .attempt = request_.attempt_id,
+                               .budget = turn.budget,
+                               .most = turn.most_tokens,
+                               .previous =
+                                   continues ? turn.previous : std::string(),
+                               .want_history = continues && !known,
+                               .keep = std::max(route_->retention, least_keep)};
+  if (known) {
+    std::string history;
+    for (const records::retained_turn *each : *known) {
+      history += each->input;
+      history += each->output;
+    }
+    body_.insert(0, history);
+  }
+  const auto patience = std::chrono::duration_cast<duration_ms>(
+      grant_patience * (deadline_ - request_.arrived));
+  const timestamp asked = steady_now();
+  const records::turn_grant grant = co_await gateway_.ledger().begin(
+      std::move(wanted), request_.arrived + patience);
+  gateway_.metrics().on_turn_verdict(
+      std::string(name_of(grant.verdict)),
+      std::chrono::duration<double>(steady_now() - asked).count());
+  if (grant.verdict == records::turn_verdict::granted) {
+    granted_ = true;
+    take_history(grant);
+    co_return true;
+  }
+  logging::line(logging::event::turn_refused)
+      .field("id", request_.attempt_id)
+      .field("program", turn.program)
+      .field("verdict", name_of(grant.verdict))
+      .field("budget", turn.budget)
+      .field("most", turn.most_tokens)
+      .field("spent", grant.spent)
+      .field("reserved", grant.reserved)
+      .field("previous", turn.previous)
+      .field("waited_ms", (steady_now() - asked).count())
+      .write();
+  if (grant.verdict == records::turn_verdict::budget_spent) {
+    co_await answer(status_payment_required, duration_ms{0}, "budget spent");
+  } else if (grant.verdict == records::turn_verdict::unknown_turn) {
+    co_await answer(status_not_found, duration_ms{0}, "no such turn");
+  } else {
+    co_await answer(status_unavailable, ledger_retry,
+                    "record group unavailable");
+  }
+  co_return false;
+}
+
+void request_exchange::take_history(const records::turn_grant &grant) {
+  std::string history;
+  for (const records::retained_turn &each : grant.history) {
+    history += each.input;
+    history += each.output;
+    gateway_.turns().put(each);
+  }
+  body_.insert(0, history);
+}
+
+std::uint64_t request_exchange::used_tokens() const {
+  const routing::service *target = routes_->find_service(service_);
+  const std::uint64_t tokens_per_event = target != nullptr && target->engine
+                                             ? target->engine->tokens_per_event
+                                             : 1;
+  return events_passed_ * tokens_per_event;
+}
+
+asio::awaitable<bool> request_exchange::keep_turn() {
+  records::turn_end end{.program = request_.turn->program,
+                        .attempt = request_.attempt_id,
+                        .used = used_tokens(),
+                        .kept = {.id = request_.attempt_id,
+                                 .previous = request_.turn->previous,
+                                 .input = request_.message.body(),
+                                 .output = retained_output_},
+                        .keep = std::max(route_->retention, least_keep)};
+  records::retained_turn copy = end.kept;
+  granted_ = false; // settled by this, now or later
+  const bool kept =
+      co_await gateway_.ledger().finish(std::move(end), deadline_);
+  if (kept) {
+    gateway_.turns().put(std::move(copy));
+  }
+  co_return kept;
+}
+
+void request_exchange::settle_turn() {
+  if (!granted_) {
+    return;
+  }
+  granted_ = false;
+  gateway_.ledger().settle({.program = request_.turn->program,
+                            .attempt = request_.attempt_id,
+                            .used = used_tokens(),
+                            .kept = {},
+                            .keep = std::max(route_->retention, least_keep)});
+}
+
+// Attempts.
+
+asio::awaitable<void> request_exchange::drive() {
+  plan_.emplace(route_->repeatable(), route_->max_attempts, request_.arrived,
+                deadline_, gateway_.options().plan);
+  while (status_ == 0) {
+    const bool stop = client_gone_ && !plan_->may_have_run();
+    if (client_gone_ && (stop || route_->repeatable())) {
+      reason_ = "client left";
+      co_return;
+    }
+    const next_step step = plan_->next(steady_now());
+    if (const auto *wait = std::get_if<wait_step>(&step)) {
+      pause_timer_.expires_after(wait->pause);
+      co_await pause_timer_.async_wait(as_result);
+    } else if (const auto *final = std::get_if<answer_step>(&step)) {
+      const bool late = steady_now() >= deadline_ && plan_->may_have_run();
+      co_await answer(late ? status_gateway_timeout : final->status,
+                      final->retry_after, final->reason);
+    } else {
+      const auto &send = std::get<send_step>(step);
+      const auto target = gateway_.choose(
+          service_, send, route_->sticky_sessions ? request_.session : "");
+      if (target) {
+        co_await attempt(target);
+      } else {
+        forget_ended(send);
+        plan_->on_no_candidate();
+      }
+    }
+  }
+}
+
+void request_exchange::forget_ended(const send_step &step) {
+  for (const routing::instance_id &id : step.only) {
+    const auto &instances = gateway_.directory().of(service_);
+    const bool listed =
+        std::any_of(instances.begin(), instances.end(),
+                    [&id](const auto &each) { return each->record.id == id; });
+    if (!listed) {
+      plan_->on_instance_ended(id);
+    }
+  }
+}
+
+asio::awaitable<void> request_exchange::attempt(routing::instance_ptr target) {
+  ++attempts_;
+  last_instance_ = target->record.id.value();
+  ++target->in_flight;
+  const auto connection = co_await gateway_.pool().acquire(target->record);
+  if (!connection) {
+    --target->in_flight;
+    const bool refused = connection.error() == connect_error::refused;
+    const std::string_view reason =
+        refused ? "connection refused" : "connection failed";
+    gateway_.on_instance_failed(*target, reason);
+    log_attempt(*target, attempt_outcome::not_sent, reason);
+    plan_->on_attempt(target->record.id, attempt_outcome::not_sent);
+    plan_->on_instance_ended(target->record.id);
+    co_return;
+  }
+  active_ = connection.value();
+  attempt_end end = attempt_outcome::lost;
+  const bool too_late = client_gone_ || steady_now() >= deadline_;
+  if (too_late) {
+    end = attempt_outcome::not_sent;
+    gateway_.pool().release(target->record.id, active_, duration_ms{0});
+  } else {
+    end = co_await exchange_with(*target, active_);
+  }
+  active_.reset();
+  --target->in_flight;
+  if (end) {
+    gateway_.metrics().on_attempt(std::string(name_of(*end)));
+    log_attempt(*target, *end, last_failure_);
+    plan_->on_attempt(target->record.id, *end);
+    const bool own_doing = client_gone_ || steady_now() >= deadline_;
+    if (*end == attempt_outcome::lost && !own_doing) {
+      gateway_.on_instance_failed(*target, last_failure_);
+    }
+  } else {
+    gateway_.metrics().on_attempt("answered");
+  }
+}
+
+asio::awaitable<request_exchange::attempt_end>
+request_exchange::exchange_with(routing::instance &target,
+                                connection_ptr connection) {
+  const timestamp sent = steady_now();
+  if (!co_await send(target, *connection)) {
+    last_failure_ = "broke off while the request was sent";
+    co_return attempt_outcome::lost;
+  }
+  std::optional<response_parser> parser;
+  if (!co_await read_own_head(*connection, parser)) {
+    co_return attempt_outcome::lost;
+  }
+  const response_head head = parser->get().base();
+  const std::uint32_t status = head.result_int();
+  const std::string_view refusal =
+      to_view(head[gateway_.options().headers.not_executed]);
+  const bool not_executed = status == status_misdirected || !refusal.empty();
+  const bool is_stream = status == status_ok && !not_executed &&
+                         route_->kind == routing::request_kind::streaming;
+  if (!not_executed) {
+    gateway_.on_instance_answered(
+        target,
+        std::chrono::duration<double, std::milli>(steady_now() - sent).count());
+  }
+  if (is_stream) {
+    const attempt_end end = co_await relay_stream(*connection, *parser);
+    if (!end) {
+      recycle(target, std::move(connection), head, parser->keep_alive());
+    }
+    co_return end;
+  }
+  std::string body;
+  if (!co_await read_body(*connection, *parser, body)) {
+    last_failure_ = "the answer broke off";
+    co_return attempt_outcome::lost;
+  }
+  recycle(target, std::move(connection), head, parser->keep_alive());
+  const bool another_may_take_it = status == status_unavailable ||
+                                   status == status_too_many ||
+                                   status == status_misdirected;
+  if (not_executed && another_may_take_it) {
+    last_failure_ = "refused by the replica";
+    if (status == status_misdirected) {
+      gateway_.on_instance_failed(target, "another replica has its address");
+    }
+    co_return attempt_outcome::not_executed;
+  }
+  const bool success = status < status_success_end;
+  const bool proven =
+      !to_view(head[gateway_.options().headers.signature]).empty();
+  if ((success && !proven) || head_sent_) {
+    // A stream that goes on elsewhere needs a stream there.
+    last_failure_ = "an answer that cannot be passed on";
+    co_return attempt_outcome::lost;
+  }
+  co_await pass_answer(head, std::move(body));
+  co_return std::nullopt;
+}
+
+asio::awaitable<bool> request_exchange::send(const routing::instance &target,
+                                             upstream_connection &connection) {
+  const header_names &names = gateway_.options().headers;
+  const auto &incoming = request_.message;
+  beast_http::request<beast_http::span_body<const char>> outgoing;
+  outgoing.method_string(incoming.method_string());
+  outgoing.target(incoming.target());
+  outgoing.version(11);
+  const std::string_view connection_field =
+      to_view(incoming[field::connection]);
+  for (const auto &each : incoming) {
+    const std::string_view name = to_view(each.name_string());
+    const bool reserved =
+        std::any_of(names.gateway_only.begin(), names.gateway_only.end(),
+                    [&each](const std::string &own) {
+                      return boost::beast::iequals(each.name_string(), own);
+                    });
+    const bool dropped = reserved || is_hop_by_hop(name, connection_field) ||
+                         each.name() == field::expect;
+    if (!dropped) {
+      outgoing.insert(each.name(), each.name_string(), each.value());
+    }
+  }
+  outgoing.set(names.deadline_ms, std::to_string(remaining().count()));
+  outgoing.set(names.expected_instance, target.record.id.value());
+  outgoing.set(names.request_priority,
+               std::to_string(std::min(route_->priority, least_urgent)));
+  if (last_event_id_) {
+    outgoing.set(names.last_event_id, std::to_string(*last_event_id_));
+  }
+  outgoing.body() = {body_.data(), body_.size()};
+  const bool framed = incoming.has_content_length() || incoming.chunked();
+  if (framed || !body_.empty()) {
+    outgoing.content_length(body_.size());
+  }
+  const auto [failure, written] =
+      co_await beast_http::async_write(connection.socket, outgoing, as_result);
+  co_return !failure;
+}
+
+bool request_exchange::is_own(const response_head &head) const {
+  const header_names &names = gateway_.options().headers;
+  const std::string_view echoed = to_view(head[names.attempt_id]);
+  if (!echoed.empty()) {
+    return echoed == request_.attempt_id;
+  }
+  // A refusal need not name the request that it turns down.
+  return !to_view(head[names.not_executed]).empty() ||
+         head.result_int() == status_misdirected || request_.attempt_id.empty();
+}
+
+asio::awaitable<bool>
+request_exchange::read_own_head(upstream_connection &connection,
+                                std::optional<response_parser> &parser) {
+  constexpr int most_surplus_answers = 4;
+  for (int surplus = 0; surplus < most_surplus_answers; ++surplus) {
+    parser.emplace();
+    parser->body_limit(gateway_.options().answer_limit);
+    parser->skip(request_.message.method() == beast_http::verb::head);
+    const auto [failure, bytes] = co_await beast_http::async_read_header(
+        connection.socket, connection.buffer, *parser, as_result);
+    if (failure) {
+      last_failure_ = "no answer: " + failure.message();
+      co_return false;
+    }
+    const response_head &head = parser->get().base();
+    const bool informational = head.result_int() < status_informational_end;
+    if (!informational && is_own(head)) {
+      co_return true;
+    }
+    std::string discarded;
+    if (!co_await read_body(connection, *parser, discarded)) {
+      break;
+    }
+  }
+  last_failure_ = "answers of other requests";
+  co_return false;
+}
+
+asio::awaitable<bool>
+request_exchange::read_body(upstream_connection &connection,
+                            response_parser &parser, std::string &body) {
+  std::array<char, read_chunk_bytes> chunk{};
+  while (!parser.is_done()) {
+    auto &target = parser.get().body();
+    target.data = chunk.data();
+    target.size = chunk.size();
+    const auto [failure, bytes] = co_await beast_http::async_read_some(
+        connection.socket, connection.buffer, parser, as_result);
+    const bool whole = !failure || failure == beast_http::error::need_buffer;
+    if (!whole) {
+      co_return false;
+    }
+    body.append(chunk.data(), chunk.size() - parser.get().body().size);
+  }
+  co_return true;
+}
+
+asio::awaitable<request_exchange::attempt_end>
+request_exchange::relay_stream(upstream_connection &connection,
+                               response_parser &parser) {
+  const response_head head = parser.get().base();
+  if (!head_sent_ && !co_await start_stream(head)) {
+    co_return attempt_outcome::lost;
+  }
+  if (attempts_ > 1 && last_event_id_) {
+    logging::line(logging::event::stream_resumed)
+        .field("id", request_.attempt_id)
+        .field("instance", last_instance_)
+        .field("after", *last_event_id_)
+        .write();
+  }
+  event_splitter splitter;
+  std::array<char, read_chunk_bytes> chunk{};
+  while (!parser.is_done()) {
+    auto &target = parser.get().body();
+    target.data = chunk.data();
+    target.size = chunk.size();
+    const auto [failure, bytes] = co_await beast_http::async_read_some(
+        connection.socket, connection.buffer, parser, as_result);
+    const std::size_t filled = chunk.size() - parser.get().body().size;
+    auto events = splitter.feed({chunk.data(), filled});
+    if (!events.empty() && !co_await pass_on(std::move(events))) {
+      last_failure_ = "the client has gone";
+      co_return attempt_outcome::lost;
+    }
+    if (failure && failure != beast_http::error::need_buffer) {
+      last_failure_ = "the stream broke off: " + failure.message();
+      co_return attempt_outcome::lost;
+    }
+  }
+  if (!splitter.at_boundary()) {
+    last_failure_ = "the stream ended within an event";
+    co_return attempt_outcome::lost;
+  }
+  if (!co_await finish_stream()) {
+    // The replica has done its part; only the client's end is missing.
+    keep_open_ = false;
+  }
+  status_ = status_ok;
+  co_return std::nullopt;
+}
+
+asio::awaitable<bool>
+request_exchange::pass_on(std::vector<stream_event> events) {
+  std::string fresh;
+  for (stream_event &event : events) {
+    const bool repeated =
+        event.id && last_event_id_ && *event.id <= *last_event_id_;
+    if (repeated) {
+      continue;
+    }
+    if (event.id) {
+      last_event_id_ = event.id;
+    }
+    if (route_->retained) {
+      retained_output_ += event.data;
+      retained_output_ += '\n';
+    }
+    fresh += event.bytes;
+    ++events_passed_;
+  }
+  if (fresh.empty()) {
+    co_return true;
+  }
+  const bool first = events_passed_ == events.size();
+  const auto [failure, written] = co_await asio::async_write(
+      client_, beast_http::make_chunk(asio::buffer(fresh)), as_result);
+  if (first) {
+    gateway_.metrics().on_first_event(
+        route_->name,
+        std::chrono::duration<double>(steady_now() - request_.arrived).count());
+  }
+  client_gone_ = client_gone_ || failure;
+  co_return !failure;
+}
+
+void request_exchange::recycle(const routing::instance &target,
+                               connection_ptr connection,
+                               const response_head &head, bool keep_alive) {
+  const bool surplus = connection->buffer.size() > 0;
+  if (keep_alive && !surplus && connection->socket.is_open()) {
+    gateway_.pool().release(target.record.id, std::move(connection),
+                            keep_alive_of(head));
+  }
+}
+
+// Answers.
+
+asio::awaitable<void> request_exchange::answer(std::uint32_t status,
+                                               duration_ms retry_after,
+                                               std::string_view reason) {
+  status_ = status;
+  reason_ = reason;
+  if (head_sent_ || client_gone_) {
+    keep_open_ = false; // the stream must not look complete
+    co_return;
+  }
+  beast_http::response<beast_http::string_body> message;
+  message.result(status);
+  message.set(gateway_.options().headers.attempt_id, request_.attempt_id);
+  if (retry_after.count() > 0) {
+    message.set(
+        field::retry_after,
+        fmt::format("{:.3f}",
+                    std::chrono::duration<double>(retry_after).count()));
+  }
+  message.body() = std::string(reason) + "\n";
+  keep_open_ = keep_open_ && !gateway_.draining();
+  message.keep_alive(keep_open_);
+  message.prepare_payload();
+  const auto [failure, written] =
+      co_await beast_http::async_write(client_, message, as_result);
+  client_gone_ = client_gone_ || failure;
+}
+
+template <typename Message>
+void request_exchange::copy_head(const response_head &head,
+                                 Message &message) const {
+  message.result(head.result_int());
+  message.reason(head.reason());
+  const std::string_view connection = to_view(head[field::connection]);
+  for (const auto &each : head) {
+    if (!is_hop_by_hop(to_view(each.name_string()), connection)) {
+      message.insert(each.name(), each.name_string(), each.value());
+    }
+  }
+}
+
+asio::awaitable<void> request_exchange::pass_answer(const response_head &head,
+                                                    std::string body) {
+  status_ = head.result_int();
+  reason_ = answered_reason;
+  if (client_gone_) {
+    co_return;
+  }
+  beast_http::response<beast_http::string_body> message;
+  copy_head(head, message);
+  keep_open_ = keep_open_ && !gateway_.draining();
+  message.keep_alive(keep_open_);
+  message.body() = std::move(body);
+  message.prepare_payload();
+  const auto [failure, written] =
+      co_await beast_http::async_write(client_, message, as_result);
+  client_gone_ = client_gone_ || failure;
+}
+
+asio::awaitable<bool>
+request_exchange::start_stream(const response_head &head) {
+  head_sent_ = true;
+  beast_http::response<beast_http::empty_body> message;
+  copy_head(head, message);
+  keep_open_ = keep_open_ && !gateway_.draining();
+  message.keep_alive(keep_open_);
+  message.chunked(true);
+  beast_http::response_serializer<beast_http::empty_body> serializer(message);
+  const auto [failure, written] =
+      co_await beast_http::async_write_header(client_, serializer, as_result);
+  client_gone_ = client_gone_ || failure;
+  co_return !failure;
+}
+
+asio::awaitable<bool> request_exchange::finish_stream() {
+  const bool keeps = route_->retained && granted_;
+  if (keeps && !co_await keep_turn()) {
+    reason_ = "the turn could not be recorded in time";
+    co_return false;
+  }
+  reason_ = answered_reason;
+  const auto [failure, written] = co_await asio::async_write(
+      client_, beast_http::make_chunk_last(), as_result);
+  client_gone_ = client_gone_ || failure;
+  co_return !failure;
+}
+
+void request_exchange::log_attempt(const routing::instance &target,
+                                   attempt_outcome outcome,
+                                   std::string_view reason) const {
+  const auto event = outcome == attempt_outcome::lost
+                         ? logging::event::attempt_lost
+                         : logging::event::attempt_not_executed;
+  logging::line(event)
+      .field("id", request_.attempt_id)
+      .field("attempt", attempts_)
+      .field("instance", target.record.id.value())
+      .field("outcome", name_of(outcome))
+      .field("reason", reason)
+      .field("in_flight", target.in_flight)
+      .field("remaining_ms", remaining().count())
+      .write();
+}
+
+void request_exchange::log_end() const {
+  const bool ok =
+      status_ > 0 && status_ < status_success_end && reason_ == answered_reason;
+  const auto elapsed = steady_now() - request_.arrived;
+  const std::string route = route_ != nullptr ? route_->name : "none";
+  gateway_.metrics().on_finished(
+      route, status_, std::chrono::duration<double>(elapsed).count());
+  logging::line(ok ? logging::event::request_finished
+                   : logging::event::request_failed)
+      .field("id", request_.attempt_id)
+      .field("program", request_.turn ? request_.turn->program : "")
+      .field("route", route)
+      .field("version", routes_ ? routes_->version().value() : 0)
+      .field("instance", last_instance_)
+      .field("attempts", attempts_)
+      .field("status", status_)
+      .field("events", events_passed_)
+      .field("reason", reason_)
+      .field("client_left", client_gone_)
+      .field("elapsed_ms", elapsed.count())
+      .field("deadline_ms", (deadline_ - request_.arrived).count())
+      .write();
+}
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/request_exchange.hpp
@@ -0,0 +1,124 @@
+// One client request from its arrival to its final answer: leave to run it,
+// attempts at replicas as the plan says, and the answer passed on.
+//
+// An answer that is no stream is read whole before any of it is passed on, so
+// that one that breaks off never looks complete. A stream is passed on by whole
+// events; where it breaks off it goes on at another replica if its route allows
+// that, and else its connection ends without the stream's end.
+#pragma once
+
+#include "forwarding/attempt_plan.hpp"
+#include "forwarding/client_request.hpp"
+#include "forwarding/event_stream.hpp"
+#include "forwarding/gateway.hpp"
+#include "runtime/asio.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace heathtrestle::forwarding {
+
+class request_exchange : public std::enable_shared_from_this<request_exchange> {
+public:
+  request_exchange(gateway &shared, tcp::socket &client,
+                   client_request request);
+
+  /// @return true when the connection may carry another request.
+  asio::awaitable<bool> run();
+
+private:
+  using response_parser = beast_http::response_parser<beast_http::buffer_body>;
+  using response_head = beast_http::response_header<beast_http::fields>;
+
+  /// How one attempt ended. Nothing means that the client has its answer.
+  using attempt_end = std::optional<attempt_outcome>;
+
+  // Deadline and client watch.
+  void arm_deadline();
+  void watch_client();
+  void on_client_gone();
+  void abort_attempt();
+  void disarm();
+
+  // The turn of a program.
+  [[nodiscard]] bool needs_grant() const;
+  asio::awaitable<bool> begin_turn();
+  void take_history(const records::turn_grant &grant);
+  /// Records the end durably. @return false when that is not confirmed.
+  asio::awaitable<bool> keep_turn();
+  void settle_turn();
+  [[nodiscard]] std::uint64_t used_tokens() const;
+
+  // Attempts.
+  asio::awaitable<void> drive();
+  asio::awaitable<void> attempt(routing::instance_ptr target);
+  asio::awaitable<attempt_end> exchange_with(routing::instance &target,
+                                             connection_ptr connection);
+  asio::awaitable<bool> send(const routing::instance &target,
+                             upstream_connection &connection);
+  /// Reads heads until the one of this request; surplus answers are dropped.
+  asio::awaitable<bool> read_own_head(upstream_connection &connection,
+                                      std::optional<response_parser> &parser);
+  [[nodiscard]] bool is_own(const response_head &head) const;
+  asio::awaitable<bool> read_body(upstream_connection &connection,
+                                  response_parser &parser, std::string &body);
+  asio::awaitable<attempt_end> relay_stream(upstream_connection &connection,
+                                            response_parser &parser);
+  asio::awaitable<bool> pass_on(std::vector<stream_event> events);
+  void recycle(const routing::instance &target, connection_ptr connection,
+               const response_head &head, bool keep_alive);
+  void forget_ended(const send_step &step);
+
+  // Answers.
+  asio::awaitable<void> answer(std::uint32_t status, duration_ms retry_after,
+                               std::string_view reason);
+  asio::awaitable<void> pass_answer(const response_head &head,
+                                    std::string body);
+  asio::awaitable<bool> start_stream(const response_head &head);
+  asio::awaitable<bool> finish_stream();
+  template <typename Message>
+  void copy_head(const response_head &head, Message &message) const;
+  void log_end() const;
+  void log_attempt(const routing::instance &target, attempt_outcome outcome,
+                   std::string_view reason) const;
+  [[nodiscard]] duration_ms remaining() const;
+
+  gateway &gateway_;
+  tcp::socket &client_;
+  client_request request_;
+  std::shared_ptr<const routing::route_table> routes_;
+  const routing::route *route_ = nullptr;
+  routing::service_id service_;
+  std::optional<attempt_plan> plan_;
+
+  timestamp deadline_{};
+  asio::steady_timer deadline_timer_;
+  asio::steady_timer pause_timer_;
+  connection_ptr active_;
+  bool watching_ = false;
+  bool client_gone_ = false;
+  bool done_ = false;
+
+  // The turn.
+  bool granted_ = false;
+  std::string body_; // what the replica gets
+  std::string retained_output_;
+
+  // The answer.
+  bool keep_open_ = true;
+  bool head_sent_ = false;
+  std::optional<std::uint64_t> last_event_id_;
+  std::uint64_t events_passed_ = 0;
+  std::uint32_t status_ = 0;
+  std::string_view reason_;
+  std::string last_instance_;
+  std::string last_failure_;
+  std::uint32_t attempts_ = 0;
+};
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/upstream_pool.cpp
@@ -0,0 +1,87 @@
+#include "forwarding/upstream_pool.hpp"
+
+#include "http/address.hpp"
+
+#include <utility>
+
+#include <boost/asio/error.hpp>
+
+namespace heathtrestle::forwarding {
+
+connection_ptr upstream_pool::take_idle(const routing::instance_id &id) {
+  const auto found = idle_.find(id);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const timestamp now = steady_now();
+  while (!found->second.empty()) {
+    connection_ptr candidate = std::move(found->second.back());
+    found->second.pop_back();
+    // Bytes that wait here belong to no request: such a connection is spent.
+    const bool usable =
+        now < candidate->usable_until && is_quiet(candidate->socket);
+    if (usable) {
+      candidate->reused = true;
+      return candidate;
+    }
+  }
+  return nullptr;
+}
+
+asio::awaitable<result_or<connection_ptr, connect_error>>
+upstream_pool::acquire(const routing::instance_record &target) {
+  if (connection_ptr idle = take_idle(target.id)) {
+    co_return idle;
+  }
+  const auto address = http::parse_address(target.address);
+  if (!address) {
+    co_return connect_error::failed;
+  }
+  auto connection = std::make_shared<upstream_connection>(io_);
+  connection->connecting = true;
+  asio::steady_timer timer(io_, options_.connect_timeout);
+  timer.async_wait(
+      [weak = std::weak_ptr(connection)](boost::system::error_code cancelled) {
+        const auto waiting = weak.lock();
+        if (!cancelled && waiting && waiting->connecting) {
+          waiting->connecting = false;
+          boost::system::error_code ignored;
+          waiting->socket.close(ignored);
+        }
+      });
+  ++opened_;
+  const auto [failure] = co_await connection->socket.async_connect(
+      tcp::endpoint(address.value().ip, address.value().port), as_result);
+  timer.cancel();
+  const bool timed_out = !connection->connecting;
+  connection->connecting = false;
+  if (timed_out) {
+    co_return connect_error::timed_out;
+  }
+  if (failure) {
+    co_return failure == asio::error::connection_refused
+        ? connect_error::refused
+        : connect_error::failed;
+  }
+  make_live(connection->socket, options_.liveness);
+  co_return connection;
+}
+
+void upstream_pool::release(const routing::instance_id &id,
+                            connection_ptr connection, duration_ms keep_alive) {
+  const duration_ms kept =
+      keep_alive.count() > 0 ? keep_alive : options_.idle_limit;
+  connection->usable_until = steady_now() + kept - options_.idle_margin;
+  idle_[id].push_back(std::move(connection));
+}
+
+void upstream_pool::close_expired(timestamp now) {
+  for (auto &[id, connections] : idle_) {
+    std::erase_if(connections, [now](const connection_ptr &connection) {
+      return now >= connection->usable_until;
+    });
+  }
+  std::erase_if(idle_, [](const auto &entry) { return entry.second.empty(); });
+}
+
+} // namespace heathtrestle::forwarding
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -1,8 +1,11 @@
 #include "logging/log.hpp"
 
+#include <unistd.h>
+
 #include <array>
+#include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <mutex>
 #include <string>
 
 #include <boost/json/serialize.hpp>
@@ -18,9 +21,22 @@
 constexpr std::array<std::string_view, 4> severity_names{"debug", "info",
                                                          "warning", "error"};
 
+/// The lines written in one second, by allowance.
+struct allowance {
+  std::int64_t second = 0;
+  std::uint32_t ordinary = 0;
+  std::uint32_t warnings = 0;
+  std::uint64_t dropped = 0;
+};
+
 struct settings {
   std::string component = "heathtrestle";
   severity least = severity::info;
+  int descriptor = STDERR_FILENO;
+  volume_limit limit;
+  std::mutex mutex;
+  allowance spent;
+  std::atomic<std::uint64_t> dropped{0};
 };
 
 settings &current() {
@@ -33,12 +49,81 @@
       boost::json::value(boost::json::string_view(text.data(), text.size())));
 }
 
+using wall_time = std::chrono::time_point<std::chrono::system_clock,
+                                          std::chrono::milliseconds>;
+
+std::string format_line(wall_time now, const event_row &row,
+                        std::string_view fields) {
+  return fmt::format("{{\"time\":\"{:%FT%T}Z\",\"level\":\"{}\",\"component\":"
+                     "{},\"event\":{},\"name\":\"{}\"{}}}\n",
+                     now, name_of(row.level), quoted(current().component),
+                     static_cast<std::uint32_t>(row.number), row.name, fields);
+}
+
+void put(const std::string &text) {
+  // One call a line, so that lines of several threads do not mix.
+  const auto written = ::write(current().descriptor, text.data(), text.size());
+  if (written != static_cast<ssize_t>(text.size())) {
+    current().dropped.fetch_add(1, std::memory_order_relaxed);
+  }
+}
+
+/// @return true when a line of this severity may still be written this second.
+/// @param lost receives the lines dropped in a second that is over.
+bool admit(severity level, wall_time now, std::uint64_t &lost) {
+  settings &shared = current();
+  const std::scoped_lock lock(shared.mutex);
+  allowance &spent = shared.spent;
+  const std::int64_t second = now.time_since_epoch().count() / 1000;
+  if (second != spent.second) {
+    lost = spent.dropped;
+    spent = allowance{.second = second};
+  }
+  const bool warns = level >= severity::warning;
+  std::uint32_t &count = warns ? spent.warnings : spent.ordinary;
+  const std::uint32_t most =
+      warns ? shared.limit.warnings : shared.limit.ordinary;
+  if (most != 0 && count >= most) {
+    ++spent.dropped;
+    shared.dropped.fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+  ++count;
+  return true;
+}
+
+void write_fields(event number, std::string_view fields) {
+  const event_row &row = row_of(number);
+  if (row.level < current().least) {
+    return;
+  }
+  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  std::uint64_t lost = 0;
+  const bool admitted = admit(row.level, now, lost);
+  if (lost > 0) {
+    put(format_line(now, row_of(event::log_lines_dropped),
+                    fmt::format(",\"lines\":{}", lost)));
+  }
+  if (admitted) {
+    put(format_line(now, row, fields));
+  }
+}
+
 } // namespace
 
-void configure(std::string_view component, severity least) {
-  current() = {std::string(component), least};
+void configure(std::string_view component, severity least, sink output,
+               volume_limit limit) {
+  settings &shared = current();
+  shared.component = std::string(component);
+  shared.least = least;
+  shared.descriptor =
+      output == sink::standard_output ? STDOUT_FILENO : STDERR_FILENO;
+  shared.limit = limit;
 }
 
+void set_least(severity least) { current().least = least; }
+
 severity severity_from(std::string_view name) {
   for (std::size_t index = 0; index < severity_names.size(); ++index) {
     if (severity_names.at(index) == name) {
@@ -52,20 +137,20 @@
   return severity_names.at(static_cast<std::size_t>(level));
 }
 
+std::uint64_t dropped_lines() {
+  return current().dropped.load(std::memory_order_relaxed);
+}
+
 void write(event number, std::string_view detail) {
-  const event_row &row = row_of(number);
-  if (row.level < current().least) {
-    return;
-  }
-  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now());
-  const std::string line =
-      fmt::format("{{\"time\":\"{:%FT%T}Z\",\"level\":\"{}\",\"component\":{},"
-                  "\"event\":{},\"name\":\"{}\",\"detail\":{}}}\n",
-                  now, name_of(row.level), quoted(current().component),
-                  static_cast<std::uint32_t>(number), row.name, quoted(detail));
-  // One call a line, so that lines of several threads do not mix.
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  write_fields(number, fmt::format(",\"detail\":{}", quoted(detail)));
+}
+
+line &line::field(std::string_view name, std::string_view value) {
+  fmt::format_to(std::back_inserter(fields_), ",\"{}\":{}", name,
+                 quoted(value));
+  return *this;
 }
 
+void line::write() const { write_fields(number_, fields_); }
+
 } // namespace heathtrestle::logging
--- /dev/null
+++ b/src/objects/object_watch.cpp
@@ -0,0 +1,117 @@
+#include "objects/object_watch.hpp"
+
+#include "logging/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace heathtrestle::objects {
+
+object_watch::object_watch(asio::io_context &io, object_store &store,
+                           std::vector<listing_source *> peers,
+                           object_cache &cache, watch_options options,
+                           handlers notify)
+    : io_(io), store_(store), peers_(std::move(peers)), cache_(cache),
+      options_(std::move(options)), notify_(std::move(notify)),
+      pause_(options_.first_pause) {}
+
+asio::awaitable<void> object_watch::run() {
+  while (true) {
+    if (!in_sync_) {
+      co_await list_until_known();
+    }
+    const auto answer =
+        co_await store_.watch(options_.kind, revision_, options_.wait);
+    if (answer) {
+      on_answer();
+      take(answer.value());
+      continue;
+    }
+    if (answer.error() == store_error::history_gone) {
+      in_sync_ = false;
+      continue;
+    }
+    on_failure(answer.error());
+    co_await pause();
+  }
+}
+
+asio::awaitable<void> object_watch::list_until_known() {
+  while (true) {
+    if (co_await list_from(store_, "store")) {
+      in_sync_ = true;
+      co_return;
+    }
+    for (listing_source *peer : peers_) {
+      // A peer's copy may lag: enough to serve with, and to watch on from.
+      if (!known_ && co_await list_from(*peer, "peer")) {
+        in_sync_ = true;
+        co_return;
+      }
+    }
+    co_await pause();
+  }
+}
+
+asio::awaitable<bool> object_watch::list_from(listing_source &source,
+                                              std::string_view source_name) {
+  const auto listed = co_await source.list(options_.kind);
+  if (!listed) {
+    on_failure(listed.error());
+    co_return false;
+  }
+  const bool newer = cache_.replace(options_.kind, listed.value());
+  if (!newer) {
+    co_return false;
+  }
+  if (source_name == "store") {
+    on_answer();
+  }
+  revision_ = listed.value().revision;
+  known_ = true;
+  notify_.on_listing(listed.value());
+  co_return true;
+}
+
+void object_watch::take(const change_list &changes) {
+  cache_.apply(options_.kind, changes);
+  revision_ = std::max(revision_, changes.revision);
+  for (const change &each : changes.changes) {
+    notify_.on_change(each);
+  }
+}
+
+void object_watch::on_answer() {
+  pause_ = options_.first_pause;
+  if (!reachable_) {
+    reachable_ = true;
+    logging::line(logging::event::dependency_regained)
+        .field("dependency", "object store")
+        .field("kind", options_.kind)
+        .field("revision", revision_)
+        .write();
+  }
+}
+
+void object_watch::on_failure(store_error error) {
+  if (reachable_) {
+    reachable_ = false;
+    logging::line(logging::event::dependency_lost)
+        .field("dependency", "object store")
+        .field("kind", options_.kind)
+        .field("reason", name_of(error))
+        .field("revision", revision_)
+        .write();
+  }
+}
+
+asio::awaitable<void> object_watch::pause() {
+  // Spread, so that the gateways do not all come back at once.
+  const auto spread = static_cast<std::int64_t>(
+      random_() % static_cast<std::uint64_t>(pause_.count()));
+  asio::steady_timer timer(io_, pause_ / 2 + duration_ms{spread});
+  co_await timer.async_wait(as_result);
+  pause_ = std::min(2 * pause_, options_.longest_pause);
+}
+
+} // namespace heathtrestle::objects
--- /dev/null
+++ b/src/objects/object_watch.hpp
@@ -0,0 +1,66 @@
+// Keeps a copy of one kind of objects up to date: lists it, watches it from
+// there, and lists again when the store has forgotten the changes between.
+// While the store cannot be reached at the start, a peer's copy serves.
+#pragma once
+
+#include "objects/object_cache.hpp"
+#include "objects/object_store.hpp"
+#include "runtime/asio.hpp"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace heathtrestle::objects {
+
+struct watch_options {
+  std::string kind;
+  /// How long one watching call waits.
+  duration_ms wait{8000};
+  duration_ms first_pause{100};
+  duration_ms longest_pause{1000};
+};
+
+class object_watch {
+public:
+  /// Both are called after the cache has taken the objects in.
+  struct handlers {
+    std::function<void(const listing &)> on_listing;
+    std::function<void(const change &)> on_change;
+  };
+
+  /// All references outlive the watch.
+  object_watch(asio::io_context &io, object_store &store,
+               std::vector<listing_source *> peers, object_cache &cache,
+               watch_options options, handlers notify);
+
+  /// Runs until the process ends.
+  asio::awaitable<void> run();
+
+private:
+  asio::awaitable<bool> list_from(listing_source &source,
+                                  std::string_view source_name);
+  asio::awaitable<void> list_until_known();
+  asio::awaitable<void> pause();
+  void take(const change_list &changes);
+  void on_answer();
+  void on_failure(store_error error);
+
+  asio::io_context &io_;
+  object_store &store_;
+  std::vector<listing_source *> peers_;
+  object_cache &cache_;
+  watch_options options_;
+  handlers notify_;
+  std::minstd_rand random_{std::random_device{}()};
+  std::uint64_t revision_ = 0;
+  bool known_ = false;
+  /// True while the copy is current as far as the store says.
+  bool in_sync_ = false;
+  bool reachable_ = true;
+  duration_ms pause_;
+};
+
+} // namespace heathtrestle::objects
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -13,6 +13,22 @@
   reset_election_deadline(now, random);
 }
 
+consensus::consensus(partition_id partition, replica_id self,
+                     saved_replica saved, options settings, timestamp now,
+                     std::uint64_t random)
+    : partition_(partition), self_(self), options_(settings),
+      term_(saved.hard.term), voted_for_(saved.hard.voted_for),
+      base_index_(saved.base.index), base_term_(saved.base.term),
+      base_voters_(std::move(saved.base.voters)), commit_(saved.base.index),
+      applied_(saved.base.index), saved_hard_(saved.hard), leader_heard_(now) {
+  for (wire::LogEntry &each : saved.entries) {
+    log_.push_back(std::move(each));
+  }
+  saved_through_ = last();
+  refresh_voters();
+  reset_election_deadline(now, random);
+}
+
 void consensus::tick(timestamp now, std::uint64_t random, outbox &out) {
   if (role_ == role::leader) {
     if (!heard_from_majority(now, 2 * options_.election_timeout)) {
@@ -152,13 +168,35 @@
   return found->second.last_heard;
 }
 
+std::size_t consensus::election_quorum() const {
+  const auto dead = static_cast<std::size_t>(std::count_if(
+      voters_.begin(), voters_.end(),
+      [this](const replica_id &voter) { return dead_.contains(voter); }));
+  if (dead == 0) {
+    return majority();
+  }
+  // Two conditions make this safe. An entry that is committed is held by a
+  // majority, of which at most `dead` are gone for good; so many votes meet at
+  // least one of the rest. And two leaders of one term would need more live
+  // voters than there are, since no dead one votes again.
+  const std::size_t live = voters_.size() - dead;
+  const std::size_t meets_commits = voters_.size() - majority() + 1;
+  const std::size_t meets_votes = live / 2 + 1;
+  return std::max(meets_commits, meets_votes);
+}
+
 bool consensus::heard_from_majority(timestamp now, duration_ms within) const {
   std::size_t heard = is_voter(self_) ? 1 : 0;
   for (const auto &[peer, state] : peers_) {
     const bool recent = now < state.last_heard + within;
     heard += recent && is_voter(peer) ? 1 : 0;
   }
-  return heard >= majority();
+  return heard >= election_quorum();
+}
+
+std::uint64_t consensus::match_index(const replica_id &peer) const {
+  const auto found = peers_.find(peer);
+  return found == peers_.end() ? 0 : found->second.match;
 }
 
 void consensus::become_follower(std::uint64_t term, timestamp now,
@@ -242,7 +280,7 @@
   const auto counted = std::count_if(
       votes_.begin(), votes_.end(),
       [this](const replica_id &voter) { return is_voter(voter); });
-  if (static_cast<std::size_t>(counted) < majority()) {
+  if (static_cast<std::size_t>(counted) < election_quorum()) {
     return;
   }
   if (pre_vote_round_) {
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -4,7 +4,9 @@
 // Pure: time and random numbers are passed in, messages come out of an outbox.
 // The algorithm is Raft (Ongaro 2014). A replica that keeps no disk never
 // returns under its old identity, since a replica id contains the boot number;
-// it joins again through a logged change of the replica set.
+// it joins again through a logged change of the replica set. A replica that
+// keeps a disk puts its identity there in place of the boot number, and writes
+// what `take_unsaved` yields before anything else of the outbox leaves it.
 #pragma once
 
 #include "base/error.hpp"
@@ -52,6 +54,42 @@
   std::vector<replica_id> snapshots_wanted;
 };
 
+/// What a replica must not forget, besides its log.
+struct hard_state {
+  std::uint64_t term = 0;
+  std::optional<replica_id> voted_for;
+  bool operator==(const hard_state &) const = default;
+};
+
+/// Where the log begins: the state up to here is in a snapshot.
+struct log_base {
+  std::uint64_t index = 0;
+  std::uint64_t term = 0;
+  std::vector<replica_id> voters;
+};
+
+/// A replica as it was written to disk.
+struct saved_replica {
+  hard_state hard;
+  log_base base;
+  std::vector<wire::LogEntry> entries; // from base.index + 1 on
+};
+
+/// What is to be written to disk, in one step that takes effect whole.
+struct unsaved_changes {
+  std::optional<hard_state> hard;
+  /// The log was replaced by a snapshot that ends here.
+  std::optional<log_base> installed;
+  /// Everything at this index and behind it is void; 0 for nothing.
+  std::uint64_t truncate_from = 0;
+  /// To be added after the truncation.
+  std::vector<const wire::LogEntry *> entries;
+
+  [[nodiscard]] bool empty() const {
+    return !hard && !installed && truncate_from == 0 && entries.empty();
+  }
+};
+
 /// Why an entry was not proposed.
 enum class propose_error : std::uint8_t {
   not_leader,
@@ -67,8 +105,24 @@
             const std::vector<replica_id> &initial, options settings,
             timestamp now, std::uint64_t random);
 
+  /// A replica that returns with its disk.
+  consensus(partition_id partition, replica_id self, saved_replica saved,
+            options settings, timestamp now, std::uint64_t random);
+
   void tick(timestamp now, std::uint64_t random, outbox &out);
 
+  /// Changes since the last call. The entries stay valid until the next call
+  /// of any other function.
+  unsaved_changes take_unsaved();
+
+  /// Has the base of a log that was made, not read, written as a whole.
+  void mark_base_unsaved() { base_is_unsaved_ = true; }
+
+  /// Tells that a replica has lost its disk: its node came back under another
+  /// identity. It can never vote or acknowledge again, so elections need fewer
+  /// votes, and its node's new identity may take its place in one change.
+  void declare_dead(const replica_id &replica) { dead_.insert(replica); }
+
   void handle(const wire::VoteRequest &request, timestamp now,
               std::uint64_t random, outbox &out);
   void handle(const wire::VoteReply &reply, timestamp now, outbox &out);
@@ -98,7 +152,8 @@
   /// @return true when the learner holds nearly the whole log.
   [[nodiscard]] bool caught_up(const replica_id &learner) const;
 
-  /// Replaces the replica set by one that differs in one replica.
+  /// Replaces the replica set by one that differs in one replica, or in which
+  /// a replica that was declared dead gives way to its node's new identity.
   std::optional<propose_error>
   change_replicas(const std::vector<replica_id> &voters, timestamp now,
                   outbox &out);
@@ -132,6 +187,22 @@
   }
   [[nodiscard]] std::optional<replica_id> leader() const { return leader_; }
   [[nodiscard]] bool is_voter(const replica_id &replica) const;
+  [[nodiscard]] bool is_learner(const replica_id &replica) const {
+    return learners_.contains(replica);
+  }
+  [[nodiscard]] bool is_dead(const replica_id &replica) const {
+    return dead_.contains(replica);
+  }
+  /// True while a change of the replica set is not committed.
+  [[nodiscard]] bool change_in_progress() const {
+    return voters_index_ > commit_;
+  }
+  /// The last index known to be held by a peer; 0 for an unknown one.
+  [[nodiscard]] std::uint64_t match_index(const replica_id &peer) const;
+  /// Where the log in memory begins.
+  [[nodiscard]] log_base base() const;
+  /// The replica set as of the last applied entry.
+  [[nodiscard]] log_base applied_base() const;
   /// True when this replica knows that it is out of the committed set. It
   /// keeps its log all the same: a candidate that has not heard of the removal
   /// could still ask for its vote, and only the log makes that vote safe.
@@ -157,6 +228,10 @@
   [[nodiscard]] std::uint64_t last_term() const { return term_at(last()); }
   [[nodiscard]] const wire::LogEntry &entry(std::uint64_t index) const;
   [[nodiscard]] std::size_t majority() const { return voters_.size() / 2 + 1; }
+  [[nodiscard]] std::size_t election_quorum() const;
+  /// False while a change of two voters to three is under way and one of the
+  /// two does not hold the log up to `index`.
+  [[nodiscard]] bool old_pair_holds(std::uint64_t index) const;
   [[nodiscard]] bool heard_from_majority(timestamp now,
                                          duration_ms within) const;
 
@@ -200,6 +275,15 @@
 
   std::vector<replica_id> voters_;
   std::uint64_t voters_index_ = 0;
+  /// The voters before the entry at voters_index_.
+  std::vector<replica_id> previous_voters_;
+  std::set<replica_id> dead_;
+
+  // What the disk holds.
+  hard_state saved_hard_;
+  std::uint64_t saved_through_ = 0;
+  std::uint64_t truncated_from_ = 0;
+  bool base_is_unsaved_ = false;
 
   bool pre_vote_round_ = false;
   std::set<replica_id> votes_;
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -3,6 +3,7 @@
 #include "raft/consensus.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace heathtrestle::raft {
@@ -35,6 +36,22 @@
   return replicas;
 }
 
+/// @return true when `after` has one replica less and its node's other identity
+/// in its place, and the one that is missing is among the dead.
+bool replaces_dead(const std::vector<replica_id> &before,
+                   const std::vector<replica_id> &after,
+                   const std::set<replica_id> &dead) {
+  std::vector<replica_id> added;
+  std::vector<replica_id> removed;
+  std::copy_if(after.begin(), after.end(), std::back_inserter(added),
+               [&before](const auto &each) { return !contains(before, each); });
+  std::copy_if(before.begin(), before.end(), std::back_inserter(removed),
+               [&after](const auto &each) { return !contains(after, each); });
+  return added.size() == 1 && removed.size() == 1 &&
+         added.front().node == removed.front().node &&
+         dead.contains(removed.front());
+}
+
 /// @return true when `after` adds or removes exactly one replica.
 bool differs_in_one(const std::vector<replica_id> &before,
                     const std::vector<replica_id> &after) {
@@ -186,6 +203,7 @@
     base_index_ = request.last_index();
     base_term_ = request.last_term();
     base_voters_ = from_wire_set(request.replicas());
+    base_is_unsaved_ = true;
     commit_ = base_index_;
     applied_ = base_index_;
     refresh_voters();
@@ -241,12 +259,20 @@
   if (role_ != role::leader) {
     return propose_error::not_leader;
   }
-  if (!established()) {
+  const bool alone = election_quorum() == 1 && is_voter(self_);
+  if (!established() && !alone) {
     // Without a committed entry of this term a change proposed by an earlier
-    // leader could still take effect beside this one.
+    // leader could still take effect beside this one. A replica without which
+    // no election succeeds has no such leader beside it; it could commit
+    // nothing before the dead one is replaced.
     return propose_error::term_not_established;
   }
-  if (voters_index_ > commit_ || !differs_in_one(voters_, voters)) {
+  // Replacing a dead replica in one step is safe: every majority before it
+  // consisted of the others, and each majority after it has all but one of its
+  // members among them, so the two meet.
+  const bool acceptable =
+      differs_in_one(voters_, voters) || replaces_dead(voters_, voters, dead_);
+  if (voters_index_ > commit_ || !acceptable) {
     return propose_error::change_in_progress;
   }
   wire::LogEntry next;
@@ -280,18 +306,10 @@
   header.set_partition(partition_.value());
   header.set_term(term_);
   *header.mutable_leader() = to_wire(self_);
-  header.set_last_index(applied_);
-  header.set_last_term(term_at(applied_));
-  std::vector<replica_id> voters = base_voters_;
-  for (const wire::LogEntry &logged : log_) {
-    if (logged.index() > applied_) {
-      break;
-    }
-    if (logged.has_replicas()) {
-      voters = from_wire_set(logged.replicas());
-    }
-  }
-  *header.mutable_replicas() = to_wire_set(voters);
+  const log_base applied = applied_base();
+  header.set_last_index(applied.index);
+  header.set_last_term(applied.term);
+  *header.mutable_replicas() = to_wire_set(applied.voters);
   return header;
 }
 
@@ -312,6 +330,11 @@
 }
 
 void consensus::truncate_after(std::uint64_t index) {
+  if (saved_through_ > index) {
+    saved_through_ = index;
+    truncated_from_ =
+        truncated_from_ == 0 ? index + 1 : std::min(truncated_from_, index + 1);
+  }
   while (last() > index) {
     log_.pop_back();
   }
@@ -322,13 +345,14 @@
 
 void consensus::refresh_voters() {
   voters_ = base_voters_;
+  previous_voters_ = base_voters_;
   voters_index_ = base_index_;
-  const auto latest = std::find_if(
-      log_.rbegin(), log_.rend(),
-      [](const wire::LogEntry &logged) { return logged.has_replicas(); });
-  if (latest != log_.rend()) {
-    voters_ = from_wire_set(latest->replicas());
-    voters_index_ = latest->index();
+  for (const wire::LogEntry &logged : log_) {
+    if (logged.has_replicas()) {
+      previous_voters_ = voters_;
+      voters_ = from_wire_set(logged.replicas());
+      voters_index_ = logged.index();
+    }
   }
 }
 
@@ -389,6 +413,9 @@
   if (held <= commit_ || held <= base_index_ || term_at(held) != term_) {
     return;
   }
+  if (!old_pair_holds(held)) {
+    return;
+  }
   commit_ = held;
   const bool replicas_committed = voters_index_ <= commit_;
   if (replicas_committed && !is_voter(self_)) {
@@ -397,6 +424,63 @@
   }
 }
 
+bool consensus::old_pair_holds(std::uint64_t index) const {
+  // Of two voters either may be lost with its disk, and the other then goes on
+  // alone. That is only right while the other holds everything, so until the
+  // step from two voters to three is committed, both of the two must hold what
+  // is committed.
+  const bool grows_from_two = voters_index_ > commit_ &&
+                              previous_voters_.size() == 2 &&
+                              voters_.size() == 3;
+  if (!grows_from_two) {
+    return true;
+  }
+  return std::all_of(previous_voters_.begin(), previous_voters_.end(),
+                     [this, index](const replica_id &voter) {
+                       return voter == self_ || match_index(voter) >= index;
+                     });
+}
+
+unsaved_changes consensus::take_unsaved() {
+  unsaved_changes changes;
+  const hard_state hard{.term = term_, .voted_for = voted_for_};
+  if (!(hard == saved_hard_)) {
+    changes.hard = hard;
+    saved_hard_ = hard;
+  }
+  if (base_is_unsaved_) {
+    changes.installed = base();
+    saved_through_ = base_index_;
+    truncated_from_ = 0;
+    base_is_unsaved_ = false;
+  }
+  changes.truncate_from = std::exchange(truncated_from_, 0);
+  const std::uint64_t first = std::max(saved_through_, base_index_) + 1;
+  for (std::uint64_t index = first; index <= last(); ++index) {
+    changes.entries.push_back(&entry(index));
+  }
+  saved_through_ = last();
+  return changes;
+}
+
+log_base consensus::base() const {
+  return {.index = base_index_, .term = base_term_, .voters = base_voters_};
+}
+
+log_base consensus::applied_base() const {
+  log_base applied{
+      .index = applied_, .term = term_at(applied_), .voters = base_voters_};
+  for (const wire::LogEntry &logged : log_) {
+    if (logged.index() > applied_) {
+      break;
+    }
+    if (logged.has_replicas()) {
+      applied.voters = from_wire_set(logged.replicas());
+    }
+  }
+  return applied;
+}
+
 void consensus::forget_removed(timestamp now) {
   if (voters_index_ > commit_) {
     return; // who is a voter is not settled yet
--- /dev/null
+++ b/src/records/group_directory.cpp
@@ -0,0 +1,171 @@
+#include "records/group_directory.hpp"
+
+#include "logging/log.hpp"
+
+#include <cstdlib>
+#include <utility>
+
+#include <boost/json/value_to.hpp>
+#include <fmt/format.h>
+
+namespace heathtrestle::records {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr duration_ms first_pause{100};
+constexpr duration_ms longest_pause{1000};
+/// A node that has its group checks now and then whether it still does.
+constexpr duration_ms settled_pause{500};
+constexpr int hexadecimal = 16;
+
+std::string text_of(const json::object &fields, std::string_view name) {
+  const json::value *found = fields.if_contains({name.data(), name.size()});
+  return found != nullptr && found->is_string()
+             ? json::value_to<std::string>(*found)
+             : std::string();
+}
+
+std::string identity_of(const wire::RecordMember &member) {
+  return fmt::format("{:016x}", member.replica().boot());
+}
+
+} // namespace
+
+json::value to_document(const wire::RecordMember &member) {
+  return json::object{{"name", member.name()},
+                      {"identity", identity_of(member)},
+                      {"address", member.address()},
+                      {"zone", member.zone()}};
+}
+
+std::optional<wire::RecordMember> member_from(const json::value &document) {
+  const json::object *fields = document.if_object();
+  if (fields == nullptr) {
+    return std::nullopt;
+  }
+  const std::string identity = text_of(*fields, "identity");
+  wire::RecordMember member;
+  member.set_name(text_of(*fields, "name"));
+  member.set_address(text_of(*fields, "address"));
+  member.set_zone(text_of(*fields, "zone"));
+  char *end = nullptr;
+  const std::uint64_t boot = std::strtoull(identity.c_str(), &end, hexadecimal);
+  const bool complete = !identity.empty() && *end == '\0' &&
+                        !member.name().empty() && !member.address().empty();
+  if (!complete) {
+    return std::nullopt;
+  }
+  member.mutable_replica()->set_node(make_node_id(member.name()).value());
+  member.mutable_replica()->set_boot(boot);
+  return member;
+}
+
+wire::RecordMembers members_from(const objects::listing &listed) {
+  wire::RecordMembers members;
+  for (const objects::object &each : listed.items) {
+    if (auto member = member_from(each.specification)) {
+      *members.add_members() = std::move(*member);
+    }
+  }
+  return members;
+}
+
+objects::listing to_listing(const wire::RecordMembers &members) {
+  objects::listing listed;
+  for (const wire::RecordMember &each : members.members()) {
+    listed.items.push_back({.name = each.name(),
+                            .revision = 0,
+                            .specification = to_document(each),
+                            .status = {},
+                            .is_deleting = false});
+  }
+  return listed;
+}
+
+group_directory::group_directory(asio::io_context &io,
+                                 objects::object_store &store,
+                                 std::vector<objects::listing_source *> peers,
+                                 record_runtime &runtime, bool may_found)
+    : io_(io), store_(store), peers_(std::move(peers)), runtime_(runtime),
+      may_found_(may_found) {}
+
+asio::awaitable<void> group_directory::run() {
+  bool published = false;
+  duration_ms pause = first_pause;
+  asio::steady_timer timer(io_);
+  while (true) {
+    const raft::consensus *log = runtime_.node().log();
+    const bool in_touch = log->is_leader() || log->leader().has_value();
+    if (!published) {
+      published = co_await publish();
+    }
+    if (!in_touch) {
+      co_await look_up();
+      co_await try_to_found();
+    }
+    const bool settled = in_touch && published;
+    timer.expires_after(settled ? settled_pause : pause);
+    co_await timer.async_wait(as_result);
+    pause = settled ? first_pause : std::min(2 * pause, longest_pause);
+  }
+}
+
+asio::awaitable<bool> group_directory::publish() {
+  const wire::RecordMember &self = runtime_.node().self();
+  const auto created = co_await store_.create(std::string(member_kind),
+                                              self.name(), to_document(self));
+  if (created) {
+    co_return true;
+  }
+  if (created.error() != objects::store_error::conflict) {
+    co_return false;
+  }
+  // Made by an earlier start, on this disk or on one that is lost.
+  const auto replaced = co_await store_.replace(
+      std::string(member_kind), self.name(), 0, to_document(self));
+  co_return replaced.has_value();
+}
+
+asio::awaitable<void> group_directory::look_up() {
+  const auto listed = co_await store_.list(std::string(member_kind));
+  if (listed) {
+    runtime_.node().learn_members(members_from(listed.value()));
+    co_return;
+  }
+  for (objects::listing_source *peer : peers_) {
+    const auto copy = co_await peer->list(std::string(member_kind));
+    if (copy) {
+      runtime_.node().learn_members(members_from(copy.value()));
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void> group_directory::try_to_found() {
+  if (!may_found_ || runtime_.node().has_group()) {
+    co_return;
+  }
+  const std::string self = identity_of(runtime_.node().self());
+  const json::value document = json::object{{"founder", self}};
+  const auto created = co_await store_.create(
+      std::string(group_kind), std::string(group_name), document);
+  if (created) {
+    runtime_.found();
+    co_return;
+  }
+  // The object may be this node's own, made by a call whose answer was lost.
+  const auto group =
+      co_await store_.get(std::string(group_kind), std::string(group_name));
+  if (!group) {
+    co_return;
+  }
+  const json::object *fields = group.value().specification.if_object();
+  const bool own = fields != nullptr && text_of(*fields, "founder") == self;
+  if (own && !runtime_.node().has_group()) {
+    runtime_.found();
+  }
+}
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/group_directory.hpp
@@ -0,0 +1,56 @@
+// How the storage nodes find each other and how their group is founded: each
+// writes an object of its own at its start, and one of them, named by an object
+// that can be created only once, becomes the group's first voter.
+#pragma once
+
+#include "objects/object_cache.hpp"
+#include "objects/object_store.hpp"
+#include "records/record_runtime.hpp"
+#include "runtime/asio.hpp"
+
+#include <string>
+#include <vector>
+
+#include <boost/json/value.hpp>
+
+namespace heathtrestle::records {
+
+/// Kind of the objects by which storage nodes tell their address.
+inline constexpr std::string_view member_kind = "record-members";
+/// Kind and name of the object that names the founder.
+inline constexpr std::string_view group_kind = "record-groups";
+inline constexpr std::string_view group_name = "main";
+
+boost::json::value to_document(const wire::RecordMember &member);
+/// @return nothing when the document is no member's.
+std::optional<wire::RecordMember>
+member_from(const boost::json::value &document);
+wire::RecordMembers members_from(const objects::listing &listed);
+/// The members as a listing, for a peer that cannot reach the store.
+objects::listing to_listing(const wire::RecordMembers &members);
+
+class group_directory {
+public:
+  /// @param may_found whether the whole system starts for the first time.
+  /// @param peers where members are looked up while the store is down.
+  group_directory(asio::io_context &io, objects::object_store &store,
+                  std::vector<objects::listing_source *> peers,
+                  record_runtime &runtime, bool may_found);
+
+  /// Registers this node, then looks for its group until it has one, and again
+  /// whenever it has lost touch. Runs until the process ends.
+  asio::awaitable<void> run();
+
+private:
+  asio::awaitable<bool> publish();
+  asio::awaitable<void> look_up();
+  asio::awaitable<void> try_to_found();
+
+  asio::io_context &io_;
+  objects::object_store &store_;
+  std::vector<objects::listing_source *> peers_;
+  record_runtime &runtime_;
+  bool may_found_;
+};
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/group_plan.hpp
@@ -0,0 +1,57 @@
+// Which change of its membership the record group needs next: a pure policy
+// over the leader's view of the storage nodes.
+#pragma once
+
+#include "base/ids.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace heathtrestle::records {
+
+/// A storage node in the leader's eyes.
+struct node_view {
+  replica_id replica;
+  bool votes = false;
+  bool is_self = false;
+  /// It was heard from lately.
+  bool alive = false;
+  /// It was silent long enough to be replaced by a spare node.
+  bool long_silent = false;
+  /// Another identity of its node has appeared: its disk is gone for good.
+  bool dead = false;
+  /// It is a learner that holds nearly the whole log.
+  bool caught_up = false;
+  /// The operator wants its machine emptied.
+  bool retiring = false;
+};
+
+struct add_learner {
+  replica_id replica;
+};
+struct add_voter {
+  replica_id replica;
+};
+struct remove_voter {
+  replica_id replica;
+};
+/// The node's new identity takes the place of the dead one.
+struct replace_voter {
+  replica_id dead;
+  replica_id successor;
+};
+/// The leader itself is to leave: another one has to remove it.
+struct hand_over {};
+
+using group_change = std::variant<add_learner, add_voter, remove_voter,
+                                  replace_voter, hand_over>;
+
+/// @param learners nodes that already receive the log without a vote.
+/// @param desired_voters how many voters the group has while nodes last.
+std::optional<group_change> next_change(const std::vector<node_view> &nodes,
+                                        const std::vector<replica_id> &learners,
+                                        std::size_t desired_voters);
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/ledger_client.cpp
@@ -0,0 +1,313 @@
+#include "records/ledger_client.hpp"
+
+#include "logging/log.hpp"
+#include "records/record_node.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+namespace heathtrestle::records {
+
+namespace {
+
+constexpr duration_ms tick_interval{25};
+
+std::uint64_t keep_ms(duration_ms keep) {
+  return static_cast<std::uint64_t>(keep.count());
+}
+
+retained_turn from_wire_turn(const wire::RecordTurn &turn) {
+  return {.id = turn.id(),
+          .previous = turn.previous(),
+          .input = turn.input(),
+          .output = turn.output()};
+}
+
+wire::RecordChange to_change(turn_end end) {
+  wire::RecordChange change;
+  wire::EndTurn &message = *change.mutable_end();
+  message.set_program(std::move(end.program));
+  message.set_attempt(std::move(end.attempt));
+  message.set_used(end.used);
+  message.set_keep_ms(keep_ms(end.keep));
+  if (!end.kept.id.empty()) {
+    wire::RecordTurn &turn = *message.mutable_kept();
+    turn.set_id(std::move(end.kept.id));
+    turn.set_previous(std::move(end.kept.previous));
+    turn.set_input(std::move(end.kept.input));
+    turn.set_output(std::move(end.kept.output));
+  }
+  return change;
+}
+
+wire::RecordChange to_change(turn_request request) {
+  wire::RecordChange change;
+  wire::BeginTurn &message = *change.mutable_begin();
+  message.set_program(std::move(request.program));
+  message.set_attempt(std::move(request.attempt));
+  message.set_budget(request.budget);
+  message.set_most(request.most);
+  message.set_previous(std::move(request.previous));
+  message.set_want_history(request.want_history);
+  message.set_keep_ms(keep_ms(request.keep));
+  return change;
+}
+
+turn_verdict verdict_of(wire::RecordVerdict verdict) {
+  switch (verdict) {
+  case wire::RECORD_GRANTED:
+    return turn_verdict::granted;
+  case wire::RECORD_BUDGET_SPENT:
+    return turn_verdict::budget_spent;
+  case wire::RECORD_UNKNOWN_TURN:
+    return turn_verdict::unknown_turn;
+  default:
+    return turn_verdict::unavailable;
+  }
+}
+
+} // namespace
+
+ledger_client::ledger_client(asio::io_context &io, ledger_options options,
+                             sender send)
+    : io_(io), options_(std::move(options)), send_(std::move(send)) {}
+
+asio::awaitable<turn_grant> ledger_client::begin(turn_request request,
+                                                 timestamp deadline) {
+  turn_end cancelled{.program = request.program,
+                     .attempt = request.attempt,
+                     .used = 0,
+                     .kept = {},
+                     .keep = request.keep};
+  auto entry = std::make_shared<pending>(io_);
+  entry->change = to_change(std::move(request));
+  entry->deadline = deadline;
+  entry->awaited = true;
+  const std::uint64_t id = add(entry);
+  flush_soon();
+  co_await wait_for(entry, id);
+  turn_grant grant;
+  if (!entry->answered) {
+    // The grant may come to pass unseen. It must not count for ever.
+    settle(std::move(cancelled));
+    co_return grant;
+  }
+  grant.verdict = verdict_of(entry->reply.verdict());
+  grant.spent = entry->reply.spent();
+  grant.reserved = entry->reply.reserved();
+  for (const wire::RecordTurn &turn : entry->reply.history()) {
+    grant.history.push_back(from_wire_turn(turn));
+  }
+  co_return grant;
+}
+
+asio::awaitable<bool> ledger_client::finish(turn_end end, timestamp deadline) {
+  auto entry = std::make_shared<pending>(io_);
+  entry->change = to_change(std::move(end));
+  entry->deadline = deadline;
+  entry->awaited = true;
+  const std::uint64_t id = add(entry);
+  ++unsettled_;
+  flush_soon();
+  co_await wait_for(entry, id);
+  if (!entry->answered) {
+    // Nobody waits for it any more, but the tokens were used.
+    entry->awaited = false;
+    entry->deadline = steady_now() + options_.settle_patience;
+    pending_[id] = entry;
+  }
+  co_return entry->answered;
+}
+
+void ledger_client::settle(turn_end end) {
+  auto entry = std::make_shared<pending>(io_);
+  entry->change = to_change(std::move(end));
+  entry->deadline = steady_now() + options_.settle_patience;
+  add(entry);
+  ++unsettled_;
+}
+
+std::uint64_t ledger_client::add(pending_ptr entry) {
+  const std::uint64_t id = next_id_++;
+  pending_.emplace(id, std::move(entry));
+  return id;
+}
+
+asio::awaitable<void> ledger_client::wait_for(pending_ptr entry,
+                                              std::uint64_t id) {
+  entry->done.expires_at(entry->deadline);
+  co_await entry->done.async_wait(as_result);
+  pending_.erase(id);
+}
+
+void ledger_client::flush_soon() {
+  if (!flush_posted_) {
+    flush_posted_ = true;
+    asio::post(io_, [this] { flush(); });
+  }
+}
+
+void ledger_client::flush() {
+  flush_posted_ = false;
+  if (leader_.empty()) {
+    try_next_member();
+  }
+  if (leader_.empty()) {
+    return;
+  }
+  const timestamp now = steady_now();
+  wire::Envelope envelope;
+  wire::RecordRequest &request = *envelope.mutable_record_request();
+  for (const auto &[id, entry] : pending_) {
+    if (entry->sent != timestamp{} || entry->answered) {
+      continue;
+    }
+    entry->sent = now;
+    wire::RecordRequestItem &item = *request.add_items();
+    item.set_id(id);
+    *item.mutable_change() = entry->change;
+  }
+  if (request.items_size() == 0) {
+    return;
+  }
+  if (first_unanswered_ == timestamp{}) {
+    first_unanswered_ = now;
+  }
+  request.set_reply_to(options_.address);
+  request.set_members_hash(members_hash_);
+  send_(leader_, envelope);
+}
+
+void ledger_client::on_message(const wire::Envelope &envelope) {
+  if (!envelope.has_record_reply()) {
+    return;
+  }
+  const wire::RecordReply &reply = envelope.record_reply();
+  last_answer_ = steady_now();
+  if (reply.has_members()) {
+    members_ = reply.members();
+    members_hash_ = hash_of(members_);
+  }
+  if (reply.not_leader()) {
+    take_refusal(reply);
+  } else {
+    first_unanswered_ = {};
+    leader_ = reply.leader_address();
+    take_items(reply);
+  }
+}
+
+void ledger_client::take_items(const wire::RecordReply &reply) {
+  for (const wire::RecordReplyItem &item : reply.items()) {
+    const auto found = pending_.find(item.id());
+    if (found == pending_.end() || found->second->answered) {
+      continue;
+    }
+    const pending_ptr entry = found->second;
+    entry->answered = true;
+    entry->reply = item;
+    if (entry->change.has_end()) {
+      --unsettled_;
+    }
+    if (entry->awaited) {
+      entry->done.cancel();
+    } else {
+      pending_.erase(found);
+    }
+  }
+}
+
+void ledger_client::take_refusal(const wire::RecordReply &reply) {
+  const bool names_another =
+      !reply.leader_address().empty() && reply.leader_address() != leader_;
+  if (names_another) {
+    leader_ = reply.leader_address();
+  } else {
+    try_next_member();
+  }
+  bool resend_now = names_another;
+  for (const std::uint64_t id : reply.refused()) {
+    const auto found = pending_.find(id);
+    if (found == pending_.end() || found->second->answered) {
+      continue;
+    }
+    // A group that elects a leader is asked again a little later.
+    found->second->sent = names_another
+                              ? timestamp{}
+                              : steady_now() - options_.answer_timeout / 2;
+  }
+  if (resend_now) {
+    flush_soon();
+  }
+}
+
+void ledger_client::try_next_member() {
+  if (members_.members_size() == 0) {
+    return;
+  }
+  next_member_ =
+      (next_member_ + 1) % static_cast<std::size_t>(members_.members_size());
+  leader_ = members_.members(static_cast<int>(next_member_)).address();
+}
+
+void ledger_client::learn_members(const wire::RecordMembers &members) {
+  for (const wire::RecordMember &each : members.members()) {
+    const bool known =
+        std::any_of(members_.members().begin(), members_.members().end(),
+                    [&each](const auto &other) {
+                      return other.address() == each.address();
+                    });
+    if (!known) {
+      *members_.add_members() = each;
+    }
+  }
+  members_hash_ = hash_of(members_);
+}
+
+bool ledger_client::is_lost() const {
+  const bool nobody_known = members_.members_size() == 0;
+  const bool unanswered =
+      first_unanswered_ != timestamp{} &&
+      steady_now() >=
+          std::max(first_unanswered_, last_answer_) + options_.lookup_after;
+  return nobody_known || unanswered;
+}
+
+asio::awaitable<void> ledger_client::run() {
+  asio::steady_timer timer(io_);
+  while (true) {
+    timer.expires_after(tick_interval);
+    co_await timer.async_wait(as_result);
+    const timestamp now = steady_now();
+    bool timed_out = false;
+    bool unsent = false;
+    for (const auto &[id, entry] : pending_) {
+      const bool waiting = entry->sent != timestamp{} && !entry->answered;
+      if (waiting && now >= entry->sent + options_.answer_timeout) {
+        entry->sent = {};
+        timed_out = true;
+      }
+      unsent = unsent || entry->sent == timestamp{};
+    }
+    std::erase_if(pending_, [this, now](const auto &each) {
+      const pending &entry = *each.second;
+      const bool given_up = !entry.awaited && now >= entry.deadline;
+      unsettled_ -= given_up ? 1 : 0;
+      return given_up;
+    });
+    if (timed_out) {
+      logging::line(logging::event::record_call_retried)
+          .field("asked", leader_)
+          .field("pending", pending_.size())
+          .write();
+      try_next_member();
+    }
+    if (unsent) {
+      flush();
+    }
+  }
+}
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/ledger_client.hpp
@@ -0,0 +1,99 @@
+// The gateway's side of the record group: finds the leader, asks again when an
+// answer does not come, and joins what is asked at about the same time.
+#pragma once
+
+#include "records/turn_ledger.hpp"
+#include "rpc/transport.hpp"
+#include "runtime/asio.hpp"
+#include "wire/messages.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace heathtrestle::records {
+
+struct ledger_options {
+  /// "ip:port" on which the group's answers arrive.
+  std::string address;
+  /// Another node is asked when an answer takes longer.
+  duration_ms answer_timeout{250};
+  /// Ends that nobody waits for are collected this long.
+  duration_ms settle_delay{25};
+  /// Ends that cannot be recorded are tried this long.
+  duration_ms settle_patience{30000};
+  /// Silence of all nodes after which their addresses are looked up again.
+  duration_ms lookup_after{1000};
+};
+
+class ledger_client : public turn_ledger {
+public:
+  /// Sends one message to a node of the group.
+  using sender =
+      std::function<void(const std::string &address, const wire::Envelope &)>;
+
+  /// @param send may be replaced in tests; does not block.
+  ledger_client(asio::io_context &io, ledger_options options, sender send);
+
+  asio::awaitable<turn_grant> begin(turn_request request,
+                                    timestamp deadline) override;
+  asio::awaitable<bool> finish(turn_end end, timestamp deadline) override;
+  void settle(turn_end end) override;
+
+  /// Takes in an answer of the group.
+  void on_message(const wire::Envelope &envelope);
+
+  /// Storage nodes found elsewhere; they are added to those known.
+  void learn_members(const wire::RecordMembers &members);
+  [[nodiscard]] const wire::RecordMembers &members() const { return members_; }
+  /// True when nothing has answered for a while though something was asked.
+  [[nodiscard]] bool is_lost() const;
+  /// Ends that are not confirmed yet.
+  [[nodiscard]] std::size_t unsettled() const { return unsettled_; }
+
+  /// Resends what was not answered; runs until the process ends.
+  asio::awaitable<void> run();
+
+private:
+  struct pending {
+    explicit pending(asio::io_context &io) : done(io) {}
+
+    wire::RecordChange change;
+    timestamp deadline{};
+    timestamp sent{}; // zero: to be sent
+    bool awaited = false;
+    bool answered = false;
+    wire::RecordReplyItem reply;
+    /// Cancelled when the answer is there.
+    asio::steady_timer done;
+  };
+  using pending_ptr = std::shared_ptr<pending>;
+
+  std::uint64_t add(pending_ptr entry);
+  asio::awaitable<void> wait_for(pending_ptr entry, std::uint64_t id);
+  void flush_soon();
+  void flush();
+  void take_items(const wire::RecordReply &reply);
+  void take_refusal(const wire::RecordReply &reply);
+  void try_next_member();
+  void enqueue_end(turn_end end);
+
+  asio::io_context &io_;
+  ledger_options options_;
+  sender send_;
+  std::map<std::uint64_t, pending_ptr> pending_;
+  std::uint64_t next_id_ = 1;
+  wire::RecordMembers members_;
+  std::uint64_t members_hash_ = 0;
+  std::string leader_;
+  std::size_t next_member_ = 0;
+  timestamp last_answer_{};
+  timestamp first_unanswered_{};
+  bool flush_posted_ = false;
+  std::size_t unsettled_ = 0;
+};
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/record_node.cpp
@@ -0,0 +1,538 @@
+#include "records/record_node.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace heathtrestle::records {
+
+namespace {
+
+constexpr partition_id the_partition{};
+/// Without word from a leader for this long a node looks for its group.
+constexpr duration_ms lost_after{1000};
+/// Learners that are no longer heard from are dropped after this long.
+constexpr duration_ms drop_learner_after{3000};
+/// Two identities of one node: the one that has been silent for the first of
+/// these while the other was heard within the second is the one that is gone.
+/// Messages of a process that has ended may still be read for a moment.
+constexpr duration_ms dead_after_silence{500};
+constexpr duration_ms successor_heard_within{400};
+
+std::vector<replica_id> without(std::vector<replica_id> from,
+                                const replica_id &removed) {
+  std::erase(from, removed);
+  return from;
+}
+
+} // namespace
+
+std::uint64_t hash_of(const wire::RecordMembers &members) {
+  std::uint64_t hash = 0;
+  for (const wire::RecordMember &each : members.members()) {
+    hash = stable_hash(each.address(), hash);
+    hash = stable_hash(fmt::format("{}", from_wire(each.replica())), hash);
+  }
+  return hash;
+}
+
+record_node::record_node(wire::RecordMember self,
+                         storage::recovered_state recovered,
+                         record_node_options options, timestamp now,
+                         std::uint64_t random)
+    : self_(std::move(self)), options_(options) {
+  self_id_ = {make_node_id(self_.name()), recovered.identity};
+  *self_.mutable_replica() = to_wire(self_id_);
+  table_.restore(recovered.snapshot);
+  log_.emplace(the_partition, self_id_, std::move(recovered.replica),
+               options_.raft, now, random);
+  learn_members(recovered.members);
+  members_[self_id_] = {.record = self_, .heard = now};
+}
+
+void record_node::found(timestamp now, std::uint64_t random) {
+  raft::saved_replica first;
+  first.hard = {.term = log_->term().value(), .voted_for = std::nullopt};
+  first.base.voters = {self_id_};
+  log_.emplace(the_partition, self_id_, std::move(first), options_.raft, now,
+               random);
+  log_->mark_base_unsaved();
+  installed_ = wire::RecordSnapshot();
+  note(logging::event::record_group_founded, fmt::format("{}", self_id_));
+}
+
+void record_node::receive(wire::Envelope envelope) {
+  inbox_.push_back(std::move(envelope));
+}
+
+void record_node::learn_members(const wire::RecordMembers &members) {
+  for (const wire::RecordMember &each : members.members()) {
+    learn(each, timestamp{});
+  }
+}
+
+void record_node::learn(const wire::RecordMember &record, timestamp now) {
+  const replica_id id = from_wire(record.replica());
+  if (id == self_id_ || log_->is_dead(id)) {
+    return;
+  }
+  const auto known = members_.find(id);
+  if (known == members_.end()) {
+    members_[id] = {.record = record, .heard = now};
+    members_changed_ = true;
+    return;
+  }
+  if (known->second.record.address() != record.address()) {
+    known->second.record = record;
+    members_changed_ = true;
+  }
+  known->second.heard = std::max(known->second.heard, now);
+}
+
+void record_node::note_heard(const replica_id &from, timestamp now) {
+  const auto known = members_.find(from);
+  if (known != members_.end()) {
+    known->second.heard = now;
+  }
+}
+
+record_effects record_node::step(timestamp now, std::uint64_t wall_ms,
+                                 std::uint64_t random) {
+  raft::outbox out;
+  std::vector<wire::Envelope> taken;
+  taken.swap(inbox_);
+  for (wire::Envelope &envelope : taken) {
+    reduce(envelope, now, random, out);
+  }
+  detect_dead(now);
+  log_->tick(now, random, out);
+  propose_batch(now, wall_ms, out);
+  if (log_->is_leader() && was_leader_) {
+    maintain(now, out);
+  }
+  say_hello(now);
+  record_effects effects;
+  flush(out, effects);
+  effects.write = log_->take_unsaved();
+  effects.installed = std::exchange(installed_, std::nullopt);
+  if (std::exchange(members_changed_, false)) {
+    effects.members = members();
+  }
+  return effects;
+}
+
+record_effects record_node::after_write(timestamp now) {
+  record_effects effects;
+  for (const wire::LogEntry &entry : log_->take_committed()) {
+    if (entry.has_replicas()) {
+      note(logging::event::replica_set_changed,
+           fmt::format("index {} voters {}", entry.index(),
+                       entry.replicas().voters_size()));
+    }
+    if (!entry.has_command()) {
+      continue;
+    }
+    const auto outcomes = table_.apply(entry.command().record_batch());
+    answer(entry.index(), outcomes, effects);
+  }
+  follow_leadership(now);
+  members_[self_id_].heard = now;
+  effects.messages.insert(effects.messages.end(),
+                          std::make_move_iterator(outgoing_.begin()),
+                          std::make_move_iterator(outgoing_.end()));
+  outgoing_.clear();
+  effects.log = std::exchange(events_, {});
+  return effects;
+}
+
+void record_node::reduce(wire::Envelope &envelope, timestamp now,
+                         std::uint64_t random, raft::outbox &out) {
+  const replica_id from{node_id{envelope.from()},
+                        boot_id{envelope.from_boot()}};
+  if (log_->is_dead(from)) {
+    return; // sent before its disk was lost
+  }
+  note_heard(from, now);
+  switch (envelope.body_case()) {
+  case wire::Envelope::kRecordRequest:
+    on_request(envelope.record_request());
+    break;
+  case wire::Envelope::kRecordHello:
+    on_hello(envelope.record_hello(), now);
+    break;
+  case wire::Envelope::kRecordMembers:
+    for (const auto &each : envelope.record_members().members()) {
+      learn(each, timestamp{});
+    }
+    break;
+  case wire::Envelope::kVoteRequest:
+    log_->handle(envelope.vote_request(), now, random, out);
+    break;
+  case wire::Envelope::kVoteReply:
+    log_->handle(envelope.vote_reply(), now, out);
+    break;
+  case wire::Envelope::kAppendRequest:
+    leader_heard_ = now;
+    log_->handle(envelope.append_request(), now, random, out);
+    break;
+  case wire::Envelope::kAppendReply:
+    log_->handle(envelope.append_reply(), now, out);
+    break;
+  case wire::Envelope::kHeartbeatBatch: {
+    leader_heard_ = now;
+    wire::Envelope reply;
+    auto &batch = *reply.mutable_heartbeat_reply_batch();
+    *batch.mutable_follower() = to_wire(self_id_);
+    for (const auto &beat : envelope.heartbeat_batch().heartbeats()) {
+      batch.add_replies()->set_term(log_->handle(from, beat, now, random));
+    }
+    send(address_of(from), std::move(reply));
+    break;
+  }
+  case wire::Envelope::kHeartbeatReplyBatch:
+    for (const auto &beat : envelope.heartbeat_reply_batch().replies()) {
+      log_->handle(from, beat, now, out);
+    }
+    break;
+  case wire::Envelope::kSnapshotRequest: {
+    leader_heard_ = now;
+    if (log_->handle(envelope.snapshot_request(), now, random, out)) {
+      table_.restore(envelope.snapshot_request().records());
+      installed_ = envelope.snapshot_request().records();
+      note(logging::event::record_snapshot_installed,
+           fmt::format("index {}", envelope.snapshot_request().last_index()));
+    }
+    break;
+  }
+  case wire::Envelope::kTransferLeadership:
+    log_->handle(envelope.transfer_leadership(), now, random, out);
+    break;
+  default:
+    break; // other parts of the product speak here too
+  }
+}
+
+void record_node::on_request(const wire::RecordRequest &request) {
+  if (!log_->is_leader()) {
+    refuse(request);
+    return;
+  }
+  for (const wire::RecordRequestItem &item : request.items()) {
+    proposals_.emplace_back(asker{.reply_to = request.reply_to(),
+                                  .id = item.id(),
+                                  .members_hash = request.members_hash()},
+                            item.change());
+  }
+}
+
+void record_node::refuse(const wire::RecordRequest &request) {
+  wire::Envelope envelope;
+  wire::RecordReply &reply = *envelope.mutable_record_reply();
+  reply.set_not_leader(true);
+  reply.set_leader_address(leader_address());
+  for (const wire::RecordRequestItem &item : request.items()) {
+    reply.add_refused(item.id());
+  }
+  const wire::RecordMembers known = members();
+  if (hash_of(known) != request.members_hash()) {
+    *reply.mutable_members() = known;
+  }
+  send(request.reply_to(), std::move(envelope));
+}
+
+void record_node::on_hello(const wire::RecordHello &hello, timestamp now) {
+  learn(hello.self(), now);
+  wire::Envelope envelope;
+  *envelope.mutable_record_members() = members();
+  send(hello.self().address(), std::move(envelope));
+}
+
+void record_node::propose_batch(timestamp now, std::uint64_t wall_ms,
+                                raft::outbox &out) {
+  if (proposals_.empty() || !log_->is_leader()) {
+    proposals_.clear(); // whoever asked will ask the next leader
+    return;
+  }
+  wire::Command command;
+  wire::RecordBatch &batch = *command.mutable_record_batch();
+  batch.set_time_ms(wall_ms);
+  std::vector<asker> who;
+  for (auto &[asked_by, change] : proposals_) {
+    *batch.add_changes() = std::move(change);
+    who.push_back(std::move(asked_by));
+  }
+  proposals_.clear();
+  const auto index = log_->propose(std::move(command), now, out);
+  if (index) {
+    askers_[index.value().value()] = std::move(who);
+  }
+}
+
+void record_node::answer(std::uint64_t index,
+                         const std::vector<wire::RecordReplyItem> &outcomes,
+                         record_effects &effects) {
+  const auto found = askers_.find(index);
+  if (found == askers_.end()) {
+    return;
+  }
+  std::map<std::string, std::pair<wire::RecordReply, std::uint64_t>> replies;
+  for (std::size_t place = 0; place < found->second.size(); ++place) {
+    const asker &who = found->second[place];
+    auto &[reply, known_hash] = replies[who.reply_to];
+    known_hash = who.members_hash;
+    wire::RecordReplyItem &item = *reply.add_items();
+    item = outcomes.at(place);
+    item.set_id(who.id);
+  }
+  askers_.erase(found);
+  const wire::RecordMembers known = members();
+  const std::uint64_t hash = hash_of(known);
+  for (auto &[address, entry] : replies) {
+    auto &[reply, known_hash] = entry;
+    reply.set_leader_address(self_.address());
+    if (known_hash != hash) {
+      *reply.mutable_members() = known;
+    }
+    wire::Envelope envelope;
+    *envelope.mutable_record_reply() = std::move(reply);
+    envelope.set_from(self_id_.node.value());
+    envelope.set_from_boot(self_id_.boot.value());
+    effects.messages.push_back({address, std::move(envelope)});
+  }
+}
+
+void record_node::follow_leadership(timestamp now) {
+  const bool leads = log_->is_leader();
+  if (leads == was_leader_) {
+    return;
+  }
+  was_leader_ = leads;
+  note(leads ? logging::event::record_leadership_gained
+             : logging::event::record_leadership_lost,
+       fmt::format("term {} commit {} last {}", log_->term(),
+                   log_->commit_index(), log_->last_index()));
+  if (leads) {
+    leading_since_ = now;
+  } else {
+    askers_.clear();
+  }
+  learners_.clear();
+}
+
+void record_node::say_hello(timestamp now) {
+  const bool served = log_->is_leader() || now < leader_heard_ + lost_after;
+  if (served || now < next_hello_) {
+    return;
+  }
+  next_hello_ = now + options_.hello_interval;
+  for (const auto &[id, known] : members_) {
+    if (id != self_id_) {
+      wire::Envelope envelope;
+      *envelope.mutable_record_hello()->mutable_self() = self_;
+      send(known.record.address(), std::move(envelope));
+    }
+  }
+}
+
+std::vector<node_view> record_node::view(timestamp now) const {
+  std::vector<node_view> nodes;
+  for (const auto &[id, known] : members_) {
+    const bool is_self = id == self_id_;
+    const bool unheard = known.heard == timestamp{};
+    const timestamp heard = unheard ? timestamp{} : known.heard;
+    // A leader that has just begun knows of nobody how long he was silent.
+    const timestamp since = std::max(heard, leading_since_);
+    nodes.push_back(
+        {.replica = id,
+         .votes = log_->is_voter(id),
+         .is_self = is_self,
+         .alive = is_self || (!unheard && now < heard + options_.alive_for),
+         .long_silent = !is_self && now >= since + options_.replace_after,
+         .dead = log_->is_dead(id),
+         .caught_up = log_->is_learner(id) && log_->caught_up(id),
+         .retiring = retiring_.contains(known.record.name())});
+  }
+  for (const replica_id &voter : log_->voters()) {
+    if (!members_.contains(voter)) {
+      nodes.push_back(
+          {.replica = voter,
+           .votes = true,
+           .long_silent = now >= leading_since_ + options_.replace_after,
+           .dead = log_->is_dead(voter)});
+    }
+  }
+  return nodes;
+}
+
+void record_node::maintain(timestamp now, raft::outbox &out) {
+  std::erase_if(learners_, [&](const replica_id &learner) {
+    const auto known = members_.find(learner);
+    const bool silent = known == members_.end() ||
+                        now >= known->second.heard + drop_learner_after;
+    const bool gone = silent || log_->is_dead(learner);
+    if (gone) {
+      log_->drop_learner(learner);
+    }
+    return gone || log_->is_voter(learner);
+  });
+  if (log_->change_in_progress()) {
+    return;
+  }
+  const auto change =
+      next_change(view(now), learners_, options_.desired_voters);
+  if (change) {
+    carry_out(*change, now, out);
+  }
+}
+
+void record_node::detect_dead(timestamp now) {
+  std::vector<replica_id> gone;
+  for (const auto &[id, known] : members_) {
+    const bool silent = now >= known.heard + dead_after_silence;
+    if (id == self_id_ || !silent) {
+      continue;
+    }
+    const bool succeeded =
+        std::any_of(members_.begin(), members_.end(), [&](const auto &entry) {
+          const auto &[other, state] = entry;
+          return other.node == id.node && other != id &&
+                 now < state.heard + successor_heard_within;
+        });
+    if (succeeded) {
+      gone.push_back(id);
+    }
+  }
+  for (const replica_id &id : gone) {
+    log_->declare_dead(id);
+    members_.erase(id);
+    members_changed_ = true;
+  }
+}
+
+void record_node::carry_out(const group_change &change, timestamp now,
+                            raft::outbox &out) {
+  std::vector<replica_id> voters = log_->voters();
+  if (const auto *learner = std::get_if<add_learner>(&change)) {
+    learners_.push_back(learner->replica);
+    log_->add_learner(learner->replica, now, out);
+    note(logging::event::record_member_added,
+         fmt::format("learner {}", learner->replica));
+    return;
+  }
+  if (std::holds_alternative<hand_over>(change)) {
+    std::set<replica_id> eligible;
+    for (const node_view &each : view(now)) {
+      if (each.votes && each.alive && !each.retiring && !each.is_self) {
+        eligible.insert(each.replica);
+      }
+    }
+    log_->transfer_leadership(eligible, out);
+    return;
+  }
+  logging::event number = logging::event::record_member_added;
+  std::string detail;
+  if (const auto *added = std::get_if<add_voter>(&change)) {
+    voters.push_back(added->replica);
+    detail = fmt::format("voter {}", added->replica);
+  } else if (const auto *removed = std::get_if<remove_voter>(&change)) {
+    voters = without(std::move(voters), removed->replica);
+    number = logging::event::record_member_removed;
+    detail = fmt::format("voter {}", removed->replica);
+  } else if (const auto *replaced = std::get_if<replace_voter>(&change)) {
+    std::replace(voters.begin(), voters.end(), replaced->dead,
+                 replaced->successor);
+    number = logging::event::record_member_replaced;
+    detail = fmt::format("voter {} by {}", replaced->dead, replaced->successor);
+  }
+  if (!log_->change_replicas(voters, now, out)) {
+    note(number, std::move(detail));
+  }
+}
+
+std::set<std::string> record_node::emptied() const {
+  std::set<std::string> names;
+  if (!log_->is_leader() || log_->change_in_progress()) {
+    return names;
+  }
+  const std::vector<replica_id> &voters = log_->voters();
+  const bool all_hold_everything =
+      std::all_of(voters.begin(), voters.end(), [this](const auto &voter) {
+        return voter == self_id_ ||
+               log_->match_index(voter) >= log_->commit_index().value();
+      });
+  for (const std::string &name : retiring_) {
+    const node_id node = make_node_id(name);
+    const bool votes =
+        std::any_of(voters.begin(), voters.end(),
+                    [node](const auto &voter) { return voter.node == node; });
+    if (!votes && all_hold_everything && log_->established()) {
+      names.insert(name);
+    }
+  }
+  return names;
+}
+
+void record_node::flush(raft::outbox &out, record_effects &effects) {
+  for (raft::outgoing &message : out.messages) {
+    message.envelope.set_from(self_id_.node.value());
+    message.envelope.set_from_boot(self_id_.boot.value());
+    const std::string address = address_of(message.to);
+    if (address.empty()) {
+      continue;
+    }
+    const bool early = message.envelope.has_append_request();
+    (early ? effects.early : outgoing_)
+        .push_back({address, std::move(message.envelope)});
+  }
+  for (const raft::outgoing_heartbeat &beat : out.heartbeats) {
+    wire::Envelope envelope;
+    auto &batch = *envelope.mutable_heartbeat_batch();
+    *batch.mutable_leader() = to_wire(self_id_);
+    *batch.add_heartbeats() = beat.heartbeat;
+    send(address_of(beat.to), std::move(envelope));
+  }
+  for (const replica_id &follower : out.snapshots_wanted) {
+    wire::Envelope envelope;
+    wire::SnapshotRequest &snapshot = *envelope.mutable_snapshot_request();
+    snapshot = log_->snapshot_header();
+    *snapshot.mutable_records() = table_.snapshot();
+    note(logging::event::snapshot_sent,
+         fmt::format("to {} index {}", follower, snapshot.last_index()));
+    send(address_of(follower), std::move(envelope));
+  }
+}
+
+std::string record_node::address_of(const replica_id &replica) const {
+  const auto known = members_.find(replica);
+  return known == members_.end() ? std::string()
+                                 : known->second.record.address();
+}
+
+std::string record_node::leader_address() const {
+  const auto leader = log_->leader();
+  return leader ? address_of(*leader) : std::string();
+}
+
+wire::RecordMembers record_node::members() const {
+  wire::RecordMembers all;
+  for (const auto &[id, known] : members_) {
+    *all.add_members() = known.record;
+  }
+  return all;
+}
+
+void record_node::send(std::string address, wire::Envelope envelope) {
+  if (address.empty()) {
+    return;
+  }
+  envelope.set_from(self_id_.node.value());
+  envelope.set_from_boot(self_id_.boot.value());
+  outgoing_.push_back({std::move(address), std::move(envelope)});
+}
+
+void record_node::note(logging::event number, std::string detail) {
+  events_.push_back({number, std::move(detail)});
+}
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/record_node.hpp
@@ -0,0 +1,168 @@
+// One storage node of the record group: a reducer over messages and time. What
+// is to be done comes out as effects; it does no I/O, reads no clock and draws
+// no randomness.
+//
+// A step is carried out in this order: send the early messages, write the
+// changes to disk, then send the rest. Early are only a leader's entries, which
+// count for nothing until others acknowledge them; votes, acknowledgements and
+// answers leave after the disk has what they promise.
+#pragma once
+
+#include "base/time.hpp"
+#include "logging/event_catalogue.hpp"
+#include "raft/consensus.hpp"
+#include "records/group_plan.hpp"
+#include "records/record_table.hpp"
+#include "storage/log_storage.hpp"
+#include "wire/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace heathtrestle::records {
+
+struct record_node_options {
+  raft::options raft{.heartbeat_interval = duration_ms{100},
+                     .election_timeout = duration_ms{500},
+                     .retained_entries = 512,
+                     .entries_per_append = 256};
+  std::size_t desired_voters = 3;
+  /// A node not heard from for this long is not counted as alive.
+  duration_ms alive_for{800};
+  /// A voter silent for this long gives way to a spare node.
+  duration_ms replace_after{1500};
+  duration_ms hello_interval{300};
+};
+
+/// A message to an address ("ip:port").
+struct addressed_message {
+  std::string address;
+  wire::Envelope envelope;
+};
+
+/// A line for the log.
+struct logged_event {
+  logging::event number;
+  std::string detail;
+};
+
+/// What one step wants done.
+struct record_effects {
+  std::vector<addressed_message> early;
+  raft::unsaved_changes write;
+  /// Set when `write` installs a snapshot.
+  std::optional<wire::RecordSnapshot> installed;
+  /// Set when the member list is to be written.
+  std::optional<wire::RecordMembers> members;
+  std::vector<addressed_message> messages;
+  std::vector<logged_event> log;
+};
+
+class record_node {
+public:
+  /// @param self how others know this node; its replica carries the identity
+  /// that its disk has.
+  record_node(wire::RecordMember self, storage::recovered_state recovered,
+              record_node_options options, timestamp now, std::uint64_t random);
+
+  /// Makes this node the group's first voter. Only for the one process that
+  /// the object store has named as founder.
+  void found(timestamp now, std::uint64_t random);
+  [[nodiscard]] bool has_group() const {
+    return log_.has_value() && !log_->voters().empty();
+  }
+
+  /// Takes in messages; the time is given by the next `step`.
+  void receive(wire::Envelope envelope);
+  /// Storage nodes that the object store or a peer knows of.
+  void learn_members(const wire::RecordMembers &members);
+  /// Names of the nodes whose machines are to be emptied.
+  void set_retiring(std::set<std::string> names) {
+    retiring_ = std::move(names);
+  }
+
+  /// Reduces all that has come in, up to the write.
+  /// @param wall_ms time of day, stamped on what is proposed.
+  record_effects step(timestamp now, std::uint64_t wall_ms,
+                      std::uint64_t random);
+  /// Goes on when the write is durable: applies what is committed.
+  record_effects after_write(timestamp now);
+
+  /// Retiring nodes that hold nothing any more which the others lack.
+  [[nodiscard]] std::set<std::string> emptied() const;
+  [[nodiscard]] bool is_leader() const {
+    return log_.has_value() && log_->is_leader();
+  }
+  [[nodiscard]] const record_table &table() const { return table_; }
+  [[nodiscard]] const raft::consensus *log() const {
+    return log_ ? &*log_ : nullptr;
+  }
+  [[nodiscard]] wire::RecordMembers members() const;
+  [[nodiscard]] const wire::RecordMember &self() const { return self_; }
+
+private:
+  struct member {
+    wire::RecordMember record;
+    timestamp heard{};
+  };
+  /// Who asked for a change that is in the log.
+  struct asker {
+    std::string reply_to;
+    std::uint64_t id = 0;
+    std::uint64_t members_hash = 0;
+  };
+
+  void reduce(wire::Envelope &envelope, timestamp now, std::uint64_t random,
+              raft::outbox &out);
+  void on_request(const wire::RecordRequest &request);
+  void on_hello(const wire::RecordHello &hello, timestamp now);
+  void note_heard(const replica_id &from, timestamp now);
+  void learn(const wire::RecordMember &record, timestamp now);
+  void propose_batch(timestamp now, std::uint64_t wall_ms, raft::outbox &out);
+  void refuse(const wire::RecordRequest &request);
+  void say_hello(timestamp now);
+  void maintain(timestamp now, raft::outbox &out);
+  void carry_out(const group_change &change, timestamp now, raft::outbox &out);
+  [[nodiscard]] std::vector<node_view> view(timestamp now) const;
+  void flush(raft::outbox &out, record_effects &effects);
+  void answer(std::uint64_t index,
+              const std::vector<wire::RecordReplyItem> &outcomes,
+              record_effects &effects);
+  void follow_leadership(timestamp now);
+  /// Declares identities dead whose node speaks under another one.
+  void detect_dead(timestamp now);
+  [[nodiscard]] std::string address_of(const replica_id &replica) const;
+  [[nodiscard]] std::string leader_address() const;
+  void send(std::string address, wire::Envelope envelope);
+  void note(logging::event number, std::string detail);
+
+  wire::RecordMember self_;
+  replica_id self_id_;
+  record_node_options options_;
+  record_table table_;
+  std::optional<raft::consensus> log_;
+  std::map<replica_id, member> members_;
+  bool members_changed_ = false;
+  std::set<std::string> retiring_;
+
+  std::vector<wire::Envelope> inbox_;
+  std::vector<std::pair<asker, wire::RecordChange>> proposals_;
+  std::map<std::uint64_t, std::vector<asker>> askers_; // by log index
+  std::vector<addressed_message> outgoing_;
+  std::vector<logged_event> events_;
+  std::optional<wire::RecordSnapshot> installed_;
+  std::vector<replica_id> learners_;
+  bool was_leader_ = false;
+  timestamp next_hello_{};
+  timestamp leader_heard_{};
+  timestamp leading_since_{};
+};
+
+/// Identifies a member list, so that it is sent only to those that lack it.
+std::uint64_t hash_of(const wire::RecordMembers &members);
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/record_table.cpp
@@ -0,0 +1,191 @@
+#include "records/record_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace heathtrestle::records {
+
+namespace {
+
+constexpr std::uint64_t sweep_interval_ms = 5000;
+/// Kept beyond what was asked, since the clocks of two leaders may differ.
+constexpr std::uint64_t clock_slack_ms = 15000;
+
+} // namespace
+
+std::vector<wire::RecordReplyItem>
+record_table::apply(const wire::RecordBatch &batch) {
+  now_ms_ = std::max(now_ms_, batch.time_ms());
+  std::vector<wire::RecordReplyItem> replies;
+  replies.reserve(static_cast<std::size_t>(batch.changes_size()));
+  for (const wire::RecordChange &change : batch.changes()) {
+    replies.push_back(change.has_begin() ? begin(change.begin())
+                                         : end(change.end()));
+  }
+  if (now_ms_ >= next_sweep_ms_) {
+    next_sweep_ms_ = now_ms_ + sweep_interval_ms;
+    drop_expired();
+  }
+  return replies;
+}
+
+wire::RecordReplyItem record_table::begin(const wire::BeginTurn &wanted) {
+  wire::RecordReplyItem reply;
+  if (!wanted.previous().empty() && find_turn(wanted.previous()) == nullptr) {
+    reply.set_verdict(wire::RECORD_UNKNOWN_TURN);
+    return reply;
+  }
+  program &account = account_of(wanted.program(), wanted.keep_ms());
+  const bool ended = account.closed.contains(wanted.attempt());
+  const bool granted_before = account.open.contains(wanted.attempt());
+  const std::uint64_t committed = account.spent + account.reserved;
+  if (ended) {
+    reply.set_verdict(wire::RECORD_UNAVAILABLE);
+  } else if (granted_before) {
+    reply.set_verdict(wire::RECORD_GRANTED);
+  } else if (committed + wanted.most() > wanted.budget()) {
+    reply.set_verdict(wire::RECORD_BUDGET_SPENT);
+  } else {
+    account.open[wanted.attempt()] = wanted.most();
+    account.reserved += wanted.most();
+    reply.set_verdict(wire::RECORD_GRANTED);
+  }
+  reply.set_spent(account.spent);
+  reply.set_reserved(account.reserved);
+  const bool granted = reply.verdict() == wire::RECORD_GRANTED;
+  if (granted && wanted.want_history()) {
+    add_history(wanted.previous(), reply);
+  }
+  return reply;
+}
+
+wire::RecordReplyItem record_table::end(const wire::EndTurn &ended) {
+  program &account = account_of(ended.program(), ended.keep_ms());
+  const bool first = account.closed.insert(ended.attempt()).second;
+  const auto reserved = account.open.find(ended.attempt());
+  if (reserved != account.open.end()) {
+    account.reserved -= reserved->second;
+    account.open.erase(reserved);
+  }
+  if (first) {
+    account.spent += ended.used();
+  }
+  if (!ended.kept().id().empty()) {
+    keep(ended.kept(), ended.keep_ms());
+  }
+  wire::RecordReplyItem reply;
+  reply.set_verdict(wire::RECORD_DONE);
+  reply.set_spent(account.spent);
+  reply.set_reserved(account.reserved);
+  return reply;
+}
+
+record_table::program &record_table::account_of(const std::string &id,
+                                                std::uint64_t keep_ms) {
+  program &account = programs_[id];
+  if (account.expires_ms != 0 && now_ms_ >= account.expires_ms) {
+    account = program{};
+  }
+  account.expires_ms =
+      std::max(account.expires_ms, now_ms_ + keep_ms + clock_slack_ms);
+  return account;
+}
+
+const record_table::kept_turn *
+record_table::find_turn(const std::string &id) const {
+  const auto found = turns_.find(id);
+  const bool there =
+      found != turns_.end() && now_ms_ < found->second.expires_ms;
+  return there ? &found->second : nullptr;
+}
+
+void record_table::keep(const wire::RecordTurn &turn, std::uint64_t keep_ms) {
+  const std::uint64_t expires = now_ms_ + keep_ms + clock_slack_ms;
+  if (find_turn(turn.id()) == nullptr) {
+    turns_[turn.id()] = kept_turn{.turn = turn, .expires_ms = expires};
+  }
+  // A turn is kept with its whole chain.
+  std::string id = turn.id();
+  while (!id.empty()) {
+    const auto found = turns_.find(id);
+    if (found == turns_.end()) {
+      break;
+    }
+    found->second.expires_ms = std::max(found->second.expires_ms, expires);
+    id = found->second.turn.previous();
+  }
+}
+
+void record_table::add_history(const std::string &last,
+                               wire::RecordReplyItem &reply) const {
+  std::vector<const wire::RecordTurn *> chain;
+  std::string id = last;
+  while (!id.empty()) {
+    const kept_turn *found = find_turn(id);
+    if (found == nullptr) {
+      break;
+    }
+    chain.push_back(&found->turn);
+    id = found->turn.previous();
+  }
+  for (auto each = chain.rbegin(); each != chain.rend(); ++each) {
+    *reply.add_history() = **each;
+  }
+}
+
+void record_table::drop_expired() {
+  std::erase_if(programs_, [this](const auto &entry) {
+    return now_ms_ >= entry.second.expires_ms;
+  });
+  std::erase_if(turns_, [this](const auto &entry) {
+    return now_ms_ >= entry.second.expires_ms;
+  });
+}
+
+wire::RecordSnapshot record_table::snapshot() const {
+  wire::RecordSnapshot state;
+  state.set_time_ms(now_ms_);
+  for (const auto &[id, account] : programs_) {
+    wire::RecordProgram &saved = *state.add_programs();
+    saved.set_id(id);
+    saved.set_spent(account.spent);
+    saved.set_expires_ms(account.expires_ms);
+    for (const auto &[attempt, most] : account.open) {
+      wire::RecordOpenTurn &open = *saved.add_open();
+      open.set_attempt(attempt);
+      open.set_most(most);
+    }
+    for (const std::string &attempt : account.closed) {
+      saved.add_closed(attempt);
+    }
+  }
+  for (const auto &[id, kept] : turns_) {
+    wire::RecordKeptTurn &saved = *state.add_turns();
+    *saved.mutable_turn() = kept.turn;
+    saved.set_expires_ms(kept.expires_ms);
+  }
+  return state;
+}
+
+void record_table::restore(const wire::RecordSnapshot &snapshot) {
+  now_ms_ = snapshot.time_ms();
+  next_sweep_ms_ = now_ms_;
+  programs_.clear();
+  turns_.clear();
+  for (const wire::RecordProgram &saved : snapshot.programs()) {
+    program &account = programs_[saved.id()];
+    account.spent = saved.spent();
+    account.expires_ms = saved.expires_ms();
+    for (const wire::RecordOpenTurn &open : saved.open()) {
+      account.open[open.attempt()] = open.most();
+      account.reserved += open.most();
+    }
+    account.closed.insert(saved.closed().begin(), saved.closed().end());
+  }
+  for (const wire::RecordKeptTurn &saved : snapshot.turns()) {
+    turns_[saved.turn().id()] = {.turn = saved.turn(),
+                                 .expires_ms = saved.expires_ms()};
+  }
+}
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/record_table.hpp
@@ -0,0 +1,64 @@
+// The state machine of the record group: what each program has spent and
+// reserved of its budget, and the turns that are kept.
+//
+// Deterministic: time comes with each batch and never runs backwards. The same
+// batches in the same order leave the same state on every replica.
+#pragma once
+
+#include "records/turn_ledger.hpp"
+#include "wire/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace heathtrestle::records {
+
+class record_table {
+public:
+  /// Applies one entry of the log.
+  /// @return the outcome of each change, in order, without ids.
+  std::vector<wire::RecordReplyItem> apply(const wire::RecordBatch &batch);
+
+  [[nodiscard]] wire::RecordSnapshot snapshot() const;
+  void restore(const wire::RecordSnapshot &snapshot);
+
+  [[nodiscard]] std::size_t programs() const { return programs_.size(); }
+  [[nodiscard]] std::size_t turns() const { return turns_.size(); }
+
+private:
+  /// A program's account, in tokens.
+  struct program {
+    std::uint64_t spent = 0;
+    std::uint64_t reserved = 0; // the sum of `open`
+    std::map<std::string, std::uint64_t> open;
+    /// Attempts whose end is known; a late copy of their beginning is refused.
+    std::set<std::string> closed;
+    std::uint64_t expires_ms = 0;
+  };
+  struct kept_turn {
+    wire::RecordTurn turn;
+    std::uint64_t expires_ms = 0;
+  };
+
+  wire::RecordReplyItem begin(const wire::BeginTurn &wanted);
+  wire::RecordReplyItem end(const wire::EndTurn &ended);
+  /// The account, without what has expired.
+  program &account_of(const std::string &id, std::uint64_t keep_ms);
+  /// @return null when it was never kept or has expired. What has expired is
+  /// absent from its time on, whether a sweep has been over it or not, so that
+  /// replicas which sweep at other times still agree.
+  [[nodiscard]] const kept_turn *find_turn(const std::string &id) const;
+  void keep(const wire::RecordTurn &turn, std::uint64_t keep_ms);
+  void add_history(const std::string &last, wire::RecordReplyItem &reply) const;
+  void drop_expired();
+
+  std::uint64_t now_ms_ = 0;
+  std::uint64_t next_sweep_ms_ = 0;
+  std::unordered_map<std::string, program> programs_;
+  std::unordered_map<std::string, kept_turn> turns_;
+};
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/store_process.cpp
@@ -0,0 +1,214 @@
+#include "records/store_process.hpp"
+
+#include "http/status_server.hpp"
+#include "logging/log.hpp"
+#include "objects/object_watch.hpp"
+#include "objects/peer_listing.hpp"
+#include "records/group_directory.hpp"
+#include "records/record_runtime.hpp"
+#include "runtime/process_signals.hpp"
+
+#include <cstdlib>
+#include <memory>
+#include <random>
+#include <set>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+namespace heathtrestle::records {
+
+namespace {
+
+constexpr duration_ms retirement_check{200};
+constexpr std::uint32_t status_not_found = 404;
+
+/// Follows the operator's requests to empty machines and reports on them.
+class retirement_watch {
+public:
+  retirement_watch(asio::io_context &io, const store_binding &binding,
+                   record_runtime &runtime)
+      : io_(io), binding_(binding), runtime_(runtime),
+        watch_(io, *binding.store, {}, cache_,
+               {.kind = binding.retirement_kind},
+               {.on_listing =
+                    [this](const objects::listing &listed) {
+                      requested_.clear();
+                      for (const objects::object &each : listed.items) {
+                        requested_.insert(each.name);
+                      }
+                      tell();
+                    },
+                .on_change =
+                    [this](const objects::change &changed) {
+                      if (changed.deleted) {
+                        requested_.erase(changed.changed.name);
+                      } else {
+                        requested_.insert(changed.changed.name);
+                      }
+                      tell();
+                    }}) {}
+
+  void start() {
+    asio::co_spawn(io_, watch_.run(), asio::detached);
+    asio::co_spawn(io_, report(), asio::detached);
+  }
+
+private:
+  void tell() { runtime_.node().set_retiring(requested_); }
+
+  asio::awaitable<void> report() {
+    asio::steady_timer timer(io_);
+    while (true) {
+      timer.expires_after(retirement_check);
+      co_await timer.async_wait(as_result);
+      if (!runtime_.node().is_leader()) {
+        reported_.clear();
+        continue;
+      }
+      const std::set<std::string> emptied = runtime_.node().emptied();
+      for (const std::string &name : requested_) {
+        co_await report_one(name, emptied.contains(name));
+      }
+    }
+  }
+
+  asio::awaitable<void> report_one(std::string name, bool completed) {
+    const auto known = reported_.find(name);
+    if (known != reported_.end() && known->second == completed) {
+      co_return;
+    }
+    const auto written = co_await binding_.store->put_status(
+        binding_.retirement_kind, name, binding_.retirement_status(completed));
+    if (!written) {
+      co_return;
+    }
+    reported_[name] = completed;
+    logging::line(logging::event::retirement_progress)
+        .field("node", name)
+        .field("completed", completed)
+        .field("commit", runtime_.node().log()->commit_index().value())
+        .field("voters", runtime_.node().log()->voters().size())
+        .write();
+  }
+
+  asio::io_context &io_;
+  const store_binding &binding_;
+  record_runtime &runtime_;
+  objects::object_cache cache_;
+  std::set<std::string> requested_;
+  std::map<std::string, bool> reported_;
+  objects::object_watch watch_;
+};
+
+std::uint64_t draw_identity() {
+  std::random_device device;
+  constexpr unsigned half = 32;
+  return (static_cast<std::uint64_t>(device()) << half) | device();
+}
+
+} // namespace
+
+void describe_settings(config::settings_schema &schema,
+                       store_settings &settings) {
+  constexpr std::uint64_t most_lines = 100000;
+  schema.text("node.name", settings.name,
+              "name of this process, unique among the storage nodes", true);
+  schema.text("node.zone", settings.zone, "zone of this machine");
+  schema.address("listen.rpc", settings.rpc_address,
+                 "where gateways and storage nodes reach this one", true);
+  schema.address("listen.metrics", settings.metrics_address,
+                 "where counters are served at /metrics", true);
+  schema.text("data.directory", settings.data_directory,
+              "folder on the machine's disk, for this process alone", true);
+  schema.flag("cluster.first_start", settings.first_start,
+              "whether the whole system starts for the first time, with empty "
+              "disks");
+  schema.texts("cluster.seeds", settings.seeds,
+               "peer addresses to ask while the object store is down; they "
+               "may be stale");
+  schema.address("store.address", settings.store_address,
+                 "the platform's object store", true);
+  schema.choice("log.level", settings.log_level,
+                {"debug", "info", "warning", "error"},
+                "least severity that is logged");
+  schema.integer("log.lines_per_second", settings.log_lines, 1, most_lines,
+                 "lines a second that are logged at most, and as many again "
+                 "of warnings; the rest is counted");
+}
+
+int run_store(asio::io_context &io, const store_settings &settings,
+              const store_binding &binding) {
+  auto disk =
+      storage::log_storage::open(settings.data_directory, draw_identity());
+  if (!disk) {
+    logging::write(logging::event::record_storage_failed,
+                   describe(disk.error()));
+    return EXIT_FAILURE;
+  }
+  auto recovered = disk.value()->recover();
+  if (!recovered) {
+    logging::write(logging::event::record_storage_failed,
+                   describe(recovered.error()));
+    return EXIT_FAILURE;
+  }
+  logging::line(logging::event::record_log_recovered)
+      .field("identity",
+             fmt::format("{:016x}", recovered.value().identity.value()))
+      .field("new_disk", recovered.value().is_new)
+      .field("base", recovered.value().replica.base.index)
+      .field("entries", recovered.value().replica.entries.size())
+      .field("term", recovered.value().replica.hard.term)
+      .write();
+  wire::RecordMember self;
+  self.set_name(settings.name);
+  self.set_address(settings.rpc_address);
+  self.set_zone(settings.zone);
+  record_runtime runtime(io, std::move(self), std::move(disk).value(),
+                         std::move(recovered).value());
+  const auto started = runtime.start();
+  if (!started) {
+    logging::write(logging::event::http_server_failed,
+                   describe(started.error()));
+    return EXIT_FAILURE;
+  }
+  std::vector<std::unique_ptr<objects::peer_listing>> peers;
+  std::vector<objects::listing_source *> sources;
+  for (const std::string &seed : settings.seeds) {
+    peers.push_back(std::make_unique<objects::peer_listing>(io, seed));
+    sources.push_back(peers.back().get());
+  }
+  group_directory directory(io, *binding.store, sources, runtime,
+                            settings.first_start);
+  asio::co_spawn(io, directory.run(), asio::detached);
+  retirement_watch retirements(io, binding, runtime);
+  retirements.start();
+  const auto pages = http::serve_pages(
+      io, settings.metrics_address, [&runtime](std::string_view target) {
+        return target == "/metrics"
+                   ? http::page{.body = runtime.metrics()}
+                   : http::page{.status = status_not_found, .body = {}};
+      });
+  if (!pages) {
+    logging::write(logging::event::http_server_failed, describe(pages.error()));
+  }
+  runtime::process_signals signals(
+      io,
+      [] {
+        // Every acknowledgement is on the disk already: there is nothing to
+        // finish, and the group elects another leader in a moment.
+        logging::line(logging::event::daemon_stopped).write();
+        std::_Exit(EXIT_SUCCESS);
+      },
+      [] { logging::line(logging::event::settings_reloaded).write(); });
+  logging::line(logging::event::daemon_started)
+      .field("rpc", settings.rpc_address)
+      .field("first_start", settings.first_start)
+      .write();
+  io.run();
+  return EXIT_SUCCESS;
+}
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/store_process.hpp
@@ -0,0 +1,46 @@
+// A storage node as a process: the record group's runtime with its disk, the
+// directory by which it finds its group, the operator's requests to empty it,
+// and its metrics page.
+#pragma once
+
+#include "config/settings_schema.hpp"
+#include "objects/object_store.hpp"
+#include "runtime/asio.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace heathtrestle::records {
+
+struct store_settings {
+  std::string name;
+  std::string zone;
+  std::string rpc_address;
+  std::string metrics_address;
+  std::string data_directory;
+  std::vector<std::string> seeds;
+  std::string store_address;
+  bool first_start = false;
+  std::string log_level = "info";
+  std::uint64_t log_lines = 200;
+};
+
+void describe_settings(config::settings_schema &schema,
+                       store_settings &settings);
+
+/// What the platform's adapter brings along.
+struct store_binding {
+  objects::object_store *store = nullptr;
+  /// Kind of the operator's requests to empty a machine, named after its node.
+  std::string retirement_kind;
+  /// The status that tells how far such a request has come.
+  std::function<boost::json::value(bool completed)> retirement_status;
+};
+
+/// Runs until a signal ends the process.
+/// @return the exit code.
+int run_store(asio::io_context &io, const store_settings &settings,
+              const store_binding &binding);
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/turn_ledger.hpp
@@ -0,0 +1,87 @@
+// What the gateway asks of the record group about the turns of programs: leave
+// to run one within the program's budget, the history that it goes on from, and
+// the durable record of its end.
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace heathtrestle::records {
+
+/// A finished turn, as it is kept for the turns that go on from it. Never
+/// changes once it is recorded.
+struct retained_turn {
+  std::string id;       // the attempt id of its request
+  std::string previous; // the turn that it went on from; empty for the first
+  std::string input;    // the body that its client sent
+  std::string output;   // the data of its events, a line feed behind each
+};
+
+/// Asks leave to run a turn.
+struct turn_request {
+  std::string program;
+  std::string attempt; // unique for each try of a client
+  std::uint64_t budget = 0;
+  /// The most tokens that this turn may generate.
+  std::uint64_t most = 0;
+  /// The turn to go on from; empty for none.
+  std::string previous;
+  /// Whether the answer brings the turns of the chain, oldest first.
+  bool want_history = false;
+  /// How long the program and its turns are kept after their last use.
+  duration_ms keep{0};
+};
+
+enum class turn_verdict : std::uint8_t {
+  granted,
+  budget_spent,
+  unknown_turn, // no such turn is kept, and that is certain
+  unavailable,  // no majority of the record group answered in time
+};
+
+struct turn_grant {
+  turn_verdict verdict = turn_verdict::unavailable;
+  /// Oldest first, when it was asked for.
+  std::vector<retained_turn> history;
+  std::uint64_t spent = 0;    // tokens settled
+  std::uint64_t reserved = 0; // tokens granted and not settled, this turn's too
+};
+
+/// The end of a turn: what it used of its grant and what is kept of it.
+struct turn_end {
+  std::string program;
+  std::string attempt;
+  std::uint64_t used = 0; // tokens that reached the client
+  /// Kept when its id is not empty.
+  retained_turn kept;
+  duration_ms keep{0};
+};
+
+class turn_ledger {
+public:
+  turn_ledger() = default;
+  turn_ledger(const turn_ledger &) = delete;
+  turn_ledger &operator=(const turn_ledger &) = delete;
+  virtual ~turn_ledger() = default;
+
+  /// Returns by `deadline`. A grant is durable, and counts as spent in full
+  /// until the turn's end is recorded.
+  virtual boost::asio::awaitable<turn_grant> begin(turn_request request,
+                                                   timestamp deadline) = 0;
+
+  /// Records the end of a turn durably.
+  /// @return false when that could not be confirmed by `deadline`; it goes on
+  /// being tried.
+  virtual boost::asio::awaitable<bool> finish(turn_end end,
+                                              timestamp deadline) = 0;
+
+  /// Records the end of a turn some time soon.
+  virtual void settle(turn_end end) = 0;
+};
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/routing/instance_directory.hpp
@@ -0,0 +1,69 @@
+// The replicas of all services as this gateway knows them: what the directory
+// of the operator says of each, and what this gateway saw of it itself.
+#pragma once
+
+#include "base/time.hpp"
+#include "routing/configuration.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace heathtrestle::routing {
+
+/// What a replica says of itself.
+struct instance_record {
+  instance_id id;
+  service_id service;
+  std::string address; // "ip:port"
+  std::string zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+
+  bool operator==(const instance_record &) const = default;
+};
+
+/// One replica and this gateway's own view of it. Shared with the requests
+/// that are on it, which may outlast its place in the directory.
+struct instance {
+  instance_record record;
+  /// False once the directory has dropped it.
+  bool listed = true;
+  /// Requests of this gateway that are on it.
+  std::uint32_t in_flight = 0;
+  /// Failures to reach it since it last answered.
+  std::uint32_t consecutive_failures = 0;
+  /// It gets new work before then only when nothing else is there.
+  timestamp avoid_until{};
+  /// Smoothed time to the head of its answers; zero before the first.
+  double head_latency_ms = 0;
+
+  [[nodiscard]] bool accepts_work() const { return listed && !record.draining; }
+};
+
+using instance_ptr = std::shared_ptr<instance>;
+
+class instance_directory {
+public:
+  /// Takes in a record that is new or has changed.
+  /// @return true when something that matters here changed.
+  bool put(instance_record record);
+  /// @return false when the instance was not known.
+  bool remove(const instance_id &id);
+  /// Replaces the whole directory by a listing.
+  void replace_all(std::vector<instance_record> records);
+
+  /// The replicas of a service, those that drain included.
+  [[nodiscard]] const std::vector<instance_ptr> &
+  of(const service_id &service) const;
+  [[nodiscard]] std::size_t size() const { return by_id_.size(); }
+  [[nodiscard]] std::vector<instance_record> records() const;
+
+private:
+  std::map<instance_id, instance_ptr> by_id_;
+  std::map<service_id, std::vector<instance_ptr>> by_service_;
+};
+
+} // namespace heathtrestle::routing
--- /dev/null
+++ b/src/storage/log_storage.cpp
@@ -0,0 +1,310 @@
+#include "storage/log_storage.hpp"
+
+#include <sqlite3.h>
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace heathtrestle::storage {
+
+namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
+
+namespace {
+
+constexpr const char *file_name = "/records.db";
+constexpr const char *schema =
+    "CREATE TABLE IF NOT EXISTS meta(key TEXT PRIMARY KEY, value BLOB NOT NULL)"
+    " WITHOUT ROWID;"
+    "CREATE TABLE IF NOT EXISTS log(idx INTEGER PRIMARY KEY, entry BLOB NOT "
+    "NULL);";
+/// The exclusive lock keeps the index of the write-ahead log in this process's
+/// memory instead of in a file that is shared; full synchronisation syncs each
+/// commit.
+constexpr const char *pragmas = "PRAGMA locking_mode=EXCLUSIVE;"
+                                "PRAGMA journal_mode=WAL;"
+                                "PRAGMA synchronous=FULL;"
+                                "PRAGMA wal_autocheckpoint=4000;"
+                                "PRAGMA cache_size=-4000;"
+                                "PRAGMA temp_store=MEMORY;";
+
+constexpr std::string_view key_identity = "identity";
+constexpr std::string_view key_hard = "hard";
+constexpr std::string_view key_base = "base";
+constexpr std::string_view key_snapshot = "snapshot";
+constexpr std::string_view key_members = "members";
+
+/// Hard state and base travel as messages that exist for the wire.
+std::string encode(const raft::hard_state &hard) {
+  wire::VoteRequest message;
+  message.set_term(hard.term);
+  if (hard.voted_for) {
+    *message.mutable_candidate() = to_wire(*hard.voted_for);
+  }
+  return message.SerializeAsString();
+}
+
+std::string encode(const raft::log_base &base) {
+  wire::SnapshotRequest message;
+  message.set_last_index(base.index);
+  message.set_last_term(base.term);
+  for (const replica_id &voter : base.voters) {
+    *message.mutable_replicas()->add_voters() = to_wire(voter);
+  }
+  return message.SerializeAsString();
+}
+
+bool decode(const std::string &bytes, raft::hard_state &hard) {
+  wire::VoteRequest message;
+  if (!message.ParseFromString(bytes)) {
+    return false;
+  }
+  hard.term = message.term();
+  if (message.has_candidate()) {
+    hard.voted_for = from_wire(message.candidate());
+  }
+  return true;
+}
+
+bool decode(const std::string &bytes, raft::log_base &base) {
+  wire::SnapshotRequest message;
+  if (!message.ParseFromString(bytes)) {
+    return false;
+  }
+  base.index = message.last_index();
+  base.term = message.last_term();
+  for (const wire::ReplicaId &voter : message.replicas().voters()) {
+    base.voters.push_back(from_wire(voter));
+  }
+  return true;
+}
+
+} // namespace
+
+/// The connection and its prepared statements.
+struct log_storage::database {
+  using statement = std::unique_ptr<sqlite3_stmt, int (*)(sqlite3_stmt *)>;
+
+  sqlite3 *handle = nullptr;
+  std::string path;
+
+  ~database() { sqlite3_close_v2(handle); }
+
+  [[nodiscard]] error failure(std::string step) const {
+    return {.code = error_code::internal,
+            .message = sqlite3_errmsg(handle),
+            .step = std::move(step),
+            .peer = path};
+  }
+
+  result<void> execute(const char *sql, std::string step) {
+    if (sqlite3_exec(handle, sql, nullptr, nullptr, nullptr) != SQLITE_OK) {
+      return failure(std::move(step));
+    }
+    return outcome::success();
+  }
+
+  statement prepare(const char *sql) {
+    sqlite3_stmt *prepared = nullptr;
+    sqlite3_prepare_v2(handle, sql, -1, &prepared, nullptr);
+    return {prepared, &sqlite3_finalize};
+  }
+
+  static void bind(sqlite3_stmt *into, int place, std::string_view bytes) {
+    sqlite3_bind_blob64(into, place, bytes.data(), bytes.size(),
+                        SQLITE_TRANSIENT);
+  }
+
+  static std::string column(sqlite3_stmt *from, int place) {
+    const void *bytes = sqlite3_column_blob(from, place);
+    const auto size =
+        static_cast<std::size_t>(sqlite3_column_bytes(from, place));
+    return bytes == nullptr
+               ? std::string()
+               : std::string(static_cast<const char *>(bytes), size);
+  }
+
+  result<void> put_meta(std::string_view key, std::string_view value) {
+    const statement put =
+        prepare("INSERT OR REPLACE INTO meta(key, value) VALUES(?, ?)");
+    sqlite3_bind_text(put.get(), 1, key.data(), static_cast<int>(key.size()),
+                      SQLITE_TRANSIENT);
+    bind(put.get(), 2, value);
+    if (sqlite3_step(put.get()) != SQLITE_DONE) {
+      return failure("write " + std::string(key));
+    }
+    return outcome::success();
+  }
+
+  std::optional<std::string> get_meta(std::string_view key) {
+    const statement get = prepare("SELECT value FROM meta WHERE key = ?");
+    sqlite3_bind_text(get.get(), 1, key.data(), static_cast<int>(key.size()),
+                      SQLITE_TRANSIENT);
+    if (sqlite3_step(get.get()) != SQLITE_ROW) {
+      return std::nullopt;
+    }
+    return column(get.get(), 0);
+  }
+
+  result<void> delete_log(const char *sql, std::uint64_t index) {
+    const statement remove = prepare(sql);
+    sqlite3_bind_int64(remove.get(), 1, static_cast<sqlite3_int64>(index));
+    if (sqlite3_step(remove.get()) != SQLITE_DONE) {
+      return failure("truncate the log");
+    }
+    return outcome::success();
+  }
+
+  /// Runs `work` in a transaction. @return the first failure.
+  template <typename Work> result<void> transact(Work work) {
+    auto begun = execute("BEGIN IMMEDIATE", "begin");
+    if (!begun) {
+      return begun;
+    }
+    result<void> done = work();
+    if (!done) {
+      const auto undone = execute("ROLLBACK", "roll back");
+      return done;
+    }
+    return execute("COMMIT", "commit");
+  }
+};
+
+log_storage::log_storage(std::unique_ptr<database> opened)
+    : database_(std::move(opened)) {}
+
+log_storage::~log_storage() = default;
+
+result<std::unique_ptr<log_storage>>
+log_storage::open(const std::string &directory, std::uint64_t fresh_identity) {
+  auto opened = std::make_unique<database>();
+  opened->path = directory + file_name;
+  const int flags =
+      SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_NOMUTEX;
+  if (sqlite3_open_v2(opened->path.c_str(), &opened->handle, flags, nullptr) !=
+      SQLITE_OK) {
+    return opened->failure("open");
+  }
+  const auto configured = opened->execute(pragmas, "configure");
+  if (!configured) {
+    return configured.error();
+  }
+  const auto made = opened->execute(schema, "make tables");
+  if (!made) {
+    return made.error();
+  }
+  std::unique_ptr<log_storage> storage(new log_storage(std::move(opened)));
+  if (!storage->database_->get_meta(key_identity)) {
+    const auto named = storage->database_->put_meta(
+        key_identity, fmt::format("{:016x}", fresh_identity));
+    if (!named) {
+      return named.error();
+    }
+    storage->made_now_ = true;
+  }
+  return storage;
+}
+
+result<recovered_state> log_storage::recover() {
+  recovered_state state;
+  state.is_new = made_now_;
+  const std::string identity = *database_->get_meta(key_identity);
+  constexpr int hexadecimal = 16;
+  state.identity = boot_id{std::stoull(identity, nullptr, hexadecimal)};
+  const auto unreadable = [this](std::string_view what) {
+    return error{.code = error_code::internal,
+                 .message = "unreadable " + std::string(what),
+                 .step = "recover",
+                 .peer = database_->path};
+  };
+  if (const auto bytes = database_->get_meta(key_hard);
+      bytes && !decode(*bytes, state.replica.hard)) {
+    return unreadable(key_hard);
+  }
+  if (const auto bytes = database_->get_meta(key_base);
+      bytes && !decode(*bytes, state.replica.base)) {
+    return unreadable(key_base);
+  }
+  if (const auto bytes = database_->get_meta(key_snapshot);
+      bytes && !state.snapshot.ParseFromString(*bytes)) {
+    return unreadable(key_snapshot);
+  }
+  if (const auto bytes = database_->get_meta(key_members);
+      bytes && !state.members.ParseFromString(*bytes)) {
+    return unreadable(key_members);
+  }
+  const auto rows = database_->prepare("SELECT entry FROM log ORDER BY idx");
+  while (sqlite3_step(rows.get()) == SQLITE_ROW) {
+    const std::string bytes = database::column(rows.get(), 0);
+    wire::LogEntry entry;
+    const std::uint64_t expected =
+        state.replica.base.index + state.replica.entries.size() + 1;
+    if (!entry.ParseFromString(bytes) || entry.index() != expected) {
+      return unreadable("log entry");
+    }
+    log_bytes_ += bytes.size();
+    state.replica.entries.push_back(std::move(entry));
+  }
+  return state;
+}
+
+result<void> log_storage::write(const raft::unsaved_changes &changes,
+                                const wire::RecordSnapshot *snapshot) {
+  return database_->transact([&]() -> result<void> {
+    if (changes.hard) {
+      BOOST_OUTCOME_TRY(database_->put_meta(key_hard, encode(*changes.hard)));
+    }
+    if (changes.installed && snapshot != nullptr) {
+      // The snapshot replaces the whole log, also what lies behind it.
+      BOOST_OUTCOME_TRY(
+          database_->delete_log("DELETE FROM log WHERE idx >= ?", 0));
+      BOOST_OUTCOME_TRY(put_base(*changes.installed, *snapshot));
+      log_bytes_ = 0;
+    }
+    if (changes.truncate_from != 0) {
+      BOOST_OUTCOME_TRY(database_->delete_log("DELETE FROM log WHERE idx >= ?",
+                                              changes.truncate_from));
+    }
+    const auto insert =
+        database_->prepare("INSERT INTO log(idx, entry) VALUES(?, ?)");
+    for (const wire::LogEntry *entry : changes.entries) {
+      const std::string bytes = entry->SerializeAsString();
+      sqlite3_reset(insert.get());
+      sqlite3_bind_int64(insert.get(), 1,
+                         static_cast<sqlite3_int64>(entry->index()));
+      database::bind(insert.get(), 2, bytes);
+      if (sqlite3_step(insert.get()) != SQLITE_DONE) {
+        return database_->failure("append to the log");
+      }
+      log_bytes_ += bytes.size();
+    }
+    return outcome::success();
+  });
+}
+
+result<void> log_storage::compact(const raft::log_base &base,
+                                  const wire::RecordSnapshot &snapshot) {
+  auto done = database_->transact([&]() -> result<void> {
+    BOOST_OUTCOME_TRY(
+        database_->delete_log("DELETE FROM log WHERE idx <= ?", base.index));
+    return put_base(base, snapshot);
+  });
+  if (done) {
+    log_bytes_ = 0;
+  }
+  return done;
+}
+
+result<void> log_storage::put_base(const raft::log_base &base,
+                                   const wire::RecordSnapshot &snapshot) {
+  BOOST_OUTCOME_TRY(database_->put_meta(key_base, encode(base)));
+  return database_->put_meta(key_snapshot, snapshot.SerializeAsString());
+}
+
+result<void> log_storage::write_members(const wire::RecordMembers &members) {
+  return database_->put_meta(key_members, members.SerializeAsString());
+}
+
+} // namespace heathtrestle::storage
