--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -32,6 +32,8 @@
   /// Applied entries kept for followers that lag; older ones need a snapshot.
   std::size_t retained_entries = 256;
   std::size_t entries_per_append = 128;
+  /// Entries sent to a follower beyond those that it has acknowledged.
+  std::size_t unacknowledged_entries = 1024;
 };
 
 /// A message to one replica.
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -133,7 +133,10 @@
   if (!reply.success()) {
     state.next =
         std::max(state.match, std::min(reply.match_index(), last())) + 1;
-    state.snapshot_pending = false;
+    // Entries that were under way with a snapshot are refused until it is
+    // there; that is no reason to send it again.
+    state.snapshot_pending =
+        state.snapshot_pending && state.next <= base_index_;
     // A follower that holds less than it once acknowledged would refuse the
     // same place again and again; it hears more with the next heartbeat.
     const bool may_succeed = reply.match_index() >= state.match;
@@ -379,6 +382,11 @@
     }
     return;
   }
+  const bool too_far_ahead =
+      state.next > state.match + options_.unacknowledged_entries;
+  if (too_far_ahead && state.match > 0) {
+    return; // goes on with the next acknowledgement or heartbeat
+  }
   wire::Envelope envelope;
   wire::AppendRequest &request = *envelope.mutable_append_request();
   request.set_partition(partition_.value());
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -153,6 +153,11 @@
   if (log_->is_dead(from)) {
     return; // sent before its disk was lost
   }
+  const bool for_another = envelope.to_boot() != 0 &&
+                           envelope.to_boot() != self_id_.boot.value();
+  if (for_another) {
+    return; // for the identity that this node had on a disk that is lost
+  }
   note_heard(from, now);
   switch (envelope.body_case()) {
   case wire::Envelope::kRecordRequest:
@@ -477,6 +482,7 @@
   for (raft::outgoing &message : out.messages) {
     message.envelope.set_from(self_id_.node.value());
     message.envelope.set_from_boot(self_id_.boot.value());
+    message.envelope.set_to_boot(message.to.boot.value());
     const std::string address = address_of(message.to);
     if (address.empty()) {
       continue;
@@ -490,6 +496,7 @@
     auto &batch = *envelope.mutable_heartbeat_batch();
     *batch.mutable_leader() = to_wire(self_id_);
     *batch.add_heartbeats() = beat.heartbeat;
+    envelope.set_to_boot(beat.to.boot.value());
     send(address_of(beat.to), std::move(envelope));
   }
   for (const replica_id &follower : out.snapshots_wanted) {
@@ -499,6 +506,7 @@
     *snapshot.mutable_records() = table_.snapshot();
     note(logging::event::snapshot_sent,
          fmt::format("to {} index {}", follower, snapshot.last_index()));
+    envelope.set_to_boot(follower.boot.value());
     send(address_of(follower), std::move(envelope));
   }
 }
--- a/src/rpc/transport.cpp
+++ b/src/rpc/transport.cpp
@@ -20,15 +20,19 @@
 namespace {
 
 constexpr std::string_view protocol_name = "heathtrestle/1 ";
-constexpr int high_water_mark = 10000;
+constexpr int high_water_mark = 2000;
 constexpr int reconnect_interval_ms = 100;
-constexpr int reconnect_interval_limit_ms = 1000;
-constexpr int connection_lost_after_ms = 5000;
+constexpr int reconnect_interval_limit_ms = 400;
+constexpr int connection_lost_after_ms = 1500;
+/// A connection whose peer answers no heartbeat is made anew.
+constexpr int heartbeat_interval_ms = 1000;
+constexpr int heartbeat_timeout_ms = 1500;
 constexpr auto poll_interval = std::chrono::milliseconds(1000);
 /// While a connection is being made its first messages wait here for it.
 constexpr auto connecting_poll_interval = std::chrono::milliseconds(5);
 constexpr auto connecting_limit = std::chrono::milliseconds(1000);
 constexpr std::size_t connecting_messages = 256;
+constexpr std::size_t connecting_bytes = 8U << 20U;
 
 struct outgoing {
   std::string address;
@@ -40,6 +44,7 @@
   std::chrono::steady_clock::time_point created;
   std::chrono::steady_clock::time_point last_used;
   std::deque<std::string> early; // messages sent before the connection stood
+  std::size_t early_bytes = 0;
 };
 
 } // namespace
@@ -148,7 +153,12 @@
   }
   const bool fresh =
       std::chrono::steady_clock::now() - target.created < connecting_limit;
-  if (fresh && target.early.size() < connecting_messages) {
+  const bool fits =
+      target.early.size() < connecting_messages &&
+      (target.early.empty() ||
+       target.early_bytes + message.payload.size() <= connecting_bytes);
+  if (fresh && fits) {
+    target.early_bytes += message.payload.size();
     target.early.push_back(message.payload);
     wake();
     return;
@@ -179,12 +189,14 @@
   for (auto &[address, target] : peers) {
     while (!target.early.empty() &&
            try_send(target.socket, target.early.front())) {
+      target.early_bytes -= target.early.front().size();
       target.early.pop_front();
     }
     if (!target.early.empty() && now - target.created >= connecting_limit) {
       messages_dropped.fetch_add(target.early.size(),
                                  std::memory_order_relaxed);
       target.early.clear();
+      target.early_bytes = 0;
     }
     waiting = waiting || !target.early.empty();
   }
@@ -211,11 +223,14 @@
   socket.set(zmq::sockopt::reconnect_ivl, reconnect_interval_ms);
   socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_interval_limit_ms);
   socket.set(zmq::sockopt::tcp_maxrt, connection_lost_after_ms);
+  socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_interval_ms);
+  socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
+  socket.set(zmq::sockopt::connect_timeout, connection_lost_after_ms);
   // Nothing queues for a peer that is not there: a message that arrives after
   // its sender has moved on only costs work.
   socket.set(zmq::sockopt::immediate, 1);
   socket.connect("tcp://" + address);
-  return peers.emplace(address, peer{std::move(socket), now, now, {}})
+  return peers.emplace(address, peer{std::move(socket), now, now, {}, 0})
       .first->second;
 }
 
