--- a/src/balance/instance_choice.hpp
+++ b/src/balance/instance_choice.hpp
@@ -30,11 +30,11 @@
 
 struct choice_options {
   /// Gateways that share the replicas: own requests count that many times.
-  double gateways = 8;
+  double gateways = 2.5;
   /// Load, in shares of a replica's slots, that staying in the zone is worth.
-  double zone_preference = 0.15;
+  double zone_preference = 0.5;
   /// Load, in shares of a replica's slots, that a session's home is worth.
-  double home_preference = 0.5;
+  double home_preference = 0.25;
 };
 
 /// @param sticky whether the session's home is preferred.
