Choose engines by the expected cost of reading and of load

Ruled out: the grant (6 to 8 ms), the processor (0.03 of 0.25 core).

Change: a view of the parts each engine was sent; the cost of a choice is the missing tokens times the requests they hold up, plus what one more request costs the others, plus waiting, plus leaving the zone; programs past their time rank last at the engine.

--- a/src/balance/instance_choice.cpp
+++ b/src/balance/instance_choice.cpp
@@ -10,48 +10,23 @@
 namespace {
 
 /// What taking a suspect costs: more than any load.
-constexpr double suspect_penalty = 1000;
+constexpr double suspect_penalty = 1e6;
 
-/// The candidate with the largest weight, of the own zone where one is there.
-std::size_t home_of(std::span<const candidate> candidates) {
-  std::size_t home = 0;
-  for (std::size_t index = 1; index < candidates.size(); ++index) {
-    const candidate &best = candidates[home];
-    const candidate &other = candidates[index];
-    const bool closer = other.same_zone && !best.same_zone;
-    const bool as_close = other.same_zone == best.same_zone;
-    if (closer || (as_close && other.affinity > best.affinity)) {
-      home = index;
-    }
-  }
-  return home;
-}
-
-double load_of(const candidate &each, double gateways) {
-  const double slots = std::max<std::uint32_t>(each.slots, 1);
-  const double in_flight = each.in_flight;
-  return in_flight * gateways / slots * each.slowdown;
-}
-
-} // namespace
-
-std::optional<std::size_t> choose(std::span<const candidate> candidates,
-                                  bool sticky, std::uint64_t random,
-                                  const choice_options &options) {
+/// The index of the least cost; the search starts at a random place, so that
+/// equals are taken alike.
+template <typename Cost>
+std::optional<std::size_t> cheapest(std::span<const candidate> candidates,
+                                    std::uint64_t random, Cost cost_of) {
   if (candidates.empty()) {
     return std::nullopt;
   }
-  const std::size_t home = sticky ? home_of(candidates) : candidates.size();
   const std::size_t start = random % candidates.size();
   std::size_t best = start;
   double least = std::numeric_limits<double>::infinity();
   for (std::size_t step = 0; step < candidates.size(); ++step) {
     const std::size_t index = (start + step) % candidates.size();
-    const candidate &each = candidates[index];
-    double cost = load_of(each, options.gateways);
-    cost += each.same_zone ? 0 : options.zone_preference;
-    cost -= index == home ? options.home_preference : 0;
-    cost += each.suspect ? suspect_penalty : 0;
+    const double penalty = candidates[index].suspect ? suspect_penalty : 0;
+    const double cost = cost_of(index) + penalty;
     if (cost < least) {
       least = cost;
       best = index;
@@ -60,9 +35,61 @@
   return best;
 }
 
-std::uint64_t rendezvous_weight(std::string_view session,
+/// The candidate with the largest weight, or none when no object was named.
+std::size_t home_of(std::span<const candidate> candidates) {
+  const auto largest =
+      std::max_element(candidates.begin(), candidates.end(),
+                       [](const candidate &left, const candidate &right) {
+                         return left.affinity < right.affinity;
+                       });
+  const bool named = largest != candidates.end() && largest->affinity != 0;
+  return named ? static_cast<std::size_t>(largest - candidates.begin())
+               : candidates.size();
+}
+
+} // namespace
+
+double engine_cost(const candidate &each, const engine_cost_options &options) {
+  const double running = each.in_flight * options.gateways_in_zone;
+  const double slots = std::max<std::uint32_t>(each.slots, 1);
+  const double reading =
+      static_cast<double>(each.missing_tokens) / options.tokens_per_ms;
+  const double held_up = std::min(running, slots);
+  const double queued = std::max(running - slots + 1, 0.0);
+  const double work = reading * (1 + held_up) +
+                      options.slowdown_per_request * held_up +
+                      options.wait_per_queued * queued;
+  return work * each.slowdown + (each.same_zone ? 0 : options.leave_zone);
+}
+
+double plain_cost(const candidate &each, bool is_home,
+                  const plain_cost_options &options) {
+  const double slots = std::max<std::uint32_t>(each.slots, 1);
+  const double load = each.in_flight * options.gateways / slots * each.slowdown;
+  return load + (each.same_zone ? 0 : options.zone_preference) -
+         (is_home ? options.home_preference : 0);
+}
+
+std::optional<std::size_t> choose_engine(std::span<const candidate> candidates,
+                                         std::uint64_t random,
+                                         const engine_cost_options &options) {
+  return cheapest(candidates, random, [&](std::size_t index) {
+    return engine_cost(candidates[index], options);
+  });
+}
+
+std::optional<std::size_t> choose_plain(std::span<const candidate> candidates,
+                                        std::uint64_t random,
+                                        const plain_cost_options &options) {
+  const std::size_t home = home_of(candidates);
+  return cheapest(candidates, random, [&](std::size_t index) {
+    return plain_cost(candidates[index], index == home, options);
+  });
+}
+
+std::uint64_t rendezvous_weight(std::string_view object,
                                 std::string_view instance) {
-  return stable_hash(instance, stable_hash(session));
+  return stable_hash(instance, stable_hash(object));
 }
 
 } // namespace heathtrestle::balance
--- a/src/forwarding/client_request.cpp
+++ b/src/forwarding/client_request.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/client_request.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -15,6 +16,17 @@
   return {text.data(), text.size()};
 }
 
+/// Milliseconds, with a sign when they are over.
+std::optional<duration_ms> signed_duration(std::string_view text) {
+  const bool over = text.starts_with('-');
+  const auto number = parse_number(over ? text.substr(1) : text);
+  if (!number) {
+    return std::nullopt;
+  }
+  const auto count = static_cast<std::int64_t>(*number);
+  return duration_ms{over ? -count : count};
+}
+
 /// The most tokens that come out: the second number of "in,out".
 std::uint64_t most_tokens_of(std::string_view usage) {
   const std::size_t comma = usage.find(',');
@@ -26,6 +38,29 @@
 
 } // namespace
 
+std::vector<balance::prompt_part> parse_prompt(std::string_view text) {
+  constexpr int hexadecimal = 16;
+  std::vector<balance::prompt_part> parts;
+  while (!text.empty()) {
+    const std::string_view item = text.substr(0, text.find(','));
+    text.remove_prefix(std::min(item.size() + 1, text.size()));
+    const std::size_t colon = item.find(':');
+    if (colon == std::string_view::npos) {
+      break;
+    }
+    balance::prompt_part part;
+    const char *end = item.data() + colon;
+    const auto read = std::from_chars(item.data(), end, part.id, hexadecimal);
+    const auto tokens = parse_number(item.substr(colon + 1));
+    if (read.ec != std::errc{} || read.ptr != end || !tokens) {
+      break;
+    }
+    part.tokens = *tokens;
+    parts.push_back(part);
+  }
+  return parts;
+}
+
 std::optional<std::uint64_t> parse_number(std::string_view text) {
   while (text.starts_with(' ')) {
     text.remove_prefix(1);
@@ -59,11 +94,9 @@
   };
   request.attempt_id = field(names.attempt_id);
   request.client_deadline = duration(names.deadline_ms);
-  request.program_deadline = duration(names.program_deadline);
-  request.session = field(names.session_id);
-  if (request.session.empty()) {
-    request.session = field(names.affinity_key);
-  }
+  request.program_deadline = signed_duration(field(names.program_deadline));
+  request.object = field(names.affinity_key);
+  request.prompt = parse_prompt(field(names.prompt_parts));
   request.previous_turn = field(names.previous_turn);
   const auto budget = parse_number(field(names.token_budget));
   if (budget && !field(names.program_id).empty()) {
--- a/src/forwarding/client_request.hpp
+++ b/src/forwarding/client_request.hpp
@@ -2,6 +2,7 @@
 // that decide what becomes of it.
 #pragma once
 
+#include "balance/prefix_view.hpp"
 #include "base/time.hpp"
 #include "forwarding/header_names.hpp"
 
@@ -9,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
@@ -33,12 +35,15 @@
 
   std::string attempt_id; // empty when the client sent none
   std::optional<duration_ms> client_deadline;
-  std::string session; // what keeps a replica's cache warm; may be empty
+  std::string object; // what a plain replica may know already; may be empty
+  /// The prompt's parts in order; empty for requests without a prompt.
+  std::vector<balance::prompt_part> prompt;
   /// Present on turns of programs that name a budget.
   std::optional<turn_header> turn;
   std::string previous_turn; // may be empty
 
-  /// Milliseconds until the program should end, where the client told.
+  /// Time until the program should end, where the client told; negative when
+  /// it should have ended.
   std::optional<duration_ms> program_deadline;
 };
 
@@ -50,6 +55,10 @@
 /// @param connection the value of the message's Connection field.
 bool is_hop_by_hop(std::string_view name, std::string_view connection);
 
+/// Reads "id:tokens,id:tokens" with hexadecimal ids. @return what can be read
+/// before the first part that is malformed.
+std::vector<balance::prompt_part> parse_prompt(std::string_view text);
+
 /// Reads a whole number. @return nothing when the text is anything else.
 std::optional<std::uint64_t> parse_number(std::string_view text);
 
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -4,6 +4,7 @@
 #include "logging/log.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace heathtrestle::forwarding {
@@ -67,10 +68,10 @@
 
 routing::instance_ptr gateway::choose(const routing::service_id &service,
                                       const send_step &step,
-                                      std::string_view session) {
+                                      const client_request &request) {
   const timestamp now = steady_now();
   std::vector<routing::instance_ptr> fitting;
-  std::vector<balance::candidate> candidates;
+  double fastest = std::numeric_limits<double>::infinity();
   for (const routing::instance_ptr &each : directory_.of(service)) {
     const routing::instance_id &id = each->record.id;
     const bool wanted = step.only.empty() || step.only.contains(id);
@@ -78,18 +79,29 @@
       continue;
     }
     fitting.push_back(each);
+    if (each->pace_ms > 0) {
+      fastest = std::min(fastest, each->pace_ms);
+    }
+  }
+  std::vector<balance::candidate> candidates;
+  for (const routing::instance_ptr &each : fitting) {
+    const std::string &id = each->record.id.value();
+    const bool known = each->pace_ms > 0;
     candidates.push_back(
-        {.affinity = session.empty()
-                         ? 0
-                         : balance::rendezvous_weight(session, id.value()),
-         .in_flight = each->in_flight,
+        {.in_flight = each->in_flight,
          .slots = each->record.slots,
          .same_zone = each->record.zone == options_.zone,
          .suspect = now < each->avoid_until,
-         .slowdown = 1});
+         .slowdown = known ? each->pace_ms / fastest : 1,
+         .missing_tokens = each->prefixes.missing_tokens(request.prompt),
+         .affinity = request.object.empty()
+                         ? 0
+                         : balance::rendezvous_weight(request.object, id)});
   }
   const auto chosen =
-      balance::choose(candidates, !session.empty(), random_(), options_.choice);
+      request.prompt.empty()
+          ? balance::choose_plain(candidates, random_(), options_.plain_cost)
+          : balance::choose_engine(candidates, random_(), options_.engine_cost);
   return chosen ? fitting[*chosen] : nullptr;
 }
 
@@ -107,14 +119,13 @@
 }
 
 void gateway::on_instance_answered(routing::instance &answered,
-                                   double head_ms) {
-  constexpr double weight = 0.1;
+                                   double pace_ms) {
+  constexpr double weight = 0.05;
   answered.consecutive_failures = 0;
   answered.avoid_until = {};
-  answered.head_latency_ms =
-      answered.head_latency_ms == 0
-          ? head_ms
-          : (1 - weight) * answered.head_latency_ms + weight * head_ms;
+  answered.pace_ms = answered.pace_ms == 0
+                         ? pace_ms
+                         : (1 - weight) * answered.pace_ms + weight * pace_ms;
 }
 
 void gateway::begin_drain() {
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include "balance/instance_choice.hpp"
 #include "forwarding/attempt_plan.hpp"
+#include "forwarding/client_request.hpp"
 #include "forwarding/gateway_metrics.hpp"
 #include "forwarding/header_names.hpp"
 #include "forwarding/upstream_pool.hpp"
@@ -27,7 +28,8 @@
   header_names headers;
   pool_options pool;
   plan_limits plan;
-  balance::choice_options choice;
+  balance::engine_cost_options engine_cost;
+  balance::plain_cost_options plain_cost;
   /// How long a replica that could not be reached is avoided.
   duration_ms avoid_for{1000};
   /// Time to read a body whose header is complete.
@@ -60,15 +62,15 @@
   void replace_instances(std::vector<routing::instance_record> records);
 
   /// Chooses a replica of `service` for a request.
-  /// @param session what keeps its prompt at one replica; empty for none.
   /// @return null when no replica fits the step.
   [[nodiscard]] routing::instance_ptr choose(const routing::service_id &service,
                                              const send_step &step,
-                                             std::string_view session);
+                                             const client_request &request);
 
   /// The replica could not be reached or broke off.
   void on_instance_failed(routing::instance &failed, std::string_view reason);
-  void on_instance_answered(routing::instance &answered, double head_ms);
+  /// @param pace_ms time for an event of a stream, or for a whole answer.
+  void on_instance_answered(routing::instance &answered, double pace_ms);
 
   /// True once routes and replicas are known and until the drain begins.
   [[nodiscard]] bool ready() const {
--- a/src/forwarding/header_names.hpp
+++ b/src/forwarding/header_names.hpp
@@ -13,6 +13,7 @@
   std::string deadline_ms;      // how long the client will wait
   std::string affinity_key;     // the object that a request concerns
   std::string token_usage;      // "prompt,most out"
+  std::string prompt_parts;     // "id:tokens,...", the ids in hexadecimal
   std::string program_id;       // the program that a request belongs to
   std::string session_id;       // one line of a program's turns
   std::string program_deadline; // time left for the whole program, ms
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -38,7 +38,6 @@
 /// A turn that nothing else bounds is kept at least this long.
 constexpr duration_ms least_keep{60000};
 constexpr std::uint64_t unlimited_budget = 1ULL << 62U;
-constexpr std::uint32_t least_urgent = 9;
 constexpr std::string_view answered_reason = "answered";
 
 std::string_view to_view(boost::beast::string_view text) {
@@ -59,6 +58,11 @@
       static_cast<std::int64_t>(parse_number(number).value_or(0)));
 }
 
+double milliseconds_since(timestamp moment) {
+  return std::chrono::duration<double, std::milli>(steady_now() - moment)
+      .count();
+}
+
 std::string_view name_of(attempt_outcome outcome) {
   switch (outcome) {
   case attempt_outcome::not_sent:
@@ -201,7 +205,7 @@
 asio::awaitable<bool> request_exchange::begin_turn() {
   if (!request_.turn) {
     request_.turn = turn_header{.program = request_.attempt_id,
-                                .session = request_.session,
+                                .session = {},
                                 .budget = unlimited_budget,
                                 .most_tokens = 0,
                                 .previous = request_.previous_turn};
@@ -234,6 +238,7 @@
       std::string(name_of(grant.verdict)),
       std::chrono::duration<double>(steady_now() - asked).count());
   if (grant.verdict == records::turn_verdict::granted) {
+    granted_at_ = steady_now();
     granted_ = true;
     take_history(grant);
     co_return true;
@@ -330,8 +335,7 @@
                       final->retry_after, final->reason);
     } else {
       const auto &send = std::get<send_step>(step);
-      const auto target = gateway_.choose(
-          service_, send, route_->sticky_sessions ? request_.session : "");
+      const auto target = gateway_.choose(service_, send, request_);
       if (target) {
         co_await attempt(target);
       } else {
@@ -397,7 +401,7 @@
 asio::awaitable<request_exchange::attempt_end>
 request_exchange::exchange_with(routing::instance &target,
                                 connection_ptr connection) {
-  const timestamp sent = steady_now();
+  sent_at_ = steady_now();
   if (!co_await send(target, *connection)) {
     last_failure_ = "broke off while the request was sent";
     co_return attempt_outcome::lost;
@@ -413,14 +417,15 @@
   const bool not_executed = status == status_misdirected || !refusal.empty();
   const bool is_stream = status == status_ok && !not_executed &&
                          route_->kind == routing::request_kind::streaming;
-  if (!not_executed) {
-    gateway_.on_instance_answered(
-        target,
-        std::chrono::duration<double, std::milli>(steady_now() - sent).count());
-  }
+  head_at_ = steady_now();
   if (is_stream) {
+    target.prefixes.record(request_.prompt);
+    const std::uint64_t before = events_passed_;
     const attempt_end end = co_await relay_stream(*connection, *parser);
     if (!end) {
+      const auto events = static_cast<double>(events_passed_ - before);
+      gateway_.on_instance_answered(target, milliseconds_since(sent_at_) /
+                                                std::max(events, 1.0));
       recycle(target, std::move(connection), head, parser->keep_alive());
     }
     co_return end;
@@ -449,6 +454,7 @@
     last_failure_ = "an answer that cannot be passed on";
     co_return attempt_outcome::lost;
   }
+  gateway_.on_instance_answered(target, milliseconds_since(sent_at_));
   co_await pass_answer(head, std::move(body));
   co_return std::nullopt;
 }
@@ -478,8 +484,7 @@
   }
   outgoing.set(names.deadline_ms, std::to_string(remaining().count()));
   outgoing.set(names.expected_instance, target.record.id.value());
-  outgoing.set(names.request_priority,
-               std::to_string(std::min(route_->priority, least_urgent)));
+  outgoing.set(names.request_priority, std::to_string(engine_priority()));
   if (last_event_id_) {
     outgoing.set(names.last_event_id, std::to_string(*last_event_id_));
   }
@@ -493,6 +498,17 @@
   co_return !failure;
 }
 
+std::uint32_t request_exchange::engine_priority() const {
+  // A program that has missed its time earns little any more: it must not hold
+  // up those that can still keep theirs.
+  constexpr std::uint32_t on_time = 3;
+  constexpr std::uint32_t late = 6;
+  const bool is_late =
+      request_.program_deadline &&
+      *request_.program_deadline <= steady_now() - request_.arrived;
+  return is_late ? late : on_time;
+}
+
 bool request_exchange::is_own(const response_head &head) const {
   const header_names &names = gateway_.options().headers;
   const std::string_view echoed = to_view(head[names.attempt_id]);
@@ -622,6 +638,7 @@
   const auto [failure, written] = co_await asio::async_write(
       client_, beast_http::make_chunk(asio::buffer(fresh)), as_result);
   if (first) {
+    first_event_at_ = steady_now();
     gateway_.metrics().on_first_event(
         route_->name,
         std::chrono::duration<double>(steady_now() - request_.arrived).count());
@@ -745,6 +762,10 @@
       .write();
 }
 
+std::int64_t request_exchange::since_arrival(timestamp moment) const {
+  return moment == timestamp{} ? -1 : (moment - request_.arrived).count();
+}
+
 void request_exchange::log_end() const {
   const bool ok =
       status_ > 0 && status_ < status_success_end && reason_ == answered_reason;
@@ -764,6 +785,10 @@
       .field("events", events_passed_)
       .field("reason", reason_)
       .field("client_left", client_gone_)
+      .field("granted_ms", since_arrival(granted_at_))
+      .field("sent_ms", since_arrival(sent_at_))
+      .field("head_ms", since_arrival(head_at_))
+      .field("first_event_ms", since_arrival(first_event_at_))
       .field("elapsed_ms", elapsed.count())
       .field("deadline_ms", (deadline_ - request_.arrived).count())
       .write();
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -64,6 +64,8 @@
   /// Reads heads until the one of this request; surplus answers are dropped.
   asio::awaitable<bool> read_own_head(upstream_connection &connection,
                                       std::optional<response_parser> &parser);
+  /// The rank at an engine: 0 is the most urgent, 9 the least.
+  [[nodiscard]] std::uint32_t engine_priority() const;
   [[nodiscard]] bool is_own(const response_head &head) const;
   asio::awaitable<bool> read_body(upstream_connection &connection,
                                   response_parser &parser, std::string &body);
@@ -87,6 +89,8 @@
   void log_attempt(const routing::instance &target, attempt_outcome outcome,
                    std::string_view reason) const;
   [[nodiscard]] duration_ms remaining() const;
+  /// Milliseconds from the arrival to `moment`; -1 when it never came.
+  [[nodiscard]] std::int64_t since_arrival(timestamp moment) const;
 
   gateway &gateway_;
   tcp::socket &client_;
@@ -119,6 +123,12 @@
   std::string last_instance_;
   std::string last_failure_;
   std::uint32_t attempts_ = 0;
+
+  /// When the parts of the way were behind it; the epoch for never.
+  timestamp granted_at_{};
+  timestamp sent_at_{};
+  timestamp head_at_{};
+  timestamp first_event_at_{};
 };
 
 } // namespace heathtrestle::forwarding
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -2,6 +2,7 @@
 // of the operator says of each, and what this gateway saw of it itself.
 #pragma once
 
+#include "balance/prefix_view.hpp"
 #include "base/time.hpp"
 #include "routing/configuration.hpp"
 
@@ -25,6 +26,9 @@
   bool operator==(const instance_record &) const = default;
 };
 
+/// Tokens that one gateway takes an engine to keep of what it sent there.
+inline constexpr std::uint64_t default_prefix_capacity = 300000;
+
 /// One replica and this gateway's own view of it. Shared with the requests
 /// that are on it, which may outlast its place in the directory.
 struct instance {
@@ -37,8 +41,11 @@
   std::uint32_t consecutive_failures = 0;
   /// It gets new work before then only when nothing else is there.
   timestamp avoid_until{};
-  /// Smoothed time to the head of its answers; zero before the first.
-  double head_latency_ms = 0;
+  /// Smoothed time for an event of its streams, or for an answer that is no
+  /// stream, in milliseconds; zero before the first.
+  double pace_ms = 0;
+  /// What it probably keeps of prompts.
+  balance::prefix_view prefixes{default_prefix_capacity};
 
   [[nodiscard]] bool accepts_work() const { return listed && !record.draining; }
 };
