--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -32,6 +32,9 @@
   /// Applied entries kept for followers that lag; older ones need a snapshot.
   std::size_t retained_entries = 256;
   std::size_t entries_per_append = 128;
+  /// A follower that was silent for longer gets heartbeats only, so that
+  /// nothing piles up on the way to it; zero for no limit.
+  duration_ms silence_limit{0};
   /// Entries sent to a follower beyond those that it has acknowledged.
   std::size_t unacknowledged_entries = 1024;
 };
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -372,6 +372,11 @@
 void consensus::replicate_to(const replica_id &peer, timestamp now,
                              outbox &out) {
   progress &state = peers_.at(peer);
+  const bool silent = options_.silence_limit.count() > 0 &&
+                      now >= state.last_heard + options_.silence_limit;
+  if (silent) {
+    return;
+  }
   if (state.next <= base_index_) {
     const bool wait =
         state.snapshot_pending && now < state.snapshot_sent + snapshot_retry;
