--- /dev/null
+++ b/scripts/lib/platform_cluster.sh
@@ -0,0 +1,122 @@
+# Starts the programs that run on the platform, against stand-ins, on one
+# machine. Sourced after cluster.sh, whose process functions it uses; expects
+# `platform_bin` (the folder of the platform's programs), `run` and `base`.
+
+store_address="127.0.0.1:$((base))"
+gateway_address() { echo "127.0.0.1:$((base + 10 + $1))"; }
+ready_address() { echo "127.0.0.1:$((base + 20 + $1))"; }
+peer_address() { echo "127.0.0.1:$((base + 30 + $1))"; }
+gateway_rpc() { echo "127.0.0.1:$((base + 40 + $1))"; }
+gateway_metrics() { echo "127.0.0.1:$((base + 50 + $1))"; }
+storage_rpc() { echo "127.0.0.1:$((base + 60 + $1))"; }
+storage_metrics() { echo "127.0.0.1:$((base + 70 + $1))"; }
+replica_address() { echo "127.0.0.1:$((base + 80 + $1))"; }
+
+start_object_store() {
+  start_process object-store "$platform_bin/heathtrestle-platform-stand-in" \
+    --role store --address "$store_address"
+}
+
+start_replica() { # number id service flags...
+  local number=$1 id=$2 service=$3
+  shift 3
+  start_process "$id" "$platform_bin/heathtrestle-platform-stand-in" \
+    --role replica --address "$(replica_address "$number")" \
+    --store "$store_address" --replica.id "$id" --replica.service "$service" \
+    --replica.zone zone-1 "$@"
+}
+
+start_storage() { # number first_start
+  mkdir -p "$run/data-$1"
+  start_process "storage-$1" "$platform_bin/heathtrestle-store" \
+    --node.name "storage-$1" --node.zone "zone-$1" \
+    --listen.rpc "$(storage_rpc "$1")" \
+    --listen.metrics "$(storage_metrics "$1")" \
+    --data.directory "$run/data-$1" --cluster.first_start "$2" \
+    --cluster.seeds "$(peer_address 1)" --store.address "$store_address"
+}
+
+start_gateway() { # number
+  start_process "gateway-$1" "$platform_bin/heathtrestle-gateway" \
+    --node.name "gateway-$1" --node.zone "zone-$1" \
+    --listen.clients "$(gateway_address "$1")" \
+    --listen.readiness "$(ready_address "$1")" \
+    --listen.peers "$(peer_address "$1")" \
+    --listen.rpc "$(gateway_rpc "$1")" \
+    --listen.metrics "$(gateway_metrics "$1")" \
+    --cluster.seeds "$(peer_address 1)" --cluster.seeds "$(peer_address 2)" \
+    --store.address "$store_address" --timing.grace_seconds 8
+}
+
+write_configuration() { # version
+  cat >"$run/configuration.json" <<JSON
+{"version":$1,"routes":[
+ {"name":"turns","host":"agents.example","path-prefix":"/turns/","kind":"streaming",
+  "timeout-ms":4000,"target-latency-ms":200,"priority":0,"service":"models",
+  "max-attempts":2,"is-retained":true,"retention-s":60.0,"sticky-sessions":true,
+  "resumable":true,"target-gap-ms":300},
+ {"name":"tools","host":"agents.example","path-prefix":"/tools/",
+  "kind":"non_idempotent","timeout-ms":2000,"target-latency-ms":200,"priority":2,
+  "service":"tools","max-attempts":1}],
+ "services":[
+ {"name":"models","health-path":"/health","connection-limit":160,
+  "engine":{"slots":8,"tokens-per-event":10}},
+ {"name":"tools","health-path":"/health","connection-limit":110}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,
+  "header-timeout-ms":3000,"idle-timeout-ms":15000}}
+JSON
+  "$platform_bin/heathtrestle-platform-stand-in" --role operator \
+    --store "$store_address" --document "$run/configuration.json"
+}
+
+storage_value() { # number metric
+  curl -s -m 2 "http://$(storage_metrics "$1")/metrics" |
+    sed -n "s/^heathtrestle_records_$2 //p"
+}
+
+# The number of the storage node that leads, or nothing.
+storage_leader() {
+  for number in 1 2 3; do
+    if [[ $(storage_value "$number" leader) == 1 ]]; then
+      echo "$number"
+      return
+    fi
+  done
+}
+
+group_is_whole() {
+  local leader
+  leader=$(storage_leader)
+  [[ -n $leader && $(storage_value "$leader" voters) == 3 ]]
+}
+
+gateway_is_ready() { # number
+  curl -sf -m 2 -o /dev/null "http://$(ready_address "$1")/readiness"
+}
+
+start_platform_cluster() {
+  start_object_store
+  wait_until 100 curl -s -m 1 -o /dev/null "http://$store_address/objects/config"
+  for number in 1 2 3; do
+    start_storage "$number" true
+  done
+  start_replica 1 engine-1 models --replica.events 5 "$@"
+  start_replica 2 engine-2 models --replica.events 5 "$@"
+  start_replica 3 tool-1 tools --replica.surplus_every 5
+  for number in 1 2; do
+    start_gateway "$number"
+  done
+  write_configuration 1
+  wait_until 100 gateway_is_ready 1
+  wait_until 100 gateway_is_ready 2
+  wait_until 200 group_is_whole
+}
+
+# Plays programs through both gateways; prints the outcome.
+play_programs() { # programs turns
+  "$platform_bin/heathtrestle-platform-stand-in" --role load \
+    --load.gateways "$(gateway_address 1)" --load.gateways "$(gateway_address 2)" \
+    --load.replicas "$(replica_address 1)" --load.replicas "$(replica_address 2)" \
+    --load.replicas "$(replica_address 3)" \
+    --load.programs "$1" --load.turns "$2"
+}
--- a/src/config/settings_schema.cpp
+++ b/src/config/settings_schema.cpp
@@ -205,6 +205,7 @@
        .expected = "true or false",
        .initial = target ? "true" : "false",
        .help = std::move(help),
+       .is_flag = true,
        .assign = [&target](const std::vector<std::string> &values) {
          const bool known = values.size() == 1 && (values.front() == "true" ||
                                                    values.front() == "false");
@@ -276,7 +277,8 @@
     const auto texts = texts_of(*located.value);
     const bool wrong_shape =
         known != nullptr &&
-        (!texts.has_value() || known->is_list != located.value->is_array());
+        (!texts.has_value() || known->is_list != located.value->is_array() ||
+         known->is_flag != located.value->is_boolean());
     if (wrong_shape) {
       return fail(error_code::invalid_request,
                   fmt::format("{}: {}: expected {}", origin, located.key,
--- a/src/config/settings_schema.hpp
+++ b/src/config/settings_schema.hpp
@@ -21,6 +21,7 @@
   std::string help;
   bool required = false;
   bool is_list = false;
+  bool is_flag = false;
   std::function<bool(const std::vector<std::string> &)> assign;
 };
 
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -76,6 +76,10 @@
   [[nodiscard]] bool ready() const {
     return !draining_ && routes_ != nullptr && directory_.size() > 0;
   }
+  /// From now on new requests are refused as not run: what is left of the time
+  /// to stop is for those under way.
+  void refuse_new_requests() { refusing_ = true; }
+  [[nodiscard]] bool refusing() const { return refusing_; }
   /// Answers what is under way and what still comes, and closes each
   /// connection behind its answer.
   void begin_drain();
@@ -112,6 +116,7 @@
   std::set<client_session *> sessions_;
   std::size_t open_requests_ = 0;
   bool draining_ = false;
+  bool refusing_ = false;
 };
 
 } // namespace heathtrestle::forwarding
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -281,8 +281,12 @@
   asio::steady_timer timer(io_);
   while (steady_now() < last) {
     const bool idle = gateway_.open_requests() == 0 && ledger_.unsettled() == 0;
-    if (idle && steady_now() >= begun + least_drain) {
-      break;
+    if (steady_now() >= begun + least_drain) {
+      // The entry may still send clients here when its zone has nobody else.
+      gateway_.refuse_new_requests();
+      if (idle) {
+        break;
+      }
     }
     timer.expires_after(drain_check);
     co_await timer.async_wait(as_result);
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -32,6 +32,7 @@
 constexpr std::uint32_t status_too_many = 429;
 constexpr std::size_t read_chunk_bytes = 16384;
 constexpr duration_ms startup_retry{500};
+constexpr duration_ms drain_retry{50};
 constexpr duration_ms ledger_retry{300};
 /// Share of the time until the deadline that a turn waits for its grant.
 constexpr double grant_patience = 0.5;
@@ -100,8 +101,11 @@
 asio::awaitable<bool> request_exchange::run() {
   const auto self = shared_from_this();
   keep_open_ = request_.message.keep_alive();
-  if (!routes_) {
-    co_await answer(status_unavailable, startup_retry, "no configuration yet");
+  const bool leaving = gateway_.refusing();
+  if (!routes_ || leaving) {
+    co_await answer(status_unavailable, leaving ? drain_retry : startup_retry,
+                    leaving ? "this gateway is leaving"
+                            : "no configuration yet");
     log_end();
     co_return keep_open_;
   }
--- a/src/objects/object_watch.cpp
+++ b/src/objects/object_watch.cpp
@@ -20,6 +20,11 @@
     if (!in_sync_) {
       co_await list_until_known();
     }
+    if (steady_now() < next_call_) {
+      asio::steady_timer timer(io_, next_call_ - steady_now());
+      co_await timer.async_wait(as_result);
+    }
+    next_call_ = steady_now() + options_.least_interval;
     const auto answer =
         co_await store_.watch(options_.kind, revision_, options_.wait);
     if (answer) {
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -19,6 +19,8 @@
   std::string kind;
   /// How long one watching call waits.
   duration_ms wait{8000};
+  /// Changes that come closer together than this are fetched by one call.
+  duration_ms least_interval{150};
   duration_ms first_pause{100};
   duration_ms longest_pause{1000};
 };
@@ -61,6 +63,7 @@
   bool in_sync_ = false;
   bool reachable_ = true;
   duration_ms pause_;
+  timestamp next_call_{};
 };
 
 } // namespace heathtrestle::objects
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -441,7 +441,7 @@
   // Of two voters either may be lost with its disk, and the other then goes on
   // alone. That is only right while the other holds everything, so until the
   // step from two voters to three is committed, both of the two must hold what
-  // is committed.
+  // is committed. One that is dead itself goes on with nothing.
   const bool grows_from_two = voters_index_ > commit_ &&
                               previous_voters_.size() == 2 &&
                               voters_.size() == 3;
@@ -450,7 +450,8 @@
   }
   return std::all_of(previous_voters_.begin(), previous_voters_.end(),
                      [this, index](const replica_id &voter) {
-                       return voter == self_ || match_index(voter) >= index;
+                       const bool holds = match_index(voter) >= index;
+                       return voter == self_ || is_dead(voter) || holds;
                      });
 }
 
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -124,7 +124,8 @@
 void ledger_client::settle(turn_end end) {
   auto entry = std::make_shared<pending>(io_);
   entry->change = to_change(std::move(end));
-  entry->deadline = steady_now() + options_.settle_patience;
+  entry->added = steady_now();
+  entry->deadline = entry->added + options_.settle_patience;
   add(entry);
   ++unsettled_;
 }
@@ -289,7 +290,9 @@
         entry->sent = {};
         timed_out = true;
       }
-      unsent = unsent || entry->sent == timestamp{};
+      const bool may_wait = !entry->awaited && !timed_out &&
+                            now < entry->added + options_.settle_delay;
+      unsent = unsent || (entry->sent == timestamp{} && !may_wait);
     }
     std::erase_if(pending_, [this, now](const auto &each) {
       const pending &entry = *each.second;
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -21,8 +21,9 @@
   std::string address;
   /// Another node is asked when an answer takes longer.
   duration_ms answer_timeout{250};
-  /// Ends that nobody waits for are collected this long.
-  duration_ms settle_delay{25};
+  /// Ends that nobody waits for travel with the next question, at the latest
+  /// after this long.
+  duration_ms settle_delay{150};
   /// Ends that cannot be recorded are tried this long.
   duration_ms settle_patience{30000};
   /// Silence of all nodes after which their addresses are looked up again.
@@ -62,6 +63,7 @@
     explicit pending(asio::io_context &io) : done(io) {}
 
     wire::RecordChange change;
+    timestamp added{};
     timestamp deadline{};
     timestamp sent{}; // zero: to be sent
     bool awaited = false;
--- /dev/null
+++ b/tests/balance/instance_choice_test.cpp
@@ -0,0 +1,142 @@
+#include "balance/instance_choice.hpp"
+#include "balance/prefix_view.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <set>
+
+namespace heathtrestle::balance {
+namespace {
+
+candidate idle(bool same_zone) {
+  return {.in_flight = 0, .slots = 12, .same_zone = same_zone};
+}
+
+class instance_choice_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(instance_choice_test);
+  CPPUNIT_TEST(nothing_to_choose_from_gives_nothing);
+  CPPUNIT_TEST(an_engine_that_keeps_the_prompt_wins_at_equal_load);
+  CPPUNIT_TEST(a_full_engine_loses_to_one_that_must_read);
+  CPPUNIT_TEST(a_short_prompt_is_not_worth_a_queue);
+  CPPUNIT_TEST(an_engine_keeps_to_the_zone_until_load_says_otherwise);
+  CPPUNIT_TEST(a_slow_engine_gets_less);
+  CPPUNIT_TEST(a_suspect_is_taken_only_when_alone);
+  CPPUNIT_TEST(equals_are_taken_alike);
+  CPPUNIT_TEST(a_plain_replica_is_chosen_by_load_before_warmth);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void nothing_to_choose_from_gives_nothing() {
+    CPPUNIT_ASSERT(!choose_engine({}, 1, {}));
+    CPPUNIT_ASSERT(!choose_plain({}, 1, {}));
+  }
+
+  void an_engine_that_keeps_the_prompt_wins_at_equal_load() {
+    std::array nodes{idle(true), idle(true)};
+    nodes[0].missing_tokens = 14000;
+    nodes[1].missing_tokens = 300;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *choose_engine(nodes, 0, {}));
+  }
+
+  void a_full_engine_loses_to_one_that_must_read() {
+    std::array nodes{idle(true), idle(true)};
+    nodes[0].missing_tokens = 14000;
+    nodes[1].in_flight = 12;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *choose_engine(nodes, 1, {}));
+  }
+
+  void a_short_prompt_is_not_worth_a_queue() {
+    std::array nodes{idle(true), idle(true)};
+    nodes[0].missing_tokens = 500;
+    nodes[1].in_flight = 2;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *choose_engine(nodes, 1, {}));
+  }
+
+  void an_engine_keeps_to_the_zone_until_load_says_otherwise() {
+    std::array nodes{idle(true), idle(false)};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *choose_engine(nodes, 1, {}));
+    nodes[0].in_flight = 3;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *choose_engine(nodes, 1, {}));
+  }
+
+  void a_slow_engine_gets_less() {
+    std::array nodes{idle(true), idle(true)};
+    nodes[0].in_flight = 2;
+    nodes[1].in_flight = 2;
+    nodes[0].slowdown = 1.5;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *choose_engine(nodes, 0, {}));
+  }
+
+  void a_suspect_is_taken_only_when_alone() {
+    std::array nodes{idle(true), idle(false)};
+    nodes[0].suspect = true;
+    nodes[1].in_flight = 30;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *choose_engine(nodes, 0, {}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         *choose_engine(std::span(nodes).first(1), 0, {}));
+  }
+
+  void equals_are_taken_alike() {
+    const std::array nodes{idle(true), idle(true), idle(true)};
+    std::set<std::size_t> taken;
+    for (std::uint64_t random = 0; random < nodes.size(); ++random) {
+      taken.insert(*choose_plain(nodes, random, {}));
+    }
+    CPPUNIT_ASSERT_EQUAL(nodes.size(), taken.size());
+  }
+
+  void a_plain_replica_is_chosen_by_load_before_warmth() {
+    std::array nodes{idle(true), idle(true)};
+    nodes[0].slots = nodes[1].slots = 6;
+    nodes[0].affinity = 2;
+    nodes[1].affinity = 1;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *choose_plain(nodes, 1, {}));
+    nodes[0].in_flight = 1;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *choose_plain(nodes, 1, {}));
+  }
+};
+
+class prefix_view_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(prefix_view_test);
+  CPPUNIT_TEST(what_was_sent_is_kept);
+  CPPUNIT_TEST(a_part_counts_only_with_all_before_it);
+  CPPUNIT_TEST(the_longest_unused_parts_give_way);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void what_was_sent_is_kept() {
+    prefix_view view(1000);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{30},
+                         view.missing_tokens({{1, 10}, {2, 20}}));
+    view.record({{1, 10}, {2, 20}});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         view.missing_tokens({{1, 10}, {2, 20}}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5},
+                         view.missing_tokens({{1, 10}, {2, 20}, {3, 5}}));
+  }
+
+  void a_part_counts_only_with_all_before_it() {
+    prefix_view view(1000);
+    view.record({{1, 10}, {2, 20}});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{25},
+                         view.missing_tokens({{9, 5}, {2, 20}}));
+  }
+
+  void the_longest_unused_parts_give_way() {
+    prefix_view view(100);
+    view.record({{1, 50}, {2, 30}});
+    view.record({{1, 50}, {3, 40}});
+    CPPUNIT_ASSERT(view.tokens() <= 100);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         view.missing_tokens({{1, 50}, {3, 40}}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{30},
+                         view.missing_tokens({{1, 50}, {2, 30}}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(instance_choice_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(prefix_view_test);
+
+} // namespace
+} // namespace heathtrestle::balance
--- a/tests/docs/documents_test.cpp
+++ b/tests/docs/documents_test.cpp
@@ -1,7 +1,9 @@
 // Holds the documents to the code: every event and every setting is described,
 // and nothing is described that does not exist.
 #include "daemon/daemon_settings.hpp"
+#include "forwarding/gateway_settings.hpp"
 #include "logging/event_catalogue.hpp"
+#include "records/store_process.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -56,17 +58,30 @@
   }
 
   void every_setting_is_described() {
-    daemon::daemon_settings settings;
+    check_settings<daemon::daemon_settings>("## heathtrestled");
+    check_settings<forwarding::gateway_settings>("## heathtrestle-gateway");
+    check_settings<records::store_settings>("## heathtrestle-store");
+  }
+
+private:
+  /// The settings of one program against the section under `heading`.
+  template <typename Settings>
+  static void check_settings(const std::string &heading) {
+    const std::string document = read_document("SETTINGS.md");
+    const std::size_t begin = document.find("\n" + heading + "\n");
+    CPPUNIT_ASSERT_MESSAGE(heading, begin != std::string::npos);
+    const std::size_t end = document.find("\n## ", begin + 1);
+    const std::string section = document.substr(begin, end - begin);
+    Settings settings;
     config::settings_schema schema;
-    daemon::describe_settings(schema, settings);
+    describe_settings(schema, settings);
     std::set<std::string> keys;
-    const std::string document = read_document("SETTINGS.md");
     for (const config::setting &each : schema.settings()) {
       keys.insert(each.key);
       CPPUNIT_ASSERT_MESSAGE(each.key + ": " + each.help,
-                             document.find(each.help) != std::string::npos);
+                             section.find(each.help) != std::string::npos);
     }
-    CPPUNIT_ASSERT(first_cells(document, "[a-z]+\\.[a-z_]+") == keys);
+    CPPUNIT_ASSERT(first_cells(section, "[a-z]+\\.[a-z_]+") == keys);
   }
 };
 
--- /dev/null
+++ b/tests/forwarding/attempt_plan_test.cpp
@@ -0,0 +1,123 @@
+#include "forwarding/attempt_plan.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace heathtrestle::forwarding {
+namespace {
+
+const routing::instance_id first{"i-1"};
+const routing::instance_id second{"i-2"};
+const routing::instance_id third{"i-3"};
+const timestamp start = timestamp_from(10000);
+const timestamp deadline = start + duration_ms{1000};
+
+attempt_plan plan_for(bool repeatable, std::uint32_t attempts) {
+  return {repeatable, attempts, start, deadline};
+}
+
+std::uint32_t status_of(const next_step &step) {
+  const auto *answer = std::get_if<answer_step>(&step);
+  return answer == nullptr ? 0 : answer->status;
+}
+
+class attempt_plan_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(attempt_plan_test);
+  CPPUNIT_TEST(the_first_step_sends_anywhere);
+  CPPUNIT_TEST(a_lost_request_that_must_not_repeat_ends_with_502);
+  CPPUNIT_TEST(a_refusal_leads_to_another_replica);
+  CPPUNIT_TEST(refused_by_all_it_waits_and_asks_again);
+  CPPUNIT_TEST(not_run_is_promised_only_when_it_is_true);
+  CPPUNIT_TEST(a_repeat_goes_to_no_more_replicas_than_allowed);
+  CPPUNIT_TEST(a_replica_that_ended_does_not_count);
+  CPPUNIT_TEST(losses_are_bounded);
+  CPPUNIT_TEST(after_the_deadline_nothing_is_sent);
+  CPPUNIT_TEST(giving_up_tells_when_to_come_back);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void the_first_step_sends_anywhere() {
+    auto plan = plan_for(false, 1);
+    const auto step = std::get<send_step>(plan.next(start));
+    CPPUNIT_ASSERT(step.excluded.empty());
+    CPPUNIT_ASSERT(step.only.empty());
+  }
+
+  void a_lost_request_that_must_not_repeat_ends_with_502() {
+    auto plan = plan_for(false, 3);
+    plan.on_attempt(first, attempt_outcome::lost);
+    CPPUNIT_ASSERT_EQUAL(502U, status_of(plan.next(start)));
+  }
+
+  void a_refusal_leads_to_another_replica() {
+    auto plan = plan_for(false, 1);
+    plan.on_attempt(first, attempt_outcome::not_executed);
+    const auto step = std::get<send_step>(plan.next(start));
+    CPPUNIT_ASSERT(step.excluded.contains(first));
+    CPPUNIT_ASSERT(step.only.empty());
+  }
+
+  void refused_by_all_it_waits_and_asks_again() {
+    auto plan = plan_for(false, 1);
+    plan.on_attempt(first, attempt_outcome::not_executed);
+    plan.on_no_candidate();
+    CPPUNIT_ASSERT(std::holds_alternative<wait_step>(plan.next(start)));
+    const auto step = std::get<send_step>(plan.next(start + duration_ms{5}));
+    CPPUNIT_ASSERT(step.excluded.empty());
+  }
+
+  void not_run_is_promised_only_when_it_is_true() {
+    auto refused = plan_for(false, 1);
+    refused.on_attempt(first, attempt_outcome::not_executed);
+    CPPUNIT_ASSERT_EQUAL(503U, status_of(refused.next(deadline)));
+    auto lost = plan_for(true, 2);
+    lost.on_attempt(first, attempt_outcome::lost);
+    lost.on_attempt(second, attempt_outcome::not_executed);
+    CPPUNIT_ASSERT_EQUAL(502U, status_of(lost.next(deadline)));
+  }
+
+  void a_repeat_goes_to_no_more_replicas_than_allowed() {
+    auto plan = plan_for(true, 2);
+    plan.on_attempt(first, attempt_outcome::lost);
+    auto step = std::get<send_step>(plan.next(start));
+    CPPUNIT_ASSERT(step.excluded.contains(first));
+    CPPUNIT_ASSERT(step.only.empty());
+    plan.on_attempt(second, attempt_outcome::lost);
+    step = std::get<send_step>(plan.next(start));
+    CPPUNIT_ASSERT(step.only == (std::set{first, second}));
+  }
+
+  void a_replica_that_ended_does_not_count() {
+    auto plan = plan_for(true, 1);
+    plan.on_attempt(first, attempt_outcome::lost);
+    CPPUNIT_ASSERT(std::get<send_step>(plan.next(start)).only ==
+                   std::set{first});
+    plan.on_instance_ended(first);
+    CPPUNIT_ASSERT(std::get<send_step>(plan.next(start)).only.empty());
+  }
+
+  void losses_are_bounded() {
+    auto plan = plan_for(true, 10);
+    for (int loss = 0; loss < 4; ++loss) {
+      plan.on_attempt(first, attempt_outcome::lost);
+    }
+    CPPUNIT_ASSERT_EQUAL(502U, status_of(plan.next(start)));
+  }
+
+  void after_the_deadline_nothing_is_sent() {
+    auto plan = plan_for(true, 2);
+    CPPUNIT_ASSERT_EQUAL(503U, status_of(plan.next(deadline)));
+  }
+
+  void giving_up_tells_when_to_come_back() {
+    auto plan = plan_for(true, 2);
+    plan.on_no_candidate();
+    const auto step = plan.next(start + duration_ms{900});
+    CPPUNIT_ASSERT_EQUAL(503U, status_of(step));
+    CPPUNIT_ASSERT(std::get<answer_step>(step).retry_after.count() > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(attempt_plan_test);
+
+} // namespace
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/tests/objects/object_watch_test.cpp
@@ -0,0 +1,185 @@
+#include "objects/object_watch.hpp"
+
+#include "support/coroutines.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+
+namespace heathtrestle::objects {
+namespace {
+
+object named(const std::string &name, std::uint64_t revision) {
+  return {.name = name,
+          .revision = revision,
+          .specification = boost::json::value(name),
+          .status = {},
+          .is_deleting = false};
+}
+
+/// Answers what it is told to, in order; then it waits for ever.
+class scripted_store : public object_store {
+public:
+  explicit scripted_store(asio::io_context &io) : io_(io) {}
+
+  std::deque<store_result<listing>> listings;
+  std::deque<store_result<change_list>> watches;
+  std::vector<std::uint64_t> watched_from;
+
+  asio::awaitable<store_result<listing>> list(std::string) override {
+    if (listings.empty()) {
+      co_return store_error::unavailable;
+    }
+    auto next = listings.front();
+    listings.pop_front();
+    co_return next;
+  }
+  asio::awaitable<store_result<change_list>>
+  watch(std::string, std::uint64_t revision, duration_ms) override {
+    watched_from.push_back(revision);
+    if (watches.empty()) {
+      asio::steady_timer forever(io_, asio::steady_timer::time_point::max());
+      co_await forever.async_wait(as_result);
+      co_return store_error::no_answer;
+    }
+    auto next = watches.front();
+    watches.pop_front();
+    co_return next;
+  }
+  asio::awaitable<store_result<object>> get(std::string, std::string) override {
+    co_return store_error::not_found;
+  }
+  asio::awaitable<store_result<object>> create(std::string, std::string,
+                                               boost::json::value) override {
+    co_return store_error::conflict;
+  }
+  asio::awaitable<store_result<object>> replace(std::string, std::string,
+                                                std::uint64_t,
+                                                boost::json::value) override {
+    co_return store_error::conflict;
+  }
+  asio::awaitable<store_result<object>>
+  put_status(std::string, std::string, boost::json::value) override {
+    co_return store_error::not_found;
+  }
+  asio::awaitable<store_result<bool>> remove(std::string,
+                                             std::string) override {
+    co_return true;
+  }
+
+private:
+  asio::io_context &io_;
+};
+
+class object_watch_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(object_watch_test);
+  CPPUNIT_TEST(it_lists_and_watches_from_there);
+  CPPUNIT_TEST(forgotten_history_is_listed_anew);
+  CPPUNIT_TEST(while_the_store_is_down_a_peer_serves);
+  CPPUNIT_TEST(a_peer_that_lags_does_not_turn_back_time);
+  CPPUNIT_TEST(a_lost_watch_goes_on_from_the_same_revision);
+  CPPUNIT_TEST_SUITE_END();
+
+  asio::io_context io_;
+  scripted_store store_{io_};
+  scripted_store peer_{io_};
+  object_cache cache_;
+  std::vector<std::string> seen_;
+
+  /// Runs the watch until `watches` calls to watch were made.
+  void run_until(std::size_t watches) {
+    object_watch watch(
+        io_, store_, {&peer_}, cache_,
+        {.kind = "things", .first_pause = duration_ms{1}},
+        {.on_listing =
+             [this](const listing &listed) {
+               seen_.push_back("listed " + std::to_string(listed.items.size()));
+             },
+         .on_change =
+             [this](const change &changed) {
+               seen_.push_back((changed.deleted ? "-" : "+") +
+                               changed.changed.name);
+             }});
+    asio::co_spawn(io_, watch.run(), asio::detached);
+    while (store_.watched_from.size() < watches) {
+      io_.run_one();
+    }
+    io_.stop();
+  }
+
+public:
+  void it_lists_and_watches_from_there() {
+    store_.listings.push_back(listing{{named("a", 3)}, 5});
+    store_.watches.push_back(
+        change_list{{{named("b", 6), false}, {named("a", 7), true}}, 7});
+    run_until(2);
+    CPPUNIT_ASSERT(seen_ == (std::vector<std::string>{"listed 1", "+b", "-a"}));
+    CPPUNIT_ASSERT(store_.watched_from == (std::vector<std::uint64_t>{5, 7}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cache_.find("things")->items.size());
+  }
+
+  void forgotten_history_is_listed_anew() {
+    store_.listings.push_back(listing{{named("a", 3)}, 5});
+    store_.watches.push_back(store_error::history_gone);
+    store_.listings.push_back(listing{{named("c", 8)}, 9});
+    run_until(2);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, store_.watched_from.back());
+    CPPUNIT_ASSERT_EQUAL(std::string("c"),
+                         cache_.find("things")->items.front().name);
+  }
+
+  void while_the_store_is_down_a_peer_serves() {
+    store_.listings.push_back(store_error::no_answer);
+    peer_.listings.push_back(listing{{named("p", 2)}, 4});
+    run_until(1);
+    CPPUNIT_ASSERT(seen_ == std::vector<std::string>{"listed 1"});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, store_.watched_from.front());
+  }
+
+  void a_peer_that_lags_does_not_turn_back_time() {
+    cache_.replace("things", listing{{named("new", 8)}, 9});
+    store_.listings.push_back(store_error::no_answer);
+    peer_.listings.push_back(listing{{named("old", 2)}, 4});
+    store_.listings.push_back(listing{{named("newer", 11)}, 12});
+    run_until(1);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, store_.watched_from.front());
+  }
+
+  void a_lost_watch_goes_on_from_the_same_revision() {
+    store_.listings.push_back(listing{{}, 5});
+    store_.watches.push_back(store_error::no_answer);
+    run_until(2);
+    CPPUNIT_ASSERT(store_.watched_from == (std::vector<std::uint64_t>{5, 5}));
+  }
+};
+
+class object_cache_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(object_cache_test);
+  CPPUNIT_TEST(a_listing_survives_its_encoding);
+  CPPUNIT_TEST(text_that_is_no_listing_is_malformed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void a_listing_survives_its_encoding() {
+    const listing before{{named("a", 3), named("b", 4)}, 5};
+    const auto after = decode_listing(encode_listing(before));
+    CPPUNIT_ASSERT(after);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, after.value().revision);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), after.value().items[1].name);
+    CPPUNIT_ASSERT(after.value().items[1].specification ==
+                   boost::json::value("b"));
+  }
+
+  void text_that_is_no_listing_is_malformed() {
+    for (const char *text : {"", "{", "[]", "{\"revision\":1}",
+                             "{\"revision\":1,\"items\":[{}]}"}) {
+      CPPUNIT_ASSERT(decode_listing(text).error() == store_error::malformed);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(object_watch_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(object_cache_test);
+
+} // namespace
+} // namespace heathtrestle::objects
--- /dev/null
+++ b/tests/records/group_plan_test.cpp
@@ -0,0 +1,112 @@
+#include "records/group_plan.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace heathtrestle::records {
+namespace {
+
+replica_id id(std::uint64_t node, std::uint64_t identity = 1) {
+  return {node_id{node}, boot_id{identity}};
+}
+
+node_view voter(std::uint64_t node) {
+  return {.replica = id(node), .votes = true, .alive = true};
+}
+
+node_view spare(std::uint64_t node, std::uint64_t identity = 1) {
+  return {.replica = id(node, identity), .alive = true, .caught_up = true};
+}
+
+class group_plan_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(group_plan_test);
+  CPPUNIT_TEST(a_settled_group_stays_as_it_is);
+  CPPUNIT_TEST(a_new_node_first_learns);
+  CPPUNIT_TEST(a_learner_that_caught_up_votes_while_voters_are_wanted);
+  CPPUNIT_TEST(a_dead_identity_gives_way_to_its_successor);
+  CPPUNIT_TEST(a_spare_waits_for_a_dead_nodes_return);
+  CPPUNIT_TEST(a_silent_voter_is_replaced_by_a_spare_and_only_then_removed);
+  CPPUNIT_TEST(a_silent_voter_stays_without_a_spare);
+  CPPUNIT_TEST(a_retiring_voter_leaves_even_without_a_spare);
+  CPPUNIT_TEST(the_last_voter_stays);
+  CPPUNIT_TEST(a_leader_that_is_to_leave_hands_over);
+  CPPUNIT_TEST_SUITE_END();
+
+  std::vector<node_view> nodes_{voter(1), voter(2), voter(3)};
+  std::vector<replica_id> learners_;
+
+  std::optional<group_change> next() {
+    return next_change(nodes_, learners_, 3);
+  }
+
+public:
+  void setUp() override { nodes_.front().is_self = true; }
+
+  void a_settled_group_stays_as_it_is() { CPPUNIT_ASSERT(!next()); }
+
+  void a_new_node_first_learns() {
+    nodes_.push_back(spare(4));
+    nodes_.back().caught_up = false;
+    CPPUNIT_ASSERT(std::get<add_learner>(*next()).replica == id(4));
+  }
+
+  void a_learner_that_caught_up_votes_while_voters_are_wanted() {
+    nodes_.pop_back();
+    nodes_.push_back(spare(4));
+    learners_.push_back(id(4));
+    CPPUNIT_ASSERT(std::get<add_voter>(*next()).replica == id(4));
+  }
+
+  void a_dead_identity_gives_way_to_its_successor() {
+    nodes_[2].dead = true;
+    nodes_[2].alive = false;
+    nodes_.push_back(spare(3, 2));
+    learners_.push_back(id(3, 2));
+    const auto change = std::get<replace_voter>(*next());
+    CPPUNIT_ASSERT(change.dead == id(3, 1));
+    CPPUNIT_ASSERT(change.successor == id(3, 2));
+  }
+
+  void a_spare_waits_for_a_dead_nodes_return() {
+    nodes_[2].dead = true;
+    nodes_.push_back(spare(3, 2));
+    nodes_.back().caught_up = false;
+    nodes_.push_back(spare(4));
+    learners_ = {id(3, 2), id(4)};
+    CPPUNIT_ASSERT(!next());
+  }
+
+  void a_silent_voter_is_replaced_by_a_spare_and_only_then_removed() {
+    nodes_[1].long_silent = true;
+    nodes_.push_back(spare(4));
+    learners_ = {id(4)};
+    CPPUNIT_ASSERT(std::get<add_voter>(*next()).replica == id(4));
+    nodes_.back().votes = true;
+    CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(2));
+  }
+
+  void a_silent_voter_stays_without_a_spare() {
+    nodes_[1].long_silent = true;
+    CPPUNIT_ASSERT(!next());
+  }
+
+  void a_retiring_voter_leaves_even_without_a_spare() {
+    nodes_[1].retiring = true;
+    CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(2));
+  }
+
+  void the_last_voter_stays() {
+    nodes_.resize(1);
+    nodes_[0].retiring = true;
+    CPPUNIT_ASSERT(!next());
+  }
+
+  void a_leader_that_is_to_leave_hands_over() {
+    nodes_[0].retiring = true;
+    CPPUNIT_ASSERT(std::holds_alternative<hand_over>(*next()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(group_plan_test);
+
+} // namespace
+} // namespace heathtrestle::records
--- /dev/null
+++ b/tests/records/ledger_client_test.cpp
@@ -0,0 +1,183 @@
+#include "records/ledger_client.hpp"
+
+#include "support/coroutines.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+namespace heathtrestle::records {
+namespace {
+
+using test_support::await_result;
+
+wire::RecordMembers members_at(const std::vector<std::string> &addresses) {
+  wire::RecordMembers members;
+  for (const std::string &address : addresses) {
+    wire::RecordMember &member = *members.add_members();
+    member.set_name(address);
+    member.set_address(address);
+  }
+  return members;
+}
+
+/// A leader at one address; all others refuse, or say nothing at all.
+class fake_group {
+public:
+  std::string leader = "leader:1";
+  bool others_are_silent = false;
+  bool names_leader = true;
+  wire::RecordVerdict verdict = wire::RECORD_GRANTED;
+  std::vector<std::string> asked;
+  std::vector<wire::RecordChange> taken;
+  ledger_client *client = nullptr;
+  asio::io_context *io = nullptr;
+
+  void receive(const std::string &address, const wire::Envelope &envelope) {
+    asked.push_back(address);
+    wire::Envelope answer;
+    wire::RecordReply &reply = *answer.mutable_record_reply();
+    if (address != leader) {
+      if (others_are_silent) {
+        return;
+      }
+      reply.set_not_leader(true);
+      reply.set_leader_address(names_leader ? leader : "");
+      for (const auto &item : envelope.record_request().items()) {
+        reply.add_refused(item.id());
+      }
+    } else {
+      reply.set_leader_address(leader);
+      for (const auto &item : envelope.record_request().items()) {
+        taken.push_back(item.change());
+        wire::RecordReplyItem &done = *reply.add_items();
+        done.set_id(item.id());
+        done.set_verdict(item.change().has_end() ? wire::RECORD_DONE : verdict);
+      }
+    }
+    asio::post(*io, [this, answer] { client->on_message(answer); });
+  }
+};
+
+class ledger_client_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ledger_client_test);
+  CPPUNIT_TEST(a_turn_is_granted_by_the_leader);
+  CPPUNIT_TEST(a_refusal_leads_to_the_leader);
+  CPPUNIT_TEST(a_silent_node_is_passed_over);
+  CPPUNIT_TEST(an_unanswered_turn_is_unavailable_and_given_back);
+  CPPUNIT_TEST(an_end_is_tried_until_it_is_confirmed);
+  CPPUNIT_TEST(questions_at_one_moment_travel_together);
+  CPPUNIT_TEST_SUITE_END();
+
+  asio::io_context io_;
+  fake_group group_;
+  std::unique_ptr<ledger_client> client_;
+
+  static turn_request turn(const std::string &attempt) {
+    return {.program = "p",
+            .attempt = attempt,
+            .budget = 100,
+            .most = 10,
+            .previous = "",
+            .want_history = false,
+            .keep = duration_ms{1000}};
+  }
+
+  turn_grant begin(const std::string &attempt, duration_ms patience) {
+    return await_result(io_,
+                        client_->begin(turn(attempt), steady_now() + patience));
+  }
+
+public:
+  void setUp() override {
+    client_ = std::make_unique<ledger_client>(
+        io_,
+        ledger_options{.address = "gateway:1",
+                       .answer_timeout = duration_ms{40}},
+        [this](const std::string &address, const wire::Envelope &envelope) {
+          group_.receive(address, envelope);
+        });
+    group_.client = client_.get();
+    group_.io = &io_;
+    client_->learn_members(members_at({"other:1", "leader:1", "third:1"}));
+    asio::co_spawn(io_, client_->run(), asio::detached);
+  }
+  void tearDown() override {
+    io_.stop();
+    client_.reset();
+  }
+
+  void a_turn_is_granted_by_the_leader() {
+    const auto grant = begin("a", duration_ms{5000});
+    CPPUNIT_ASSERT(grant.verdict == turn_verdict::granted);
+    group_.verdict = wire::RECORD_BUDGET_SPENT;
+    CPPUNIT_ASSERT(begin("b", duration_ms{5000}).verdict ==
+                   turn_verdict::budget_spent);
+  }
+
+  void a_refusal_leads_to_the_leader() {
+    group_.leader = "third:1";
+    CPPUNIT_ASSERT(begin("a", duration_ms{5000}).verdict ==
+                   turn_verdict::granted);
+    CPPUNIT_ASSERT_EQUAL(std::string("third:1"), group_.asked.back());
+    CPPUNIT_ASSERT(group_.asked.size() <= 2);
+  }
+
+  void a_silent_node_is_passed_over() {
+    group_.others_are_silent = true;
+    CPPUNIT_ASSERT(begin("a", duration_ms{5000}).verdict ==
+                   turn_verdict::granted);
+  }
+
+  void an_unanswered_turn_is_unavailable_and_given_back() {
+    group_.leader = "nobody:1";
+    group_.others_are_silent = true;
+    CPPUNIT_ASSERT(begin("a", duration_ms{60}).verdict ==
+                   turn_verdict::unavailable);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client_->unsettled());
+    group_.leader = "leader:1";
+    while (client_->unsettled() > 0) {
+      io_.run_one();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), group_.taken.back().end().attempt());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, group_.taken.back().end().used());
+  }
+
+  void an_end_is_tried_until_it_is_confirmed() {
+    group_.leader = "nobody:1";
+    group_.others_are_silent = true;
+    const bool confirmed =
+        await_result(io_, client_->finish({.program = "p",
+                                           .attempt = "a",
+                                           .used = 7,
+                                           .kept = {},
+                                           .keep = duration_ms{1000}},
+                                          steady_now() + duration_ms{60}));
+    CPPUNIT_ASSERT(!confirmed);
+    group_.leader = "leader:1";
+    while (client_->unsettled() > 0) {
+      io_.run_one();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, group_.taken.back().end().used());
+  }
+
+  void questions_at_one_moment_travel_together() {
+    begin("warm", duration_ms{5000});
+    const std::size_t before = group_.asked.size();
+    int answered = 0;
+    for (const char *attempt : {"a", "b", "c"}) {
+      asio::co_spawn(
+          io_, client_->begin(turn(attempt), steady_now() + duration_ms{5000}),
+          [&answered](std::exception_ptr, turn_grant) { ++answered; });
+    }
+    while (answered < 3) {
+      io_.run_one();
+    }
+    CPPUNIT_ASSERT_EQUAL(before + 1, group_.asked.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ledger_client_test);
+
+} // namespace
+} // namespace heathtrestle::records
--- /dev/null
+++ b/tests/records/record_group_test.cpp
@@ -0,0 +1,350 @@
+// The record group under losses: what it acknowledged is never lost, and it
+// serves again by itself.
+#include "support/record_group.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fmt/format.h>
+
+namespace heathtrestle::records {
+namespace {
+
+using test_support::record_group;
+using namespace std::chrono_literals;
+
+class record_group_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(record_group_test);
+  CPPUNIT_TEST(a_founder_takes_the_others_in);
+  CPPUNIT_TEST(a_wiped_node_is_whole_again_within_two_seconds);
+  CPPUNIT_TEST(wipes_one_after_the_other_lose_nothing);
+  CPPUNIT_TEST(all_lose_power_and_one_its_disk);
+  CPPUNIT_TEST(a_minority_that_was_behind_does_not_lead);
+  CPPUNIT_TEST(of_two_either_may_be_wiped);
+  CPPUNIT_TEST(a_node_lost_for_good_gives_way_to_a_spare);
+  CPPUNIT_TEST(a_retired_node_is_emptied);
+  CPPUNIT_TEST(a_retired_leader_hands_over);
+  CPPUNIT_TEST(a_cut_leader_acknowledges_nothing);
+  CPPUNIT_TEST(a_frozen_leader_wakes_as_follower);
+  CPPUNIT_TEST(nothing_piles_up_for_a_node_that_is_cut_off);
+  CPPUNIT_TEST(budgets_hold_over_a_change_of_leaders);
+  CPPUNIT_TEST(random_losses_lose_nothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void found_with(record_group &group,
+                         const std::vector<std::string> &names) {
+    for (const std::string &name : names) {
+      group.add(name);
+    }
+    group.found(names.front());
+    group.run(4000ms);
+  }
+
+  /// Keeps `count` turns; all must be acknowledged within `patience`.
+  static void keep(record_group &group, const std::string &prefix, int count,
+                   duration_ms patience) {
+    std::vector<std::uint64_t> asked;
+    for (int turn = 0; turn < count; ++turn) {
+      asked.push_back(group.keep_turn(fmt::format("{}{}", prefix, turn)));
+    }
+    group.run(patience);
+    for (const std::uint64_t id : asked) {
+      CPPUNIT_ASSERT_MESSAGE(prefix, group.verdict(id) == wire::RECORD_DONE);
+    }
+  }
+
+  /// Every turn that was acknowledged must be there to go on from.
+  static void check_kept(record_group &group, const std::string &prefix,
+                         int count) {
+    std::vector<std::uint64_t> asked;
+    for (int turn = 0; turn < count; ++turn) {
+      const std::string id = fmt::format("{}{}", prefix, turn);
+      asked.push_back(group.begin_turn(
+          "reader", fmt::format("read-{}-{}", id, group.draw()), 0, 1, id));
+    }
+    group.run(4000ms);
+    for (const std::uint64_t id : asked) {
+      CPPUNIT_ASSERT_MESSAGE(prefix, group.verdict(id) == wire::RECORD_GRANTED);
+    }
+  }
+
+public:
+  void a_founder_takes_the_others_in() {
+    record_group group(1);
+    found_with(group, {"a", "b", "c"});
+    CPPUNIT_ASSERT(group.voters() == (std::set<std::string>{"a", "b", "c"}));
+    keep(group, "t", 5, 500ms);
+    check_kept(group, "t", 5);
+  }
+
+  void a_wiped_node_is_whole_again_within_two_seconds() {
+    for (const char *wiped : {"a", "b"}) {
+      record_group group(2);
+      found_with(group, {"a", "b", "c"});
+      keep(group, "t", 5, 500ms);
+      group.wipe(wiped);
+      group.run(1000ms);
+      group.start(wiped);
+      group.run(2000ms);
+      CPPUNIT_ASSERT(group.voters() == (std::set<std::string>{"a", "b", "c"}));
+      const std::string lead = group.leader();
+      const auto *log = group.at(lead).log();
+      CPPUNIT_ASSERT(!log->change_in_progress());
+      for (const replica_id &voter : log->voters()) {
+        CPPUNIT_ASSERT(!log->is_dead(voter));
+      }
+    }
+  }
+
+  void wipes_one_after_the_other_lose_nothing() {
+    record_group group(3);
+    found_with(group, {"a", "b", "c"});
+    keep(group, "t", 20, 500ms);
+    int wave = 0;
+    for (const char *wiped : {"b", "a", "c", "b"}) {
+      group.wipe(wiped);
+      group.run(1000ms);
+      group.start(wiped);
+      group.run(4000ms);
+      keep(group, fmt::format("w{}-", wave++), 5, 1000ms);
+    }
+    check_kept(group, "t", 20);
+    check_kept(group, "w0-", 5);
+  }
+
+  void all_lose_power_and_one_its_disk() {
+    for (const char *wiped : {"a", "b", "c"}) {
+      record_group group(4);
+      found_with(group, {"a", "b", "c"});
+      keep(group, "t", 10, 500ms);
+      for (const char *name : {"a", "b", "c"}) {
+        group.kill(name);
+      }
+      group.wipe(wiped);
+      for (const char *name : {"a", "b", "c"}) {
+        group.start(name);
+      }
+      group.run(4000ms);
+      check_kept(group, "t", 10);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group.voters().size());
+    }
+  }
+
+  void a_minority_that_was_behind_does_not_lead() {
+    record_group group(5);
+    found_with(group, {"a", "b", "c"});
+    group.isolate("c");
+    keep(group, "t", 10, 1500ms);
+    group.wipe("a");
+    group.kill("b");
+    group.heal();
+    group.start("a");
+    group.run(5000ms);
+    // c is behind and a is empty: they must not go on without b.
+    CPPUNIT_ASSERT(group.leader().empty());
+    group.start("b");
+    group.run(3000ms);
+    check_kept(group, "t", 10);
+  }
+
+  void of_two_either_may_be_wiped() {
+    for (const char *wiped : {"a", "b"}) {
+      record_group group(6);
+      found_with(group, {"a", "b"});
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, group.voters().size());
+      keep(group, "t", 10, 500ms);
+      group.wipe(wiped);
+      group.run(500ms);
+      group.start(wiped);
+      group.run(4000ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, group.voters().size());
+      check_kept(group, "t", 10);
+      keep(group, "u", 3, 1000ms);
+    }
+  }
+
+  void a_node_lost_for_good_gives_way_to_a_spare() {
+    record_group group(7);
+    found_with(group, {"a", "b", "c"});
+    keep(group, "t", 10, 500ms);
+    group.kill("b");
+    group.run(1000ms);
+    group.add("d");
+    group.run(4000ms);
+    CPPUNIT_ASSERT(group.voters() == (std::set<std::string>{"a", "c", "d"}));
+    group.kill("a");
+    group.run(2000ms);
+    check_kept(group, "t", 10);
+  }
+
+  void a_retired_node_is_emptied() {
+    record_group group(8);
+    found_with(group, {"a", "b", "c"});
+    keep(group, "t", 10, 500ms);
+    const std::string lead = group.leader();
+    const std::string retired = lead == "c" ? "b" : "c";
+    group.retire(retired);
+    group.run(1000ms);
+    CPPUNIT_ASSERT(group.at(group.leader()).emptied().contains(retired));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, group.voters().size());
+    group.wipe(retired);
+    const std::string other = group.leader() == "a" ? "b" : "a";
+    const std::string wiped = other == retired ? "c" : other;
+    group.wipe(wiped);
+    group.run(1000ms);
+    group.start(wiped);
+    group.run(4000ms);
+    check_kept(group, "t", 10);
+  }
+
+  void a_retired_leader_hands_over() {
+    record_group group(9);
+    found_with(group, {"a", "b", "c"});
+    keep(group, "t", 10, 500ms);
+    const std::string retired = group.leader();
+    group.retire(retired);
+    group.run(3000ms);
+    CPPUNIT_ASSERT(group.leader() != retired);
+    CPPUNIT_ASSERT(!group.voters().contains(retired));
+    CPPUNIT_ASSERT(group.at(group.leader()).emptied().contains(retired));
+    group.kill(retired);
+    check_kept(group, "t", 10);
+  }
+
+  void a_cut_leader_acknowledges_nothing() {
+    record_group group(10);
+    found_with(group, {"a", "b", "c"});
+    const std::string lead = group.leader();
+    for (const std::string &name : group.names()) {
+      if (name != lead) {
+        group.cut(lead, name);
+      }
+    }
+    // The client still reaches all of them.
+    keep(group, "t", 10, 3000ms);
+    group.heal();
+    group.run(2000ms);
+    check_kept(group, "t", 10);
+  }
+
+  void a_frozen_leader_wakes_as_follower() {
+    record_group group(11);
+    found_with(group, {"a", "b", "c"});
+    const std::string lead = group.leader();
+    group.freeze(lead);
+    keep(group, "t", 10, 3000ms);
+    group.thaw(lead);
+    group.run(1000ms);
+    CPPUNIT_ASSERT(group.leader() != lead);
+    check_kept(group, "t", 10);
+  }
+
+  void nothing_piles_up_for_a_node_that_is_cut_off() {
+    record_group group(12);
+    found_with(group, {"a", "b", "c"});
+    const std::string cut_off = group.leader() == "c" ? "b" : "c";
+    group.isolate(cut_off);
+    group.run(1500ms);
+    const std::size_t before = group.undeliverable_bytes();
+    for (int wave = 0; wave < 20; ++wave) {
+      keep(group, fmt::format("w{}-", wave), 20, 300ms);
+    }
+    // Heartbeats and greetings only, not the 80 KB that were recorded.
+    CPPUNIT_ASSERT(group.undeliverable_bytes() - before < 40000);
+  }
+
+  void budgets_hold_over_a_change_of_leaders() {
+    record_group group(13);
+    found_with(group, {"a", "b", "c"});
+    int granted = 0;
+    for (int turn = 0; turn < 12; ++turn) {
+      const auto id =
+          group.begin_turn("p", fmt::format("attempt-{}", turn), 10, 55);
+      if (turn % 3 == 0) {
+        const std::string lead = group.leader();
+        group.kill(lead);
+        group.run(1500ms);
+        group.start(lead);
+      }
+      group.run(1500ms);
+      CPPUNIT_ASSERT(group.verdict(id).has_value());
+      granted += group.verdict(id) == wire::RECORD_GRANTED ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(5, granted);
+  }
+
+  void random_losses_lose_nothing() {
+    for (std::uint64_t seed = 100; seed < 130; ++seed) {
+      run_random(seed);
+    }
+  }
+
+private:
+  static void run_random(std::uint64_t seed) {
+    record_group group(seed);
+    found_with(group, {"a", "b", "c"});
+    const std::string message = fmt::format("seed {}", seed);
+    std::vector<std::pair<std::uint64_t, std::string>> asked;
+    for (int round = 0; round < 10; ++round) {
+      for (int turn = 0; turn < 3; ++turn) {
+        const std::string id = fmt::format("r{}-{}", round, turn);
+        asked.emplace_back(group.keep_turn(id), id);
+      }
+      group.run(duration_ms{group.draw() % 40});
+      const std::vector<std::string> names = group.names();
+      const std::string victim = names[group.draw() % names.size()];
+      disturb(group, victim, group.draw() % 5);
+      group.run(duration_ms{2000});
+    }
+    group.run(3000ms);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::size_t{0}, group.unanswered());
+    for (const auto &[id, turn] : asked) {
+      const auto read = group.begin_turn("reader", "read-" + turn, 0, 1, turn);
+      group.run(50ms);
+      if (!group.verdict(read)) {
+        group.run(2000ms);
+      }
+      CPPUNIT_ASSERT_MESSAGE(message + " turn " + turn,
+                             group.verdict(read) == wire::RECORD_GRANTED);
+    }
+  }
+
+  static void disturb(record_group &group, const std::string &victim,
+                      std::uint64_t kind) {
+    constexpr std::uint64_t wipe = 0;
+    constexpr std::uint64_t power_all = 1;
+    constexpr std::uint64_t isolate = 2;
+    constexpr std::uint64_t freeze = 3;
+    if (kind == wipe) {
+      group.wipe(victim);
+      group.run(700ms);
+      group.start(victim);
+    } else if (kind == power_all) {
+      for (const std::string &name : group.names()) {
+        group.kill(name);
+      }
+      group.wipe(victim);
+      group.run(500ms);
+      for (const std::string &name : group.names()) {
+        group.start(name);
+      }
+    } else if (kind == isolate) {
+      group.isolate(victim);
+      group.run(3000ms);
+      group.heal();
+    } else if (kind == freeze) {
+      group.freeze(victim);
+      group.run(2000ms);
+      group.thaw(victim);
+    } else {
+      group.kill(victim);
+      group.run(800ms);
+      group.start(victim);
+    }
+    group.run(2500ms);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(record_group_test);
+
+} // namespace
+} // namespace heathtrestle::records
--- /dev/null
+++ b/tests/records/record_table_test.cpp
@@ -0,0 +1,210 @@
+#include "records/record_table.hpp"
+#include "records/turn_cache.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace heathtrestle::records {
+namespace {
+
+constexpr std::uint64_t keep = 60000;
+
+wire::RecordChange begin(const std::string &attempt, std::uint64_t most,
+                         std::uint64_t budget,
+                         const std::string &previous = {}) {
+  wire::RecordChange change;
+  wire::BeginTurn &turn = *change.mutable_begin();
+  turn.set_program("p");
+  turn.set_attempt(attempt);
+  turn.set_most(most);
+  turn.set_budget(budget);
+  turn.set_previous(previous);
+  turn.set_want_history(true);
+  turn.set_keep_ms(keep);
+  return change;
+}
+
+wire::RecordChange end(const std::string &attempt, std::uint64_t used,
+                       const std::string &previous = {}, bool kept = false) {
+  wire::RecordChange change;
+  wire::EndTurn &turn = *change.mutable_end();
+  turn.set_program("p");
+  turn.set_attempt(attempt);
+  turn.set_used(used);
+  turn.set_keep_ms(keep);
+  if (kept) {
+    turn.mutable_kept()->set_id(attempt);
+    turn.mutable_kept()->set_previous(previous);
+    turn.mutable_kept()->set_input("in-" + attempt);
+    turn.mutable_kept()->set_output("out-" + attempt);
+  }
+  return change;
+}
+
+class record_table_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(record_table_test);
+  CPPUNIT_TEST(a_turn_that_fits_is_granted);
+  CPPUNIT_TEST(what_is_reserved_counts_as_spent);
+  CPPUNIT_TEST(the_same_attempt_is_granted_once);
+  CPPUNIT_TEST(an_attempt_that_ended_cannot_begin);
+  CPPUNIT_TEST(an_end_counts_once);
+  CPPUNIT_TEST(history_comes_oldest_first);
+  CPPUNIT_TEST(an_unknown_turn_is_told_and_reserves_nothing);
+  CPPUNIT_TEST(a_turn_is_kept_with_its_chain);
+  CPPUNIT_TEST(expired_and_swept_look_alike);
+  CPPUNIT_TEST(a_snapshot_holds_everything);
+  CPPUNIT_TEST(time_does_not_run_backwards);
+  CPPUNIT_TEST_SUITE_END();
+
+  record_table table_;
+
+  wire::RecordReplyItem apply(const wire::RecordChange &change,
+                              std::uint64_t time_ms = 1000) {
+    return apply_to(table_, change, time_ms);
+  }
+
+  static wire::RecordReplyItem apply_to(record_table &table,
+                                        const wire::RecordChange &change,
+                                        std::uint64_t time_ms) {
+    wire::RecordBatch batch;
+    batch.set_time_ms(time_ms);
+    *batch.add_changes() = change;
+    return table.apply(batch).at(0);
+  }
+
+public:
+  void a_turn_that_fits_is_granted() {
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_GRANTED,
+                         apply(begin("a", 100, 100)).verdict());
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_BUDGET_SPENT,
+                         apply(begin("b", 1, 100)).verdict());
+  }
+
+  void what_is_reserved_counts_as_spent() {
+    apply(begin("a", 60, 100));
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_BUDGET_SPENT,
+                         apply(begin("b", 60, 100)).verdict());
+    apply(end("a", 10));
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_GRANTED,
+                         apply(begin("c", 60, 100)).verdict());
+  }
+
+  void the_same_attempt_is_granted_once() {
+    apply(begin("a", 60, 100));
+    const auto again = apply(begin("a", 60, 100));
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_GRANTED, again.verdict());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{60}, again.reserved());
+  }
+
+  void an_attempt_that_ended_cannot_begin() {
+    apply(end("a", 0));
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_UNAVAILABLE,
+                         apply(begin("a", 60, 100)).verdict());
+  }
+
+  void an_end_counts_once() {
+    apply(begin("a", 60, 100));
+    apply(end("a", 25));
+    const auto again = apply(end("a", 25));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{25}, again.spent());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, again.reserved());
+  }
+
+  void history_comes_oldest_first() {
+    apply(end("a", 0, "", true));
+    apply(end("b", 0, "a", true));
+    const auto reply = apply(begin("c", 1, 100, "b"));
+    CPPUNIT_ASSERT_EQUAL(2, reply.history_size());
+    CPPUNIT_ASSERT_EQUAL(std::string("in-a"), reply.history(0).input());
+    CPPUNIT_ASSERT_EQUAL(std::string("out-b"), reply.history(1).output());
+  }
+
+  void an_unknown_turn_is_told_and_reserves_nothing() {
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_UNKNOWN_TURN,
+                         apply(begin("c", 90, 100, "nowhere")).verdict());
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_GRANTED,
+                         apply(begin("d", 100, 100)).verdict());
+  }
+
+  void a_turn_is_kept_with_its_chain() {
+    apply(end("a", 0, "", true), 1000);
+    apply(end("b", 0, "a", true), 50000);
+    const auto reply = apply(begin("c", 1, 100, "b"), 100000);
+    CPPUNIT_ASSERT_EQUAL(2, reply.history_size());
+  }
+
+  void expired_and_swept_look_alike() {
+    record_table restored;
+    apply(end("a", 0, "", true), 1000);
+    restored.restore(table_.snapshot());
+    // One has just been restored and has not swept for a while.
+    constexpr std::uint64_t later = 1000 + 10 * keep;
+    CPPUNIT_ASSERT_EQUAL(
+        apply(begin("c", 1, 100, "a"), later).verdict(),
+        apply_to(restored, begin("c", 1, 100, "a"), later).verdict());
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_UNKNOWN_TURN,
+                         apply(begin("d", 1, 100, "a"), later).verdict());
+  }
+
+  void a_snapshot_holds_everything() {
+    apply(begin("a", 60, 100));
+    apply(end("b", 30, "", true));
+    record_table restored;
+    restored.restore(table_.snapshot());
+    const auto refused = apply_to(restored, begin("c", 20, 100), 1000);
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_BUDGET_SPENT, refused.verdict());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{30}, refused.spent());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{60}, refused.reserved());
+    const auto granted = apply_to(restored, begin("d", 10, 100, "b"), 1000);
+    CPPUNIT_ASSERT_EQUAL(1, granted.history_size());
+  }
+
+  void time_does_not_run_backwards() {
+    apply(end("a", 0, "", true), 100000);
+    apply(end("b", 0, "", true), 1000);
+    // Were the second kept from its own time on, it would be gone by now.
+    CPPUNIT_ASSERT_EQUAL(
+        wire::RECORD_GRANTED,
+        apply(begin("c", 1, 100, "b"), 100000 + keep).verdict());
+  }
+};
+
+class turn_cache_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(turn_cache_test);
+  CPPUNIT_TEST(a_chain_comes_whole_or_not_at_all);
+  CPPUNIT_TEST(the_cache_stays_within_its_bytes);
+  CPPUNIT_TEST(a_turn_that_names_itself_ends);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void a_chain_comes_whole_or_not_at_all() {
+    turn_cache cache(1000);
+    cache.put({.id = "b", .previous = "a", .input = "2", .output = "y"});
+    CPPUNIT_ASSERT(!cache.chain("b"));
+    cache.put({.id = "a", .previous = "", .input = "1", .output = "x"});
+    const auto chain = cache.chain("b");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, chain->size());
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), chain->front()->input);
+  }
+
+  void the_cache_stays_within_its_bytes() {
+    turn_cache cache(10);
+    for (const char *id : {"a", "b", "c", "d"}) {
+      cache.put({.id = id, .previous = "", .input = "1234", .output = ""});
+    }
+    CPPUNIT_ASSERT(cache.bytes() <= 10);
+    CPPUNIT_ASSERT(cache.chain("d").has_value());
+    CPPUNIT_ASSERT(!cache.chain("a").has_value());
+  }
+
+  void a_turn_that_names_itself_ends() {
+    turn_cache cache(100);
+    cache.put({.id = "a", .previous = "a", .input = "1", .output = ""});
+    CPPUNIT_ASSERT(!cache.chain("a").has_value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(record_table_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(turn_cache_test);
+
+} // namespace
+} // namespace heathtrestle::records
--- /dev/null
+++ b/tests/support/record_group.hpp
@@ -0,0 +1,329 @@
+// Storage nodes in virtual time, with disks and a network that can be broken.
+// Deterministic: the same seed gives the same run.
+#pragma once
+
+#include "records/record_node.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace heathtrestle::test_support {
+
+/// What a node's disk holds; survives its process.
+struct fake_disk {
+  boot_id identity;
+  raft::saved_replica replica;
+  wire::RecordSnapshot snapshot;
+  wire::RecordMembers members;
+
+  void write(const records::record_effects &effects) {
+    const raft::unsaved_changes &changes = effects.write;
+    if (changes.hard) {
+      replica.hard = *changes.hard;
+    }
+    if (changes.installed) {
+      replica.base = *changes.installed;
+      replica.entries.clear();
+      snapshot = effects.installed.value_or(wire::RecordSnapshot());
+    }
+    if (changes.truncate_from != 0) {
+      while (replica.base.index + replica.entries.size() >=
+             changes.truncate_from) {
+        replica.entries.pop_back();
+      }
+    }
+    for (const wire::LogEntry *entry : changes.entries) {
+      replica.entries.push_back(*entry);
+    }
+    if (effects.members) {
+      members = *effects.members;
+    }
+  }
+};
+
+class record_group {
+public:
+  static constexpr const char *client_address = "client";
+
+  explicit record_group(std::uint64_t seed) : random_(seed) {}
+
+  /// Adds a machine and starts its process; it knows all machines so far.
+  void add(const std::string &name) {
+    machines_[name].disk.identity = boot_id{random_()};
+    start(name);
+  }
+  void found(const std::string &name) {
+    machines_.at(name).node->found(now_, random_());
+  }
+  void kill(const std::string &name) { machines_.at(name).node.reset(); }
+  /// The machine comes back with an empty disk.
+  void wipe(const std::string &name) {
+    kill(name);
+    machines_.at(name).disk = {};
+    machines_.at(name).disk.identity = boot_id{random_()};
+  }
+  void start(const std::string &name) {
+    node_machine &started = machines_.at(name);
+    wire::RecordMember self;
+    self.set_name(name);
+    self.set_address(name);
+    storage::recovered_state recovered{.identity = started.disk.identity,
+                                       .is_new = false,
+                                       .replica = started.disk.replica,
+                                       .snapshot = started.disk.snapshot,
+                                       .members = started.disk.members};
+    started.node = std::make_unique<records::record_node>(
+        std::move(self), std::move(recovered), records::record_node_options{},
+        now_, random_());
+    started.node->learn_members(directory());
+  }
+  void isolate(const std::string &name) { isolated_.insert(name); }
+  void heal() {
+    isolated_.clear();
+    cut_.clear();
+  }
+  /// Nothing passes between the two, in either direction.
+  void cut(const std::string &one, const std::string &other) {
+    cut_.insert({one, other});
+    cut_.insert({other, one});
+  }
+  void freeze(const std::string &name) { frozen_.insert(name); }
+  void thaw(const std::string &name) { frozen_.erase(name); }
+  void retire(const std::string &name) {
+    retiring_.insert(name);
+    for (auto &[each, machine] : machines_) {
+      if (machine.node) {
+        machine.node->set_retiring(retiring_);
+      }
+    }
+  }
+
+  void run(duration_ms span) {
+    const timestamp end = now_ + span;
+    while (now_ < end) {
+      now_ += duration_ms{5};
+      deliver();
+      for (auto &[name, machine] : machines_) {
+        const bool due = machine.has_mail || now_ >= machine.next_tick;
+        if (machine.node && due && !frozen_.contains(name)) {
+          machine.has_mail = false;
+          machine.next_tick = now_ + duration_ms{50};
+          step(name, machine);
+        }
+      }
+      retry_requests();
+    }
+  }
+
+  /// Asks for a change; asked again of every node until it is answered.
+  std::uint64_t ask(wire::RecordChange change) {
+    const std::uint64_t id = ++next_id_;
+    asked_[id] = std::move(change);
+    return id;
+  }
+  std::uint64_t keep_turn(const std::string &id) {
+    wire::RecordChange change;
+    wire::EndTurn &end = *change.mutable_end();
+    end.set_program("program-" + id);
+    end.set_attempt(id);
+    end.set_used(1);
+    end.set_keep_ms(1000000);
+    end.mutable_kept()->set_id(id);
+    end.mutable_kept()->set_input(std::string(200, 'x'));
+    return ask(std::move(change));
+  }
+  std::uint64_t begin_turn(const std::string &program,
+                           const std::string &attempt, std::uint64_t most,
+                           std::uint64_t budget,
+                           const std::string &previous = {}) {
+    wire::RecordChange change;
+    wire::BeginTurn &begin = *change.mutable_begin();
+    begin.set_program(program);
+    begin.set_attempt(attempt);
+    begin.set_most(most);
+    begin.set_budget(budget);
+    begin.set_previous(previous);
+    begin.set_keep_ms(1000000);
+    return ask(std::move(change));
+  }
+  /// @return nothing while the group has not answered.
+  [[nodiscard]] std::optional<wire::RecordVerdict>
+  verdict(std::uint64_t id) const {
+    const auto found = answered_.find(id);
+    return found == answered_.end() ? std::nullopt
+                                    : std::optional(found->second);
+  }
+  [[nodiscard]] std::size_t unanswered() const { return asked_.size(); }
+
+  /// The node that leads and can commit, or none.
+  [[nodiscard]] std::string leader() const {
+    for (const auto &[name, machine] : machines_) {
+      const bool leads = machine.node && machine.node->is_leader() &&
+                         machine.node->log()->established();
+      if (leads && !frozen_.contains(name) && !isolated_.contains(name)) {
+        return name;
+      }
+    }
+    return {};
+  }
+  [[nodiscard]] std::set<std::string> voters() const {
+    std::set<std::string> names;
+    const std::string lead = leader();
+    if (lead.empty()) {
+      return names;
+    }
+    for (const replica_id &voter : at(lead).log()->voters()) {
+      for (const auto &[name, machine] : machines_) {
+        if (make_node_id(name) == voter.node) {
+          names.insert(name);
+        }
+      }
+    }
+    return names;
+  }
+  [[nodiscard]] const records::record_node &at(const std::string &name) const {
+    return *machines_.at(name).node;
+  }
+  [[nodiscard]] bool is_up(const std::string &name) const {
+    return machines_.at(name).node != nullptr;
+  }
+  [[nodiscard]] std::vector<std::string> names() const {
+    std::vector<std::string> all;
+    for (const auto &[name, machine] : machines_) {
+      all.push_back(name);
+    }
+    return all;
+  }
+  std::uint64_t draw() { return random_(); }
+  [[nodiscard]] timestamp now() const { return now_; }
+  /// Bytes handed to the network for a node that cannot take them.
+  [[nodiscard]] std::size_t undeliverable_bytes() const {
+    return undeliverable_bytes_;
+  }
+
+private:
+  struct node_machine {
+    fake_disk disk;
+    std::unique_ptr<records::record_node> node;
+    timestamp next_tick{};
+    bool has_mail = false;
+  };
+  struct letter {
+    timestamp due;
+    std::string from;
+    std::string to;
+    wire::Envelope envelope;
+  };
+
+  [[nodiscard]] wire::RecordMembers directory() const {
+    wire::RecordMembers members;
+    for (const auto &[name, machine] : machines_) {
+      wire::RecordMember &member = *members.add_members();
+      member.set_name(name);
+      member.set_address(name);
+      *member.mutable_replica() =
+          to_wire({make_node_id(name), machine.disk.identity});
+    }
+    return members;
+  }
+
+  void step(const std::string &name, node_machine &stepped) {
+    const auto wall =
+        static_cast<std::uint64_t>(now_.time_since_epoch().count());
+    auto first = stepped.node->step(now_, wall, random_());
+    post(name, first.early);
+    stepped.disk.write(first);
+    auto second = stepped.node->after_write(now_);
+    post(name, second.messages);
+  }
+
+  void post(const std::string &from,
+            std::vector<records::addressed_message> &messages) {
+    for (records::addressed_message &message : messages) {
+      const auto delay = duration_ms{1 + static_cast<int>(random_() % 8)};
+      letters_.push_back(
+          {now_ + delay, from, message.address, std::move(message.envelope)});
+    }
+  }
+
+  [[nodiscard]] bool passes(const letter &each) const {
+    const bool reachable =
+        !isolated_.contains(each.from) && !isolated_.contains(each.to);
+    return reachable && !cut_.contains({each.from, each.to});
+  }
+
+  void deliver() {
+    std::vector<letter> waiting;
+    std::vector<letter> due;
+    for (letter &each : letters_) {
+      (each.due <= now_ ? due : waiting).push_back(std::move(each));
+    }
+    letters_ = std::move(waiting);
+    for (letter &each : due) {
+      if (each.to == client_address) {
+        if (passes(each)) {
+          take_reply(each.envelope.record_reply());
+        }
+        continue;
+      }
+      const auto found = machines_.find(each.to);
+      const bool taken =
+          found != machines_.end() && found->second.node && passes(each);
+      if (!taken) {
+        const bool own = each.from != client_address;
+        undeliverable_bytes_ += own ? each.envelope.ByteSizeLong() : 0;
+        continue;
+      }
+      found->second.node->receive(std::move(each.envelope));
+      found->second.has_mail = true;
+    }
+  }
+
+  void take_reply(const wire::RecordReply &reply) {
+    for (const wire::RecordReplyItem &item : reply.items()) {
+      if (asked_.erase(item.id()) > 0) {
+        answered_[item.id()] = item.verdict();
+      }
+    }
+  }
+
+  void retry_requests() {
+    if (asked_.empty() || now_ < next_retry_) {
+      return;
+    }
+    next_retry_ = now_ + duration_ms{200};
+    wire::Envelope envelope;
+    wire::RecordRequest &request = *envelope.mutable_record_request();
+    request.set_reply_to(client_address);
+    for (const auto &[id, change] : asked_) {
+      wire::RecordRequestItem &item = *request.add_items();
+      item.set_id(id);
+      *item.mutable_change() = change;
+    }
+    for (const auto &[name, machine] : machines_) {
+      letters_.push_back({now_, client_address, name, envelope});
+    }
+  }
+
+  timestamp now_ = timestamp_from(100000);
+  std::mt19937_64 random_;
+  std::map<std::string, node_machine> machines_;
+  std::vector<letter> letters_;
+  std::set<std::string> isolated_;
+  std::set<std::string> frozen_;
+  std::set<std::pair<std::string, std::string>> cut_;
+  std::set<std::string> retiring_;
+  std::map<std::uint64_t, wire::RecordChange> asked_;
+  std::map<std::uint64_t, wire::RecordVerdict> answered_;
+  std::uint64_t next_id_ = 0;
+  timestamp next_retry_{};
+  std::size_t undeliverable_bytes_ = 0;
+};
+
+} // namespace heathtrestle::test_support
