Probe a follower before it gets its backlog

Change: until an acknowledgement tells how far a follower's log reaches it gets entries once in 50 ms; a heartbeat's answer sends again only when nothing moved since the last one.

--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -35,6 +35,9 @@
   /// A follower that was silent for longer gets heartbeats only, so that
   /// nothing piles up on the way to it; zero for no limit.
   duration_ms silence_limit{0};
+  /// While it is not known how far a follower's log reaches, it gets entries
+  /// once in this long; zero to send them with every proposal.
+  duration_ms probe_interval{0};
   /// Entries sent to a follower beyond those that it has acknowledged.
   std::size_t unacknowledged_entries = 1024;
 };
@@ -223,6 +226,11 @@
     timestamp last_heard{};
     timestamp snapshot_sent{};
     bool snapshot_pending = false;
+    /// Set until an acknowledgement tells how far the peer's log reaches.
+    bool probing = true;
+    timestamp probed{};
+    /// What the peer held at the last heartbeat.
+    std::uint64_t match_at_heartbeat = 0;
     /// Set when the peer is neither a voter nor a learner any more; it is told
     /// the commit of its removal for a while.
     std::optional<timestamp> removed_at{};
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -130,6 +130,7 @@
   }
   progress &state = found->second;
   state.last_heard = now;
+  state.probing = !reply.success();
   if (!reply.success()) {
     state.next =
         std::max(state.match, std::min(reply.match_index(), last())) + 1;
@@ -181,8 +182,12 @@
   }
   progress &state = found->second;
   state.last_heard = now;
-  if (state.match < last()) {
+  const bool moves = options_.probe_interval.count() > 0 &&
+                     state.match > state.match_at_heartbeat;
+  state.match_at_heartbeat = state.match;
+  if (state.match < last() && !moves) {
     state.next = state.match + 1; // whatever was under way may be lost
+    state.probing = true;
     replicate_to(follower, now, out);
   }
 }
@@ -377,6 +382,15 @@
   if (silent) {
     return;
   }
+  const bool probes = options_.probe_interval.count() > 0 && state.probing;
+  if (probes) {
+    // Each refusal of entries that were under way would else bring the whole
+    // backlog again.
+    if (now < state.probed + options_.probe_interval) {
+      return;
+    }
+    state.probed = now;
+  }
   if (state.next <= base_index_) {
     const bool wait =
         state.snapshot_pending && now < state.snapshot_sent + snapshot_retry;
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -30,7 +30,8 @@
                      .election_timeout = duration_ms{500},
                      .retained_entries = 512,
                      .entries_per_append = 256,
-                     .silence_limit = duration_ms{700}};
+                     .silence_limit = duration_ms{700},
+                     .probe_interval = duration_ms{50}};
   std::size_t desired_voters = 3;
   /// A node not heard from for this long is not counted as alive.
   duration_ms alive_for{800};
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(a_cut_leader_acknowledges_nothing);
   CPPUNIT_TEST(a_frozen_leader_wakes_as_follower);
   CPPUNIT_TEST(nothing_piles_up_for_a_node_that_is_cut_off);
+  CPPUNIT_TEST(a_node_that_wakes_is_not_flooded);
   CPPUNIT_TEST(budgets_hold_over_a_change_of_leaders);
   CPPUNIT_TEST(random_losses_lose_nothing);
   CPPUNIT_TEST_SUITE_END();
@@ -252,6 +253,31 @@
     CPPUNIT_ASSERT(group.undeliverable_bytes() - before < 40000);
   }
 
+  void a_node_that_wakes_is_not_flooded() {
+    // Refusals of entries that were under way must not each bring the whole
+    // backlog again: a leader went over its memory by that.
+    record_group group(14);
+    found_with(group, {"a", "b", "c"});
+    const std::string frozen = group.leader() == "c" ? "b" : "c";
+    const std::size_t begin = group.bytes_to(frozen);
+    group.freeze(frozen);
+    for (int wave = 0; wave < 200; ++wave) {
+      if (wave == 100) {
+        group.thaw(frozen);
+      }
+      for (int turn = 0; turn < 4; ++turn) {
+        group.keep_turn(fmt::format("w{}-{}", wave, turn));
+      }
+      group.run(30ms);
+    }
+    group.run(1000ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, group.unanswered());
+    constexpr std::size_t backlog = 200 * 4 * 260;
+    CPPUNIT_ASSERT(group.bytes_to(frozen) - begin < 3 * backlog);
+    CPPUNIT_ASSERT(group.at(group.leader()).log()->last_index() ==
+                   group.at(frozen).log()->last_index());
+  }
+
   void budgets_hold_over_a_change_of_leaders() {
     record_group group(13);
     found_with(group, {"a", "b", "c"});
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -202,6 +202,11 @@
   }
   std::uint64_t draw() { return random_(); }
   [[nodiscard]] timestamp now() const { return now_; }
+  /// Bytes that nodes have sent to a node so far.
+  [[nodiscard]] std::size_t bytes_to(const std::string &name) const {
+    const auto found = bytes_to_.find(name);
+    return found == bytes_to_.end() ? 0 : found->second;
+  }
   /// Bytes handed to the network for a node that cannot take them.
   [[nodiscard]] std::size_t undeliverable_bytes() const {
     return undeliverable_bytes_;
@@ -246,6 +251,7 @@
   void post(const std::string &from,
             std::vector<records::addressed_message> &messages) {
     for (records::addressed_message &message : messages) {
+      bytes_to_[message.address] += message.envelope.ByteSizeLong();
       const auto delay = duration_ms{1 + static_cast<int>(random_() % 8)};
       letters_.push_back(
           {now_ + delay, from, message.address, std::move(message.envelope)});
@@ -324,6 +330,7 @@
   std::uint64_t next_id_ = 0;
   timestamp next_retry_{};
   std::size_t undeliverable_bytes_ = 0;
+  std::map<std::string, std::size_t> bytes_to_;
 };
 
 } // namespace heathtrestle::test_support
