Send entries that are under way once; trust no empty answer of a watch

Change: entries count as under way for 0.6 s unless the follower says otherwise, 64 a message, 256 in all; an empty answer of a watch moves its revision nowhere, so that a forgotten history is told as such.

Tests that failed before: consensus_test (entries_under_way..., with the mechanism off), object_watch_test (an_empty_answer_moves_nothing_on).

--- a/src/objects/object_watch.cpp
+++ b/src/objects/object_watch.cpp
@@ -79,6 +79,11 @@
 }
 
 void object_watch::take(const change_list &changes) {
+  if (changes.changes.empty()) {
+    // The store's counter may be ahead of what its watch has heard of. From the
+    // old revision on, what was missed is told, or that it is forgotten.
+    return;
+  }
   cache_.apply(options_.kind, changes);
   revision_ = std::max(revision_, changes.revision);
   for (const change &each : changes.changes) {
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -42,6 +42,9 @@
   /// While it is not known how far a follower's log reaches, it gets entries
   /// once in this long; zero to send them with every proposal.
   duration_ms probe_interval{0};
+  /// Entries that were sent count as under way for so long before they are
+  /// sent again unasked; zero to send them with every heartbeat's answer.
+  duration_ms resend_after{0};
   /// Entries sent to a follower beyond those that it has acknowledged.
   std::size_t unacknowledged_entries = 1024;
 };
@@ -233,6 +236,8 @@
     /// Set until an acknowledgement tells how far the peer's log reaches.
     bool probing = true;
     timestamp probed{};
+    /// When entries were last sent that nothing has been heard of.
+    std::optional<timestamp> entries_sent{};
     /// What the peer held at the last heartbeat.
     std::uint64_t match_at_heartbeat = 0;
     /// Set when the peer is neither a voter nor a learner any more; it is told
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -131,6 +131,7 @@
   progress &state = found->second;
   state.last_heard = now;
   state.probing = !reply.success();
+  state.entries_sent.reset();
   if (!reply.success()) {
     state.next =
         std::max(state.match, std::min(reply.match_index(), last())) + 1;
@@ -185,9 +186,12 @@
   const bool moves = options_.probe_interval.count() > 0 &&
                      state.match > state.match_at_heartbeat;
   state.match_at_heartbeat = state.match;
-  if (state.match < last() && !moves) {
+  const bool under_way = state.entries_sent.has_value() &&
+                         now < *state.entries_sent + options_.resend_after;
+  if (state.match < last() && !moves && !under_way) {
     state.next = state.match + 1; // whatever was under way may be lost
     state.probing = true;
+    state.entries_sent.reset();
     replicate_to(follower, now, out);
   }
 }
@@ -386,7 +390,9 @@
   if (probes) {
     // Each refusal of entries that were under way would else bring the whole
     // backlog again.
-    if (now < state.probed + options_.probe_interval) {
+    const bool under_way = state.entries_sent.has_value() &&
+                           now < *state.entries_sent + options_.resend_after;
+    if (under_way || now < state.probed + options_.probe_interval) {
       return;
     }
     state.probed = now;
@@ -419,6 +425,9 @@
   for (std::uint64_t index = state.next; index <= end; ++index) {
     *request.add_entries() = entry(index);
   }
+  if (request.entries_size() > 0 && !state.entries_sent) {
+    state.entries_sent = now;
+  }
   state.next = end + 1;
   send(peer, std::move(envelope), out);
 }
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -30,9 +30,11 @@
                      .election_timeout = duration_ms{350},
                      .restart_election_timeout = duration_ms{150},
                      .retained_entries = 512,
-                     .entries_per_append = 256,
+                     .entries_per_append = 64,
                      .silence_limit = duration_ms{700},
-                     .probe_interval = duration_ms{50}};
+                     .probe_interval = duration_ms{50},
+                     .resend_after = duration_ms{600},
+                     .unacknowledged_entries = 256};
   std::size_t desired_voters = 3;
   /// A node not heard from for this long is not counted as alive.
   duration_ms alive_for{800};
--- a/tests/objects/object_watch_test.cpp
+++ b/tests/objects/object_watch_test.cpp
@@ -77,6 +77,7 @@
   CPPUNIT_TEST(forgotten_history_is_listed_anew);
   CPPUNIT_TEST(while_the_store_is_down_a_peer_serves);
   CPPUNIT_TEST(a_peer_that_lags_does_not_turn_back_time);
+  CPPUNIT_TEST(an_empty_answer_moves_nothing_on);
   CPPUNIT_TEST(a_lost_watch_goes_on_from_the_same_revision);
   CPPUNIT_TEST_SUITE_END();
 
@@ -145,6 +146,14 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, store_.watched_from.front());
   }
 
+  void an_empty_answer_moves_nothing_on() {
+    // The store may have heard nothing of a change that it counts already.
+    store_.listings.push_back(listing{{}, 5});
+    store_.watches.push_back(change_list{{}, 9});
+    run_until(2);
+    CPPUNIT_ASSERT(store_.watched_from == (std::vector<std::uint64_t>{5, 5}));
+  }
+
   void a_lost_watch_goes_on_from_the_same_revision() {
     store_.listings.push_back(listing{{}, 5});
     store_.watches.push_back(store_error::no_answer);
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -166,6 +166,9 @@
   CPPUNIT_TEST(leadership_is_handed_over);
   CPPUNIT_TEST(a_follower_that_forgot_is_not_flooded);
   CPPUNIT_TEST(a_leader_that_stood_still_is_out_of_contact);
+  CPPUNIT_TEST(entries_under_way_are_not_sent_with_every_heartbeat);
+  CPPUNIT_TEST(of_two_voters_one_is_dead_and_the_other_goes_on);
+  CPPUNIT_TEST(growth_from_two_waits_for_both);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -331,6 +334,107 @@
     CPPUNIT_ASSERT(leader.is_leader());
     CPPUNIT_ASSERT(!leader.in_contact(three.now() + duration_ms{8000}));
   }
+
+  void entries_under_way_are_not_sent_with_every_heartbeat() {
+    CPPUNIT_ASSERT(entry_messages_in_a_second(duration_ms{0}) >= 8);
+    CPPUNIT_ASSERT(entry_messages_in_a_second(duration_ms{600}) <= 3);
+  }
+
+  void of_two_voters_one_is_dead_and_the_other_goes_on() {
+    consensus survivor = restored({replica(1), replica(2)});
+    outbox out;
+    const timestamp later = timestamp_from(60000);
+    survivor.tick(later, 1, out);
+    CPPUNIT_ASSERT(!survivor.is_leader()); // the other may live
+    survivor.declare_dead(replica(2));
+    survivor.tick(later + duration_ms{10000}, 1, out);
+    CPPUNIT_ASSERT(survivor.is_leader());
+    CPPUNIT_ASSERT(!survivor.established()); // it commits nothing alone
+    const replica_id back{node_id{2}, boot_id{22}};
+    const auto refused = survivor.change_replicas(
+        {replica(1), back}, later + duration_ms{10000}, out);
+    CPPUNIT_ASSERT(!refused);
+    CPPUNIT_ASSERT(survivor.is_voter(back));
+  }
+
+  void growth_from_two_waits_for_both() {
+    // The two are a leader and a voter that lags; the third one is quick.
+    consensus leader = restored({replica(1), replica(2)});
+    const timestamp now = elect(leader);
+    outbox out;
+    acknowledge(leader, replica(2), leader.last_index().value(), now);
+    CPPUNIT_ASSERT(leader.established());
+    leader.add_learner(replica(3), now, out);
+    CPPUNIT_ASSERT(!leader.change_replicas({replica(1), replica(2), replica(3)},
+                                           now, out));
+    const std::uint64_t change = leader.last_index().value();
+    acknowledge(leader, replica(3), change, now);
+    CPPUNIT_ASSERT(leader.commit_index().value() < change);
+    acknowledge(leader, replica(2), change, now);
+    CPPUNIT_ASSERT_EQUAL(change, leader.commit_index().value());
+  }
+
+private:
+  static consensus restored(const std::vector<replica_id> &voters,
+                            options settings = {}) {
+    saved_replica saved;
+    saved.base.voters = voters;
+    return {the_partition, replica(1),           std::move(saved),
+            settings,      timestamp_from(1000), 1};
+  }
+
+  /// Makes a replica of two the leader by the other's votes.
+  static timestamp elect(consensus &candidate) {
+    const timestamp now = timestamp_from(60000);
+    outbox out;
+    candidate.tick(now, 1, out);
+    for (const bool pre_vote : {true, false}) {
+      wire::VoteReply vote;
+      vote.set_granted(true);
+      vote.set_pre_vote(pre_vote);
+      vote.set_term(candidate.term().value() + (pre_vote ? 1 : 0));
+      *vote.mutable_voter() = to_wire(replica(2));
+      candidate.handle(vote, now, out);
+    }
+    CPPUNIT_ASSERT(candidate.is_leader());
+    return now;
+  }
+
+  static void acknowledge(consensus &leader, const replica_id &from,
+                          std::uint64_t match, timestamp now) {
+    wire::AppendReply reply;
+    reply.set_term(leader.term().value());
+    reply.set_success(true);
+    reply.set_match_index(match);
+    *reply.mutable_follower() = to_wire(from);
+    outbox out;
+    leader.handle(reply, now, out);
+  }
+
+  /// Messages with entries to a follower that answers heartbeats, while none of
+  /// its acknowledgements of entries arrive.
+  static int entry_messages_in_a_second(duration_ms resend_after) {
+    options settings;
+    settings.probe_interval = duration_ms{50};
+    settings.resend_after = resend_after;
+    consensus leader = restored({replica(1), replica(2)}, settings);
+    timestamp now = elect(leader);
+    acknowledge(leader, replica(2), leader.last_index().value(), now);
+    outbox out;
+    wire::Command command;
+    command.mutable_forget_program()->set_program("p");
+    CPPUNIT_ASSERT(leader.propose(command, now, out));
+    for (int beat = 0; beat < 10; ++beat) {
+      now += duration_ms{100};
+      wire::HeartbeatReply reply;
+      reply.set_term(leader.term().value());
+      leader.handle(replica(2), reply, now, out);
+    }
+    return static_cast<int>(std::count_if(
+        out.messages.begin(), out.messages.end(), [](const outgoing &each) {
+          return each.envelope.append_request().entries_size() > 0;
+        }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(consensus_test);
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(a_frozen_leader_wakes_as_follower);
   CPPUNIT_TEST(nothing_piles_up_for_a_node_that_is_cut_off);
   CPPUNIT_TEST(a_node_that_wakes_is_not_flooded);
+  CPPUNIT_TEST(a_slow_node_is_not_sent_the_same_again);
   CPPUNIT_TEST(budgets_hold_over_a_change_of_leaders);
   CPPUNIT_TEST(random_losses_lose_nothing);
   CPPUNIT_TEST_SUITE_END();
@@ -278,6 +279,27 @@
                    group.at(frozen).log()->last_index());
   }
 
+  void a_slow_node_is_not_sent_the_same_again() {
+    // What was sent and is not yet acknowledged is on its way, not lost.
+    record_group group(15);
+    found_with(group, {"a", "b", "c"});
+    const std::string slow = group.leader() == "c" ? "b" : "c";
+    const std::size_t begin = group.bytes_to(slow);
+    group.slow_down(slow, 250ms);
+    for (int wave = 0; wave < 200; ++wave) {
+      for (int turn = 0; turn < 4; ++turn) {
+        group.keep_turn(fmt::format("w{}-{}", wave, turn));
+      }
+      group.run(30ms);
+    }
+    group.run(1000ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, group.unanswered());
+    constexpr std::size_t recorded = 200 * 4 * 260;
+    CPPUNIT_ASSERT(group.bytes_to(slow) - begin < 3 * recorded);
+    CPPUNIT_ASSERT(group.at(group.leader()).log()->last_index() ==
+                   group.at(slow).log()->last_index());
+  }
+
   void budgets_hold_over_a_change_of_leaders() {
     record_group group(13);
     found_with(group, {"a", "b", "c"});
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -93,6 +93,8 @@
     cut_.insert({one, other});
     cut_.insert({other, one});
   }
+  /// Messages to the node take that much longer.
+  void slow_down(const std::string &name, duration_ms by) { slow_[name] = by; }
   void freeze(const std::string &name) { frozen_.insert(name); }
   void thaw(const std::string &name) { frozen_.erase(name); }
   void retire(const std::string &name) {
@@ -252,7 +254,10 @@
             std::vector<records::addressed_message> &messages) {
     for (records::addressed_message &message : messages) {
       bytes_to_[message.address] += message.envelope.ByteSizeLong();
-      const auto delay = duration_ms{1 + static_cast<int>(random_() % 8)};
+      const auto found = slow_.find(message.address);
+      const auto delay =
+          duration_ms{1 + static_cast<int>(random_() % 8)} +
+          (found == slow_.end() ? duration_ms{0} : found->second);
       letters_.push_back(
           {now_ + delay, from, message.address, std::move(message.envelope)});
     }
@@ -323,6 +328,7 @@
   std::vector<letter> letters_;
   std::set<std::string> isolated_;
   std::set<std::string> frozen_;
+  std::map<std::string, duration_ms> slow_;
   std::set<std::pair<std::string, std::string>> cut_;
   std::set<std::string> retiring_;
   std::map<std::uint64_t, wire::RecordChange> asked_;
