Test whole exchanges over sockets; ask the same replica again for want of others

Cause (request_exchange_test, a_stream_goes_on_behind_its_last_whole_event): a request that may be repeated and whose only replica broke off was answered 502 while that replica was there to go on: others were preferred, and nobody else was left.

Change: where no other replica is there, one that may have run the request is asked again.

--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -23,6 +23,7 @@
     end_process "$name" KILL
   done
   wait 2>/dev/null || true
+  pid_of=()
 }
 
 start_platform() { # flags...
--- a/src/forwarding/attempt_plan.cpp
+++ b/src/forwarding/attempt_plan.cpp
@@ -41,6 +41,13 @@
   const bool places_used_up = ran_at_.size() >= max_attempts_;
   if (exhausted_) {
     exhausted_ = false;
+    const bool only_others_asked = !places_used_up && !ran_at_.empty();
+    if (only_others_asked && !asks_again_) {
+      // Nobody else is there: a replica that may have run it may run it again.
+      asks_again_ = true;
+      return send_step{.excluded = refused_by_, .only = ran_at_};
+    }
+    asks_again_ = false;
     if (places_used_up && refused_by_.empty()) {
       return give_up("the replicas that may have run it are gone");
     }
--- a/src/forwarding/attempt_plan.hpp
+++ b/src/forwarding/attempt_plan.hpp
@@ -94,6 +94,8 @@
   std::set<routing::instance_id> refused_by_;
   std::uint32_t losses_ = 0;
   bool exhausted_ = false;
+  /// Set while the step is for those that may have run it, for want of others.
+  bool asks_again_ = false;
   duration_ms pause_;
 };
 
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -85,6 +85,8 @@
   void begin_drain();
   [[nodiscard]] bool draining() const { return draining_; }
   [[nodiscard]] std::size_t open_requests() const { return open_requests_; }
+  /// True while no client is connected.
+  [[nodiscard]] bool idle() const { return sessions_.empty(); }
 
   void on_request_started() { ++open_requests_; }
   void on_request_finished() { --open_requests_; }
--- a/tests/forwarding/attempt_plan_test.cpp
+++ b/tests/forwarding/attempt_plan_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(refused_by_all_it_waits_and_asks_again);
   CPPUNIT_TEST(not_run_is_promised_only_when_it_is_true);
   CPPUNIT_TEST(a_repeat_goes_to_no_more_replicas_than_allowed);
+  CPPUNIT_TEST(without_another_replica_the_same_is_asked_again);
   CPPUNIT_TEST(a_replica_that_ended_does_not_count);
   CPPUNIT_TEST(losses_are_bounded);
   CPPUNIT_TEST(after_the_deadline_nothing_is_sent);
@@ -86,6 +87,17 @@
     CPPUNIT_ASSERT(step.only == (std::set{first, second}));
   }
 
+  void without_another_replica_the_same_is_asked_again() {
+    auto plan = plan_for(true, 2);
+    plan.on_attempt(first, attempt_outcome::lost);
+    CPPUNIT_ASSERT(std::get<send_step>(plan.next(start)).only.empty());
+    plan.on_no_candidate();
+    CPPUNIT_ASSERT(std::get<send_step>(plan.next(start)).only ==
+                   std::set{first});
+    plan.on_no_candidate();
+    CPPUNIT_ASSERT(std::holds_alternative<wait_step>(plan.next(start)));
+  }
+
   void a_replica_that_ended_does_not_count() {
     auto plan = plan_for(true, 1);
     plan.on_attempt(first, attempt_outcome::lost);
--- /dev/null
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -0,0 +1,437 @@
+// Whole exchanges over loopback sockets: a client, the gateway, and replicas
+// that answer with scripted bytes.
+#include "forwarding/client_session.hpp"
+#include "forwarding/gateway.hpp"
+#include "http/call_client.hpp"
+#include "http/status_server.hpp"
+#include "support/coroutines.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <memory>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace heathtrestle::forwarding {
+namespace {
+
+using test_support::await_result;
+
+header_names test_names() {
+  header_names names;
+  names.attempt_id = "Attempt";
+  names.deadline_ms = "Deadline";
+  names.affinity_key = "Object";
+  names.token_usage = "Tokens";
+  names.prompt_parts = "Parts";
+  names.program_id = "Program";
+  names.session_id = "Session";
+  names.program_deadline = "Program-Deadline";
+  names.token_budget = "Budget";
+  names.previous_turn = "Previous";
+  names.last_event_id = "Last-Event-Id";
+  names.expected_instance = "Expect";
+  names.request_priority = "Priority";
+  names.signature = "Signature";
+  names.not_executed = "Not-Executed";
+  names.gateway_only = {"Expect", "Priority"};
+  return names;
+}
+
+/// Grants everything, and remembers what was settled and kept.
+class open_ledger : public records::turn_ledger {
+public:
+  records::turn_verdict verdict = records::turn_verdict::granted;
+  std::vector<records::turn_end> ends;
+  bool records_ends = true;
+
+  asio::awaitable<records::turn_grant> begin(records::turn_request,
+                                             timestamp) override {
+    co_return records::turn_grant{.verdict = verdict, .history = {}};
+  }
+  asio::awaitable<bool> finish(records::turn_end end, timestamp) override {
+    ends.push_back(std::move(end));
+    co_return records_ends;
+  }
+  void settle(records::turn_end end) override {
+    ends.push_back(std::move(end));
+  }
+};
+
+/// What a replica does with one request.
+struct scripted {
+  std::string bytes; // sent as they are; {id} stands for the attempt's id
+  bool close = false;
+  bool reset = false;
+};
+
+class scripted_replica {
+public:
+  explicit scripted_replica(asio::io_context &io)
+      : io_(io), acceptor_(std::move(http::listen(io, "127.0.0.1:0")).value()) {
+    asio::co_spawn(io, accept(), asio::detached);
+  }
+
+  std::deque<scripted> script;
+  std::vector<beast_http::request<beast_http::string_body>> received;
+
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+private:
+  asio::awaitable<void> accept() {
+    while (true) {
+      tcp::socket socket(io_);
+      const auto [failure] = co_await acceptor_.async_accept(socket, as_result);
+      if (failure) {
+        co_return;
+      }
+      asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> serve(tcp::socket socket) {
+    boost::beast::flat_buffer buffer;
+    while (true) {
+      beast_http::request<beast_http::string_body> request;
+      const auto [failure, bytes] =
+          co_await beast_http::async_read(socket, buffer, request, as_result);
+      if (failure || script.empty()) {
+        co_return;
+      }
+      const auto id = request["Attempt"];
+      scripted next = script.front();
+      script.pop_front();
+      for (std::size_t at = next.bytes.find("{id}"); at != std::string::npos;
+           at = next.bytes.find("{id}")) {
+        next.bytes.replace(at, 4, std::string(id.data(), id.size()));
+      }
+      received.push_back(std::move(request));
+      const auto [lost, written] = co_await asio::async_write(
+          socket, asio::buffer(next.bytes), as_result);
+      if (next.reset) {
+        socket.set_option(asio::socket_base::linger(true, 0));
+      }
+      if (next.close || next.reset) {
+        socket.close();
+        co_return;
+      }
+    }
+  }
+
+  asio::io_context &io_;
+  tcp::acceptor acceptor_;
+};
+
+std::string plain(const std::string &body, const std::string &id = "{id}") {
+  return "HTTP/1.1 200 OK\r\nAttempt: " + id + "\r\nSignature: s\r\n" +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string chunk(const std::string &data) {
+  return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+
+std::string event(int id) {
+  return fmt::format("id: {}\ndata: d{}\n\n", id, id);
+}
+
+const std::string stream_head =
+    "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nSignature: s\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string stream_end = "0\r\n\r\n";
+const std::string refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+                            "Content-Length: 0\r\n\r\n";
+
+class request_exchange_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(request_exchange_test);
+  CPPUNIT_TEST(an_answer_is_passed_on_unchanged);
+  CPPUNIT_TEST(fields_of_the_gateway_cannot_be_forged);
+  CPPUNIT_TEST(an_answer_to_another_request_is_skipped);
+  CPPUNIT_TEST(a_success_without_signature_is_none);
+  CPPUNIT_TEST(a_call_that_broke_off_is_not_sent_again);
+  CPPUNIT_TEST(an_idempotent_request_is_sent_again);
+  CPPUNIT_TEST(an_unframed_answer_ends_with_its_connection);
+  CPPUNIT_TEST(an_unframed_answer_that_is_reset_is_not_whole);
+  CPPUNIT_TEST(a_refused_request_goes_to_another_replica);
+  CPPUNIT_TEST(refused_by_all_it_is_told_when_to_come_back);
+  CPPUNIT_TEST(a_draining_replica_gets_nothing);
+  CPPUNIT_TEST(a_stream_goes_on_behind_its_last_whole_event);
+  CPPUNIT_TEST(a_stream_that_must_not_repeat_does_not_look_complete);
+  CPPUNIT_TEST(a_turn_is_kept_before_its_answer_ends);
+  CPPUNIT_TEST(a_turn_that_cannot_be_recorded_does_not_look_complete);
+  CPPUNIT_TEST(a_spent_budget_runs_nothing);
+  CPPUNIT_TEST(a_gateway_that_leaves_refuses_new_requests);
+  CPPUNIT_TEST(without_routes_nothing_is_denied);
+  CPPUNIT_TEST_SUITE_END();
+
+  asio::io_context io_;
+  open_ledger ledger_;
+  std::unique_ptr<gateway> gateway_;
+  std::unique_ptr<tcp::acceptor> clients_;
+  std::vector<std::unique_ptr<scripted_replica>> replicas_;
+
+  static routing::route route(const std::string &prefix,
+                              routing::request_kind kind) {
+    routing::route made;
+    made.name = prefix;
+    made.host = "h";
+    made.path_prefix = prefix;
+    made.kind = kind;
+    made.timeout = duration_ms{5000};
+    made.services = {{routing::service_id{"s"}, 1}};
+    made.max_attempts = 2;
+    return made;
+  }
+
+  void add_replica(const std::string &id, bool draining = false) {
+    replicas_.push_back(std::make_unique<scripted_replica>(io_));
+    gateway_->put_instance({.id = routing::instance_id{id},
+                            .service = routing::service_id{"s"},
+                            .address = replicas_.back()->address(),
+                            .zone = "z",
+                            .slots = 4,
+                            .draining = draining});
+  }
+
+  void apply_routes() {
+    routing::configuration settings;
+    settings.version = routing::configuration_version{1};
+    settings.routes = {
+        route("/call/", routing::request_kind::non_idempotent),
+        route("/get/", routing::request_kind::idempotent),
+        route("/stream/", routing::request_kind::streaming),
+        route("/once/", routing::request_kind::streaming),
+        route("/kept/", routing::request_kind::streaming),
+    };
+    settings.routes[2].resumable = true;
+    settings.routes[4].retained = true;
+    routing::service service;
+    service.id = routing::service_id{"s"};
+    service.engine = routing::engine_profile{.slots = 4, .tokens_per_event = 5};
+    settings.services = {service};
+    gateway_->apply_routes(settings);
+  }
+
+  std::optional<http::call_response>
+  ask(const std::string &target,
+      const std::map<std::string, std::string> &fields = {}) {
+    const std::string address =
+        "127.0.0.1:" + std::to_string(clients_->local_endpoint().port());
+    http::call_client client(io_, address, duration_ms{5000});
+    http::call_request request(beast_http::verb::post, target, 11);
+    request.set(beast_http::field::host, "h");
+    request.set("Attempt", "a1");
+    for (const auto &[name, value] : fields) {
+      request.set(name, value);
+    }
+    request.body() = "question";
+    return await_result(io_, client.call(request, duration_ms{20000}));
+  }
+
+  static std::string field_of(const http::call_response &answer,
+                              const std::string &name) {
+    const auto value = answer[name];
+    return {value.data(), value.size()};
+  }
+
+public:
+  void setUp() override {
+    gateway_options options;
+    options.zone = "z";
+    options.headers = test_names();
+    options.plan.patience = 0.02;
+    gateway_ = std::make_unique<gateway>(io_, options, ledger_);
+    clients_ = std::make_unique<tcp::acceptor>(
+        std::move(http::listen(io_, "127.0.0.1:0")).value());
+    asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
+    apply_routes();
+    add_replica("r1");
+  }
+  void tearDown() override { io_.stop(); }
+
+  void an_answer_is_passed_on_unchanged() {
+    replicas_[0]->script.push_back({plain("hello")});
+    const auto answer = ask("/call/x?y=1");
+    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    CPPUNIT_ASSERT_EQUAL(std::string("hello"), answer->body());
+    CPPUNIT_ASSERT_EQUAL(std::string("s"), field_of(*answer, "Signature"));
+    const auto &got = replicas_[0]->received.at(0);
+    CPPUNIT_ASSERT(got.target() == "/call/x?y=1");
+    CPPUNIT_ASSERT_EQUAL(std::string("question"), got.body());
+    CPPUNIT_ASSERT(got["Expect"] == "r1");
+  }
+
+  void fields_of_the_gateway_cannot_be_forged() {
+    replicas_[0]->script.push_back({plain("hello")});
+    ask("/call/x", {{"Expect", "another"}, {"X-Mine", "stays"}});
+    const auto &got = replicas_[0]->received.at(0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, got.count("Expect"));
+    CPPUNIT_ASSERT(got["Expect"] == "r1");
+    CPPUNIT_ASSERT(got["X-Mine"] == "stays");
+  }
+
+  void an_answer_to_another_request_is_skipped() {
+    replicas_[0]->script.push_back({plain("late", "a0") + plain("own")});
+    CPPUNIT_ASSERT_EQUAL(std::string("own"), ask("/call/x")->body());
+  }
+
+  void a_success_without_signature_is_none() {
+    replicas_[0]->script.push_back(
+        {"HTTP/1.1 200 OK\r\nAttempt: {id}\r\nContent-Length: 2\r\n\r\nno"});
+    CPPUNIT_ASSERT_EQUAL(502U, ask("/call/x")->result_int());
+  }
+
+  void a_call_that_broke_off_is_not_sent_again() {
+    add_replica("r2");
+    const std::string whole = plain("hello");
+    for (const auto &replica : replicas_) {
+      replica->script.push_back(
+          {.bytes = whole.substr(0, whole.size() - 2), .close = true});
+    }
+    const auto answer = ask("/call/x");
+    CPPUNIT_ASSERT_EQUAL(502U, answer->result_int());
+    CPPUNIT_ASSERT(field_of(*answer, "Signature").empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[0]->received.size() +
+                                             replicas_[1]->received.size());
+  }
+
+  void an_idempotent_request_is_sent_again() {
+    add_replica("r2");
+    for (const auto &replica : replicas_) {
+      replica->script.push_back({.bytes = "HTTP/1.1 20", .close = true});
+      replica->script.push_back({plain("hello")});
+    }
+    // One replica fails, the other one fails too, and one of them succeeds.
+    const auto answer = ask("/get/x");
+    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+  }
+
+  void an_unframed_answer_ends_with_its_connection() {
+    replicas_[0]->script.push_back(
+        {.bytes = "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nSignature: s\r\n\r\nall",
+         .close = true});
+    const auto answer = ask("/call/x");
+    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    CPPUNIT_ASSERT_EQUAL(std::string("all"), answer->body());
+  }
+
+  void an_unframed_answer_that_is_reset_is_not_whole() {
+    replicas_[0]->script.push_back(
+        {.bytes = "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nSignature: s\r\n\r\nal",
+         .reset = true});
+    CPPUNIT_ASSERT_EQUAL(502U, ask("/call/x")->result_int());
+  }
+
+  void a_refused_request_goes_to_another_replica() {
+    add_replica("r2");
+    replicas_[0]->script.assign({{refusal}, {plain("one")}});
+    replicas_[1]->script.assign({{plain("two")}});
+    const auto answer = ask("/call/x");
+    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+  }
+
+  void refused_by_all_it_is_told_when_to_come_back() {
+    for (int time = 0; time < 100; ++time) {
+      replicas_[0]->script.push_back({refusal});
+    }
+    const auto answer = ask("/call/x");
+    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    CPPUNIT_ASSERT(!field_of(*answer, "Retry-After").empty());
+  }
+
+  void a_draining_replica_gets_nothing() {
+    add_replica("r2", true);
+    replicas_[0]->script.assign({{plain("1")}, {plain("2")}, {plain("3")}});
+    for (int time = 0; time < 3; ++time) {
+      CPPUNIT_ASSERT_EQUAL(200U, ask("/call/x")->result_int());
+    }
+    CPPUNIT_ASSERT(replicas_[1]->received.empty());
+  }
+
+  void a_stream_goes_on_behind_its_last_whole_event() {
+    replicas_[0]->script.push_back({.bytes = stream_head + chunk(event(1)) +
+                                             chunk(event(2)) +
+                                             chunk("id: 3\nda"),
+                                    .close = true});
+    // It repeats one that the client has already.
+    replicas_[0]->script.push_back({stream_head + chunk(event(2)) +
+                                    chunk(event(3)) + chunk(event(4)) +
+                                    stream_end});
+    const auto answer = ask("/stream/x");
+    CPPUNIT_ASSERT(answer.has_value());
+    CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3) + event(4),
+                         answer->body());
+    CPPUNIT_ASSERT(replicas_[0]->received.at(1)["Last-Event-Id"] == "2");
+  }
+
+  void a_stream_that_must_not_repeat_does_not_look_complete() {
+    replicas_[0]->script.push_back(
+        {.bytes = stream_head + chunk(event(1)), .close = true});
+    CPPUNIT_ASSERT(!ask("/once/x").has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[0]->received.size());
+  }
+
+  void a_turn_is_kept_before_its_answer_ends() {
+    replicas_[0]->script.push_back(
+        {stream_head + chunk(event(1)) + chunk(event(2)) + stream_end});
+    const auto answer = ask(
+        "/kept/x", {{"Program", "p"}, {"Budget", "100"}, {"Tokens", "1,9"}});
+    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ledger_.ends.size());
+    const records::turn_end &end = ledger_.ends.front();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, end.used);
+    CPPUNIT_ASSERT_EQUAL(std::string("question"), end.kept.input);
+    CPPUNIT_ASSERT_EQUAL(std::string("d1\nd2\n"), end.kept.output);
+  }
+
+  void a_turn_that_cannot_be_recorded_does_not_look_complete() {
+    ledger_.records_ends = false;
+    replicas_[0]->script.push_back(
+        {stream_head + chunk(event(1)) + stream_end});
+    CPPUNIT_ASSERT(
+        !ask("/kept/x",
+             {{"Program", "p"}, {"Budget", "100"}, {"Tokens", "1,9"}})
+             .has_value());
+  }
+
+  void a_spent_budget_runs_nothing() {
+    ledger_.verdict = records::turn_verdict::budget_spent;
+    const auto answer = ask("/stream/x", {{"Program", "p"}, {"Budget", "1"}});
+    CPPUNIT_ASSERT_EQUAL(402U, answer->result_int());
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+    CPPUNIT_ASSERT(ledger_.ends.empty());
+  }
+
+  void a_gateway_that_leaves_refuses_new_requests() {
+    gateway_->begin_drain();
+    gateway_->refuse_new_requests();
+    const auto answer = ask("/call/x");
+    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    CPPUNIT_ASSERT(!field_of(*answer, "Retry-After").empty());
+    CPPUNIT_ASSERT(!answer->keep_alive());
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+  }
+
+  void without_routes_nothing_is_denied() {
+    CPPUNIT_ASSERT_EQUAL(404U, ask("/nowhere/")->result_int());
+    gateway fresh(io_, gateway_->options(), ledger_);
+    const auto known = std::move(clients_);
+    clients_ = std::make_unique<tcp::acceptor>(
+        std::move(http::listen(io_, "127.0.0.1:0")).value());
+    asio::co_spawn(io_, accept_clients(fresh, *clients_), asio::detached);
+    CPPUNIT_ASSERT_EQUAL(503U, ask("/nowhere/")->result_int());
+    // The session still refers to the gateway: let it see its client's end.
+    while (!fresh.idle()) {
+      io_.run_one();
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_exchange_test);
+
+} // namespace
+} // namespace heathtrestle::forwarding
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -6,11 +6,16 @@
 #include <cppunit/TestRunner.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
+#include "logging/log.hpp"
+
 #include <cstdlib>
 #include <iostream>
 #include <string>
 
 int main(int argc, char **argv) {
+  // What the tests provoke is asserted, not read.
+  heathtrestle::logging::configure("unit-tests",
+                                   heathtrestle::logging::severity::error);
   CppUnit::TestResult controller;
   CppUnit::TestResultCollector results;
   CppUnit::BriefTestProgressListener progress;
