--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -149,7 +149,9 @@
   }
   if (reply.match_index() > state.match) {
     state.match = reply.match_index();
-    state.snapshot_pending = false;
+    // Acknowledgements of old entries do not mean that the snapshot is there.
+    state.snapshot_pending =
+        state.snapshot_pending && state.match < base_index_;
     advance_commit(now);
   }
   state.next = std::max(state.next, state.match + 1);
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -169,6 +169,7 @@
   CPPUNIT_TEST(entries_under_way_are_not_sent_with_every_heartbeat);
   CPPUNIT_TEST(of_two_voters_one_is_dead_and_the_other_goes_on);
   CPPUNIT_TEST(growth_from_two_waits_for_both);
+  CPPUNIT_TEST(old_acknowledgements_bring_no_second_snapshot);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -374,10 +375,34 @@
     CPPUNIT_ASSERT_EQUAL(change, leader.commit_index().value());
   }
 
+  void old_acknowledgements_bring_no_second_snapshot() {
+    // A node that wakes first acknowledges what lies in its inbox, and refuses
+    // what lies behind that: one snapshot is enough for all of it.
+    consensus leader = restored({replica(1), replica(2)}, {}, 100);
+    timestamp now = elect(leader);
+    outbox out;
+    std::size_t snapshots = 0;
+    leader.add_learner(replica(3), now, out);
+    for (std::uint64_t held = 10; held < 60; held += 10) {
+      now += duration_ms{60};
+      snapshots += acknowledge(leader, replica(3), held, now);
+      wire::AppendReply refusal;
+      refusal.set_term(leader.term().value());
+      refusal.set_match_index(held);
+      *refusal.mutable_follower() = to_wire(replica(3));
+      leader.handle(refusal, now, out);
+    }
+    snapshots += out.snapshots_wanted.size();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, snapshots);
+  }
+
 private:
   static consensus restored(const std::vector<replica_id> &voters,
-                            options settings = {}) {
+                            options settings = {}, std::uint64_t base = 0) {
     saved_replica saved;
+    saved.base.index = base;
+    saved.base.term = base > 0 ? 1 : 0;
+    saved.hard.term = saved.base.term;
     saved.base.voters = voters;
     return {the_partition, replica(1),           std::move(saved),
             settings,      timestamp_from(1000), 1};
@@ -400,8 +425,9 @@
     return now;
   }
 
-  static void acknowledge(consensus &leader, const replica_id &from,
-                          std::uint64_t match, timestamp now) {
+  /// @return how many snapshots the acknowledgement made the leader want.
+  static std::size_t acknowledge(consensus &leader, const replica_id &from,
+                                 std::uint64_t match, timestamp now) {
     wire::AppendReply reply;
     reply.set_term(leader.term().value());
     reply.set_success(true);
@@ -409,6 +435,7 @@
     *reply.mutable_follower() = to_wire(from);
     outbox out;
     leader.handle(reply, now, out);
+    return out.snapshots_wanted.size();
   }
 
   /// Messages with entries to a follower that answers heartbeats, while none of
