--- a/tests/forwarding/client_request_test.cpp
+++ b/tests/forwarding/client_request_test.cpp
@@ -1,24 +1,13 @@
 #include "forwarding/client_request.hpp"
 
+#include "support/header_names.hpp"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace heathtrestle::forwarding {
 namespace {
 
-header_names test_names() {
-  header_names names;
-  names.attempt_id = "Attempt";
-  names.deadline_ms = "Deadline";
-  names.affinity_key = "Object";
-  names.token_usage = "Tokens";
-  names.prompt_parts = "Parts";
-  names.program_id = "Program";
-  names.session_id = "Session";
-  names.program_deadline = "Program-Deadline";
-  names.token_budget = "Budget";
-  names.previous_turn = "Previous";
-  return names;
-}
+using test_support::test_names;
 
 class client_request_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(client_request_test);
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -5,6 +5,7 @@
 #include "http/call_client.hpp"
 #include "http/status_server.hpp"
 #include "support/coroutines.hpp"
+#include "support/header_names.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -18,27 +19,7 @@
 namespace {
 
 using test_support::await_result;
-
-header_names test_names() {
-  header_names names;
-  names.attempt_id = "Attempt";
-  names.deadline_ms = "Deadline";
-  names.affinity_key = "Object";
-  names.token_usage = "Tokens";
-  names.prompt_parts = "Parts";
-  names.program_id = "Program";
-  names.session_id = "Session";
-  names.program_deadline = "Program-Deadline";
-  names.token_budget = "Budget";
-  names.previous_turn = "Previous";
-  names.last_event_id = "Last-Event-Id";
-  names.expected_instance = "Expect";
-  names.request_priority = "Priority";
-  names.signature = "Signature";
-  names.not_executed = "Not-Executed";
-  names.gateway_only = {"Expect", "Priority"};
-  return names;
-}
+using test_support::test_names;
 
 /// Grants everything, and remembers what was settled and kept.
 class open_ledger : public records::turn_ledger {
