--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -1,7 +1,7 @@
 // Keeps a copy of one kind of objects up to date: lists it, watches it from
 // there, and lists again when a watch was lost or the store has forgotten the
-// changes between. While the store cannot be reached at the start, a peer's copy
-// serves.
+// changes between. While the store cannot be reached at the start, a peer's
+// copy serves.
 #pragma once
 
 #include "objects/object_cache.hpp"
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -1,7 +1,6 @@
 #include "records/record_table.hpp"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace heathtrestle::records {
@@ -129,7 +128,8 @@
     chain.push_back(&found->turn);
     id = found->turn.previous();
   }
-  for (const wire::RecordTurn *turn : std::ranges::reverse_view(chain)) {
+  std::reverse(chain.begin(), chain.end());
+  for (const wire::RecordTurn *turn : chain) {
     *reply.add_history() = *turn;
   }
 }
