Let the record group bear as many losses as the deployment names

Cause: the grown deployments may lose two storage machines at once, disks and all; the group had three voters whatever the settings say, and every other storage node followed the log (11 on the grown machines).

Change: `cluster.tolerated_losses`, filled in by the platform, gives 2f + 1 voters and f + 1 spares that follow; both are spread over the zones. What was ruled out on the way: the reduced election quorum with dead identities is not safe across a step between four and five voters with the old commit rule. {1, 2, 5} could commit the step while 3 and 4, among four with 1's disk lost, elect a leader without it. The rule for the step from two to three is now general: until a change of voters is committed, a majority of the old ones (dead ones exempt) holds what is committed.

--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -253,7 +253,13 @@
   [[nodiscard]] std::size_t election_quorum() const;
   /// False while a change of two voters to three is under way and one of the
   /// two does not hold the log up to `index`.
-  [[nodiscard]] bool old_pair_holds(std::uint64_t index) const;
+  /// The last index that may be committed by counting; with a change of voters
+  /// under way a majority of the old and one of the new ones hold it.
+  [[nodiscard]] std::uint64_t held_by_majorities() const;
+  /// @param exempt replicas that count as if they held everything.
+  [[nodiscard]] std::uint64_t
+  held_by_majority(const std::vector<replica_id> &voters,
+                   const std::set<replica_id> &exempt) const;
   [[nodiscard]] bool heard_from_majority(timestamp now,
                                          duration_ms within) const;
 
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -435,25 +435,14 @@
 }
 
 void consensus::advance_commit(timestamp now) {
-  std::vector<std::uint64_t> matches;
-  for (const replica_id &voter : voters_) {
-    const auto found = peers_.find(voter);
-    const bool known = found != peers_.end();
-    matches.push_back(voter == self_ ? last()
-                                     : (known ? found->second.match : 0));
-  }
-  if (matches.empty()) {
+  if (voters_.empty()) {
     return;
   }
-  std::sort(matches.begin(), matches.end(), std::greater<>());
-  const std::uint64_t held = matches[majority() - 1];
+  const std::uint64_t held = held_by_majorities();
   // Only entries of the own term are committed by counting (Raft, 5.4.2).
   if (held <= commit_ || held <= base_index_ || term_at(held) != term_) {
     return;
   }
-  if (!old_pair_holds(held)) {
-    return;
-  }
   commit_ = held;
   const bool replicas_committed = voters_index_ <= commit_;
   if (replicas_committed && !is_voter(self_)) {
@@ -462,22 +451,31 @@
   }
 }
 
-bool consensus::old_pair_holds(std::uint64_t index) const {
-  // Of two voters either may be lost with its disk, and the other then goes on
-  // alone. That is only right while the other holds everything, so until the
-  // step from two voters to three is committed, both of the two must hold what
-  // is committed. One that is dead itself goes on with nothing.
-  const bool grows_from_two = voters_index_ > commit_ &&
-                              previous_voters_.size() == 2 &&
-                              voters_.size() == 3;
-  if (!grows_from_two) {
-    return true;
+std::uint64_t consensus::held_by_majorities() const {
+  const std::uint64_t held = held_by_majority(voters_, {});
+  const bool changing = voters_index_ > commit_;
+  if (!changing) {
+    return held;
+  }
+  // Where voters are dead, an election among the old voters needs only enough
+  // votes to meet each majority of theirs. So until the change is committed, an
+  // entry must be held by such a majority too: two neighbouring sets need not
+  // have it in common (of two and three, four and five, four and three).
+  // A dead one takes part in no such election, so it stands in nobody's way.
+  return std::min(held, held_by_majority(previous_voters_, dead_));
+}
+
+std::uint64_t
+consensus::held_by_majority(const std::vector<replica_id> &voters,
+                            const std::set<replica_id> &exempt) const {
+  constexpr std::uint64_t everything = ~std::uint64_t{0};
+  std::vector<std::uint64_t> matches;
+  for (const replica_id &voter : voters) {
+    const std::uint64_t match = voter == self_ ? last() : match_index(voter);
+    matches.push_back(exempt.contains(voter) ? everything : match);
   }
-  return std::all_of(previous_voters_.begin(), previous_voters_.end(),
-                     [this, index](const replica_id &voter) {
-                       const bool holds = match_index(voter) >= index;
-                       return voter == self_ || is_dead(voter) || holds;
-                     });
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  return matches[matches.size() / 2];
 }
 
 unsaved_changes consensus::take_unsaved() {
--- a/src/records/group_plan.cpp
+++ b/src/records/group_plan.cpp
@@ -1,6 +1,7 @@
 #include "records/group_plan.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace heathtrestle::records {
 
@@ -23,6 +24,57 @@
   return found == nodes.end() ? nullptr : &*found;
 }
 
+bool contains(const std::vector<replica_id> &replicas, const replica_id &id) {
+  return std::find(replicas.begin(), replicas.end(), id) != replicas.end();
+}
+
+/// Of the nodes that fit, the first one in the zone with the fewest `counted`.
+template <typename Fits, typename Counted>
+const node_view *first_in_emptiest_zone(const std::vector<node_view> &nodes,
+                                        Fits fits, Counted counted) {
+  std::map<std::string, std::size_t> in_zone;
+  for (const node_view &each : nodes) {
+    in_zone[each.zone] += counted(each) ? 1 : 0;
+  }
+  const node_view *best = nullptr;
+  for (const node_view &each : nodes) {
+    const bool better =
+        best == nullptr || in_zone[each.zone] < in_zone[best->zone];
+    if (fits(each) && better) {
+      best = &each;
+    }
+  }
+  return best;
+}
+
+bool may_serve(const node_view &each) {
+  return each.alive && !each.retiring && !each.dead;
+}
+
+/// A node that is to follow the log, or none when enough do.
+const node_view *next_learner(const std::vector<node_view> &nodes,
+                              const std::vector<replica_id> &learners,
+                              const group_size &size) {
+  const auto lacks_log = [&learners](const node_view &each) {
+    return !each.votes && !contains(learners, each.replica) && may_serve(each);
+  };
+  for (const node_view &each : nodes) {
+    if (each.votes && each.dead) {
+      const node_view *successor = successor_of(each, nodes);
+      if (successor != nullptr && lacks_log(*successor)) {
+        return successor; // takes the dead one's place, however many follow
+      }
+    }
+  }
+  const auto follows = [&learners](const node_view &each) {
+    return may_serve(each) && (each.votes || contains(learners, each.replica));
+  };
+  const auto following = std::count_if(nodes.begin(), nodes.end(), follows);
+  const bool enough =
+      static_cast<std::size_t>(following) >= size.voters + size.spares;
+  return enough ? nullptr : first_in_emptiest_zone(nodes, lacks_log, follows);
+}
+
 bool is_ready_spare(const node_view &each) {
   return !each.votes && each.alive && each.caught_up && !each.retiring &&
          !each.dead;
@@ -53,9 +105,14 @@
 
 } // namespace
 
+group_size group_size::bearing(std::size_t losses) {
+  const std::size_t borne = std::max<std::size_t>(losses, 1);
+  return {.voters = 2 * borne + 1, .spares = borne + 1};
+}
+
 std::optional<group_change> next_change(const std::vector<node_view> &nodes,
                                         const std::vector<replica_id> &learners,
-                                        std::size_t desired_voters) {
+                                        const group_size &size) {
   for (const node_view &each : nodes) {
     if (!each.votes || !each.dead) {
       continue;
@@ -66,23 +123,22 @@
                            .successor = successor->replica};
     }
   }
-  for (const node_view &each : nodes) {
-    const bool known = std::find(learners.begin(), learners.end(),
-                                 each.replica) != learners.end();
-    if (!each.votes && !known && each.alive && !each.retiring && !each.dead) {
-      return add_learner{each.replica};
-    }
+  if (const node_view *learner = next_learner(nodes, learners, size)) {
+    return add_learner{learner->replica};
   }
   const auto voters = static_cast<std::size_t>(
       std::count_if(nodes.begin(), nodes.end(),
                     [](const node_view &each) { return each.votes; }));
-  const node_view *spare = first_where(nodes, is_ready_spare);
+  const node_view *spare =
+      first_in_emptiest_zone(nodes, is_ready_spare, [](const node_view &each) {
+        return each.votes && !each.dead;
+      });
   const node_view *leaving = first_leaving(nodes);
-  if (spare != nullptr && (voters < desired_voters || leaving != nullptr) &&
-      voters <= desired_voters) {
+  const bool wanted = voters < size.voters || leaving != nullptr;
+  if (spare != nullptr && wanted && voters <= size.voters) {
     return add_voter{spare->replica};
   }
-  const bool too_many = voters > desired_voters;
+  const bool too_many = voters > size.voters;
   const node_view *retiring = first_where(
       nodes, [](const node_view &each) { return each.votes && each.retiring; });
   const node_view *surplus = leaving != nullptr ? leaving : last_other(nodes);
--- a/src/records/group_plan.hpp
+++ b/src/records/group_plan.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -14,6 +15,7 @@
 /// A storage node in the leader's eyes.
 struct node_view {
   replica_id replica;
+  std::string zone;
   bool votes = false;
   bool is_self = false;
   /// It was heard from lately.
@@ -48,10 +50,22 @@
 using group_change = std::variant<add_learner, add_voter, remove_voter,
                                   replace_voter, hand_over>;
 
+struct group_size {
+  /// How many voters the group has while nodes last.
+  std::size_t voters = 3;
+  /// How many nodes follow the log without a vote, ready to take the place of a
+  /// voter. Others hold nothing: each follower costs the leader its link.
+  std::size_t spares = 2;
+
+  /// The size at which `losses` nodes may be lost at once, disks and all, with
+  /// a majority left; as many spares, so that all of them can be replaced.
+  static group_size bearing(std::size_t losses);
+};
+
+/// Voters and spares are spread over the zones, as far as there are nodes.
 /// @param learners nodes that already receive the log without a vote.
-/// @param desired_voters how many voters the group has while nodes last.
 std::optional<group_change> next_change(const std::vector<node_view> &nodes,
                                         const std::vector<replica_id> &learners,
-                                        std::size_t desired_voters);
+                                        const group_size &size);
 
 } // namespace heathtrestle::records
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -353,6 +353,7 @@
     const timestamp since = std::max(heard, leading_since_);
     nodes.push_back(
         {.replica = id,
+         .zone = known.record.zone(),
          .votes = log_->is_voter(id),
          .is_self = is_self,
          .alive = is_self || (!unheard && now < heard + options_.alive_for),
@@ -365,6 +366,7 @@
     if (!members_.contains(voter)) {
       nodes.push_back(
           {.replica = voter,
+           .zone = {},
            .votes = true,
            .long_silent = now >= leading_since_ + options_.replace_after,
            .dead = log_->is_dead(voter)});
@@ -387,8 +389,7 @@
   if (log_->change_in_progress()) {
     return;
   }
-  const auto change =
-      next_change(view(now), learners_, options_.desired_voters);
+  const auto change = next_change(view(now), learners_, options_.size);
   if (change) {
     carry_out(*change, now, out);
   }
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -35,7 +35,7 @@
                      .probe_interval = duration_ms{50},
                      .resend_after = duration_ms{600},
                      .unacknowledged_entries = 256};
-  std::size_t desired_voters = 3;
+  group_size size;
   /// A node not heard from for this long is not counted as alive.
   duration_ms alive_for{800};
   /// A voter silent for this long gives way to a spare node.
@@ -108,6 +108,7 @@
   }
   [[nodiscard]] wire::RecordMembers members() const;
   [[nodiscard]] const wire::RecordMember &self() const { return self_; }
+  [[nodiscard]] const replica_id &self_id() const { return self_id_; }
 
 private:
   struct member {
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -31,9 +31,10 @@
 
 record_runtime::record_runtime(asio::io_context &io, wire::RecordMember self,
                                std::unique_ptr<storage::log_storage> disk,
-                               storage::recovered_state recovered)
+                               storage::recovered_state recovered,
+                               record_node_options options)
     : io_(io), disk_(std::move(disk)),
-      node_(std::move(self), std::move(recovered), {}, steady_now(),
+      node_(std::move(self), std::move(recovered), options, steady_now(),
             random_()) {}
 
 result<void> record_runtime::start() {
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -22,7 +22,8 @@
   /// @param self name, address and zone of this node.
   record_runtime(asio::io_context &io, wire::RecordMember self,
                  std::unique_ptr<storage::log_storage> disk,
-                 storage::recovered_state recovered);
+                 storage::recovered_state recovered,
+                 record_node_options options);
 
   /// Starts to listen and to tick.
   result<void> start();
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -114,6 +114,7 @@
 void describe_settings(config::settings_schema &schema,
                        store_settings &settings) {
   constexpr std::uint64_t most_lines = 100000;
+  constexpr std::uint64_t most_losses = 4;
   schema.text("node.name", settings.name,
               "name of this process, unique among the storage nodes", true);
   schema.text("node.zone", settings.zone, "zone of this machine");
@@ -126,6 +127,10 @@
   schema.flag("cluster.first_start", settings.first_start,
               "whether the whole system starts for the first time, with empty "
               "disks");
+  schema.integer("cluster.tolerated_losses", settings.tolerated_losses, 0,
+                 most_losses,
+                 "storage nodes that may be lost at once, disks and all: the "
+                 "group has twice as many voters and one more, three at least");
   schema.texts("cluster.seeds", settings.seeds,
                "peer addresses to ask while the object store is down; they "
                "may be stale");
@@ -166,8 +171,10 @@
   self.set_name(settings.name);
   self.set_address(settings.rpc_address);
   self.set_zone(settings.zone);
+  const record_node_options options{
+      .size = group_size::bearing(settings.tolerated_losses)};
   record_runtime runtime(io, std::move(self), std::move(disk).value(),
-                         std::move(recovered).value());
+                         std::move(recovered).value(), options);
   const auto started = runtime.start();
   if (!started) {
     logging::write(logging::event::http_server_failed,
--- a/src/records/store_process.hpp
+++ b/src/records/store_process.hpp
@@ -22,6 +22,8 @@
   std::vector<std::string> seeds;
   std::string store_address;
   bool first_start = false;
+  /// Storage nodes that may be lost at once, disks and all.
+  std::uint64_t tolerated_losses = 1;
   std::string log_level = "info";
   std::uint64_t log_lines = 200;
 };
--- a/tests/objects/object_watch_test.cpp
+++ b/tests/objects/object_watch_test.cpp
@@ -165,8 +165,7 @@
     store_.watches.push_back(store_error::no_answer);
     store_.listings.push_back(listing{{named("a", 3), named("b", 8)}, 9});
     run_until(2);
-    CPPUNIT_ASSERT(seen_ ==
-                   (std::vector<std::string>{"listed 1", "listed 2"}));
+    CPPUNIT_ASSERT(seen_ == (std::vector<std::string>{"listed 1", "listed 2"}));
     CPPUNIT_ASSERT(store_.watched_from == (std::vector<std::uint64_t>{5, 9}));
   }
 
@@ -178,10 +177,9 @@
     store_.watches.push_back(change_list{{}, 5});
     run_until(3);
     const watch_options defaults;
-    CPPUNIT_ASSERT(store_.waits ==
-                   (std::vector<duration_ms>{defaults.wait,
-                                             defaults.wait_after_loss,
-                                             defaults.wait}));
+    CPPUNIT_ASSERT(store_.waits == (std::vector<duration_ms>{
+                                       defaults.wait, defaults.wait_after_loss,
+                                       defaults.wait}));
     CPPUNIT_ASSERT(defaults.wait_after_loss < defaults.wait);
   }
 
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -169,6 +169,9 @@
   CPPUNIT_TEST(entries_under_way_are_not_sent_with_every_heartbeat);
   CPPUNIT_TEST(of_two_voters_one_is_dead_and_the_other_goes_on);
   CPPUNIT_TEST(growth_from_two_waits_for_both);
+  CPPUNIT_TEST(growth_from_four_waits_for_a_majority_of_the_four);
+  CPPUNIT_TEST(removal_from_four_waits_for_a_majority_of_the_four);
+  CPPUNIT_TEST(a_dead_voter_is_removed_without_its_acknowledgement);
   CPPUNIT_TEST(old_acknowledgements_bring_no_second_snapshot);
   CPPUNIT_TEST_SUITE_END();
 
@@ -375,6 +378,49 @@
     CPPUNIT_ASSERT_EQUAL(change, leader.commit_index().value());
   }
 
+  void growth_from_four_waits_for_a_majority_of_the_four() {
+    // Were the change committed by 1, 2 and 5, then 3 and 4, which lack it,
+    // could elect a leader among the four once 1 has lost its disk.
+    consensus leader = leader_of_four();
+    const timestamp now = elected_;
+    outbox out;
+    leader.add_learner(replica(5), now, out);
+    CPPUNIT_ASSERT(!leader.change_replicas(
+        {replica(1), replica(2), replica(3), replica(4), replica(5)}, now,
+        out));
+    const std::uint64_t change = leader.last_index().value();
+    acknowledge(leader, replica(5), change, now);
+    acknowledge(leader, replica(2), change, now);
+    CPPUNIT_ASSERT(leader.commit_index().value() < change);
+    acknowledge(leader, replica(3), change, now);
+    CPPUNIT_ASSERT_EQUAL(change, leader.commit_index().value());
+  }
+
+  void removal_from_four_waits_for_a_majority_of_the_four() {
+    consensus leader = leader_of_four();
+    const timestamp now = elected_;
+    outbox out;
+    CPPUNIT_ASSERT(!leader.change_replicas({replica(1), replica(2), replica(3)},
+                                           now, out));
+    const std::uint64_t change = leader.last_index().value();
+    acknowledge(leader, replica(2), change, now);
+    CPPUNIT_ASSERT(leader.commit_index().value() < change);
+    acknowledge(leader, replica(3), change, now);
+    CPPUNIT_ASSERT_EQUAL(change, leader.commit_index().value());
+  }
+
+  void a_dead_voter_is_removed_without_its_acknowledgement() {
+    consensus leader = leader_of_four();
+    const timestamp now = elected_;
+    outbox out;
+    leader.declare_dead(replica(4));
+    CPPUNIT_ASSERT(!leader.change_replicas({replica(1), replica(2), replica(3)},
+                                           now, out));
+    const std::uint64_t change = leader.last_index().value();
+    acknowledge(leader, replica(2), change, now);
+    CPPUNIT_ASSERT_EQUAL(change, leader.commit_index().value());
+  }
+
   void old_acknowledgements_bring_no_second_snapshot() {
     // A node that wakes first acknowledges what lies in its inbox, and refuses
     // what lies behind that: one snapshot is enough for all of it.
@@ -408,18 +454,36 @@
             settings,      timestamp_from(1000), 1};
   }
 
-  /// Makes a replica of two the leader by the other's votes.
+  /// An established leader of four voters.
+  consensus leader_of_four() {
+    consensus leader =
+        restored({replica(1), replica(2), replica(3), replica(4)});
+    elected_ = elect(leader);
+    for (const std::uint64_t voter : {2, 3}) {
+      acknowledge(leader, replica(voter), leader.last_index().value(),
+                  elected_);
+    }
+    CPPUNIT_ASSERT(leader.established());
+    return leader;
+  }
+
+  timestamp elected_{};
+
+  /// Makes a replica the leader by the votes of two others.
   static timestamp elect(consensus &candidate) {
     const timestamp now = timestamp_from(60000);
     outbox out;
     candidate.tick(now, 1, out);
     for (const bool pre_vote : {true, false}) {
-      wire::VoteReply vote;
-      vote.set_granted(true);
-      vote.set_pre_vote(pre_vote);
-      vote.set_term(candidate.term().value() + (pre_vote ? 1 : 0));
-      *vote.mutable_voter() = to_wire(replica(2));
-      candidate.handle(vote, now, out);
+      const std::uint64_t term = candidate.term().value() + (pre_vote ? 1 : 0);
+      for (const std::uint64_t voter : {2, 3}) {
+        wire::VoteReply vote;
+        vote.set_granted(true);
+        vote.set_pre_vote(pre_vote);
+        vote.set_term(term);
+        *vote.mutable_voter() = to_wire(replica(voter));
+        candidate.handle(vote, now, out);
+      }
     }
     CPPUNIT_ASSERT(candidate.is_leader());
     return now;
--- a/tests/records/group_plan_test.cpp
+++ b/tests/records/group_plan_test.cpp
@@ -29,13 +29,19 @@
   CPPUNIT_TEST(a_retiring_voter_leaves_even_without_a_spare);
   CPPUNIT_TEST(the_last_voter_stays);
   CPPUNIT_TEST(a_leader_that_is_to_leave_hands_over);
+  CPPUNIT_TEST(the_size_follows_the_losses_to_be_borne);
+  CPPUNIT_TEST(no_more_nodes_learn_than_are_wanted);
+  CPPUNIT_TEST(a_successor_learns_however_many_follow);
+  CPPUNIT_TEST(voters_are_spread_over_zones);
+  CPPUNIT_TEST(spares_are_spread_over_zones);
   CPPUNIT_TEST_SUITE_END();
 
   std::vector<node_view> nodes_{voter(1), voter(2), voter(3)};
   std::vector<replica_id> learners_;
+  group_size size_;
 
   std::optional<group_change> next() {
-    return next_change(nodes_, learners_, 3);
+    return next_change(nodes_, learners_, size_);
   }
 
 public:
@@ -104,6 +110,57 @@
     nodes_[0].retiring = true;
     CPPUNIT_ASSERT(std::holds_alternative<hand_over>(*next()));
   }
+
+  void the_size_follows_the_losses_to_be_borne() {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group_size::bearing(0).voters);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group_size::bearing(1).voters);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, group_size::bearing(2).voters);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group_size::bearing(2).spares);
+  }
+
+  void no_more_nodes_learn_than_are_wanted() {
+    for (std::uint64_t node = 4; node <= 6; ++node) {
+      nodes_.push_back(spare(node));
+    }
+    learners_ = {id(4), id(5)};
+    CPPUNIT_ASSERT(!next());
+    nodes_[4].alive = false; // one of the two that follow is silent
+    CPPUNIT_ASSERT(std::get<add_learner>(*next()).replica == id(6));
+  }
+
+  void a_successor_learns_however_many_follow() {
+    nodes_[2].dead = true;
+    nodes_.push_back(spare(4));
+    nodes_.push_back(spare(5));
+    nodes_.push_back(spare(6));
+    nodes_.push_back(spare(3, 2));
+    nodes_.back().caught_up = false;
+    learners_ = {id(4), id(5), id(6)};
+    CPPUNIT_ASSERT(std::get<add_learner>(*next()).replica == id(3, 2));
+  }
+
+  void voters_are_spread_over_zones() {
+    nodes_[0].zone = "a";
+    nodes_[1].zone = "b";
+    nodes_.pop_back();
+    nodes_.push_back(spare(4));
+    nodes_.back().zone = "a";
+    nodes_.push_back(spare(5));
+    nodes_.back().zone = "c";
+    learners_ = {id(4), id(5)};
+    CPPUNIT_ASSERT(std::get<add_voter>(*next()).replica == id(5));
+  }
+
+  void spares_are_spread_over_zones() {
+    nodes_[0].zone = "a";
+    nodes_[1].zone = "a";
+    nodes_[2].zone = "b";
+    nodes_.push_back(spare(4));
+    nodes_.back().zone = "a";
+    nodes_.push_back(spare(5));
+    nodes_.back().zone = "c";
+    CPPUNIT_ASSERT(std::get<add_learner>(*next()).replica == id(5));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(group_plan_test);
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -30,6 +30,9 @@
   CPPUNIT_TEST(a_slow_node_is_not_sent_the_same_again);
   CPPUNIT_TEST(budgets_hold_over_a_change_of_leaders);
   CPPUNIT_TEST(random_losses_lose_nothing);
+  CPPUNIT_TEST(a_group_that_bears_two_losses_has_five_voters);
+  CPPUNIT_TEST(of_five_voters_two_lose_their_disks_at_once);
+  CPPUNIT_TEST(random_pairs_of_losses_lose_nothing);
   CPPUNIT_TEST_SUITE_END();
 
   static void found_with(record_group &group,
@@ -327,9 +330,54 @@
   }
 
 private:
-  static void run_random(std::uint64_t seed) {
-    record_group group(seed);
-    found_with(group, {"a", "b", "c"});
+  void a_group_that_bears_two_losses_has_five_voters() {
+    record_group group(5, records::group_size::bearing(2));
+    found_with(group, {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, group.voters().size());
+    const auto *log = group.at(group.leader()).log();
+    std::size_t following = 0;
+    for (const std::string &name : group.names()) {
+      following += log->is_learner(group.at(name).self_id()) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, following);
+    keep(group, "t", 5, 500ms);
+    check_kept(group, "t", 5);
+  }
+
+  void of_five_voters_two_lose_their_disks_at_once() {
+    const std::vector<std::string> all{"a", "b", "c", "d", "e"};
+    for (std::size_t first = 0; first + 1 < all.size(); ++first) {
+      record_group group(6 + first, records::group_size::bearing(2));
+      found_with(group, all);
+      keep(group, "t", 10, 500ms);
+      for (const std::string &name : all) {
+        group.kill(name);
+      }
+      group.wipe(all[first]);
+      group.wipe(all[first + 1]);
+      for (const std::string &name : all) {
+        group.start(name);
+      }
+      group.run(5000ms);
+      check_kept(group, "t", 10);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{5}, group.voters().size());
+    }
+  }
+
+  void random_pairs_of_losses_lose_nothing() {
+    for (std::uint64_t seed = 500; seed < 530; ++seed) {
+      run_random(seed, {"a", "b", "c", "d", "e", "f"},
+                 records::group_size::bearing(2), 2);
+    }
+  }
+
+  /// @param losses machines that are struck at once.
+  static void
+  run_random(std::uint64_t seed,
+             const std::vector<std::string> &machines = {"a", "b", "c"},
+             records::group_size size = {}, std::size_t losses = 1) {
+    record_group group(seed, size);
+    found_with(group, machines);
     const std::string message = fmt::format("seed {}", seed);
     std::vector<std::pair<std::uint64_t, std::string>> asked;
     for (int round = 0; round < 10; ++round) {
@@ -339,8 +387,12 @@
       }
       group.run(duration_ms{group.draw() % 40});
       const std::vector<std::string> names = group.names();
-      const std::string victim = names[group.draw() % names.size()];
-      disturb(group, victim, group.draw() % 5);
+      const std::size_t first = group.draw() % names.size();
+      std::vector<std::string> victims;
+      for (std::size_t place = 0; place < losses; ++place) {
+        victims.push_back(names[(first + place) % names.size()]);
+      }
+      disturb(group, victims, group.draw() % 5);
       group.run(duration_ms{2000});
     }
     group.run(3000ms);
@@ -356,37 +408,43 @@
     }
   }
 
-  static void disturb(record_group &group, const std::string &victim,
+  static void disturb(record_group &group,
+                      const std::vector<std::string> &victims,
                       std::uint64_t kind) {
+    const auto for_each = [&group, &victims](auto act) {
+      for (const std::string &victim : victims) {
+        (group.*act)(victim);
+      }
+    };
     constexpr std::uint64_t wipe = 0;
     constexpr std::uint64_t power_all = 1;
     constexpr std::uint64_t isolate = 2;
     constexpr std::uint64_t freeze = 3;
     if (kind == wipe) {
-      group.wipe(victim);
+      for_each(&record_group::wipe);
       group.run(700ms);
-      group.start(victim);
+      for_each(&record_group::start);
     } else if (kind == power_all) {
       for (const std::string &name : group.names()) {
         group.kill(name);
       }
-      group.wipe(victim);
+      for_each(&record_group::wipe);
       group.run(500ms);
       for (const std::string &name : group.names()) {
         group.start(name);
       }
     } else if (kind == isolate) {
-      group.isolate(victim);
+      for_each(&record_group::isolate);
       group.run(3000ms);
       group.heal();
     } else if (kind == freeze) {
-      group.freeze(victim);
+      for_each(&record_group::freeze);
       group.run(2000ms);
-      group.thaw(victim);
+      for_each(&record_group::thaw);
     } else {
-      group.kill(victim);
+      for_each(&record_group::kill);
       group.run(800ms);
-      group.start(victim);
+      for_each(&record_group::start);
     }
     group.run(2500ms);
   }
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -51,7 +51,8 @@
 public:
   static constexpr const char *client_address = "client";
 
-  explicit record_group(std::uint64_t seed) : random_(seed) {}
+  explicit record_group(std::uint64_t seed, records::group_size size = {})
+      : random_(seed), size_(size) {}
 
   /// Adds a machine and starts its process; it knows all machines so far.
   void add(const std::string &name) {
@@ -79,8 +80,8 @@
                                        .snapshot = started.disk.snapshot,
                                        .members = started.disk.members};
     started.node = std::make_unique<records::record_node>(
-        std::move(self), std::move(recovered), records::record_node_options{},
-        now_, random_());
+        std::move(self), std::move(recovered),
+        records::record_node_options{.size = size_}, now_, random_());
     started.node->learn_members(directory());
   }
   void isolate(const std::string &name) { isolated_.insert(name); }
@@ -324,6 +325,7 @@
 
   timestamp now_ = timestamp_from(100000);
   std::mt19937_64 random_;
+  records::group_size size_;
   std::map<std::string, node_machine> machines_;
   std::vector<letter> letters_;
   std::set<std::string> isolated_;
