Add a fault proxy and a fault soak of real processes

Processes take `advertise.rpc`, the address that others are told, so that a relay can stand before them.

The unit tests crashed at their end (malloc_consolidate): a session that was still open when the tests' gateway ended removed itself from it.

--- /dev/null
+++ b/scripts/lib/soak_faults.sh
@@ -0,0 +1,247 @@
+# The cluster of the fault soak and its faults. Sourced by scripts/soak after
+# platform_cluster.sh; expects `bin`, `platform_bin`, `run` and `base`.
+#
+# Every address that others use is a link of the fault proxy, 500 ports above the
+# address that the process listens on. Each process has a link of its own to the
+# object store, so that the store may turn single machines away.
+
+soak_processes=(storage-1 storage-2 storage-3 gateway-1 gateway-2)
+soak_replicas=(engine-1 engine-2 tool-1)
+proxy_control="127.0.0.1:$((base + 499))"
+struck=()
+
+# The address of a link before another address.
+through_proxy() { # address
+  echo "${1%:*}:$((${1##*:} + 500))"
+}
+
+# A process's own link to the object store.
+store_link_address() { # process
+  local number
+  case $1 in
+  storage-*) number=${1#storage-} ;;
+  gateway-*) number=$((3 + ${1#gateway-})) ;;
+  engine-*) number=$((5 + ${1#engine-})) ;;
+  *) number=8 ;;
+  esac
+  echo "127.0.0.1:$((base + 600 + number))"
+}
+
+start_proxy() {
+  local links=() number name
+  for name in "${soak_processes[@]}" "${soak_replicas[@]}"; do
+    links+=(--link "store-of-$name=$(store_link_address "$name")=$store_address")
+  done
+  for number in 1 2 3; do
+    links+=(--link "storage-$number=$(through_proxy "$(storage_rpc "$number")")=$(storage_rpc "$number")")
+    links+=(--link "replica-$number=$(through_proxy "$(replica_address "$number")")=$(replica_address "$number")")
+  done
+  for number in 1 2; do
+    links+=(--link "gateway-$number=$(through_proxy "$(gateway_rpc "$number")")=$(gateway_rpc "$number")")
+  done
+  start_process fault-proxy "$bin/heathtrestle-fault-proxy" \
+    --control "$proxy_control" "${links[@]}"
+}
+
+set_link() { # link fault
+  curl -sf -m 2 -o /dev/null "http://$proxy_control/$1/$2" ||
+    echo "soak: the proxy did not take /$1/$2" >&2
+}
+
+start_soak_storage() { # number first_start
+  mkdir -p "$run/data-$1"
+  start_process "storage-$1" "$platform_bin/heathtrestle-store" \
+    --node.name "storage-$1" --node.zone "zone-$1" \
+    --listen.rpc "$(storage_rpc "$1")" \
+    --advertise.rpc "$(through_proxy "$(storage_rpc "$1")")" \
+    --listen.metrics "$(storage_metrics "$1")" \
+    --data.directory "$run/data-$1" --cluster.first_start "$2" \
+    --cluster.seeds "$(peer_address 1)" \
+    --store.address "$(store_link_address "storage-$1")"
+}
+
+start_soak_gateway() { # number
+  start_process "gateway-$1" "$platform_bin/heathtrestle-gateway" \
+    --node.name "gateway-$1" --node.zone "zone-$1" \
+    --listen.clients "$(gateway_address "$1")" \
+    --listen.readiness "$(ready_address "$1")" \
+    --listen.peers "$(peer_address "$1")" \
+    --listen.rpc "$(gateway_rpc "$1")" \
+    --advertise.rpc "$(through_proxy "$(gateway_rpc "$1")")" \
+    --listen.metrics "$(gateway_metrics "$1")" \
+    --cluster.seeds "$(peer_address 1)" --cluster.seeds "$(peer_address 2)" \
+    --store.address "$(store_link_address "gateway-$1")" \
+    --timing.grace_seconds 8
+}
+
+start_soak_replica() { # number id service flags...
+  local number=$1 id=$2 service=$3
+  shift 3
+  start_process "$id" "$platform_bin/heathtrestle-platform-stand-in" \
+    --role replica --address "$(replica_address "$number")" \
+    --replica.advertised "$(through_proxy "$(replica_address "$number")")" \
+    --store "$(store_link_address "$id")" --replica.id "$id" \
+    --replica.service "$service" --replica.zone zone-1 "$@"
+}
+
+start_soak_process() { # name first_start
+  case $1 in
+  storage-*) start_soak_storage "${1#storage-}" "$2" ;;
+  gateway-*) start_soak_gateway "${1#gateway-}" ;;
+  esac
+}
+
+start_soak_cluster() {
+  start_object_store
+  start_proxy
+  wait_until 100 curl -s -m 1 -o /dev/null "http://$store_address/objects/config"
+  for name in "${soak_processes[@]}"; do
+    start_soak_process "$name" true
+  done
+  start_soak_replica 1 engine-1 models --replica.events 5 --replica.break_every 9
+  start_soak_replica 2 engine-2 models --replica.events 5
+  start_soak_replica 3 tool-1 tools --replica.surplus_every 5
+  write_configuration 1
+  wait_until 100 gateway_is_ready 1
+  wait_until 100 gateway_is_ready 2
+  wait_until 200 group_is_whole
+}
+
+draw() { # one of the words given
+  local words=("$@")
+  echo "${words[RANDOM % ${#words[@]}]}"
+}
+
+# Draws a fault, sets it, waits a while, and ends it. Sometimes a second one
+# begins while the first lasts.
+strike_at_random() {
+  sleep "0.$((RANDOM % 9))"
+  strike "$(draw link link store pause kill wipe stop power)" &
+  local first=$!
+  if ((RANDOM % 3 == 0)); then
+    strike "$(draw link store kill_gateway)"
+  fi
+  wait "$first" || true
+  collect_strikes
+}
+
+# Faults run in subshells: the ids of the processes that they start are read
+# back from files.
+collect_strikes() {
+  local file
+  for file in "$run"/restarted-*; do
+    [[ -e $file ]] || continue
+    pid_of[${file##*/restarted-}]=$(<"$file")
+    rm "$file"
+  done
+  while read -r line; do
+    struck+=("$line")
+  done <"$run/strikes"
+  : >"$run/strikes"
+}
+
+note_strike() { echo "$*" >>"$run/strikes"; }
+
+restart() { # name
+  start_soak_process "$1" false
+  echo "${pid_of[$1]}" >"$run/restarted-$1"
+}
+
+strike() { # kind
+  local name link fault
+  name=$(draw "${soak_processes[@]}")
+  case $1 in
+  link)
+    link=$(draw storage-1 storage-2 storage-3 gateway-1 gateway-2 replica-1 replica-2 replica-3)
+    fault=$(draw delay-40 delay-150 silent hold-requests hold-answers refuse reset)
+    note_strike "$link:$fault"
+    set_link "$link" "$fault"
+    sleep "$((RANDOM % 3 + 1))"
+    set_link "$link" sound
+    ;;
+  store)
+    fault=$(draw silent refuse hold-answers delay-300 reset)
+    note_strike "store-of-$name:$fault"
+    set_link "store-of-$name" "$fault"
+    sleep "$((RANDOM % 4 + 1))"
+    set_link "store-of-$name" sound
+    ;;
+  pause)
+    note_strike "pause:$name"
+    end_process "$name" STOP
+    sleep "$((RANDOM % 3 + 1))"
+    end_process "$name" CONT
+    ;;
+  stop)
+    note_strike "stop:$name"
+    end_process "$name" TERM
+    sleep 9
+    restart "$name"
+    ;;
+  kill | kill_gateway)
+    [[ $1 == kill_gateway ]] && name=$(draw gateway-1 gateway-2)
+    note_strike "kill:$name"
+    end_process "$name" KILL
+    sleep "0.$((RANDOM % 9 + 1))"
+    restart "$name"
+    ;;
+  wipe)
+    name=$(draw storage-1 storage-2 storage-3)
+    note_strike "wipe:$name"
+    end_process "$name" KILL
+    sleep 0.5
+    rm -rf "$run/data-${name#storage-}"
+    restart "$name"
+    sleep 3 # one disk at a time: the group must be whole before the next
+    ;;
+  power)
+    note_strike "power"
+    for name in storage-1 storage-2 storage-3; do
+      end_process "$name" KILL
+    done
+    sleep "0.$((RANDOM % 9 + 1))"
+    for name in storage-1 storage-2 storage-3; do
+      restart "$name"
+    done
+    ;;
+  esac
+}
+
+heal_everything() {
+  set_link all sound
+  for name in "${soak_processes[@]}"; do
+    end_process "$name" CONT
+  done
+}
+
+everything_serves() {
+  gateway_is_ready 1 && gateway_is_ready 2 && group_is_whole
+}
+
+# Programs may fail while faults last; promises may not be broken.
+check_round() { # number
+  local outcome="$run/outcome-$1"
+  if ! grep -q '^programs finished' "$outcome"; then
+    echo "FAILED: round $1: the load ended without an outcome: $(tail -n 3 "$outcome")"
+    return 1
+  fi
+  if grep -q '^violation' "$outcome"; then
+    echo "FAILED: round $1:"
+    cat "$outcome"
+    return 1
+  fi
+  wait_until 200 group_is_whole || {
+    echo "FAILED: round $1: the group is not whole 20 s after the fault"
+    return 1
+  }
+}
+
+nothing_ended_by_itself() {
+  local name
+  for name in "${soak_processes[@]}" "${soak_replicas[@]}" object-store fault-proxy; do
+    if ! kill -0 "${pid_of[$name]}" 2>/dev/null; then
+      echo "FAILED: $name ended by itself: $(tail -n 2 "$run/$name.log" "$run/$name.out" 2>/dev/null)"
+      return 1
+    fi
+  done
+}
--- a/src/forwarding/client_session.cpp
+++ b/src/forwarding/client_session.cpp
@@ -54,7 +54,11 @@
   gateway_.add_session(*this);
 }
 
-client_session::~client_session() { gateway_.remove_session(*this); }
+client_session::~client_session() {
+  if (registered_) {
+    gateway_.remove_session(*this);
+  }
+}
 
 void client_session::enter(phase next, duration_ms limit) {
   phase_ = next;
--- a/src/forwarding/client_session.hpp
+++ b/src/forwarding/client_session.hpp
@@ -27,6 +27,8 @@
 
   /// Closes the connection now when it rests, else behind its next answer.
   void begin_drain();
+  /// The gateway has ended first: it is not to be used from here on.
+  void on_gateway_gone() { registered_ = false; }
 
   [[nodiscard]] tcp::socket &socket() { return socket_; }
 
@@ -54,6 +56,7 @@
   timestamp deadline_{};
   bool timed_out_ = false;
   bool closed_ = false;
+  bool registered_ = true;
 };
 
 /// Accepts clients until the acceptor is closed.
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -14,6 +14,12 @@
     : io_(io), options_(std::move(options)), ledger_(ledger),
       pool_(io, options_.pool), turns_(options_.turn_cache_bytes) {}
 
+gateway::~gateway() {
+  for (client_session *session : sessions_) {
+    session->on_gateway_gone();
+  }
+}
+
 void gateway::apply_routes(routing::configuration settings) {
   if (routes_ != nullptr && settings.version <= routes_->version()) {
     return;
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -47,6 +47,10 @@
   /// @param ledger outlives the gateway.
   gateway(asio::io_context &io, gateway_options options,
           records::turn_ledger &ledger);
+  /// Sessions that are still open may be destroyed later, with `io`.
+  ~gateway();
+  gateway(const gateway &) = delete;
+  gateway &operator=(const gateway &) = delete;
 
   /// Takes in a configuration. An older one than the present is ignored: what
   /// is in force only moves up.
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -74,6 +74,12 @@
   std::optional<runtime::process_signals> signals_;
 };
 
+std::string advertised_rpc(const gateway_settings &settings) {
+  return settings.advertised_rpc_address.empty()
+             ? settings.rpc_address
+             : settings.advertised_rpc_address;
+}
+
 gateway_options options_from(const gateway_settings &settings,
                              const gateway_binding &binding) {
   gateway_options options;
@@ -88,7 +94,7 @@
     const gateway_binding &binding,
     const std::function<std::optional<gateway_settings>()> &reload)
     : io_(io), settings_(std::move(settings)), binding_(binding),
-      reload_(reload), ledger_(io, {.address = settings_.rpc_address},
+      reload_(reload), ledger_(io, {.address = advertised_rpc(settings_)},
                                [this](const std::string &address,
                                       const wire::Envelope &envelope) {
                                  send(address, envelope);
--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -18,6 +18,9 @@
                  true);
   schema.address("listen.rpc", settings.rpc_address,
                  "where the record group reaches this gateway", true);
+  schema.address("advertise.rpc", settings.advertised_rpc_address,
+                 "the address that is told to others in place of listen.rpc, "
+                 "where a relay stands before it");
   schema.address("listen.metrics", settings.metrics_address,
                  "where counters and histograms are served at /metrics", true);
   schema.texts("cluster.seeds", settings.seeds,
--- a/src/forwarding/gateway_settings.hpp
+++ b/src/forwarding/gateway_settings.hpp
@@ -16,6 +16,8 @@
   std::string readiness_address;
   std::string peer_address;
   std::string rpc_address;
+  /// Where others reach `rpc_address`; empty where it is the same.
+  std::string advertised_rpc_address;
   std::string metrics_address;
   std::vector<std::string> seeds;
   std::string store_address;
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -37,9 +37,9 @@
       node_(std::move(self), std::move(recovered), options, steady_now(),
             random_()) {}
 
-result<void> record_runtime::start() {
+result<void> record_runtime::start(const std::string &address) {
   auto started = rpc::transport::start(
-      {.address = node_.self().address(), .cluster = cluster_name},
+      {.address = address, .cluster = cluster_name},
       [this](wire::Envelope envelope) { on_message(std::move(envelope)); });
   if (!started) {
     return started.error();
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -25,8 +25,8 @@
                  storage::recovered_state recovered,
                  record_node_options options);
 
-  /// Starts to listen and to tick.
-  result<void> start();
+  /// Starts to listen at `address` ("ip:port") and to tick.
+  result<void> start(const std::string &address);
 
   [[nodiscard]] record_node &node() { return node_; }
   /// Makes this node the founder of the group.
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -120,6 +120,9 @@
   schema.text("node.zone", settings.zone, "zone of this machine");
   schema.address("listen.rpc", settings.rpc_address,
                  "where gateways and storage nodes reach this one", true);
+  schema.address("advertise.rpc", settings.advertised_rpc_address,
+                 "the address that is told to others in place of listen.rpc, "
+                 "where a relay stands before it");
   schema.address("listen.metrics", settings.metrics_address,
                  "where counters are served at /metrics", true);
   schema.text("data.directory", settings.data_directory,
@@ -169,13 +172,15 @@
       .write();
   wire::RecordMember self;
   self.set_name(settings.name);
-  self.set_address(settings.rpc_address);
+  self.set_address(settings.advertised_rpc_address.empty()
+                       ? settings.rpc_address
+                       : settings.advertised_rpc_address);
   self.set_zone(settings.zone);
   const record_node_options options{
       .size = group_size::bearing(settings.tolerated_losses)};
   record_runtime runtime(io, std::move(self), std::move(disk).value(),
                          std::move(recovered).value(), options);
-  const auto started = runtime.start();
+  const auto started = runtime.start(settings.rpc_address);
   if (!started) {
     logging::write(logging::event::http_server_failed,
                    describe(started.error()));
--- a/src/records/store_process.hpp
+++ b/src/records/store_process.hpp
@@ -17,6 +17,8 @@
   std::string name;
   std::string zone;
   std::string rpc_address;
+  /// Where others reach `rpc_address`; empty where it is the same.
+  std::string advertised_rpc_address;
   std::string metrics_address;
   std::string data_directory;
   std::vector<std::string> seeds;
