--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -785,6 +785,10 @@
       .field("version", routes_ ? routes_->version().value() : 0)
       .field("instance", last_instance_)
       .field("attempts", attempts_)
+      .field(
+          "client_resumes_after",
+          to_view(request_.message[gateway_.options().headers.last_event_id]))
+      .field("previous", request_.previous_turn)
       .field("status", status_)
       .field("events", events_passed_)
       .field("reason", reason_)
