Number a gateway's questions from a random start

Cause: each gateway process numbered what it asks the record group from 1, and answers go to the process's address. rose-hill-9 was killed at 13.5 s and was back at 14.0 s; the group, without a leader most of the time, answered questions of the earlier process seconds later, and the new one took them for its own: another program's history went into the prompt. A budget could have been granted so too.

Change: the first number is drawn, 64 bits. Test: an answer with the earlier process's numbers (failed before).

--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -4,6 +4,7 @@
 #include "records/record_node.hpp"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -55,6 +56,12 @@
   return change;
 }
 
+std::uint64_t draw_first_id() {
+  std::random_device device;
+  constexpr unsigned half = 32;
+  return (static_cast<std::uint64_t>(device()) << half) | device();
+}
+
 turn_verdict verdict_of(wire::RecordVerdict verdict) {
   switch (verdict) {
   case wire::RECORD_GRANTED:
@@ -72,7 +79,8 @@
 
 ledger_client::ledger_client(asio::io_context &io, ledger_options options,
                              sender send)
-    : io_(io), options_(std::move(options)), send_(std::move(send)) {}
+    : io_(io), options_(std::move(options)), send_(std::move(send)),
+      next_id_(draw_first_id()) {}
 
 asio::awaitable<turn_grant> ledger_client::begin(turn_request request,
                                                  timestamp deadline) {
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -91,7 +91,9 @@
   ledger_options options_;
   sender send_;
   std::map<std::uint64_t, pending_ptr> pending_;
-  std::uint64_t next_id_ = 1;
+  /// Begins at random: an answer to an earlier process at this address, which
+  /// may come seconds after its end, must meet no id of this one.
+  std::uint64_t next_id_;
   wire::RecordMembers members_;
   std::uint64_t members_hash_ = 0;
   std::string leader_;
--- a/tests/records/ledger_client_test.cpp
+++ b/tests/records/ledger_client_test.cpp
@@ -30,11 +30,15 @@
   wire::RecordVerdict verdict = wire::RECORD_GRANTED;
   std::vector<std::string> asked;
   std::vector<wire::RecordChange> taken;
+  std::vector<std::uint64_t> asked_ids;
   ledger_client *client = nullptr;
   asio::io_context *io = nullptr;
 
   void receive(const std::string &address, const wire::Envelope &envelope) {
     asked.push_back(address);
+    for (const auto &item : envelope.record_request().items()) {
+      asked_ids.push_back(item.id());
+    }
     wire::Envelope answer;
     wire::RecordReply &reply = *answer.mutable_record_reply();
     if (address != leader) {
@@ -68,6 +72,7 @@
   CPPUNIT_TEST(an_end_is_tried_until_it_is_confirmed);
   CPPUNIT_TEST(late_questions_do_not_lead_away_from_a_leader);
   CPPUNIT_TEST(questions_at_one_moment_travel_together);
+  CPPUNIT_TEST(an_answer_to_an_earlier_process_is_not_taken);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -91,6 +96,13 @@
 
 public:
   void setUp() override {
+    make_client();
+    group_.io = &io_;
+    client_->learn_members(members_at({"other:1", "leader:1", "third:1"}));
+    asio::co_spawn(io_, client_->run(), asio::detached);
+  }
+
+  void make_client() {
     client_ = std::make_unique<ledger_client>(
         io_,
         ledger_options{.address = "gateway:1",
@@ -99,9 +111,6 @@
           group_.receive(address, envelope);
         });
     group_.client = client_.get();
-    group_.io = &io_;
-    client_->learn_members(members_at({"other:1", "leader:1", "third:1"}));
-    asio::co_spawn(io_, client_->run(), asio::detached);
   }
   void tearDown() override {
     io_.stop();
@@ -210,6 +219,33 @@
     }
     CPPUNIT_ASSERT_EQUAL(before + 1, group_.asked.size());
   }
+
+  void an_answer_to_an_earlier_process_is_not_taken() {
+    // A gateway was killed and is back at its address; what the group answers
+    // to the one before must not pass for an answer to this one.
+    group_.leader = "nobody";
+    group_.others_are_silent = true;
+    begin("of the earlier process", duration_ms{30});
+    const std::vector<std::uint64_t> earlier = group_.asked_ids;
+    CPPUNIT_ASSERT(!earlier.empty());
+    io_.stop();
+    ledger_client fresh(io_, ledger_options{.address = "gateway:1"},
+                        [](const std::string &, const wire::Envelope &) {});
+    fresh.learn_members(members_at({"leader:1"}));
+    wire::Envelope late;
+    for (const std::uint64_t id : earlier) {
+      wire::RecordReplyItem &item = *late.mutable_record_reply()->add_items();
+      item.set_id(id);
+      item.set_verdict(wire::RECORD_GRANTED);
+      item.add_history()->set_input("another program's words");
+    }
+    asio::steady_timer timer(io_, duration_ms{20});
+    timer.async_wait([&](auto) { fresh.on_message(late); });
+    const turn_grant grant = await_result(
+        io_, fresh.begin(turn("fresh"), steady_now() + duration_ms{60}));
+    CPPUNIT_ASSERT(grant.verdict == turn_verdict::unavailable);
+    CPPUNIT_ASSERT(grant.history.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ledger_client_test);
