Tell a gateway that is behind by what the others have seen

Change: each question to the record group carries the newest revisions that its gateway has heard of, each answer the newest that any has told. Watches wait 20 s.

--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -48,6 +48,7 @@
 
 private:
   void send(const std::string &address, const wire::Envelope &envelope);
+  records::ledger_options make_ledger_options();
   void take_configuration(const objects::object &object);
   std::optional<routing::instance_record>
   read_instance(const objects::object &object);
@@ -97,7 +98,7 @@
     : io_(io), settings_(std::move(settings)), binding_(binding),
       reload_(reload),
       ledger_(
-          io, {.address = advertised_rpc(settings_)},
+          io, make_ledger_options(),
           records::partition_count(settings_.partitions,
                                    settings_.tolerated_losses),
           [this](const std::string &address, const wire::Envelope &envelope) {
@@ -124,6 +125,22 @@
   transport_->send(address, envelope);
 }
 
+records::ledger_options gateway_process::make_ledger_options() {
+  records::ledger_options options;
+  options.address = advertised_rpc(settings_);
+  options.seen = [this] {
+    wire::SeenRevisions seen;
+    seen.set_configuration(configuration_watch_->newest_change());
+    seen.set_instances(instance_watch_->newest_change());
+    return seen;
+  };
+  options.on_seen = [this](const wire::SeenRevisions &seen) {
+    configuration_watch_->hint(seen.configuration());
+    instance_watch_->hint(seen.instances());
+  };
+  return options;
+}
+
 objects::object_watch::handlers gateway_process::configuration_handlers() {
   return {.on_listing =
               [this](const objects::listing &listed) {
@@ -240,8 +257,11 @@
                    ? http::page{.body = gateway_.metrics().text()}
                    : http::page{.status = status_not_found, .body = {}};
       }));
-  asio::co_spawn(io_, configuration_watch_->run(), asio::detached);
-  asio::co_spawn(io_, instance_watch_->run(), asio::detached);
+  for (objects::object_watch *watch :
+       {&*configuration_watch_, &*instance_watch_}) {
+    asio::co_spawn(io_, watch->run(), asio::detached);
+    asio::co_spawn(io_, watch->follow_hints(), asio::detached);
+  }
   asio::co_spawn(io_, find_record_group(), asio::detached);
   asio::co_spawn(io_, ledger_.run(), asio::detached);
   asio::co_spawn(io_, accept_clients(gateway_, *acceptor_), asio::detached);
--- a/src/objects/object_watch.cpp
+++ b/src/objects/object_watch.cpp
@@ -76,7 +76,10 @@
   if (source_name == "store") {
     on_answer();
   }
-  revision_ = listed.value().revision;
+  revision_ = std::max(revision_, listed.value().revision);
+  for (const object &each : listed.value().items) {
+    newest_change_ = std::max(newest_change_, each.revision);
+  }
   known_ = true;
   notify_.on_listing(listed.value());
   co_return true;
@@ -91,10 +94,40 @@
   cache_.apply(options_.kind, changes);
   revision_ = std::max(revision_, changes.revision);
   for (const change &each : changes.changes) {
+    newest_change_ = std::max(newest_change_, each.changed.revision);
     notify_.on_change(each);
   }
 }
 
+void object_watch::hint(std::uint64_t revision) {
+  if (revision > hinted_ && revision > revision_) {
+    behind_since_ = hinted_ > revision_ ? behind_since_ : steady_now();
+    hinted_ = revision;
+  }
+}
+
+asio::awaitable<void> object_watch::follow_hints() {
+  asio::steady_timer timer(io_);
+  while (true) {
+    timer.expires_after(options_.hint_check);
+    co_await timer.async_wait(as_result);
+    const bool behind = hinted_ > revision_ &&
+                        steady_now() >= behind_since_ + options_.hint_patience;
+    if (!behind || !in_sync_) {
+      continue; // caught up, or listing anew already
+    }
+    logging::line(logging::event::watch_behind)
+        .field("kind", options_.kind)
+        .field("revision", revision_)
+        .field("hinted", hinted_)
+        .field("behind_ms", (steady_now() - behind_since_).count())
+        .write();
+    if (!co_await list_from(store_, "store")) {
+      co_await pause();
+    }
+  }
+}
+
 void object_watch::on_answer() {
   pause_ = options_.first_pause;
   if (!reachable_) {
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -19,8 +19,11 @@
 struct watch_options {
   std::string kind;
   /// How long one watching call waits. An answer that is lost on its way is
-  /// noticed only at the end of the call, so this bounds how late a change is.
-  duration_ms wait{2000};
+  /// noticed at the end of the call, or by a hint from elsewhere.
+  duration_ms wait{20000};
+  /// A hint counts when the watch has not caught up with it for this long.
+  duration_ms hint_patience{400};
+  duration_ms hint_check{200};
   /// How long the first call after a lost one waits: a store that is dropping
   /// its history may keep a watch waiting for changes that it has forgotten.
   duration_ms wait_after_loss{400};
@@ -43,8 +46,15 @@
                std::vector<listing_source *> peers, object_cache &cache,
                watch_options options, handlers notify);
 
-  /// Runs until the process ends.
+  /// Both run until the process ends.
   asio::awaitable<void> run();
+  /// Lists anew when the watch stays behind what `hint` told.
+  asio::awaitable<void> follow_hints();
+
+  /// Another process has heard of a change with this revision.
+  void hint(std::uint64_t revision);
+  /// The newest change of an object of this kind that was heard of.
+  [[nodiscard]] std::uint64_t newest_change() const { return newest_change_; }
 
 private:
   asio::awaitable<bool> list_from(listing_source &source,
@@ -63,6 +73,10 @@
   handlers notify_;
   std::minstd_rand random_{std::random_device{}()};
   std::uint64_t revision_ = 0;
+  std::uint64_t newest_change_ = 0;
+  std::uint64_t hinted_ = 0;
+  /// Since when `hinted_` is ahead of `revision_`.
+  timestamp behind_since_{};
   bool known_ = false;
   /// True while the copy is current as far as the store says.
   bool in_sync_ = false;
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -221,6 +221,9 @@
     first_unanswered_ = now;
   }
   envelope.set_record_partition(options_.partition);
+  if (options_.seen) {
+    *request.mutable_seen() = options_.seen();
+  }
   request.set_reply_to(options_.address);
   request.set_members_hash(members_hash_);
   send_(leader_, envelope);
@@ -232,6 +235,9 @@
   }
   const wire::RecordReply &reply = envelope.record_reply();
   last_answer_ = steady_now();
+  if (options_.on_seen) {
+    options_.on_seen(reply.seen());
+  }
   if (reply.has_members()) {
     members_ = reply.members();
     members_hash_ = hash_of(members_);
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -29,6 +29,10 @@
   duration_ms settle_delay{150};
   /// Ends that cannot be recorded are tried this long.
   duration_ms settle_patience{30000};
+  /// What this process has seen of watched objects; told with each question.
+  std::function<wire::SeenRevisions()> seen;
+  /// Gets what any gateway has seen, with each answer.
+  std::function<void(const wire::SeenRevisions &)> on_seen;
   /// Silence of all nodes after which their addresses are looked up again.
   duration_ms lookup_after{1000};
 };
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -222,6 +222,10 @@
 }
 
 void record_node::on_request(const wire::RecordRequest &request) {
+  const wire::SeenRevisions &told = request.seen();
+  seen_.set_configuration(
+      std::max(seen_.configuration(), told.configuration()));
+  seen_.set_instances(std::max(seen_.instances(), told.instances()));
   if (!log_->is_leader()) {
     refuse(request);
     return;
@@ -238,6 +242,7 @@
   wire::Envelope envelope;
   wire::RecordReply &reply = *envelope.mutable_record_reply();
   reply.set_not_leader(true);
+  *reply.mutable_seen() = seen_;
   reply.set_leader_address(leader_address());
   for (const wire::RecordRequestItem &item : request.items()) {
     reply.add_refused(item.id());
@@ -299,6 +304,7 @@
   for (auto &[address, entry] : replies) {
     auto &[reply, known_hash] = entry;
     reply.set_leader_address(self_.address());
+    *reply.mutable_seen() = seen_;
     if (known_hash != hash) {
       *reply.mutable_members() = known;
     }
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -165,6 +165,7 @@
   std::map<replica_id, member> members_;
   bool members_changed_ = false;
   std::set<std::string> retiring_;
+  wire::SeenRevisions seen_;
 
   std::vector<wire::Envelope> inbox_;
   std::vector<std::pair<asker, wire::RecordChange>> proposals_;
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,6 +24,9 @@
 constexpr const char *cluster_name = "records";
 /// How long what another leader told of emptied machines counts.
 constexpr duration_ms told_for{1000};
+/// Of the partitions of a group that has several, on shares of a processor that
+/// are small: a turn waits this long twice, its messages are far fewer.
+constexpr duration_ms joined_step_interval{6};
 
 std::uint64_t wall_ms() {
   return static_cast<std::uint64_t>(
@@ -62,8 +66,9 @@
                                const wire::RecordMember &self,
                                std::vector<partition_disk> disks,
                                record_node_options options)
-    : io_(io) {
+    : io_(io), step_timer_(io) {
   options.spreads = disks.size() > 1;
+  step_interval_ = options.spreads ? joined_step_interval : duration_ms{0};
   for (partition_disk &each : disks) {
     options.partition = static_cast<std::uint32_t>(partitions_.size());
     auto node = std::make_unique<record_node>(self, std::move(each.recovered),
@@ -71,7 +76,8 @@
     partitions_.push_back({.disk = std::move(each.disk),
                            .node = std::move(node),
                            .told_emptied = {},
-                           .told_at = {}});
+                           .told_at = {},
+                           .stepped = {}});
   }
 }
 
@@ -168,9 +174,32 @@
   for (wire::Envelope &envelope : taken) {
     receive(std::move(envelope));
   }
+  step_touched();
+}
+
+void record_runtime::step_touched() {
+  const timestamp now = steady_now();
+  std::optional<timestamp> next;
   for (const std::size_t number : std::exchange(touched_, {})) {
-    step(number);
+    const timestamp due = partitions_[number].stepped + step_interval_;
+    if (now >= due) {
+      step(number);
+    } else {
+      touched_.insert(number);
+      next = next ? std::min(*next, due) : due;
+    }
+  }
+  if (!next || step_armed_) {
+    return;
   }
+  step_armed_ = true;
+  step_timer_.expires_at(*next);
+  step_timer_.async_wait([this](boost::system::error_code cancelled) {
+    step_armed_ = false;
+    if (!cancelled) {
+      step_touched();
+    }
+  });
 }
 
 void record_runtime::receive(wire::Envelope envelope) {
@@ -226,6 +255,8 @@
 void record_runtime::step(std::size_t number) {
   ++steps_;
   partition &stepped = partitions_[number];
+  stepped.stepped = steady_now();
+  touched_.erase(number);
   record_effects first = stepped.node->step(steady_now(), wall_ms(), random_());
   send(number, first.early);
   write(stepped, first);
