Join questions instead of steps

Change: a leader of several partitions proposes what came within 12 ms as one entry; acknowledgements are taken in at once. It stays for the fewer entries, replacing the 6 ms between all steps.

--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -267,6 +267,10 @@
     proposals_.clear(); // whoever asked will ask the next leader
     return;
   }
+  if (now < proposed_ + options_.join_interval) {
+    return;
+  }
+  proposed_ = now;
   wire::Command command;
   wire::RecordBatch &batch = *command.mutable_record_batch();
   batch.set_time_ms(wall_ms);
@@ -282,6 +286,11 @@
   }
 }
 
+std::optional<timestamp> record_node::joined_due() const {
+  return proposals_.empty() ? std::nullopt
+                            : std::optional(proposed_ + options_.join_interval);
+}
+
 void record_node::answer(std::uint64_t index,
                          const std::vector<wire::RecordReplyItem> &outcomes,
                          record_effects &effects) {
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -40,6 +40,9 @@
   /// leaderships and replicas of each prefer other nodes.
   std::uint32_t partition = 0;
   bool spreads = false;
+  /// Questions that come within this long of the last entry are joined into the
+  /// next one; zero proposes at once.
+  duration_ms join_interval{0};
   /// A leader leaves the lead to the preferred voter after this long.
   duration_ms yield_after{2000};
   /// A node not heard from for this long is not counted as alive.
@@ -103,6 +106,9 @@
   /// Goes on when the write is durable: applies what is committed.
   record_effects after_write(timestamp now);
 
+  /// When questions that wait to be joined are to be proposed by a step.
+  [[nodiscard]] std::optional<timestamp> joined_due() const;
+
   /// Retiring nodes that hold nothing any more which the others lack.
   [[nodiscard]] std::set<std::string> emptied() const;
   [[nodiscard]] bool is_leader() const {
@@ -179,6 +185,7 @@
   timestamp leader_heard_{};
   timestamp leading_since_{};
   timestamp next_yield_{};
+  timestamp proposed_{};
 };
 
 /// Identifies a member list, so that it is sent only to those that lack it.
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -24,9 +24,10 @@
 constexpr const char *cluster_name = "records";
 /// How long what another leader told of emptied machines counts.
 constexpr duration_ms told_for{1000};
-/// Of the partitions of a group that has several, on shares of a processor that
-/// are small: a turn waits this long twice, its messages are far fewer.
-constexpr duration_ms joined_step_interval{6};
+/// Of the partitions of a group that has several, whose nodes have small shares
+/// of a processor: a turn waits up to this long twice, and the messages between
+/// the nodes are far fewer.
+constexpr duration_ms join_interval{12};
 
 std::uint64_t wall_ms() {
   return static_cast<std::uint64_t>(
@@ -66,9 +67,9 @@
                                const wire::RecordMember &self,
                                std::vector<partition_disk> disks,
                                record_node_options options)
-    : io_(io), step_timer_(io) {
+    : io_(io) {
   options.spreads = disks.size() > 1;
-  step_interval_ = options.spreads ? joined_step_interval : duration_ms{0};
+  options.join_interval = options.spreads ? join_interval : duration_ms{0};
   for (partition_disk &each : disks) {
     options.partition = static_cast<std::uint32_t>(partitions_.size());
     auto node = std::make_unique<record_node>(self, std::move(each.recovered),
@@ -77,7 +78,7 @@
                            .node = std::move(node),
                            .told_emptied = {},
                            .told_at = {},
-                           .stepped = {}});
+                           .joined = std::make_unique<asio::steady_timer>(io)});
   }
 }
 
@@ -174,32 +175,26 @@
   for (wire::Envelope &envelope : taken) {
     receive(std::move(envelope));
   }
-  step_touched();
-}
-
-void record_runtime::step_touched() {
-  const timestamp now = steady_now();
-  std::optional<timestamp> next;
   for (const std::size_t number : std::exchange(touched_, {})) {
-    const timestamp due = partitions_[number].stepped + step_interval_;
-    if (now >= due) {
-      step(number);
-    } else {
-      touched_.insert(number);
-      next = next ? std::min(*next, due) : due;
-    }
+    step(number);
   }
-  if (!next || step_armed_) {
+}
+
+void record_runtime::arm_joined(std::size_t number) {
+  partition &waiting = partitions_[number];
+  const std::optional<timestamp> due = waiting.node->joined_due();
+  if (!due || waiting.joined_armed) {
     return;
   }
-  step_armed_ = true;
-  step_timer_.expires_at(*next);
-  step_timer_.async_wait([this](boost::system::error_code cancelled) {
-    step_armed_ = false;
-    if (!cancelled) {
-      step_touched();
-    }
-  });
+  waiting.joined_armed = true;
+  waiting.joined->expires_at(*due);
+  waiting.joined->async_wait(
+      [this, number](boost::system::error_code cancelled) {
+        partitions_[number].joined_armed = false;
+        if (!cancelled) {
+          step(number);
+        }
+      });
 }
 
 void record_runtime::receive(wire::Envelope envelope) {
@@ -255,8 +250,6 @@
 void record_runtime::step(std::size_t number) {
   ++steps_;
   partition &stepped = partitions_[number];
-  stepped.stepped = steady_now();
-  touched_.erase(number);
   record_effects first = stepped.node->step(steady_now(), wall_ms(), random_());
   send(number, first.early);
   write(stepped, first);
@@ -268,6 +261,7 @@
         .field("detail", each.detail)
         .write();
   }
+  arm_joined(number);
   if (stepped.disk->log_bytes() > compact_above_bytes / partitions_.size()) {
     compact(stepped);
   }
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -73,14 +73,15 @@
     /// What its leader told last of emptied machines, when another node leads.
     std::set<std::string> told_emptied;
     timestamp told_at{};
-    timestamp stepped{};
+    std::unique_ptr<asio::steady_timer> joined;
+    bool joined_armed = false;
   };
 
   void on_message(wire::Envelope envelope);
   void drain();
   void receive(wire::Envelope envelope);
-  /// Steps the partitions that messages came for, each when its time has come.
-  void step_touched();
+  /// Steps again when questions that wait to be joined are due.
+  void arm_joined(std::size_t number);
   void step(std::size_t number);
   void send(std::size_t number, std::vector<addressed_message> &messages);
   void write(partition &written, const record_effects &effects);
@@ -92,11 +93,6 @@
   std::minstd_rand random_{std::random_device{}()}; // before what draws from it
   std::vector<partition> partitions_;
   std::set<std::size_t> touched_;
-  /// Least time between two steps of a partition: what comes meanwhile shares
-  /// one entry, one write and one message to each follower.
-  duration_ms step_interval_{0};
-  asio::steady_timer step_timer_;
-  bool step_armed_ = false;
   std::unique_ptr<rpc::transport> transport_;
 
   std::mutex mutex_;
