Spread the partitions' leaders evenly

Cause: counting the messages of each storage node showed one leading three of four partitions, two of eight sending nearly everything (80 MB and 29 MB of 117 MB): the hash of partition and node happened to prefer it.

Change: the nodes in order of their ids, each partition beginning at its own share.

--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -360,6 +360,7 @@
 
 std::vector<node_view> record_node::view(timestamp now) const {
   std::vector<node_view> nodes;
+  const std::map<node_id, std::uint64_t> preferred = preferences();
   for (const auto &[id, known] : members_) {
     const bool is_self = id == self_id_;
     const bool unheard = known.heard == timestamp{};
@@ -369,7 +370,7 @@
     nodes.push_back(
         {.replica = id,
          .zone = known.record.zone(),
-         .preference = preference_of(id),
+         .preference = preferred.at(id.node),
          .votes = log_->is_voter(id),
          .is_self = is_self,
          .alive = is_self || (!unheard && now < heard + options_.alive_for),
@@ -413,14 +414,24 @@
   }
 }
 
-std::uint64_t record_node::preference_of(const replica_id &node) const {
-  return options_.spreads
-             ? stable_hash(fmt::format("{} {}", options_.partition, node.node))
-             : 0;
+std::map<node_id, std::uint64_t> record_node::preferences() const {
+  std::map<node_id, std::uint64_t> ranks;
+  for (const auto &[id, known] : members_) {
+    ranks[id.node] = 0;
+  }
+  const std::uint64_t count = ranks.size();
+  const std::uint64_t first = options_.partition * count / options_.partitions;
+  std::uint64_t place = 0;
+  for (auto &[node, preference] : ranks) {
+    const std::uint64_t distance = (place + count - first) % count;
+    preference = count - distance;
+    ++place;
+  }
+  return ranks;
 }
 
 void record_node::yield_lead(timestamp now, raft::outbox &out) {
-  const bool due = options_.spreads && log_->established() &&
+  const bool due = options_.partitions > 1 && log_->established() &&
                    now >= leading_since_ + options_.yield_after &&
                    now >= next_yield_;
   if (!due) {
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -39,7 +39,7 @@
   /// Which partition of the record group this is. Where there are several, the
   /// leaderships and replicas of each prefer other nodes.
   std::uint32_t partition = 0;
-  bool spreads = false;
+  std::uint32_t partitions = 1;
   /// Questions that come within this long of the last entry are joined into the
   /// next one; zero proposes at once.
   duration_ms join_interval{0};
@@ -146,7 +146,9 @@
   void maintain(timestamp now, raft::outbox &out);
   void carry_out(const group_change &change, timestamp now, raft::outbox &out);
   [[nodiscard]] std::vector<node_view> view(timestamp now) const;
-  [[nodiscard]] std::uint64_t preference_of(const replica_id &node) const;
+  /// How much this partition prefers each node: the nodes in order of their
+  /// ids, beginning where this partition's share of them begins.
+  [[nodiscard]] std::map<node_id, std::uint64_t> preferences() const;
   /// Hands the lead to the voter that this partition prefers.
   void yield_lead(timestamp now, raft::outbox &out);
   void flush(raft::outbox &out, record_effects &effects);
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -68,8 +68,8 @@
                                std::vector<partition_disk> disks,
                                record_node_options options)
     : io_(io) {
-  options.spreads = disks.size() > 1;
-  options.join_interval = options.spreads ? join_interval : duration_ms{0};
+  options.partitions = static_cast<std::uint32_t>(disks.size());
+  options.join_interval = disks.size() > 1 ? join_interval : duration_ms{0};
   for (partition_disk &each : disks) {
     options.partition = static_cast<std::uint32_t>(partitions_.size());
     auto node = std::make_unique<record_node>(self, std::move(each.recovered),
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(a_group_that_bears_two_losses_has_five_voters);
   CPPUNIT_TEST(of_five_voters_two_lose_their_disks_at_once);
   CPPUNIT_TEST(random_pairs_of_losses_lose_nothing);
+  CPPUNIT_TEST(partitions_are_led_by_different_nodes);
+  CPPUNIT_TEST(questions_that_come_together_share_an_entry);
   CPPUNIT_TEST_SUITE_END();
 
   static void found_with(record_group &group,
@@ -371,6 +373,38 @@
     }
   }
 
+  void partitions_are_led_by_different_nodes() {
+    std::map<std::string, int> leads;
+    for (std::uint32_t partition = 0; partition < 4; ++partition) {
+      record_group group(9, records::group_size::bearing(2, 4), partition, 4);
+      found_with(group, {"a", "b", "c", "d", "e", "f", "g", "h"});
+      group.run(8000ms);
+      ++leads[group.leader()];
+      keep(group, "t", 5, 500ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, leads.size());
+  }
+
+  void questions_that_come_together_share_an_entry() {
+    std::uint64_t entries[2] = {};
+    for (const bool joined : {false, true}) {
+      record_group group(10);
+      group.join_questions(joined ? 50ms : 0ms);
+      found_with(group, {"a", "b", "c"});
+      const auto before = group.at(group.leader()).log()->last_index();
+      for (int turn = 0; turn < 20; ++turn) {
+        group.keep_turn(fmt::format("j{}", turn));
+        group.run(5ms);
+      }
+      group.run(500ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, group.unanswered());
+      entries[joined ? 1 : 0] =
+          group.at(group.leader()).log()->last_index().value() - before.value();
+    }
+    CPPUNIT_ASSERT_MESSAGE(fmt::format("{} entries for {}", entries[1], entries[0]),
+                           entries[1] * 3 < entries[0]);
+  }
+
   /// @param losses machines that are struck at once.
   static void
   run_random(std::uint64_t seed,
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -51,9 +51,17 @@
 public:
   static constexpr const char *client_address = "client";
 
-  explicit record_group(std::uint64_t seed, records::group_size size = {})
-      : random_(seed), size_(size) {}
+  explicit record_group(std::uint64_t seed, records::group_size size = {},
+                        std::uint32_t partition = 0,
+                        std::uint32_t partitions = 1)
+      : random_(seed), options_{.size = size,
+                                .partition = partition,
+                                .partitions = partitions} {}
 
+  /// Of the nodes that are added from now on.
+  void join_questions(duration_ms interval) {
+    options_.join_interval = interval;
+  }
   /// Adds a machine and starts its process; it knows all machines so far.
   void add(const std::string &name) {
     machines_[name].disk.identity = boot_id{random_()};
@@ -81,7 +89,7 @@
                                        .members = started.disk.members};
     started.node = std::make_unique<records::record_node>(
         std::move(self), std::move(recovered),
-        records::record_node_options{.size = size_}, now_, random_());
+        options_, now_, random_());
     started.node->learn_members(directory());
   }
   void isolate(const std::string &name) { isolated_.insert(name); }
@@ -325,7 +333,7 @@
 
   timestamp now_ = timestamp_from(100000);
   std::mt19937_64 random_;
-  records::group_size size_;
+  records::record_node_options options_;
   std::map<std::string, node_machine> machines_;
   std::vector<letter> letters_;
   std::set<std::string> isolated_;
