Send a backlog one bounded message at a time

Change: a message of entries ends at 96 KB; a follower that lacks more than 64 entries gets one at a time. The test counts 4 entries of 1 KB an acknowledgement (limit 4000 bytes).

--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -36,6 +36,13 @@
   /// Applied entries kept for followers that lag; older ones need a snapshot.
   std::size_t retained_entries = 256;
   std::size_t entries_per_append = 128;
+  /// A message of entries ends with the one that brings it to this size; zero
+  /// for no limit.
+  std::size_t bytes_per_append = 0;
+  /// A follower that lacks more entries than this gets one message of them at a
+  /// time, so that its backlog leaves the link to the others; zero for no
+  /// limit.
+  std::size_t backlog_entries = 0;
   /// A follower that was silent for longer gets heartbeats only, so that
   /// nothing piles up on the way to it; zero for no limit.
   duration_ms silence_limit{0};
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -411,7 +411,11 @@
   }
   const bool too_far_ahead =
       state.next > state.match + options_.unacknowledged_entries;
-  if (too_far_ahead && state.match > 0) {
+  const bool has_backlog = options_.backlog_entries > 0 &&
+                           last() > state.match + options_.backlog_entries;
+  const bool unacknowledged = state.next > state.match + 1;
+  const bool must_wait = too_far_ahead || (has_backlog && unacknowledged);
+  if (must_wait && state.match > 0) {
     return; // goes on with the next acknowledgement or heartbeat
   }
   wire::Envelope envelope;
@@ -424,13 +428,20 @@
   request.set_commit(commit_);
   const std::uint64_t end =
       std::min(last(), state.next + options_.entries_per_append - 1);
-  for (std::uint64_t index = state.next; index <= end; ++index) {
+  std::size_t bytes = 0;
+  std::uint64_t index = state.next;
+  while (index <= end) {
     *request.add_entries() = entry(index);
+    bytes += entry(index).ByteSizeLong();
+    ++index;
+    if (options_.bytes_per_append > 0 && bytes >= options_.bytes_per_append) {
+      break;
+    }
   }
   if (request.entries_size() > 0 && !state.entries_sent) {
     state.entries_sent = now;
   }
-  state.next = end + 1;
+  state.next = index;
   send(peer, std::move(envelope), out);
 }
 
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -31,6 +31,8 @@
                      .restart_election_timeout = duration_ms{150},
                      .retained_entries = 512,
                      .entries_per_append = 64,
+                     .bytes_per_append = 96U << 10U,
+                     .backlog_entries = 64,
                      .silence_limit = duration_ms{700},
                      .probe_interval = duration_ms{50},
                      .resend_after = duration_ms{600},
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -173,6 +173,7 @@
   CPPUNIT_TEST(removal_from_four_waits_for_a_majority_of_the_four);
   CPPUNIT_TEST(a_dead_voter_is_removed_without_its_acknowledgement);
   CPPUNIT_TEST(old_acknowledgements_bring_no_second_snapshot);
+  CPPUNIT_TEST(a_backlog_is_sent_a_bounded_message_at_a_time);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -442,7 +443,56 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, snapshots);
   }
 
+  void a_backlog_is_sent_a_bounded_message_at_a_time() {
+    options settings;
+    settings.bytes_per_append = 4000;
+    settings.backlog_entries = 10;
+    consensus leader = restored({replica(1), replica(2), replica(3)}, settings);
+    const timestamp now = elect(leader);
+    const std::uint64_t first = leader.last_index().value();
+    acknowledge(leader, replica(2), first, now);
+    acknowledge(leader, replica(3), first, now);
+    outbox out;
+    wire::Command command;
+    command.mutable_forget_program()->set_program(std::string(1000, 'x'));
+    for (int count = 0; count < 100; ++count) {
+      CPPUNIT_ASSERT(leader.propose(command, now, out));
+      acknowledge(leader, replica(2), leader.last_index().value(), now);
+    }
+    // The third replica has acknowledged nothing: its backlog waits.
+    std::uint64_t held = first;
+    for (const outgoing &each : out.messages) {
+      if (each.to == replica(3)) {
+        held += static_cast<std::uint64_t>(
+            each.envelope.append_request().entries_size());
+      }
+    }
+    CPPUNIT_ASSERT(held > first);
+    CPPUNIT_ASSERT(held <= first + 12);
+    // Each acknowledgement brings it one message of about the given size.
+    for (int step = 0; step < 5; ++step) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, entries_after(leader, held, now));
+      held += 4;
+    }
+  }
+
 private:
+  /// @return how many entries are sent to the third replica, in one message,
+  /// when it acknowledges `match`.
+  static std::uint64_t entries_after(consensus &leader, std::uint64_t match,
+                                     timestamp now) {
+    wire::AppendReply reply;
+    reply.set_term(leader.term().value());
+    reply.set_success(true);
+    reply.set_match_index(match);
+    *reply.mutable_follower() = to_wire(replica(3));
+    outbox out;
+    leader.handle(reply, now, out);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, out.messages.size());
+    return static_cast<std::uint64_t>(
+        out.messages.front().envelope.append_request().entries_size());
+  }
+
   static consensus restored(const std::vector<replica_id> &voters,
                             options settings = {}, std::uint64_t base = 0) {
     saved_replica saved;
