--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -262,7 +262,7 @@
         .write();
   }
   arm_joined(number);
-  if (stepped.disk->log_bytes() > compact_above_bytes / partitions_.size()) {
+  if (stepped.disk->log_bytes() > compact_above_bytes) {
     compact(stepped);
   }
 }
