--- a/scripts/lib/platform_cluster.sh
+++ b/scripts/lib/platform_cluster.sh
@@ -12,6 +12,11 @@
 storage_metrics() { echo "127.0.0.1:$((base + 70 + $1))"; }
 replica_address() { echo "127.0.0.1:$((base + 80 + $1))"; }
 
+# The address under which a process reaches the object store, and the one that is
+# told to others in place of its own. The fault soak puts its proxy between.
+store_for() { echo "$store_address"; } # process
+advertised() { echo "$1"; }            # address
+
 start_object_store() {
   start_process object-store "$platform_bin/heathtrestle-platform-stand-in" \
     --role store --address "$store_address"
@@ -22,8 +27,9 @@
   shift 3
   start_process "$id" "$platform_bin/heathtrestle-platform-stand-in" \
     --role replica --address "$(replica_address "$number")" \
-    --store "$store_address" --replica.id "$id" --replica.service "$service" \
-    --replica.zone zone-1 "$@"
+    --replica.advertised "$(advertised "$(replica_address "$number")")" \
+    --store "$(store_for "$id")" --replica.id "$id" \
+    --replica.service "$service" --replica.zone zone-1 "$@"
 }
 
 start_storage() { # number first_start
@@ -31,9 +37,11 @@
   start_process "storage-$1" "$platform_bin/heathtrestle-store" \
     --node.name "storage-$1" --node.zone "zone-$1" \
     --listen.rpc "$(storage_rpc "$1")" \
+    --advertise.rpc "$(advertised "$(storage_rpc "$1")")" \
     --listen.metrics "$(storage_metrics "$1")" \
     --data.directory "$run/data-$1" --cluster.first_start "$2" \
-    --cluster.seeds "$(peer_address 1)" --store.address "$store_address"
+    --cluster.seeds "$(peer_address 1)" \
+    --store.address "$(store_for "storage-$1")"
 }
 
 start_gateway() { # number
@@ -43,9 +51,10 @@
     --listen.readiness "$(ready_address "$1")" \
     --listen.peers "$(peer_address "$1")" \
     --listen.rpc "$(gateway_rpc "$1")" \
+    --advertise.rpc "$(advertised "$(gateway_rpc "$1")")" \
     --listen.metrics "$(gateway_metrics "$1")" \
     --cluster.seeds "$(peer_address 1)" --cluster.seeds "$(peer_address 2)" \
-    --store.address "$store_address" --timing.grace_seconds 8
+    --store.address "$(store_for "gateway-$1")" --timing.grace_seconds 8
 }
 
 write_configuration() { # version
--- a/scripts/lib/soak_faults.sh
+++ b/scripts/lib/soak_faults.sh
@@ -11,12 +11,12 @@
 struck=()
 
 # The address of a link before another address.
-through_proxy() { # address
+advertised() { # address
   echo "${1%:*}:$((${1##*:} + 500))"
 }
 
 # A process's own link to the object store.
-store_link_address() { # process
+store_for() { # process
   local number
   case $1 in
   storage-*) number=${1#storage-} ;;
@@ -30,14 +30,14 @@
 start_proxy() {
   local links=() number name
   for name in "${soak_processes[@]}" "${soak_replicas[@]}"; do
-    links+=(--link "store-of-$name=$(store_link_address "$name")=$store_address")
+    links+=(--link "store-of-$name=$(store_for "$name")=$store_address")
   done
   for number in 1 2 3; do
-    links+=(--link "storage-$number=$(through_proxy "$(storage_rpc "$number")")=$(storage_rpc "$number")")
-    links+=(--link "replica-$number=$(through_proxy "$(replica_address "$number")")=$(replica_address "$number")")
+    links+=(--link "storage-$number=$(advertised "$(storage_rpc "$number")")=$(storage_rpc "$number")")
+    links+=(--link "replica-$number=$(advertised "$(replica_address "$number")")=$(replica_address "$number")")
   done
   for number in 1 2; do
-    links+=(--link "gateway-$number=$(through_proxy "$(gateway_rpc "$number")")=$(gateway_rpc "$number")")
+    links+=(--link "gateway-$number=$(advertised "$(gateway_rpc "$number")")=$(gateway_rpc "$number")")
   done
   start_process fault-proxy "$bin/heathtrestle-fault-proxy" \
     --control "$proxy_control" "${links[@]}"
@@ -48,46 +48,10 @@
     echo "soak: the proxy did not take /$1/$2" >&2
 }
 
-start_soak_storage() { # number first_start
-  mkdir -p "$run/data-$1"
-  start_process "storage-$1" "$platform_bin/heathtrestle-store" \
-    --node.name "storage-$1" --node.zone "zone-$1" \
-    --listen.rpc "$(storage_rpc "$1")" \
-    --advertise.rpc "$(through_proxy "$(storage_rpc "$1")")" \
-    --listen.metrics "$(storage_metrics "$1")" \
-    --data.directory "$run/data-$1" --cluster.first_start "$2" \
-    --cluster.seeds "$(peer_address 1)" \
-    --store.address "$(store_link_address "storage-$1")"
-}
-
-start_soak_gateway() { # number
-  start_process "gateway-$1" "$platform_bin/heathtrestle-gateway" \
-    --node.name "gateway-$1" --node.zone "zone-$1" \
-    --listen.clients "$(gateway_address "$1")" \
-    --listen.readiness "$(ready_address "$1")" \
-    --listen.peers "$(peer_address "$1")" \
-    --listen.rpc "$(gateway_rpc "$1")" \
-    --advertise.rpc "$(through_proxy "$(gateway_rpc "$1")")" \
-    --listen.metrics "$(gateway_metrics "$1")" \
-    --cluster.seeds "$(peer_address 1)" --cluster.seeds "$(peer_address 2)" \
-    --store.address "$(store_link_address "gateway-$1")" \
-    --timing.grace_seconds 8
-}
-
-start_soak_replica() { # number id service flags...
-  local number=$1 id=$2 service=$3
-  shift 3
-  start_process "$id" "$platform_bin/heathtrestle-platform-stand-in" \
-    --role replica --address "$(replica_address "$number")" \
-    --replica.advertised "$(through_proxy "$(replica_address "$number")")" \
-    --store "$(store_link_address "$id")" --replica.id "$id" \
-    --replica.service "$service" --replica.zone zone-1 "$@"
-}
-
 start_soak_process() { # name first_start
   case $1 in
-  storage-*) start_soak_storage "${1#storage-}" "$2" ;;
-  gateway-*) start_soak_gateway "${1#gateway-}" ;;
+  storage-*) start_storage "${1#storage-}" "$2" ;;
+  gateway-*) start_gateway "${1#gateway-}" ;;
   esac
 }
 
@@ -98,9 +62,9 @@
   for name in "${soak_processes[@]}"; do
     start_soak_process "$name" true
   done
-  start_soak_replica 1 engine-1 models --replica.events 5 --replica.break_every 9
-  start_soak_replica 2 engine-2 models --replica.events 5
-  start_soak_replica 3 tool-1 tools --replica.surplus_every 5
+  start_replica 1 engine-1 models --replica.events 5 --replica.break_every 9
+  start_replica 2 engine-2 models --replica.events 5
+  start_replica 3 tool-1 tools --replica.surplus_every 5
   write_configuration 1
   wait_until 100 gateway_is_ready 1
   wait_until 100 gateway_is_ready 2
