--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -88,8 +88,7 @@
                                        .snapshot = started.disk.snapshot,
                                        .members = started.disk.members};
     started.node = std::make_unique<records::record_node>(
-        std::move(self), std::move(recovered),
-        options_, now_, random_());
+        std::move(self), std::move(recovered), options_, now_, random_());
     started.node->learn_members(directory());
   }
   void isolate(const std::string &name) { isolated_.insert(name); }
