--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -34,8 +34,10 @@
 constexpr duration_ms startup_retry{500};
 constexpr duration_ms drain_retry{50};
 constexpr duration_ms ledger_retry{300};
-/// Share of the time until the deadline that a turn waits for its grant.
-constexpr double grant_patience = 0.5;
+/// Share of the time until the deadline that a turn waits for its grant. What is
+/// refused after half of the time might as well have been held to the end: the
+/// client has no time left to ask again.
+constexpr double grant_patience = 0.4;
 /// A turn that nothing else bounds is kept at least this long.
 constexpr duration_ms least_keep{60000};
 constexpr std::uint64_t unlimited_budget = 1ULL << 62U;
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -35,6 +35,10 @@
   duration_ms restart_election_timeout{0};
   /// Applied entries kept for followers that lag; older ones need a snapshot.
   std::size_t retained_entries = 256;
+  /// A leader keeps up to so many applied entries while a peer that it hears of
+  /// lacks them, or a snapshot is under way to one; zero to keep no more than
+  /// `retained_entries` for them.
+  std::size_t held_entries = 0;
   std::size_t entries_per_append = 128;
   /// A message of entries ends with the one that brings it to this size; zero
   /// for no limit.
@@ -168,6 +172,13 @@
   result_or<log_index, propose_error> propose(wire::Command command,
                                               timestamp now, outbox &out);
 
+  /// Tells that a snapshot is on its way to a follower, which has just
+  /// acknowledged a part of it: another one is not wanted meanwhile, and the
+  /// entries behind it are kept.
+  /// @param last_index where that snapshot ends.
+  void snapshot_progressed(const replica_id &follower, std::uint64_t last_index,
+                           timestamp now);
+
   /// Starts sending the log to a replica that does not vote yet.
   void add_learner(replica_id learner, timestamp now, outbox &out);
   void drop_learner(const replica_id &learner);
@@ -240,6 +251,8 @@
     timestamp last_heard{};
     timestamp snapshot_sent{};
     bool snapshot_pending = false;
+    /// Where a snapshot that is under way ends; 0 for none.
+    std::uint64_t snapshot_index = 0;
     /// Set until an acknowledgement tells how far the peer's log reaches.
     bool probing = true;
     timestamp probed{};
@@ -286,6 +299,8 @@
   void replicate_to(const replica_id &peer, timestamp now, outbox &out);
   void advance_commit(timestamp now);
   void compact();
+  /// The last entry that may be dropped although peers lag.
+  [[nodiscard]] std::uint64_t dropped_up_to() const;
   /// Marks peers that are out of the committed set, and forgets them later.
   void forget_removed(timestamp now);
   void send(const replica_id &to, wire::Envelope envelope, outbox &out) const;
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -548,12 +548,42 @@
   });
 }
 
+void consensus::snapshot_progressed(const replica_id &follower,
+                                    std::uint64_t last_index, timestamp now) {
+  const auto found = peers_.find(follower);
+  if (found == peers_.end()) {
+    return;
+  }
+  found->second.last_heard = now;
+  found->second.snapshot_sent = now;
+  found->second.snapshot_index = last_index;
+}
+
+std::uint64_t consensus::dropped_up_to() const {
+  const std::uint64_t retained = applied_ - options_.retained_entries;
+  if (role_ != role::leader || options_.held_entries == 0) {
+    return retained;
+  }
+  const std::uint64_t held =
+      applied_ - std::min<std::uint64_t>(applied_, options_.held_entries);
+  std::uint64_t needed = retained;
+  for (const auto &[peer, state] : peers_) {
+    const std::uint64_t reached = std::max(state.match, state.snapshot_index);
+    // One that lacks what was dropped before needs a snapshot in any case.
+    needed = reached >= base_index_ ? std::min(needed, reached) : needed;
+  }
+  return std::max(needed, held);
+}
+
 void consensus::compact() {
   const std::uint64_t kept = applied_ - base_index_;
   if (kept <= 2 * options_.retained_entries) {
     return;
   }
-  const std::uint64_t new_base = applied_ - options_.retained_entries;
+  const std::uint64_t new_base = dropped_up_to();
+  if (new_base <= base_index_) {
+    return;
+  }
   const std::uint64_t new_base_term = term_at(new_base);
   while (base_index_ < new_base) {
     if (log_.front().has_replicas()) {
--- a/src/records/group_plan.cpp
+++ b/src/records/group_plan.cpp
@@ -56,10 +56,38 @@
   return each.alive && !each.retiring && !each.dead;
 }
 
+std::size_t count_voters(const std::vector<node_view> &nodes) {
+  return static_cast<std::size_t>(
+      std::count_if(nodes.begin(), nodes.end(),
+                    [](const node_view &each) { return each.votes; }));
+}
+
+/// A voter that is there, or may be back before it is worth replacing.
+bool is_sound_voter(const node_view &each) {
+  return each.votes && !each.long_silent && !each.retiring && !each.dead;
+}
+
+/// A learner beyond the spares, when no voter is about to need it.
+const node_view *surplus_learner(const std::vector<node_view> &nodes,
+                                 const std::vector<replica_id> &learners,
+                                 const group_size &size) {
+  const auto sound = std::count_if(nodes.begin(), nodes.end(), is_sound_voter);
+  const bool needed = static_cast<std::size_t>(sound) < size.voters ||
+                      learners.size() <= size.spares;
+  if (needed) {
+    return nullptr;
+  }
+  const auto found =
+      std::find_if(nodes.rbegin(), nodes.rend(), [&](const auto &each) {
+        return !each.votes && contains(learners, each.replica);
+      });
+  return found == nodes.rend() ? nullptr : &*found;
+}
+
 /// A node that is to follow the log, or none when enough do.
 const node_view *next_learner(const std::vector<node_view> &nodes,
                               const std::vector<replica_id> &learners,
-                              const group_size &size) {
+                              const group_size &size, bool recruit_spares) {
   const auto lacks_log = [&learners](const node_view &each) {
     return !each.votes && !contains(learners, each.replica) && may_serve(each);
   };
@@ -71,8 +99,12 @@
       }
     }
   }
+  if (!recruit_spares && count_voters(nodes) >= size.voters) {
+    return nullptr;
+  }
   const auto follows = [&learners](const node_view &each) {
-    return may_serve(each) && (each.votes || contains(learners, each.replica));
+    const bool learns = may_serve(each) && contains(learners, each.replica);
+    return learns || is_sound_voter(each);
   };
   const auto following = std::count_if(nodes.begin(), nodes.end(), follows);
   const bool enough =
@@ -112,12 +144,13 @@
 
 group_size group_size::bearing(std::size_t losses, std::size_t partitions) {
   const std::size_t borne = std::max<std::size_t>(losses, 1);
-  return {.voters = 2 * borne + 1, .spares = partitions > 1 ? 1 : borne + 1};
+  return {.voters = 2 * borne + 1, .spares = partitions > 1 ? 0 : borne + 1};
 }
 
 std::optional<group_change> next_change(const std::vector<node_view> &nodes,
                                         const std::vector<replica_id> &learners,
-                                        const group_size &size) {
+                                        const group_size &size,
+                                        bool recruit_spares) {
   for (const node_view &each : nodes) {
     if (!each.votes || !each.dead) {
       continue;
@@ -128,12 +161,12 @@
                            .successor = successor->replica};
     }
   }
-  if (const node_view *learner = next_learner(nodes, learners, size)) {
+  const node_view *learner =
+      next_learner(nodes, learners, size, recruit_spares);
+  if (learner != nullptr) {
     return add_learner{learner->replica};
   }
-  const auto voters = static_cast<std::size_t>(
-      std::count_if(nodes.begin(), nodes.end(),
-                    [](const node_view &each) { return each.votes; }));
+  const std::size_t voters = count_voters(nodes);
   const node_view *spare =
       first_in_emptiest_zone(nodes, is_ready_spare, [](const node_view &each) {
         return each.votes && !each.dead;
@@ -151,7 +184,10 @@
                              : too_many          ? surplus
                                                  : nullptr;
   if (removed == nullptr || voters <= 1) {
-    return std::nullopt;
+    const node_view *released = surplus_learner(nodes, learners, size);
+    return released == nullptr ? std::nullopt
+                               : std::optional<group_change>(
+                                     release_learner{released->replica});
   }
   if (removed->is_self) {
     return hand_over{};
--- a/src/records/group_plan.hpp
+++ b/src/records/group_plan.hpp
@@ -48,11 +48,15 @@
   replica_id dead;
   replica_id successor;
 };
+/// A follower that nobody needs any more: it costs the leader its link.
+struct release_learner {
+  replica_id replica;
+};
 /// The leader itself is to leave: another one has to remove it.
 struct hand_over {};
 
 using group_change = std::variant<add_learner, add_voter, remove_voter,
-                                  replace_voter, hand_over>;
+                                  replace_voter, release_learner, hand_over>;
 
 struct group_size {
   /// How many voters the group has while nodes last.
@@ -63,15 +67,20 @@
 
   /// The size at which `losses` nodes may be lost at once, disks and all, with
   /// a majority left.
-  /// @param partitions of the record group; where there are several, each has
-  /// one spare, since the nodes that follow it stand in for one another.
+  /// @param partitions of the record group; where there are several, none has
+  /// spares: their nodes are small, and each follower costs a fifth of what
+  /// recording does. A voter that is lost is replaced by a copy made then.
   static group_size bearing(std::size_t losses, std::size_t partitions = 1);
 };
 
 /// Voters and spares are spread over the zones, as far as there are nodes.
 /// @param learners nodes that already receive the log without a vote.
+/// @param recruit_spares false while a new leader cannot know yet which nodes
+/// are there: then a full set of voters takes in nobody but the successors of
+/// dead ones, since whoever follows anew has to be sent the whole state.
 std::optional<group_change> next_change(const std::vector<node_view> &nodes,
                                         const std::vector<replica_id> &learners,
-                                        const group_size &size);
+                                        const group_size &size,
+                                        bool recruit_spares = true);
 
 } // namespace heathtrestle::records
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -81,7 +81,8 @@
 ledger_client::ledger_client(asio::io_context &io, ledger_options options,
                              sender send)
     : io_(io), options_(std::move(options)), send_(std::move(send)),
-      next_id_(draw_first_id()) {}
+      next_id_(draw_first_id()),
+      patience_(options_.answer_timeout, options_.longest_answer_timeout) {}
 
 asio::awaitable<turn_grant> ledger_client::begin(turn_request request,
                                                  timestamp deadline) {
@@ -209,6 +210,7 @@
       continue;
     }
     entry->sent = now;
+    ++entry->asked_times;
     entry->asked = leader_;
     wire::RecordRequestItem &item = *request.add_items();
     item.set_id(id);
@@ -259,6 +261,9 @@
       continue;
     }
     const pending_ptr entry = found->second;
+    if (entry->asked_times == 1) {
+      patience_.note(last_answer_ - entry->sent);
+    }
     entry->answered = true;
     entry->reply = item;
     if (entry->change.has_end()) {
@@ -287,9 +292,9 @@
       continue;
     }
     // A group that elects a leader is asked again a little later.
-    found->second->sent = names_another
-                              ? timestamp{}
-                              : steady_now() - options_.answer_timeout / 2;
+    found->second->sent = names_another ? timestamp{}
+                                        : steady_now() - patience_.timeout() +
+                                              options_.answer_timeout / 2;
   }
   if (resend_now) {
     flush_soon();
@@ -339,7 +344,7 @@
   bool unsent = false;
   for (const auto &[id, entry] : pending_) {
     const bool waiting = entry->sent != timestamp{} && !entry->answered;
-    if (waiting && now >= entry->sent + options_.answer_timeout) {
+    if (waiting && now >= entry->sent + patience_.timeout()) {
       leader_silent = leader_silent || leader_is_silent_since(*entry);
       entry->sent = {};
       timed_out = true;
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -3,6 +3,7 @@
 // same time.
 #pragma once
 
+#include "records/answer_patience.hpp"
 #include "records/turn_ledger.hpp"
 #include "rpc/transport.hpp"
 #include "runtime/asio.hpp"
@@ -22,8 +23,10 @@
   std::string address;
   /// The partition of the record group that is asked.
   std::uint32_t partition = 0;
-  /// Another node is asked when an answer takes longer.
+  /// A question is asked again after this long at the least, and of a group
+  /// that answers slowly after more (`answer_patience`).
   duration_ms answer_timeout{250};
+  duration_ms longest_answer_timeout{1500};
   /// Ends that nobody waits for travel with the next question, at the latest
   /// after this long.
   duration_ms settle_delay{150};
@@ -81,6 +84,7 @@
     timestamp deadline{};
     timestamp sent{};  // zero: to be sent
     std::string asked; // the node that it was sent to
+    std::uint32_t asked_times = 0;
     bool awaited = false;
     bool answered = false;
     wire::RecordReplyItem reply;
@@ -103,7 +107,6 @@
   /// True when the node that was asked still counts as the leader and has not
   /// answered anything since.
   [[nodiscard]] bool leader_is_silent_since(const pending &entry) const;
-  void enqueue_end(turn_end end);
 
   asio::io_context &io_;
   ledger_options options_;
@@ -116,6 +119,7 @@
   std::uint64_t members_hash_ = 0;
   std::string leader_;
   std::size_t next_member_ = 0;
+  answer_patience patience_;
   timestamp last_answer_{};
   timestamp leader_answered_{};
   timestamp first_unanswered_{};
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -1,6 +1,7 @@
 #include "records/record_node.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <fmt/format.h>
@@ -19,8 +20,16 @@
 /// Messages of a process that has ended may still be read for a moment.
 constexpr duration_ms dead_after_silence{500};
 constexpr duration_ms successor_heard_within{400};
+/// Told in place of the next part by a follower that lacks none.
+constexpr std::uint32_t no_part = std::numeric_limits<std::uint32_t>::max();
 /// A leader drops nodes without a vote from the member list after this silence.
 constexpr duration_ms forget_after{5000};
+/// For so long a leader that hands over waits for a successor that holds all.
+constexpr duration_ms hand_over_limit{400};
+
+std::uint64_t question_hash(const std::string &reply_to, std::uint64_t id) {
+  return stable_hash(reply_to, id);
+}
 
 std::vector<replica_id> without(std::vector<replica_id> from,
                                 const replica_id &removed) {
@@ -43,7 +52,7 @@
                          storage::recovered_state recovered,
                          record_node_options options, timestamp now,
                          std::uint64_t random)
-    : self_(std::move(self)), options_(options) {
+    : self_(std::move(self)), options_(options), sender_(options.snapshots) {
   self_id_ = {make_node_id(self_.name()), recovered.identity};
   *self_.mutable_replica() = to_wire(self_id_);
   table_.restore(recovered.snapshot);
@@ -117,6 +126,9 @@
   say_hello(now);
   record_effects effects;
   flush(out, effects);
+  if (log_->is_leader()) {
+    send_snapshot(now);
+  }
   effects.write = log_->take_unsaved();
   effects.installed = std::exchange(installed_, std::nullopt);
   if (std::exchange(members_changed_, false)) {
@@ -203,16 +215,13 @@
       log_->handle(from, beat, now, out);
     }
     break;
-  case wire::Envelope::kSnapshotRequest: {
+  case wire::Envelope::kSnapshotRequest:
     leader_heard_ = now;
-    if (log_->handle(envelope.snapshot_request(), now, random, out)) {
-      table_.restore(envelope.snapshot_request().records());
-      installed_ = envelope.snapshot_request().records();
-      note(logging::event::record_snapshot_installed,
-           fmt::format("index {}", envelope.snapshot_request().last_index()));
-    }
+    on_snapshot(*envelope.mutable_snapshot_request(), now, random, out);
+    break;
+  case wire::Envelope::kSnapshotProgress:
+    on_snapshot_progress(envelope.snapshot_progress(), now);
     break;
-  }
   case wire::Envelope::kTransferLeadership:
     log_->handle(envelope.transfer_leadership(), now, random, out);
     break;
@@ -231,6 +240,9 @@
     return;
   }
   for (const wire::RecordRequestItem &item : request.items()) {
+    if (!take_up(request.reply_to(), item.id())) {
+      continue;
+    }
     proposals_.emplace_back(asker{.reply_to = request.reply_to(),
                                   .id = item.id(),
                                   .members_hash = request.members_hash()},
@@ -238,6 +250,10 @@
   }
 }
 
+bool record_node::take_up(const std::string &reply_to, std::uint64_t id) {
+  return taken_up_.insert(question_hash(reply_to, id)).second;
+}
+
 void record_node::refuse(const wire::RecordRequest &request) {
   wire::Envelope envelope;
   wire::RecordReply &reply = *envelope.mutable_record_reply();
@@ -261,13 +277,71 @@
   send(hello.self().address(), std::move(envelope));
 }
 
+void record_node::on_snapshot(wire::SnapshotRequest &part, timestamp now,
+                              std::uint64_t random, raft::outbox &out) {
+  const replica_id leader = from_wire(part.leader());
+  const bool superseded = part.term() < log_->term().value();
+  const bool held = part.last_index() <= log_->commit_index().value();
+  const bool complete = !superseded && !held && receiver_.receive(part);
+  if (superseded || held || complete) {
+    // Answers for itself: with the newer term, or with what this log holds.
+    const bool newer = log_->handle(part, now, random, out);
+    if (newer) {
+      installed_ = receiver_.take();
+      table_.restore(*installed_);
+      note(logging::event::record_snapshot_installed,
+           fmt::format("index {}", part.last_index()));
+    }
+  }
+  wire::Envelope envelope;
+  wire::SnapshotProgress &progress = *envelope.mutable_snapshot_progress();
+  progress.set_term(part.term());
+  *progress.mutable_follower() = to_wire(self_id_);
+  progress.set_last_index(part.last_index());
+  progress.set_next_part(held || complete ? no_part : receiver_.next_part());
+  send(address_of(leader), std::move(envelope));
+}
+
+void record_node::on_snapshot_progress(const wire::SnapshotProgress &progress,
+                                       timestamp now) {
+  const bool current =
+      log_->is_leader() && progress.term() == log_->term().value();
+  if (!current) {
+    return;
+  }
+  log_->snapshot_progressed(from_wire(progress.follower()),
+                            progress.last_index(), now);
+  sender_.on_progress(progress, now);
+}
+
+void record_node::send_snapshot(timestamp now) {
+  const auto take = [this](std::size_t part_bytes) {
+    return snapshot_sender::source{.header = log_->snapshot_header(),
+                                   .image = table_.image(part_bytes)};
+  };
+  std::optional<snapshot_sender::part> due = sender_.next(now, take);
+  if (!due) {
+    return;
+  }
+  if (due->begins) {
+    log_->snapshot_progressed(due->to, due->request.last_index(), now);
+    note(logging::event::snapshot_sent,
+         fmt::format("to {} index {}", due->to, due->request.last_index()));
+  }
+  wire::Envelope envelope;
+  *envelope.mutable_snapshot_request() = std::move(due->request);
+  envelope.set_to_boot(due->to.boot.value());
+  send(address_of(due->to), std::move(envelope));
+}
+
 void record_node::propose_batch(timestamp now, std::uint64_t wall_ms,
                                 raft::outbox &out) {
-  if (proposals_.empty() || !log_->is_leader()) {
-    proposals_.clear(); // whoever asked will ask the next leader
+  if (!log_->is_leader()) {
+    pass_on_proposals();
     return;
   }
-  if (now < proposed_ + options_.join_interval) {
+  const bool joins = now < proposed_ + options_.join_interval;
+  if (proposals_.empty() || joins || !successors_.empty()) {
     return;
   }
   proposed_ = now;
@@ -286,9 +360,28 @@
   }
 }
 
+void record_node::pass_on_proposals() {
+  if (leader_address().empty()) {
+    return; // told when there is somebody to ask
+  }
+  std::map<std::string, wire::RecordRequest> by_asker;
+  for (const auto &[asked_by, change] : proposals_) {
+    wire::RecordRequest &request = by_asker[asked_by.reply_to];
+    request.set_reply_to(asked_by.reply_to);
+    request.set_members_hash(asked_by.members_hash);
+    request.add_items()->set_id(asked_by.id);
+  }
+  for (const auto &[address, request] : by_asker) {
+    refuse(request);
+  }
+  proposals_.clear();
+}
+
 std::optional<timestamp> record_node::joined_due() const {
-  return proposals_.empty() ? std::nullopt
-                            : std::optional(proposed_ + options_.join_interval);
+  const bool waits =
+      proposals_.empty() || !log_->is_leader() || !successors_.empty();
+  return waits ? std::nullopt
+               : std::optional(proposed_ + options_.join_interval);
 }
 
 void record_node::answer(std::uint64_t index,
@@ -306,6 +399,7 @@
     wire::RecordReplyItem &item = *reply.add_items();
     item = outcomes.at(place);
     item.set_id(who.id);
+    taken_up_.erase(question_hash(who.reply_to, who.id));
   }
   askers_.erase(found);
   const wire::RecordMembers known = members();
@@ -339,6 +433,9 @@
     leading_since_ = now;
   } else {
     askers_.clear();
+    taken_up_.clear();
+    successors_.clear();
+    sender_.clear();
   }
   learners_.clear();
 }
@@ -400,18 +497,23 @@
     const bool gone = silent || log_->is_dead(learner);
     if (gone) {
       log_->drop_learner(learner);
+      sender_.drop(learner);
     }
     return gone || log_->is_voter(learner);
   });
   if (log_->change_in_progress()) {
+    go_on_handing_over(now, out);
     return;
   }
-  const auto change = next_change(view(now), learners_, options_.size);
+  const bool recruits = now >= leading_since_ + options_.recruit_after;
+  const auto change =
+      next_change(view(now), learners_, options_.size, recruits);
   if (change) {
     carry_out(*change, now, out);
   } else {
-    yield_lead(now, out);
+    yield_lead(now);
   }
+  go_on_handing_over(now, out);
 }
 
 std::map<node_id, std::uint64_t> record_node::preferences() const {
@@ -430,7 +532,7 @@
   return ranks;
 }
 
-void record_node::yield_lead(timestamp now, raft::outbox &out) {
+void record_node::yield_lead(timestamp now) {
   const bool due = options_.partitions > 1 && log_->established() &&
                    now >= leading_since_ + options_.yield_after &&
                    now >= next_yield_;
@@ -449,7 +551,33 @@
     }
   }
   if (preferred != nullptr && !preferred->is_self) {
-    log_->transfer_leadership({preferred->replica}, out);
+    begin_hand_over({preferred->replica}, now);
+  }
+}
+
+void record_node::begin_hand_over(std::set<replica_id> eligible,
+                                  timestamp now) {
+  if (successors_.empty()) {
+    successors_ = std::move(eligible);
+    successor_told_ = false;
+    hand_over_ends_ = now + hand_over_limit;
+  }
+}
+
+void record_node::go_on_handing_over(timestamp now, raft::outbox &out) {
+  if (successors_.empty()) {
+    return;
+  }
+  if (now >= hand_over_ends_) {
+    successors_.clear(); // goes on leading
+    return;
+  }
+  // With everything committed, nobody who asked is left without an answer. What
+  // this node proposed after telling the successor would keep others from
+  // voting for him, so it waits on.
+  const bool all_committed = log_->commit_index() == log_->last_index();
+  if (!successor_told_ && all_committed) {
+    successor_told_ = log_->transfer_leadership(successors_, out);
   }
 }
 
@@ -485,6 +613,14 @@
          fmt::format("learner {}", learner->replica));
     return;
   }
+  if (const auto *surplus = std::get_if<release_learner>(&change)) {
+    std::erase(learners_, surplus->replica);
+    log_->drop_learner(surplus->replica);
+    sender_.drop(surplus->replica);
+    note(logging::event::record_member_removed,
+         fmt::format("learner {}", surplus->replica));
+    return;
+  }
   if (std::holds_alternative<hand_over>(change)) {
     std::set<replica_id> eligible;
     for (const node_view &each : view(now)) {
@@ -492,7 +628,7 @@
         eligible.insert(each.replica);
       }
     }
-    log_->transfer_leadership(eligible, out);
+    begin_hand_over(std::move(eligible), now);
     return;
   }
   logging::event number = logging::event::record_member_added;
@@ -560,14 +696,7 @@
     send(address_of(beat.to), std::move(envelope));
   }
   for (const replica_id &follower : out.snapshots_wanted) {
-    wire::Envelope envelope;
-    wire::SnapshotRequest &snapshot = *envelope.mutable_snapshot_request();
-    snapshot = log_->snapshot_header();
-    *snapshot.mutable_records() = table_.snapshot();
-    note(logging::event::snapshot_sent,
-         fmt::format("to {} index {}", follower, snapshot.last_index()));
-    envelope.set_to_boot(follower.boot.value());
-    send(address_of(follower), std::move(envelope));
+    sender_.want(follower);
   }
 }
 
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -13,6 +13,7 @@
 #include "raft/consensus.hpp"
 #include "records/group_plan.hpp"
 #include "records/record_table.hpp"
+#include "records/snapshot_transfer.hpp"
 #include "storage/log_storage.hpp"
 #include "wire/messages.hpp"
 
@@ -21,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace heathtrestle::records {
@@ -30,6 +32,7 @@
                      .election_timeout = duration_ms{350},
                      .restart_election_timeout = duration_ms{150},
                      .retained_entries = 512,
+                     .held_entries = 2048,
                      .entries_per_append = 64,
                      .bytes_per_append = 96U << 10U,
                      .backlog_entries = 64,
@@ -37,6 +40,7 @@
                      .probe_interval = duration_ms{50},
                      .resend_after = duration_ms{600},
                      .unacknowledged_entries = 256};
+  snapshot_transfer_options snapshots;
   group_size size;
   /// Which partition of the record group this is. Where there are several, the
   /// leaderships and replicas of each prefer other nodes.
@@ -52,6 +56,9 @@
   /// A voter silent for this long gives way to a spare node.
   duration_ms replace_after{1500};
   duration_ms hello_interval{300};
+  /// A new leader looks for spare nodes only after this long, so that those
+  /// which are coming back with their disks are not taken for lost.
+  duration_ms recruit_after{0};
 };
 
 /// A message to an address ("ip:port").
@@ -139,7 +146,16 @@
   void reduce(wire::Envelope &envelope, timestamp now, std::uint64_t random,
               raft::outbox &out);
   void on_request(const wire::RecordRequest &request);
+  /// @return false when the question is being answered already: whoever asks
+  /// again is only impatient.
+  bool take_up(const std::string &reply_to, std::uint64_t id);
   void on_hello(const wire::RecordHello &hello, timestamp now);
+  void on_snapshot(wire::SnapshotRequest &part, timestamp now,
+                   std::uint64_t random, raft::outbox &out);
+  void on_snapshot_progress(const wire::SnapshotProgress &progress,
+                            timestamp now);
+  /// Sends the part of a snapshot that is due, if any.
+  void send_snapshot(timestamp now);
   void note_heard(const replica_id &from, timestamp now);
   void learn(const wire::RecordMember &record, timestamp now);
   void propose_batch(timestamp now, std::uint64_t wall_ms, raft::outbox &out);
@@ -152,7 +168,13 @@
   /// ids, beginning where this partition's share of them begins.
   [[nodiscard]] std::map<node_id, std::uint64_t> preferences() const;
   /// Hands the lead to the voter that this partition prefers.
-  void yield_lead(timestamp now, raft::outbox &out);
+  void yield_lead(timestamp now);
+  /// Begins to hand the lead over: nothing is proposed until the others hold
+  /// everything and one of `eligible` can be told to stand for election.
+  void begin_hand_over(std::set<replica_id> eligible, timestamp now);
+  void go_on_handing_over(timestamp now, raft::outbox &out);
+  /// Tells those whose questions wait here who leads now.
+  void pass_on_proposals();
   void flush(raft::outbox &out, record_effects &effects);
   void answer(std::uint64_t index,
               const std::vector<wire::RecordReplyItem> &outcomes,
@@ -180,15 +202,23 @@
   std::vector<wire::Envelope> inbox_;
   std::vector<std::pair<asker, wire::RecordChange>> proposals_;
   std::map<std::uint64_t, std::vector<asker>> askers_; // by log index
+  /// Hashes of the questions in the two above.
+  std::unordered_set<std::uint64_t> taken_up_;
   std::vector<addressed_message> outgoing_;
   std::vector<logged_event> events_;
   std::optional<wire::RecordSnapshot> installed_;
   std::vector<replica_id> learners_;
+  snapshot_sender sender_;
+  snapshot_receiver receiver_;
   bool was_leader_ = false;
   timestamp next_hello_{};
   timestamp leader_heard_{};
   timestamp leading_since_{};
   timestamp next_yield_{};
+  /// To whom the lead is being handed, and until when that is tried.
+  std::set<replica_id> successors_;
+  bool successor_told_ = false;
+  timestamp hand_over_ends_{};
   timestamp proposed_{};
 };
 
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -24,10 +24,21 @@
 constexpr const char *cluster_name = "records";
 /// How long what another leader told of emptied machines counts.
 constexpr duration_ms told_for{1000};
-/// Of the partitions of a group that has several, whose nodes have small shares
-/// of a processor: a turn waits up to this long twice, and the messages between
-/// the nodes are far fewer.
-constexpr duration_ms join_interval{12};
+/// What differs in a group of several partitions, whose nodes have small shares
+/// of a processor.
+record_node_options for_small_nodes(record_node_options options) {
+  // A turn waits up to this long twice; the messages between the nodes and the
+  // writes are far fewer.
+  options.join_interval = duration_ms{25};
+  // Whoever follows anew is sent the whole state, which costs more than waiting
+  // for the nodes that are coming back.
+  options.recruit_after = duration_ms{2000};
+  options.replace_after = duration_ms{3000};
+  // A node that is busy is not gone.
+  options.raft.election_timeout = duration_ms{500};
+  options.alive_for = duration_ms{1200};
+  return options;
+}
 
 std::uint64_t wall_ms() {
   return static_cast<std::uint64_t>(
@@ -69,7 +80,9 @@
                                record_node_options options)
     : io_(io) {
   options.partitions = static_cast<std::uint32_t>(disks.size());
-  options.join_interval = disks.size() > 1 ? join_interval : duration_ms{0};
+  if (disks.size() > 1) {
+    options = for_small_nodes(options);
+  }
   for (partition_disk &each : disks) {
     options.partition = static_cast<std::uint32_t>(partitions_.size());
     auto node = std::make_unique<record_node>(self, std::move(each.recovered),
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -126,8 +126,7 @@
   return account;
 }
 
-const record_table::kept_turn *
-record_table::find_turn(const std::string &id) const {
+const retained_entry *record_table::find_turn(const std::string &id) const {
   const auto found = turns_.find(id);
   const bool there =
       found != turns_.end() && now_ms_ < found->second.expires_ms;
@@ -137,7 +136,8 @@
 void record_table::keep(const wire::RecordTurn &turn, std::uint64_t keep_ms) {
   const std::uint64_t expires = now_ms_ + keep_ms + clock_slack_ms;
   if (find_turn(turn.id()) == nullptr) {
-    turns_[turn.id()] = kept_turn{.turn = turn, .expires_ms = expires};
+    turns_[turn.id()] = {.turn = std::make_shared<const wire::RecordTurn>(turn),
+                         .expires_ms = expires};
   }
   // A turn is kept with its whole chain.
   std::string id = turn.id();
@@ -147,7 +147,7 @@
       break;
     }
     found->second.expires_ms = std::max(found->second.expires_ms, expires);
-    id = found->second.turn.previous();
+    id = found->second.turn->previous();
   }
 }
 
@@ -156,12 +156,12 @@
   std::vector<const wire::RecordTurn *> chain;
   std::string id = last;
   while (!id.empty()) {
-    const kept_turn *found = find_turn(id);
+    const retained_entry *found = find_turn(id);
     if (found == nullptr) {
       break;
     }
-    chain.push_back(&found->turn);
-    id = found->turn.previous();
+    chain.push_back(found->turn.get());
+    id = found->turn->previous();
   }
   std::reverse(chain.begin(), chain.end());
   for (const wire::RecordTurn *turn : chain) {
@@ -179,10 +179,15 @@
 }
 
 wire::RecordSnapshot record_table::snapshot() const {
-  wire::RecordSnapshot state;
-  state.set_time_ms(now_ms_);
+  constexpr std::size_t in_one_part = 0;
+  return image(in_one_part).part(0);
+}
+
+snapshot_image record_table::image(std::size_t part_bytes) const {
+  std::vector<wire::RecordProgram> programs;
+  programs.reserve(programs_.size());
   for (const auto &[id, account] : programs_) {
-    wire::RecordProgram &saved = *state.add_programs();
+    wire::RecordProgram &saved = programs.emplace_back();
     saved.set_id(id);
     saved.set_spent(account.spent);
     saved.set_expires_ms(account.expires_ms);
@@ -195,12 +200,12 @@
       saved.add_closed(attempt);
     }
   }
+  std::vector<retained_entry> turns;
+  turns.reserve(turns_.size());
   for (const auto &[id, kept] : turns_) {
-    wire::RecordKeptTurn &saved = *state.add_turns();
-    *saved.mutable_turn() = kept.turn;
-    saved.set_expires_ms(kept.expires_ms);
+    turns.push_back(kept);
   }
-  return state;
+  return {now_ms_, std::move(programs), std::move(turns), part_bytes};
 }
 
 void record_table::restore(const wire::RecordSnapshot &snapshot) {
@@ -219,8 +224,9 @@
     account.closed.insert(saved.closed().begin(), saved.closed().end());
   }
   for (const wire::RecordKeptTurn &saved : snapshot.turns()) {
-    turns_[saved.turn().id()] = {.turn = saved.turn(),
-                                 .expires_ms = saved.expires_ms()};
+    turns_[saved.turn().id()] = {
+        .turn = std::make_shared<const wire::RecordTurn>(saved.turn()),
+        .expires_ms = saved.expires_ms()};
   }
 }
 
--- a/src/records/record_table.hpp
+++ b/src/records/record_table.hpp
@@ -5,6 +5,7 @@
 // batches in the same order leave the same state on every replica.
 #pragma once
 
+#include "records/snapshot_image.hpp"
 #include "records/turn_ledger.hpp"
 #include "wire/messages.hpp"
 
@@ -22,7 +23,10 @@
   /// @return the outcome of each change, in order, without ids.
   std::vector<wire::RecordReplyItem> apply(const wire::RecordBatch &batch);
 
+  /// The whole state in one message.
   [[nodiscard]] wire::RecordSnapshot snapshot() const;
+  /// The state as of now, in parts.
+  [[nodiscard]] snapshot_image image(std::size_t part_bytes) const;
   void restore(const wire::RecordSnapshot &snapshot);
 
   [[nodiscard]] std::size_t programs() const { return programs_.size(); }
@@ -38,11 +42,6 @@
     std::set<std::string> closed;
     std::uint64_t expires_ms = 0;
   };
-  struct kept_turn {
-    wire::RecordTurn turn;
-    std::uint64_t expires_ms = 0;
-  };
-
   wire::RecordReplyItem apply(const wire::RecordChange &change);
   wire::RecordReplyItem begin(const wire::BeginTurn &wanted);
   [[nodiscard]] wire::RecordReplyItem read(const wire::ReadTurns &wanted) const;
@@ -53,7 +52,7 @@
   /// @return null when it was never kept or has expired. What has expired is
   /// absent from its time on, whether a sweep has been over it or not, so that
   /// replicas which sweep at other times still agree.
-  [[nodiscard]] const kept_turn *find_turn(const std::string &id) const;
+  [[nodiscard]] const retained_entry *find_turn(const std::string &id) const;
   void keep(const wire::RecordTurn &turn, std::uint64_t keep_ms);
   void add_history(const std::string &last, wire::RecordReplyItem &reply) const;
   void drop_expired();
@@ -61,7 +60,7 @@
   std::uint64_t now_ms_ = 0;
   std::uint64_t next_sweep_ms_ = 0;
   std::unordered_map<std::string, program> programs_;
-  std::unordered_map<std::string, kept_turn> turns_;
+  std::unordered_map<std::string, retained_entry> turns_;
 };
 
 } // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/snapshot_transfer.cpp
@@ -0,0 +1,106 @@
+#include "records/snapshot_transfer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace heathtrestle::records {
+
+void snapshot_sender::want(const replica_id &follower) {
+  const bool under_way = current_.has_value() && current_->to == follower;
+  const bool waits = std::ranges::find(waiting_, follower) != waiting_.end();
+  if (!under_way && !waits) {
+    waiting_.push_back(follower);
+  }
+}
+
+void snapshot_sender::on_progress(const wire::SnapshotProgress &progress,
+                                  timestamp now) {
+  const bool of_current =
+      current_.has_value() && current_->to == from_wire(progress.follower()) &&
+      current_->content.header.last_index() == progress.last_index();
+  if (!of_current) {
+    return;
+  }
+  // A follower that was started anew begins with the first part again.
+  const bool moved = progress.next_part() != current_->next_part;
+  current_->next_part = progress.next_part();
+  current_->sent = current_->sent && !moved;
+  current_->progressed = now;
+  if (current_->next_part >= current_->content.image.parts()) {
+    current_.reset();
+  }
+}
+
+void snapshot_sender::drop(const replica_id &follower) {
+  std::erase(waiting_, follower);
+  if (current_.has_value() && current_->to == follower) {
+    current_.reset();
+  }
+}
+
+void snapshot_sender::clear() {
+  waiting_.clear();
+  current_.reset();
+}
+
+std::optional<snapshot_sender::part>
+snapshot_sender::next(timestamp now, const take_source &take) {
+  const bool given_up = current_.has_value() &&
+                        now >= current_->progressed + options_.give_up_after;
+  if (given_up) {
+    current_.reset();
+  }
+  const bool begins = !current_.has_value();
+  if (begins) {
+    if (waiting_.empty()) {
+      return std::nullopt;
+    }
+    current_.emplace(transfer{.to = waiting_.front(),
+                              .content = take(options_.part_bytes),
+                              .progressed = now});
+    waiting_.pop_front();
+  }
+  transfer &going = *current_;
+  if (going.sent && now < going.sent_at + options_.resend_after) {
+    return std::nullopt;
+  }
+  going.sent = true;
+  going.sent_at = now;
+  part due{.to = going.to, .request = going.content.header, .begins = begins};
+  *due.request.mutable_records() = going.content.image.part(going.next_part);
+  due.request.set_part(static_cast<std::uint32_t>(going.next_part));
+  due.request.set_more(going.next_part + 1 < going.content.image.parts());
+  return due;
+}
+
+bool snapshot_receiver::receive(wire::SnapshotRequest &part) {
+  const bool same = part.term() == term_ && part.last_index() == last_index_;
+  if (!same) {
+    term_ = part.term();
+    last_index_ = part.last_index();
+    next_part_ = 0;
+    collected_.Clear();
+  }
+  if (part.part() != next_part_) {
+    return false; // a copy, or the parts before it were lost with a process
+  }
+  wire::RecordSnapshot &records = *part.mutable_records();
+  collected_.set_time_ms(records.time_ms());
+  for (wire::RecordProgram &each : *records.mutable_programs()) {
+    *collected_.add_programs() = std::move(each);
+  }
+  for (wire::RecordKeptTurn &each : *records.mutable_turns()) {
+    *collected_.add_turns() = std::move(each);
+  }
+  ++next_part_;
+  return !part.more();
+}
+
+wire::RecordSnapshot snapshot_receiver::take() {
+  term_ = 0;
+  last_index_ = 0;
+  next_part_ = 0;
+  return std::exchange(collected_, {});
+}
+
+} // namespace heathtrestle::records
--- a/src/rpc/transport.cpp
+++ b/src/rpc/transport.cpp
@@ -266,11 +266,15 @@
 
 void transport::send(std::string address, const wire::Envelope &envelope) {
   outgoing message{std::move(address), envelope.SerializeAsString()};
+  bool idle = false;
   {
     const std::scoped_lock lock(state_->mutex);
+    idle = state_->queue.empty();
     state_->queue.push_back(std::move(message));
   }
-  state_->wake();
+  if (idle) {
+    state_->wake(); // whoever found the queue empty before has woken it already
+  }
 }
 
 transport_counts transport::counts() const {
--- a/tests/records/group_plan_test.cpp
+++ b/tests/records/group_plan_test.cpp
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(the_size_follows_the_losses_to_be_borne);
   CPPUNIT_TEST(no_more_nodes_learn_than_are_wanted);
   CPPUNIT_TEST(a_successor_learns_however_many_follow);
+  CPPUNIT_TEST(a_new_leader_takes_in_no_spares);
+  CPPUNIT_TEST(a_new_leader_takes_in_successors_and_missing_voters);
   CPPUNIT_TEST(voters_are_spread_over_zones);
   CPPUNIT_TEST(spares_are_spread_over_zones);
   CPPUNIT_TEST_SUITE_END();
@@ -40,8 +42,10 @@
   std::vector<replica_id> learners_;
   group_size size_;
 
+  bool recruits_ = true;
+
   std::optional<group_change> next() {
-    return next_change(nodes_, learners_, size_);
+    return next_change(nodes_, learners_, size_, recruits_);
   }
 
 public:
@@ -139,6 +143,26 @@
     CPPUNIT_ASSERT(std::get<add_learner>(*next()).replica == id(3, 2));
   }
 
+  void a_new_leader_takes_in_no_spares() {
+    nodes_.push_back(spare(4));
+    nodes_.back().caught_up = false;
+    recruits_ = false;
+    CPPUNIT_ASSERT(!next());
+    recruits_ = true;
+    CPPUNIT_ASSERT(std::get<add_learner>(*next()).replica == id(4));
+  }
+
+  void a_new_leader_takes_in_successors_and_missing_voters() {
+    recruits_ = false;
+    nodes_[2].dead = true;
+    nodes_.push_back(spare(3, 2));
+    nodes_.back().caught_up = false;
+    CPPUNIT_ASSERT(std::get<add_learner>(*next()).replica == id(3, 2));
+    nodes_ = {voter(1), voter(2), spare(4)};
+    nodes_.back().caught_up = false;
+    CPPUNIT_ASSERT(std::get<add_learner>(*next()).replica == id(4));
+  }
+
   void voters_are_spread_over_zones() {
     nodes_[0].zone = "a";
     nodes_[1].zone = "b";
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -35,6 +35,9 @@
   CPPUNIT_TEST(random_pairs_of_losses_lose_nothing);
   CPPUNIT_TEST(partitions_are_led_by_different_nodes);
   CPPUNIT_TEST(questions_that_come_together_share_an_entry);
+  CPPUNIT_TEST(a_question_asked_again_is_recorded_once);
+  CPPUNIT_TEST(the_lead_is_handed_over_while_questions_come);
+  CPPUNIT_TEST(a_voter_that_is_back_soon_is_not_replaced);
   CPPUNIT_TEST_SUITE_END();
 
   static void found_with(record_group &group,
@@ -390,7 +393,7 @@
     std::uint64_t entries[2] = {};
     for (const bool joined : {false, true}) {
       record_group group(10);
-      group.join_questions(joined ? 1000ms : 0ms);
+      group.options().join_interval = joined ? 1000ms : 0ms;
       found_with(group, {"a", "b", "c"});
       const auto before = group.at(group.leader()).log()->last_index();
       for (int turn = 0; turn < 6; ++turn) {
@@ -406,6 +409,69 @@
     CPPUNIT_ASSERT(entries[1] <= 3);
   }
 
+  void a_question_asked_again_is_recorded_once() {
+    // Whoever waits asks again every 200 ms, and what he asks for takes 300 ms.
+    record_group group(41);
+    found_with(group, {"a", "b", "c"});
+    for (const char *name : {"a", "b", "c"}) {
+      group.slow_down(name, 150ms);
+    }
+    const auto before = group.at(group.leader()).log()->last_index();
+    const std::uint64_t id = group.keep_turn("slow");
+    group.run(3000ms);
+    CPPUNIT_ASSERT(group.verdict(id) == wire::RECORD_DONE);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         group.at(group.leader()).log()->last_index().value() -
+                             before.value());
+  }
+
+  void the_lead_is_handed_over_while_questions_come() {
+    // Followers lag behind a leader that goes on proposing.
+    for (std::uint32_t partition = 0; partition < 4; ++partition) {
+      std::string led_by[2];
+      for (const bool busy : {false, true}) {
+        record_group group(42, records::group_size::bearing(2, 4), partition,
+                           4);
+        for (const char *name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+          group.add(name);
+          group.slow_down(name, 30ms);
+        }
+        group.found("a");
+        for (int wave = 0; wave < 800; ++wave) {
+          if (busy) {
+            group.ask_at_once(wave);
+          }
+          group.run(10ms);
+        }
+        group.run(300ms); // an election may be under way
+        led_by[busy ? 1 : 0] = group.leader();
+      }
+      CPPUNIT_ASSERT_EQUAL(led_by[0], led_by[1]);
+    }
+  }
+
+  void a_voter_that_is_back_soon_is_not_replaced() {
+    record_group group(43, records::group_size::bearing(2, 4), 0, 4);
+    group.options().replace_after = 3000ms;
+    group.options().alive_for = 1200ms;
+    found_with(group, {"a", "b", "c", "d", "e", "f", "g", "h"});
+    group.run(4000ms);
+    const std::set<std::string> voters = group.voters();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, voters.size());
+    const std::string lead = group.leader();
+    const std::string lost =
+        *std::find_if(voters.begin(), voters.end(),
+                      [&lead](const auto &each) { return each != lead; });
+    const std::size_t added = group.logged(logging::event::record_member_added);
+    group.kill(lost);
+    group.run(2600ms);
+    group.start(lost);
+    group.run(4000ms);
+    CPPUNIT_ASSERT(group.voters() == voters);
+    CPPUNIT_ASSERT_EQUAL(added,
+                         group.logged(logging::event::record_member_added));
+  }
+
   /// @param losses machines that are struck at once.
   static void
   run_random(std::uint64_t seed,
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -4,6 +4,7 @@
 
 #include "records/record_node.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -58,10 +59,8 @@
                                 .partition = partition,
                                 .partitions = partitions} {}
 
-  /// Of the nodes that are added from now on.
-  void join_questions(duration_ms interval) {
-    options_.join_interval = interval;
-  }
+  /// Of the nodes that are started from now on.
+  records::record_node_options &options() { return options_; }
   /// Adds a machine and starts its process; it knows all machines so far.
   void add(const std::string &name) {
     machines_[name].disk.identity = boot_id{random_()};
@@ -137,7 +136,23 @@
     asked_[id] = std::move(change);
     return id;
   }
-  std::uint64_t keep_turn(const std::string &id) {
+  /// A question to the leader that is not asked again; the next may come before
+  /// it is answered.
+  void ask_at_once(int number) {
+    const std::string lead = leader();
+    if (lead.empty()) {
+      return;
+    }
+    wire::Envelope envelope;
+    wire::RecordRequest &request = *envelope.mutable_record_request();
+    request.set_reply_to(client_address);
+    wire::RecordRequestItem &item = *request.add_items();
+    item.set_id(++next_id_);
+    item.mutable_change()->mutable_begin()->set_program(std::to_string(number));
+    letters_.push_back({now_, client_address, lead, std::move(envelope)});
+  }
+  std::uint64_t keep_turn(const std::string &id,
+                          std::size_t input_bytes = 200) {
     wire::RecordChange change;
     wire::EndTurn &end = *change.mutable_end();
     end.set_program("program-" + id);
@@ -145,7 +160,7 @@
     end.set_used(1);
     end.set_keep_ms(1000000);
     end.mutable_kept()->set_id(id);
-    end.mutable_kept()->set_input(std::string(200, 'x'));
+    end.mutable_kept()->set_input(std::string(input_bytes, 'x'));
     return ask(std::move(change));
   }
   std::uint64_t begin_turn(const std::string &program,
@@ -217,6 +232,16 @@
     const auto found = bytes_to_.find(name);
     return found == bytes_to_.end() ? 0 : found->second;
   }
+  /// The largest message that was sent to a node.
+  [[nodiscard]] std::size_t largest_to(const std::string &name) const {
+    const auto found = largest_to_.find(name);
+    return found == largest_to_.end() ? 0 : found->second;
+  }
+  /// How often the nodes have logged an event.
+  [[nodiscard]] std::size_t logged(logging::event number) const {
+    const auto found = logged_.find(number);
+    return found == logged_.end() ? 0 : found->second;
+  }
   /// Bytes handed to the network for a node that cannot take them.
   [[nodiscard]] std::size_t undeliverable_bytes() const {
     return undeliverable_bytes_;
@@ -256,12 +281,18 @@
     stepped.disk.write(first);
     auto second = stepped.node->after_write(now_);
     post(name, second.messages);
+    for (const records::logged_event &each : second.log) {
+      ++logged_[each.number];
+    }
   }
 
   void post(const std::string &from,
             std::vector<records::addressed_message> &messages) {
     for (records::addressed_message &message : messages) {
-      bytes_to_[message.address] += message.envelope.ByteSizeLong();
+      const std::size_t bytes = message.envelope.ByteSizeLong();
+      bytes_to_[message.address] += bytes;
+      std::size_t &largest = largest_to_[message.address];
+      largest = std::max(largest, bytes);
       const auto found = slow_.find(message.address);
       const auto delay =
           duration_ms{1 + static_cast<int>(random_() % 8)} +
@@ -346,6 +377,8 @@
   timestamp next_retry_{};
   std::size_t undeliverable_bytes_ = 0;
   std::map<std::string, std::size_t> bytes_to_;
+  std::map<std::string, std::size_t> largest_to_;
+  std::map<logging::event, std::size_t> logged_;
 };
 
 } // namespace heathtrestle::test_support
