Wait for a budget that is only reserved; give the turn a module of its own

What counts against a program half a second later is not spent. A turn refused for reservations alone asks again every 100 ms while it may wait for its grant, and is then refused as not run (503), not for its budget (402). Tests: request_exchange_test, two cases (402 at once before).

--- /dev/null
+++ b/src/forwarding/program_turn.cpp
@@ -0,0 +1,157 @@
+#include "forwarding/program_turn.hpp"
+
+#include "logging/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace heathtrestle::forwarding {
+
+namespace {
+
+/// Share of the time until the deadline that a turn waits for its grant. What
+/// is refused after half of the time might as well have been held to the end:
+/// the client has no time left to ask again.
+constexpr double grant_patience = 0.4;
+/// A turn that nothing else bounds is kept at least this long.
+constexpr duration_ms least_keep{60000};
+constexpr std::uint64_t unlimited_budget = 1ULL << 62U;
+
+turn_header header_of(const client_request &request) {
+  const turn_header without_program{.program = request.attempt_id,
+                                    .session = {},
+                                    .budget = unlimited_budget,
+                                    .most_tokens = 0,
+                                    .previous = request.previous_turn};
+  return request.turn.value_or(without_program);
+}
+
+} // namespace
+
+std::string_view name_of(records::turn_verdict verdict) {
+  switch (verdict) {
+  case records::turn_verdict::granted:
+    return "granted";
+  case records::turn_verdict::budget_spent:
+    return "budget_spent";
+  case records::turn_verdict::unknown_turn:
+    return "unknown_turn";
+  case records::turn_verdict::unavailable:
+    return "unavailable";
+  }
+  return "unknown";
+}
+
+program_turn::program_turn(gateway &shared, const client_request &request,
+                           const routing::route &route, timestamp deadline)
+    : gateway_(shared), request_(request), route_(route), deadline_(deadline),
+      patience_ends_(request.arrived +
+                     std::chrono::duration_cast<duration_ms>(
+                         grant_patience * (deadline - request.arrived))),
+      turn_(header_of(request)),
+      kept_for_(std::max(route.retention, least_keep)),
+      previous_(route.retained ? turn_.previous : std::string()) {
+  if (previous_.empty()) {
+    return;
+  }
+  if (const auto known = gateway_.turns().chain(previous_)) {
+    history_known_ = true;
+    for (const records::retained_turn *each : *known) {
+      history_ += each->input;
+      history_ += each->output;
+    }
+  }
+}
+
+records::turn_request program_turn::wanted() const {
+  return {.program = turn_.program,
+          .attempt = request_.attempt_id,
+          .budget = turn_.budget,
+          .most = turn_.most_tokens,
+          .previous = previous_,
+          .want_history = !previous_.empty() && !history_known_,
+          .keep = kept_for_};
+}
+
+asio::awaitable<records::turn_verdict> program_turn::begin() {
+  const timestamp asked = steady_now();
+  grant_ = co_await gateway_.ledger().begin(wanted(), patience_ends_);
+  gateway_.metrics().on_turn_verdict(
+      std::string(name_of(grant_.verdict)),
+      std::chrono::duration<double>(steady_now() - asked).count());
+  if (grant_.verdict == records::turn_verdict::granted) {
+    granted_ = true;
+    granted_at_ = steady_now();
+    take_history(grant_.history);
+  }
+  co_return grant_.verdict;
+}
+
+bool program_turn::budget_is_tied_up() const {
+  return grant_.verdict == records::turn_verdict::budget_spent &&
+         grant_.reserved > 0 &&
+         grant_.spent + turn_.most_tokens <= turn_.budget;
+}
+
+void program_turn::take_history(
+    const std::vector<records::retained_turn> &turns) {
+  for (const records::retained_turn &each : turns) {
+    history_ += each.input;
+    history_ += each.output;
+    gateway_.turns().put(each);
+  }
+}
+
+void program_turn::add_output(std::string_view data) {
+  if (route_.retained) {
+    output_ += data;
+    output_ += '\n';
+  }
+}
+
+asio::awaitable<bool> program_turn::keep(std::uint64_t used_tokens) {
+  records::turn_end end{.program = turn_.program,
+                        .attempt = request_.attempt_id,
+                        .used = used_tokens,
+                        .kept = {.id = request_.attempt_id,
+                                 .previous = turn_.previous,
+                                 .input = request_.message.body(),
+                                 .output = output_},
+                        .keep = kept_for_};
+  records::retained_turn copy = end.kept;
+  granted_ = false; // settled by this, now or later
+  const bool kept =
+      co_await gateway_.ledger().finish(std::move(end), deadline_);
+  if (kept) {
+    gateway_.turns().put(std::move(copy));
+  }
+  co_return kept;
+}
+
+void program_turn::settle(std::uint64_t used_tokens) {
+  if (!granted_) {
+    return;
+  }
+  granted_ = false;
+  gateway_.ledger().settle({.program = turn_.program,
+                            .attempt = request_.attempt_id,
+                            .used = used_tokens,
+                            .kept = {},
+                            .keep = kept_for_});
+}
+
+void program_turn::log_refusal() const {
+  logging::line(logging::event::turn_refused)
+      .field("id", request_.attempt_id)
+      .field("program", turn_.program)
+      .field("verdict", name_of(grant_.verdict))
+      .field("budget", turn_.budget)
+      .field("most", turn_.most_tokens)
+      .field("spent", grant_.spent)
+      .field("reserved", grant_.reserved)
+      .field("previous", turn_.previous)
+      .field("waited_ms", (steady_now() - request_.arrived).count())
+      .write();
+}
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/program_turn.hpp
@@ -0,0 +1,71 @@
+// One turn of a program at its gateway: leave to run it, the history that its
+// prompt begins with, and the record of its end.
+#pragma once
+
+#include "forwarding/client_request.hpp"
+#include "forwarding/gateway.hpp"
+#include "records/turn_ledger.hpp"
+#include "runtime/asio.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace heathtrestle::forwarding {
+
+class program_turn {
+public:
+  /// @param deadline until when the client waits for its answer.
+  program_turn(gateway &shared, const client_request &request,
+               const routing::route &route, timestamp deadline);
+
+  /// Asks the record group once, for as long as a turn may wait for its grant.
+  /// A turn that was refused may ask again.
+  asio::awaitable<records::turn_verdict> begin();
+  /// When a turn gives up waiting for its grant.
+  [[nodiscard]] timestamp patience_ends() const { return patience_ends_; }
+  /// True when the last refusal is for reservations alone: turns under way, or
+  /// tries whose end is not recorded yet, may still give back what they hold.
+  [[nodiscard]] bool budget_is_tied_up() const;
+
+  [[nodiscard]] bool granted() const { return granted_; }
+  /// The epoch before the grant.
+  [[nodiscard]] timestamp granted_at() const { return granted_at_; }
+  /// The chain of earlier turns, as the replica is to read it before the input.
+  [[nodiscard]] const std::string &history() const { return history_; }
+
+  /// An event's data has reached the client.
+  void add_output(std::string_view data);
+  /// Records the end durably. @return false when that is not confirmed in time;
+  /// it goes on being tried.
+  asio::awaitable<bool> keep(std::uint64_t used_tokens);
+  /// Gives back what a granted turn that is not kept has left.
+  void settle(std::uint64_t used_tokens);
+
+  /// Tells the log why the turn was refused.
+  void log_refusal() const;
+
+private:
+  [[nodiscard]] records::turn_request wanted() const;
+  void take_history(const std::vector<records::retained_turn> &turns);
+
+  gateway &gateway_;
+  const client_request &request_;
+  const routing::route &route_;
+  timestamp deadline_;
+  timestamp patience_ends_;
+  turn_header turn_;
+  duration_ms kept_for_;
+  /// The turn that a retained one goes on from; empty for none.
+  std::string previous_;
+
+  records::turn_grant grant_;
+  bool granted_ = false;
+  timestamp granted_at_{};
+  std::string history_;
+  bool history_known_ = false;
+  std::string output_;
+};
+
+std::string_view name_of(records::turn_verdict verdict);
+
+} // namespace heathtrestle::forwarding
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -34,13 +34,8 @@
 constexpr duration_ms startup_retry{500};
 constexpr duration_ms drain_retry{50};
 constexpr duration_ms ledger_retry{300};
-/// Share of the time until the deadline that a turn waits for its grant. What is
-/// refused after half of the time might as well have been held to the end: the
-/// client has no time left to ask again.
-constexpr double grant_patience = 0.4;
-/// A turn that nothing else bounds is kept at least this long.
-constexpr duration_ms least_keep{60000};
-constexpr std::uint64_t unlimited_budget = 1ULL << 62U;
+/// A turn whose budget is held by others asks again after this long.
+constexpr duration_ms budget_pause{100};
 constexpr std::string_view answered_reason = "answered";
 
 std::string_view to_view(boost::beast::string_view text) {
@@ -78,20 +73,6 @@
   return "unknown";
 }
 
-std::string_view name_of(records::turn_verdict verdict) {
-  switch (verdict) {
-  case records::turn_verdict::granted:
-    return "granted";
-  case records::turn_verdict::budget_spent:
-    return "budget_spent";
-  case records::turn_verdict::unknown_turn:
-    return "unknown_turn";
-  case records::turn_verdict::unavailable:
-    return "unavailable";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 request_exchange::request_exchange(gateway &shared, tcp::socket &client,
@@ -128,7 +109,9 @@
   if (allowed) {
     co_await drive();
   }
-  settle_turn();
+  if (turn_) {
+    turn_->settle(used_tokens());
+  }
   disarm();
   log_end();
   co_return keep_open_ && !client_gone_;
@@ -209,60 +192,25 @@
 }
 
 asio::awaitable<bool> request_exchange::begin_turn() {
-  if (!request_.turn) {
-    request_.turn = turn_header{.program = request_.attempt_id,
-                                .session = {},
-                                .budget = unlimited_budget,
-                                .most_tokens = 0,
-                                .previous = request_.previous_turn};
-  }
-  const turn_header &turn = *request_.turn;
-  const bool continues = route_->retained && !turn.previous.empty();
-  auto known = continues ? gateway_.turns().chain(turn.previous) : std::nullopt;
-  records::turn_request wanted{.program = turn.program,
-                               .attempt = request_.attempt_id,
-                               .budget = turn.budget,
-                               .most = turn.most_tokens,
-                               .previous =
-                                   continues ? turn.previous : std::string(),
-                               .want_history = continues && !known,
-                               .keep = std::max(route_->retention, least_keep)};
-  if (known) {
-    std::string history;
-    for (const records::retained_turn *each : *known) {
-      history += each->input;
-      history += each->output;
-    }
-    body_.insert(0, history);
-  }
-  const auto patience = std::chrono::duration_cast<duration_ms>(
-      grant_patience * (deadline_ - request_.arrived));
-  const timestamp asked = steady_now();
-  const records::turn_grant grant = co_await gateway_.ledger().begin(
-      std::move(wanted), request_.arrived + patience);
-  gateway_.metrics().on_turn_verdict(
-      std::string(name_of(grant.verdict)),
-      std::chrono::duration<double>(steady_now() - asked).count());
-  if (grant.verdict == records::turn_verdict::granted) {
-    granted_at_ = steady_now();
-    granted_ = true;
-    take_history(grant);
+  turn_.emplace(gateway_, request_, *route_, deadline_);
+  records::turn_verdict verdict = co_await turn_->begin();
+  while (turn_->budget_is_tied_up() && !client_gone_ &&
+         steady_now() + budget_pause < turn_->patience_ends()) {
+    pause_timer_.expires_after(budget_pause);
+    co_await pause_timer_.async_wait(as_result);
+    verdict = co_await turn_->begin();
+  }
+  if (verdict == records::turn_verdict::granted) {
+    body_.insert(0, turn_->history());
     co_return true;
   }
-  logging::line(logging::event::turn_refused)
-      .field("id", request_.attempt_id)
-      .field("program", turn.program)
-      .field("verdict", name_of(grant.verdict))
-      .field("budget", turn.budget)
-      .field("most", turn.most_tokens)
-      .field("spent", grant.spent)
-      .field("reserved", grant.reserved)
-      .field("previous", turn.previous)
-      .field("waited_ms", (steady_now() - asked).count())
-      .write();
-  if (grant.verdict == records::turn_verdict::budget_spent) {
+  turn_->log_refusal();
+  if (turn_->budget_is_tied_up()) {
+    co_await answer(status_unavailable, ledger_retry,
+                    "budget held by turns under way");
+  } else if (verdict == records::turn_verdict::budget_spent) {
     co_await answer(status_payment_required, duration_ms{0}, "budget spent");
-  } else if (grant.verdict == records::turn_verdict::unknown_turn) {
+  } else if (verdict == records::turn_verdict::unknown_turn) {
     co_await answer(status_not_found, duration_ms{0}, "no such turn");
   } else {
     co_await answer(status_unavailable, ledger_retry,
@@ -271,16 +219,6 @@
   co_return false;
 }
 
-void request_exchange::take_history(const records::turn_grant &grant) {
-  std::string history;
-  for (const records::retained_turn &each : grant.history) {
-    history += each.input;
-    history += each.output;
-    gateway_.turns().put(each);
-  }
-  body_.insert(0, history);
-}
-
 std::uint64_t request_exchange::used_tokens() const {
   const routing::service *target = routes_->find_service(service_);
   const std::uint64_t tokens_per_event = target != nullptr && target->engine
@@ -289,37 +227,6 @@
   return events_passed_ * tokens_per_event;
 }
 
-asio::awaitable<bool> request_exchange::keep_turn() {
-  records::turn_end end{.program = request_.turn->program,
-                        .attempt = request_.attempt_id,
-                        .used = used_tokens(),
-                        .kept = {.id = request_.attempt_id,
-                                 .previous = request_.turn->previous,
-                                 .input = request_.message.body(),
-                                 .output = retained_output_},
-                        .keep = std::max(route_->retention, least_keep)};
-  records::retained_turn copy = end.kept;
-  granted_ = false; // settled by this, now or later
-  const bool kept =
-      co_await gateway_.ledger().finish(std::move(end), deadline_);
-  if (kept) {
-    gateway_.turns().put(std::move(copy));
-  }
-  co_return kept;
-}
-
-void request_exchange::settle_turn() {
-  if (!granted_) {
-    return;
-  }
-  granted_ = false;
-  gateway_.ledger().settle({.program = request_.turn->program,
-                            .attempt = request_.attempt_id,
-                            .used = used_tokens(),
-                            .kept = {},
-                            .keep = std::max(route_->retention, least_keep)});
-}
-
 // Attempts.
 
 asio::awaitable<void> request_exchange::drive() {
@@ -630,9 +537,8 @@
     if (event.id) {
       last_event_id_ = event.id;
     }
-    if (route_->retained) {
-      retained_output_ += event.data;
-      retained_output_ += '\n';
+    if (turn_) {
+      turn_->add_output(event.data);
     }
     fresh += event.bytes;
     ++events_passed_;
@@ -739,8 +645,8 @@
 }
 
 asio::awaitable<bool> request_exchange::finish_stream() {
-  const bool keeps = route_->retained && granted_;
-  if (keeps && !co_await keep_turn()) {
+  const bool keeps = route_->retained && turn_ && turn_->granted();
+  if (keeps && !co_await turn_->keep(used_tokens())) {
     reason_ = "the turn could not be recorded in time";
     co_return false;
   }
@@ -795,7 +701,8 @@
       .field("events", events_passed_)
       .field("reason", reason_)
       .field("client_left", client_gone_)
-      .field("granted_ms", since_arrival(granted_at_))
+      .field("granted_ms",
+             since_arrival(turn_ ? turn_->granted_at() : timestamp{}))
       .field("sent_ms", since_arrival(sent_at_))
       .field("head_ms", since_arrival(head_at_))
       .field("first_event_ms", since_arrival(first_event_at_))
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -11,6 +11,7 @@
 #include "forwarding/client_request.hpp"
 #include "forwarding/event_stream.hpp"
 #include "forwarding/gateway.hpp"
+#include "forwarding/program_turn.hpp"
 #include "runtime/asio.hpp"
 
 #include <cstdint>
@@ -47,11 +48,8 @@
 
   // The turn of a program.
   [[nodiscard]] bool needs_grant() const;
+  /// @return true when the request may run; else it has its answer.
   asio::awaitable<bool> begin_turn();
-  void take_history(const records::turn_grant &grant);
-  /// Records the end durably. @return false when that is not confirmed.
-  asio::awaitable<bool> keep_turn();
-  void settle_turn();
   [[nodiscard]] std::uint64_t used_tokens() const;
 
   // Attempts.
@@ -108,10 +106,8 @@
   bool client_gone_ = false;
   bool done_ = false;
 
-  // The turn.
-  bool granted_ = false;
-  std::string body_; // what the replica gets
-  std::string retained_output_;
+  std::optional<program_turn> turn_; // of requests that need a grant
+  std::string body_;                 // what the replica gets
 
   // The answer.
   bool keep_open_ = true;
@@ -125,7 +121,6 @@
   std::uint32_t attempts_ = 0;
 
   /// When the parts of the way were behind it; the epoch for never.
-  timestamp granted_at_{};
   timestamp sent_at_{};
   timestamp head_at_{};
   timestamp first_event_at_{};
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -27,10 +27,20 @@
   records::turn_verdict verdict = records::turn_verdict::granted;
   std::vector<records::turn_end> ends;
   bool records_ends = true;
+  /// So many first questions are refused since others hold the budget.
+  int refused_for_reservations = 0;
+  std::uint64_t spent = 0;
+  int asked = 0;
 
   asio::awaitable<records::turn_grant> begin(records::turn_request,
                                              timestamp) override {
-    co_return records::turn_grant{.verdict = verdict, .history = {}};
+    ++asked;
+    const bool refused = asked <= refused_for_reservations;
+    co_return records::turn_grant{
+        .verdict = refused ? records::turn_verdict::budget_spent : verdict,
+        .history = {},
+        .spent = spent,
+        .reserved = refused ? std::uint64_t{1} : std::uint64_t{0}};
   }
   asio::awaitable<bool> finish(records::turn_end end, timestamp) override {
     ends.push_back(std::move(end));
@@ -146,6 +156,8 @@
   CPPUNIT_TEST(a_turn_is_kept_before_its_answer_ends);
   CPPUNIT_TEST(a_turn_that_cannot_be_recorded_does_not_look_complete);
   CPPUNIT_TEST(a_spent_budget_runs_nothing);
+  CPPUNIT_TEST(a_budget_that_is_only_reserved_is_waited_for);
+  CPPUNIT_TEST(a_budget_that_stays_reserved_is_not_called_spent);
   CPPUNIT_TEST(a_gateway_that_leaves_refuses_new_requests);
   CPPUNIT_TEST(without_routes_nothing_is_denied);
   CPPUNIT_TEST_SUITE_END();
@@ -388,6 +400,30 @@
     CPPUNIT_ASSERT(ledger_.ends.empty());
   }
 
+  void a_budget_that_is_only_reserved_is_waited_for() {
+    // Tries that never ran hold reservations until their end is recorded.
+    ledger_.refused_for_reservations = 2;
+    replicas_[0]->script = {
+        {stream_head + chunk(event(1)) + stream_end, false, false}};
+    const auto answer = ask("/stream/x", {{"Program", "p"}, {"Budget", "9"}});
+    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    CPPUNIT_ASSERT_EQUAL(3, ledger_.asked);
+  }
+
+  void a_budget_that_stays_reserved_is_not_called_spent() {
+    ledger_.refused_for_reservations = 1000;
+    const auto answer = ask(
+        "/stream/x", {{"Program", "p"}, {"Budget", "9"}, {"Deadline", "400"}});
+    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    CPPUNIT_ASSERT(!field_of(*answer, "Retry-After").empty());
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+    // Once what is settled alone exceeds the budget, waiting is of no use.
+    ledger_.spent = 10;
+    CPPUNIT_ASSERT_EQUAL(
+        402U,
+        ask("/stream/x", {{"Program", "p"}, {"Budget", "9"}})->result_int());
+  }
+
   void a_gateway_that_leaves_refuses_new_requests() {
     gateway_->begin_drain();
     gateway_->refuse_new_requests();
