--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -34,6 +34,9 @@
 constexpr duration_ms least_drain{2600};
 constexpr duration_ms exit_margin{500};
 constexpr duration_ms lookup_pause{500};
+/// Replicas come and go in waves, and each call to the store has its price. A
+/// draining replica may be sent to for seconds yet.
+constexpr duration_ms instance_watch_interval{500};
 constexpr std::uint32_t status_not_found = 404;
 constexpr std::uint32_t status_unavailable = 503;
 
@@ -116,7 +119,9 @@
       objects::watch_options{.kind = binding.configuration_kind},
       configuration_handlers());
   instance_watch_.emplace(io, *binding.store, sources_, cache_,
-                          objects::watch_options{.kind = binding.instance_kind},
+                          objects::watch_options{
+                              .kind = binding.instance_kind,
+                              .least_interval = instance_watch_interval},
                           instance_handlers());
 }
 
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -20,7 +20,7 @@
   std::string kind;
   /// How long one watching call waits. An answer that is lost on its way is
   /// noticed at the end of the call, or by a hint from elsewhere.
-  duration_ms wait{20000};
+  duration_ms wait{28000};
   /// A hint counts when the watch has not caught up with it for this long.
   duration_ms hint_patience{400};
   duration_ms hint_check{200};
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -248,6 +248,8 @@
   struct progress {
     std::uint64_t next = 1;
     std::uint64_t match = 0;
+    /// Where the peer's log ends, as its last refusal told.
+    std::optional<std::uint64_t> told;
     timestamp last_heard{};
     timestamp snapshot_sent{};
     bool snapshot_pending = false;
@@ -295,6 +297,8 @@
   void append(wire::LogEntry entry);
   void truncate_after(std::uint64_t index);
   void refresh_voters();
+  /// The first entry that a peer may lack, when nothing is under way to it.
+  [[nodiscard]] std::uint64_t first_unsent(const progress &state) const;
   void replicate(timestamp now, outbox &out);
   void replicate_to(const replica_id &peer, timestamp now, outbox &out);
   void advance_commit(timestamp now);
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -133,8 +133,8 @@
   state.probing = !reply.success();
   state.entries_sent.reset();
   if (!reply.success()) {
-    state.next =
-        std::max(state.match, std::min(reply.match_index(), last())) + 1;
+    state.told = std::min(reply.match_index(), last());
+    state.next = std::max(state.match, *state.told) + 1;
     // Entries that were under way with a snapshot are refused until it is
     // there; that is no reason to send it again.
     state.snapshot_pending =
@@ -191,13 +191,23 @@
   const bool under_way = state.entries_sent.has_value() &&
                          now < *state.entries_sent + options_.resend_after;
   if (state.match < last() && !moves && !under_way) {
-    state.next = state.match + 1; // whatever was under way may be lost
+    state.next = first_unsent(state); // whatever was under way may be lost
     state.probing = true;
     state.entries_sent.reset();
     replicate_to(follower, now, out);
   }
 }
 
+std::uint64_t consensus::first_unsent(const progress &state) const {
+  const bool asks = options_.probe_interval.count() > 0 && state.match == 0;
+  if (!asks) {
+    return state.match + 1;
+  }
+  // A follower that has acknowledged nothing yet need not lack everything: it
+  // is asked at the log's end, and its refusal tells where its own ends.
+  return state.told.has_value() ? *state.told + 1 : last();
+}
+
 bool consensus::handle(const wire::SnapshotRequest &request, timestamp now,
                        std::uint64_t random, outbox &out) {
   const replica_id sender = from_wire(request.leader());
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -173,6 +173,7 @@
   CPPUNIT_TEST(removal_from_four_waits_for_a_majority_of_the_four);
   CPPUNIT_TEST(a_dead_voter_is_removed_without_its_acknowledgement);
   CPPUNIT_TEST(old_acknowledgements_bring_no_second_snapshot);
+  CPPUNIT_TEST(a_follower_that_starts_late_needs_no_snapshot);
   CPPUNIT_TEST(a_backlog_is_sent_a_bounded_message_at_a_time);
   CPPUNIT_TEST_SUITE_END();
 
@@ -431,6 +432,32 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, snapshots);
   }
 
+  void a_follower_that_starts_late_needs_no_snapshot() {
+    // It was not there when the leader began, answers a heartbeat first, and
+    // holds the whole log but for its end.
+    options settings;
+    settings.probe_interval = duration_ms{50};
+    constexpr std::uint64_t dropped = 100;
+    consensus leader =
+        restored({replica(1), replica(2), replica(3)}, settings, dropped);
+    const timestamp begun = elect(leader);
+    const timestamp now = begun + duration_ms{800};
+    outbox out;
+    wire::HeartbeatReply beat;
+    beat.set_term(leader.term().value());
+    leader.handle(replica(3), beat, now, out);
+    CPPUNIT_ASSERT(out.snapshots_wanted.empty());
+    wire::AppendReply refusal;
+    refusal.set_term(leader.term().value());
+    refusal.set_match_index(leader.last_index().value() - 1);
+    *refusal.mutable_follower() = to_wire(replica(3));
+    out = {};
+    leader.handle(refusal, now + duration_ms{60}, out);
+    CPPUNIT_ASSERT(out.snapshots_wanted.empty());
+    CPPUNIT_ASSERT_EQUAL(
+        1, out.messages.at(0).envelope.append_request().entries_size());
+  }
+
   void a_backlog_is_sent_a_bounded_message_at_a_time() {
     options settings;
     settings.bytes_per_append = 4000;
