Let nodes without a part in a partition keep to its leader

A storage node that no leader sends to said hello to all others every 300 ms, was sent the whole member list by each, and asked the object store for it every second. Since partitions have no spares, each node is such a one for some partition. Whoever answers a hello tells who leads; from then on only the leader is greeted, twice a second. Members are told to those that know others. A node that is told who leads is in touch and asks the store for nothing. Test. record_group_test, a_node_without_a_part_keeps_to_the_leader.

--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -258,6 +258,7 @@
   role_ = role::candidate;
   leader_.reset();
   pre_vote_round_ = pre_vote;
+  stood_on_request_ = transfer;
   votes_ = {self_};
   reset_election_deadline(now, random);
   if (!pre_vote) {
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -206,6 +206,10 @@
   /// True once an entry of the leader's own term is committed: only then does
   /// the leader know every entry that its predecessors committed.
   [[nodiscard]] bool established() const;
+  /// True when the leader of the term before handed this replica the lead.
+  [[nodiscard]] bool was_handed_the_lead() const {
+    return role_ == role::leader && stood_on_request_;
+  }
   /// True when a majority answered within an election's time. A leader that
   /// stood still fails this on waking, before it has heard that it was deposed.
   [[nodiscard]] bool in_contact(timestamp now) const {
@@ -340,6 +344,8 @@
   bool base_is_unsaved_ = false;
 
   bool pre_vote_round_ = false;
+  /// The last election was asked for by the leader of that time.
+  bool stood_on_request_ = false;
   std::set<replica_id> votes_;
   timestamp election_deadline_{};
   timestamp next_heartbeat_{};
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -13,6 +13,8 @@
 constexpr partition_id the_partition{};
 /// Without word from a leader for this long a node looks for its group.
 constexpr duration_ms lost_after{1000};
+/// What another node told of the leader counts this long.
+constexpr duration_ms told_for{2000};
 /// Learners that are no longer heard from are dropped after this long.
 constexpr duration_ms drop_learner_after{3000};
 /// Two identities of one node: the one that has been silent for the first of
@@ -182,6 +184,8 @@
     on_hello(envelope.record_hello(), now);
     break;
   case wire::Envelope::kRecordMembers:
+    told_leader_ = envelope.record_members().leader_address();
+    leader_told_ = now;
     for (const auto &each : envelope.record_members().members()) {
       learn(each, timestamp{});
     }
@@ -273,7 +277,12 @@
 void record_node::on_hello(const wire::RecordHello &hello, timestamp now) {
   learn(hello.self(), now);
   wire::Envelope envelope;
-  *envelope.mutable_record_members() = members();
+  wire::RecordMembers &answer = *envelope.mutable_record_members();
+  const wire::RecordMembers known = members();
+  if (hash_of(known) != hello.members_hash()) {
+    answer = known;
+  }
+  answer.set_leader_address(leader_address());
   send(hello.self().address(), std::move(envelope));
 }
 
@@ -445,16 +454,27 @@
   if (served || now < next_hello_) {
     return;
   }
-  next_hello_ = now + options_.hello_interval;
+  const bool told = !told_leader_.empty() && now < leader_told_ + told_for;
+  next_hello_ =
+      now + (told ? options_.idle_hello_interval : options_.hello_interval);
+  wire::RecordHello hello;
+  *hello.mutable_self() = self_;
+  hello.set_members_hash(hash_of(members()));
   for (const auto &[id, known] : members_) {
-    if (id != self_id_) {
+    const std::string &address = known.record.address();
+    if (id != self_id_ && (!told || address == told_leader_)) {
       wire::Envelope envelope;
-      *envelope.mutable_record_hello()->mutable_self() = self_;
-      send(known.record.address(), std::move(envelope));
+      *envelope.mutable_record_hello() = hello;
+      send(address, std::move(envelope));
     }
   }
 }
 
+bool record_node::in_touch(timestamp now) const {
+  const bool told = !told_leader_.empty() && now < leader_told_ + told_for;
+  return log_->is_leader() || log_->leader().has_value() || told;
+}
+
 std::vector<node_view> record_node::view(timestamp now) const {
   std::vector<node_view> nodes;
   const std::map<node_id, std::uint64_t> preferred = preferences();
@@ -533,9 +553,11 @@
 }
 
 void record_node::yield_lead(timestamp now) {
+  const duration_ms kept = log_->was_handed_the_lead()
+                               ? options_.keep_handed_lead
+                               : options_.yield_after;
   const bool due = options_.partitions > 1 && log_->established() &&
-                   now >= leading_since_ + options_.yield_after &&
-                   now >= next_yield_;
+                   now >= leading_since_ + kept && now >= next_yield_;
   if (!due) {
     return;
   }
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -51,11 +51,17 @@
   duration_ms join_interval{0};
   /// A leader leaves the lead to the preferred voter after this long.
   duration_ms yield_after{2000};
+  /// One that was handed the lead keeps it for this long: nodes that know other
+  /// members prefer other leaders, and would hand it to and fro.
+  duration_ms keep_handed_lead{20000};
   /// A node not heard from for this long is not counted as alive.
   duration_ms alive_for{800};
   /// A voter silent for this long gives way to a spare node.
   duration_ms replace_after{1500};
   duration_ms hello_interval{300};
+  /// A node that is told who leads, but is not sent to, says hello to the
+  /// leader alone, this often: he may need it one day.
+  duration_ms idle_hello_interval{500};
   /// A new leader looks for spare nodes only after this long, so that those
   /// which are coming back with their disks are not taken for lost.
   duration_ms recruit_after{0};
@@ -123,6 +129,8 @@
   [[nodiscard]] bool is_leader() const {
     return log_.has_value() && log_->is_leader();
   }
+  /// True while this node leads, follows, or has been told lately who leads.
+  [[nodiscard]] bool in_touch(timestamp now) const;
   [[nodiscard]] const record_table &table() const { return table_; }
   [[nodiscard]] const raft::consensus *log() const {
     return log_ ? &*log_ : nullptr;
@@ -213,6 +221,10 @@
   bool was_leader_ = false;
   timestamp next_hello_{};
   timestamp leader_heard_{};
+  /// The leader's address as another node told it; of a node that the leader
+  /// does not send to.
+  std::string told_leader_;
+  timestamp leader_told_{};
   timestamp leading_since_{};
   timestamp next_yield_{};
   /// To whom the lead is being handed, and until when that is tried.
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -113,9 +113,8 @@
 
 bool record_runtime::in_touch() const {
   return std::all_of(partitions_.begin(), partitions_.end(),
-                     [](const partition &each) {
-                       const raft::consensus *log = each.node->log();
-                       return log->is_leader() || log->leader().has_value();
+                     [now = steady_now()](const partition &each) {
+                       return each.node->in_touch(now);
                      });
 }
 
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -45,7 +45,7 @@
   result<void> start(const std::string &address);
 
   [[nodiscard]] const wire::RecordMember &self() const;
-  /// True when each partition leads or knows its leader.
+  /// True when it is known of each partition who leads it.
   [[nodiscard]] bool in_touch() const;
   /// True when this node has a part in the group, of any partition.
   [[nodiscard]] bool has_group() const;
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -314,7 +314,12 @@
     three.deliver(replica(leader), out);
     three.run(duration_ms{100});
     CPPUNIT_ASSERT(three.at(wanted).is_leader());
+    CPPUNIT_ASSERT(three.at(wanted).was_handed_the_lead());
     CPPUNIT_ASSERT(!three.at(leader).is_leader());
+    // Whoever is elected after a silence was handed nothing.
+    three.isolated.insert(wanted);
+    three.run(duration_ms{6000});
+    CPPUNIT_ASSERT(!three.at(*three.leader()).was_handed_the_lead());
   }
 
   void a_follower_that_forgot_is_not_flooded() {
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(a_question_asked_again_is_recorded_once);
   CPPUNIT_TEST(the_lead_is_handed_over_while_questions_come);
   CPPUNIT_TEST(a_voter_that_is_back_soon_is_not_replaced);
+  CPPUNIT_TEST(a_node_without_a_part_keeps_to_the_leader);
   CPPUNIT_TEST_SUITE_END();
 
   static void found_with(record_group &group,
@@ -450,6 +451,32 @@
     }
   }
 
+  void a_node_without_a_part_keeps_to_the_leader() {
+    // Three of eight nodes have no part in this partition.
+    record_group group(44, records::group_size::bearing(2, 4), 0, 4);
+    found_with(group, {"a", "b", "c", "d", "e", "f", "g", "h"});
+    group.run(4000ms);
+    const std::size_t before = group.hellos();
+    group.run(3000ms);
+    CPPUNIT_ASSERT(group.hellos() > before);
+    CPPUNIT_ASSERT(group.hellos() - before <= 3 * 6);
+    for (const std::string &name : group.names()) {
+      CPPUNIT_ASSERT(group.at(name).in_touch(group.now()));
+    }
+    // It is found all the same when a voter is lost for good.
+    const std::string lead = group.leader();
+    const std::set<std::string> voters = group.voters();
+    for (const std::string &name : voters) {
+      if (name != lead) {
+        group.kill(name);
+        break;
+      }
+    }
+    group.run(8000ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, group.voters().size());
+    CPPUNIT_ASSERT(group.voters() != voters);
+  }
+
   void a_voter_that_is_back_soon_is_not_replaced() {
     record_group group(43, records::group_size::bearing(2, 4), 0, 4);
     group.options().replace_after = 3000ms;
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -237,6 +237,8 @@
     const auto found = largest_to_.find(name);
     return found == largest_to_.end() ? 0 : found->second;
   }
+  /// How often nodes have said hello to one another.
+  [[nodiscard]] std::size_t hellos() const { return hellos_; }
   /// How often the nodes have logged an event.
   [[nodiscard]] std::size_t logged(logging::event number) const {
     const auto found = logged_.find(number);
@@ -291,6 +293,7 @@
     for (records::addressed_message &message : messages) {
       const std::size_t bytes = message.envelope.ByteSizeLong();
       bytes_to_[message.address] += bytes;
+      hellos_ += message.envelope.has_record_hello() ? 1 : 0;
       std::size_t &largest = largest_to_[message.address];
       largest = std::max(largest, bytes);
       const auto found = slow_.find(message.address);
@@ -378,6 +381,7 @@
   std::size_t undeliverable_bytes_ = 0;
   std::map<std::string, std::size_t> bytes_to_;
   std::map<std::string, std::size_t> largest_to_;
+  std::size_t hellos_ = 0;
   std::map<logging::event, std::size_t> logged_;
 };
 
