--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -118,11 +118,11 @@
       io, *binding.store, sources_, cache_,
       objects::watch_options{.kind = binding.configuration_kind},
       configuration_handlers());
-  instance_watch_.emplace(io, *binding.store, sources_, cache_,
-                          objects::watch_options{
-                              .kind = binding.instance_kind,
-                              .least_interval = instance_watch_interval},
-                          instance_handlers());
+  instance_watch_.emplace(
+      io, *binding.store, sources_, cache_,
+      objects::watch_options{.kind = binding.instance_kind,
+                             .least_interval = instance_watch_interval},
+      instance_handlers());
 }
 
 void gateway_process::send(const std::string &address,
