Apply at most 64 committed entries a step

A step applies 64 entries; the rest follows in steps behind whatever has arrived meanwhile. Test. record_group_test, a_node_that_is_back_leads_before_it_has_applied_all.

--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -196,7 +197,11 @@
   bool transfer_leadership(const std::set<replica_id> &eligible, outbox &out);
 
   /// Entries committed since the last call, in order.
-  std::vector<wire::LogEntry> take_committed();
+  /// @param most no more than so many at once; the rest with the next call.
+  std::vector<wire::LogEntry>
+  take_committed(std::size_t most = std::numeric_limits<std::size_t>::max());
+  /// True when committed entries wait to be taken.
+  [[nodiscard]] bool has_committed() const { return applied_ < commit_; }
 
   /// The header of a snapshot of the applied state; the caller adds the state.
   [[nodiscard]] wire::SnapshotRequest snapshot_header() const;
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -315,9 +315,9 @@
   return std::nullopt;
 }
 
-std::vector<wire::LogEntry> consensus::take_committed() {
+std::vector<wire::LogEntry> consensus::take_committed(std::size_t most) {
   std::vector<wire::LogEntry> entries;
-  while (applied_ < commit_) {
+  while (applied_ < commit_ && entries.size() < most) {
     ++applied_;
     entries.push_back(entry(applied_));
   }
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -141,7 +141,8 @@
 
 record_effects record_node::after_write(timestamp now) {
   record_effects effects;
-  for (const wire::LogEntry &entry : log_->take_committed()) {
+  for (const wire::LogEntry &entry :
+       log_->take_committed(options_.entries_per_step)) {
     if (entry.has_replicas()) {
       note(logging::event::replica_set_changed,
            fmt::format("index {} voters {}", entry.index(),
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -40,6 +40,9 @@
                      .probe_interval = duration_ms{50},
                      .resend_after = duration_ms{600},
                      .unacknowledged_entries = 256};
+  /// Committed entries that one step applies at the most: a node that is back
+  /// has its whole log to apply, and must speak to the others meanwhile.
+  std::size_t entries_per_step = 64;
   snapshot_transfer_options snapshots;
   group_size size;
   /// Which partition of the record group this is. Where there are several, the
@@ -121,6 +124,8 @@
   /// Goes on when the write is durable: applies what is committed.
   record_effects after_write(timestamp now);
 
+  /// True when committed entries wait to be applied by another step.
+  [[nodiscard]] bool has_more_to_apply() const { return log_->has_committed(); }
   /// When questions that wait to be joined are to be proposed by a step.
   [[nodiscard]] std::optional<timestamp> joined_due() const;
 
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -274,11 +274,26 @@
         .write();
   }
   arm_joined(number);
+  if (stepped.node->has_more_to_apply()) {
+    go_on_applying(number);
+  }
   if (stepped.disk->log_bytes() > compact_above_bytes) {
     compact(stepped);
   }
 }
 
+void record_runtime::go_on_applying(std::size_t number) {
+  partition &behind = partitions_[number];
+  if (std::exchange(behind.applying, true)) {
+    return;
+  }
+  // Behind whatever has arrived meanwhile, so that others are answered.
+  asio::post(io_, [this, number] {
+    partitions_[number].applying = false;
+    step(number);
+  });
+}
+
 void record_runtime::write(partition &written, const record_effects &effects) {
   const auto begun = std::chrono::steady_clock::now();
   result<void> done = BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -75,6 +75,8 @@
     timestamp told_at{};
     std::unique_ptr<asio::steady_timer> joined;
     bool joined_armed = false;
+    /// Another step is posted, to apply what the last one left.
+    bool applying = false;
   };
 
   void on_message(wire::Envelope envelope);
@@ -83,6 +85,8 @@
   /// Steps again when questions that wait to be joined are due.
   void arm_joined(std::size_t number);
   void step(std::size_t number);
+  /// Steps again soon for entries that one step left unapplied.
+  void go_on_applying(std::size_t number);
   void send(std::size_t number, std::vector<addressed_message> &messages);
   void write(partition &written, const record_effects &effects);
   void compact(partition &compacted);
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(the_lead_is_handed_over_while_questions_come);
   CPPUNIT_TEST(a_voter_that_is_back_soon_is_not_replaced);
   CPPUNIT_TEST(a_node_without_a_part_keeps_to_the_leader);
+  CPPUNIT_TEST(a_node_that_is_back_leads_before_it_has_applied_all);
   CPPUNIT_TEST_SUITE_END();
 
   static void found_with(record_group &group,
@@ -477,6 +478,33 @@
     CPPUNIT_ASSERT(group.voters() != voters);
   }
 
+  void a_node_that_is_back_leads_before_it_has_applied_all() {
+    // All lose power; whoever leads then has the whole log to apply, and must
+    // not keep silent over that.
+    record_group group(45);
+    group.options().entries_per_step = 4;
+    found_with(group, {"a", "b", "c"});
+    for (int turn = 0; turn < 60; ++turn) {
+      group.keep_turn(fmt::format("t{}", turn));
+      group.run(210ms); // an entry each
+    }
+    for (const char *name : {"a", "b", "c"}) {
+      group.kill(name);
+    }
+    for (const char *name : {"a", "b", "c"}) {
+      group.start(name);
+    }
+    while (group.leader().empty()) {
+      group.run(5ms);
+    }
+    const std::string lead = group.leader();
+    CPPUNIT_ASSERT(group.at(lead).has_more_to_apply());
+    group.run(4000ms);
+    CPPUNIT_ASSERT_EQUAL(lead, group.leader());
+    CPPUNIT_ASSERT(!group.at(lead).has_more_to_apply());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{60}, group.at(lead).table().turns());
+  }
+
   void a_voter_that_is_back_soon_is_not_replaced() {
     record_group group(43, records::group_size::bearing(2, 4), 0, 4);
     group.options().replace_after = 3000ms;
