Let a group whose voters changed come back from its disks

Cause: after a restart a replica's commit index begins where its log begins, so a change of voters long in force counted as under way, and commits had to be held by a majority of the voters before it. Where one of these was dead, or gone, nothing was committed again: the proof of its death was in memory only, and detect_dead looked at listed members, from which a dead one is struck. Ruled out: logs that differ (the leader's term and last entry were accepted by the other) and elections (term 3 was won at once). Change: hard_state keeps the last change of voters known to be committed; dead identities are looked for among the voters that the log counts, too.

--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -25,6 +25,7 @@
     log_.push_back(std::move(each));
   }
   saved_through_ = last();
+  commit_ = std::max(commit_, std::min(saved_hard_.settled_voters, last()));
   refresh_voters();
   reset_election_deadline(now, random);
   const duration_ms early = options_.restart_election_timeout;
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -85,6 +85,10 @@
 struct hard_state {
   std::uint64_t term = 0;
   std::optional<replica_id> voted_for;
+  /// The last change of voters that was known to be committed, as the index of
+  /// its entry. Without it a replica that returns would take a change that is
+  /// long in force for one under way, and wait for voters that are gone.
+  std::uint64_t settled_voters = 0;
   bool operator==(const hard_state &) const = default;
 };
 
@@ -227,6 +231,9 @@
   [[nodiscard]] const std::vector<replica_id> &voters() const {
     return voters_;
   }
+  /// The voters whose acknowledgements count: of the present set, and while a
+  /// change is under way of the set before it.
+  [[nodiscard]] std::vector<replica_id> counted_voters() const;
   [[nodiscard]] std::optional<replica_id> leader() const { return leader_; }
   [[nodiscard]] bool is_voter(const replica_id &replica) const;
   [[nodiscard]] bool is_learner(const replica_id &replica) const {
@@ -282,8 +289,6 @@
   [[nodiscard]] const wire::LogEntry &entry(std::uint64_t index) const;
   [[nodiscard]] std::size_t majority() const { return voters_.size() / 2 + 1; }
   [[nodiscard]] std::size_t election_quorum() const;
-  /// False while a change of two voters to three is under way and one of the
-  /// two does not hold the log up to `index`.
   /// The last index that may be committed by counting; with a change of voters
   /// under way a majority of the old and one of the new ones hold it.
   [[nodiscard]] std::uint64_t held_by_majorities() const;
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -472,10 +472,20 @@
   }
 }
 
+std::vector<replica_id> consensus::counted_voters() const {
+  std::vector<replica_id> counted = voters_;
+  if (change_in_progress()) {
+    std::copy_if(previous_voters_.begin(), previous_voters_.end(),
+                 std::back_inserter(counted), [this](const auto &voter) {
+                   return !contains(voters_, voter);
+                 });
+  }
+  return counted;
+}
+
 std::uint64_t consensus::held_by_majorities() const {
   const std::uint64_t held = held_by_majority(voters_, {});
-  const bool changing = voters_index_ > commit_;
-  if (!changing) {
+  if (!change_in_progress()) {
     return held;
   }
   // Where voters are dead, an election among the old voters needs only enough
@@ -501,7 +511,11 @@
 
 unsaved_changes consensus::take_unsaved() {
   unsaved_changes changes;
-  const hard_state hard{.term = term_, .voted_for = voted_for_};
+  const std::uint64_t settled = change_in_progress() ? 0 : voters_index_;
+  const hard_state hard{
+      .term = term_,
+      .voted_for = voted_for_,
+      .settled_voters = std::max(saved_hard_.settled_voters, settled)};
   if (!(hard == saved_hard_)) {
     changes.hard = hard;
     saved_hard_ = hard;
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -54,7 +54,8 @@
                          storage::recovered_state recovered,
                          record_node_options options, timestamp now,
                          std::uint64_t random)
-    : self_(std::move(self)), options_(options), sender_(options.snapshots) {
+    : self_(std::move(self)), options_(options), sender_(options.snapshots),
+      started_(now) {
   self_id_ = {make_node_id(self_.name()), recovered.identity};
   *self_.mutable_replica() = to_wire(self_id_);
   table_.restore(recovered.snapshot);
@@ -612,20 +613,31 @@
              now < state.heard + successor_heard_within;
     });
   };
-  std::vector<replica_id> gone;
+  // The voters too: a node that restarts no longer lists as a member whom it
+  // declared dead before, but its log may still count him.
+  std::set<replica_id> candidates;
   for (const auto &[id, known] : members_) {
-    const bool silent = now >= known.heard + dead_after_silence;
-    if (id != self_id_ && silent && has_successor(id)) {
-      gone.push_back(id);
-    }
+    candidates.insert(id);
   }
-  for (const replica_id &id : gone) {
-    log_->declare_dead(id);
-    members_.erase(id);
-    members_changed_ = true;
+  for (const replica_id &voter : log_->counted_voters()) {
+    candidates.insert(voter);
+  }
+  for (const replica_id &id : candidates) {
+    const bool silent = now >= last_heard(id) + dead_after_silence;
+    const bool gone = id != self_id_ && !log_->is_dead(id) && silent &&
+                      has_successor(id);
+    if (gone) {
+      log_->declare_dead(id);
+      members_changed_ = members_.erase(id) > 0 || members_changed_;
+    }
   }
 }
 
+timestamp record_node::last_heard(const replica_id &id) const {
+  const auto known = members_.find(id);
+  return known == members_.end() ? started_ : known->second.heard;
+}
+
 void record_node::carry_out(const group_change &change, timestamp now,
                             raft::outbox &out) {
   std::vector<replica_id> voters = log_->voters();
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -195,6 +195,9 @@
   void follow_leadership(timestamp now);
   /// Declares identities dead whose node speaks under another one.
   void detect_dead(timestamp now);
+  /// When an identity was last heard; of one that is in the log's voters only,
+  /// since before this process began.
+  [[nodiscard]] timestamp last_heard(const replica_id &id) const;
   /// Drops members that are gone for good, so that nobody asks them any more.
   void forget_gone(timestamp now);
   [[nodiscard]] std::string address_of(const replica_id &replica) const;
@@ -224,6 +227,7 @@
   snapshot_sender sender_;
   snapshot_receiver receiver_;
   bool was_leader_ = false;
+  timestamp started_;
   timestamp next_hello_{};
   timestamp leader_heard_{};
   /// The leader's address as another node told it; of a node that the leader
--- a/src/storage/log_storage.cpp
+++ b/src/storage/log_storage.cpp
@@ -36,10 +36,12 @@
 constexpr std::string_view key_snapshot = "snapshot";
 constexpr std::string_view key_members = "members";
 
-/// Hard state and base travel as messages that exist for the wire.
+/// Hard state and base are kept as messages that exist for the wire. Of the
+/// hard state, the last index is that of the last settled change of voters.
 std::string encode(const raft::hard_state &hard) {
   wire::VoteRequest message;
   message.set_term(hard.term);
+  message.set_last_index(hard.settled_voters);
   if (hard.voted_for) {
     *message.mutable_candidate() = to_wire(*hard.voted_for);
   }
@@ -62,6 +64,7 @@
     return false;
   }
   hard.term = message.term();
+  hard.settled_voters = message.last_index();
   if (message.has_candidate()) {
     hard.voted_for = from_wire(message.candidate());
   }
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -40,6 +40,11 @@
   CPPUNIT_TEST(a_voter_that_is_back_soon_is_not_replaced);
   CPPUNIT_TEST(a_node_without_a_part_keeps_to_the_leader);
   CPPUNIT_TEST(a_node_that_is_back_leads_before_it_has_applied_all);
+  CPPUNIT_TEST(of_two_one_is_replaced_and_all_restart);
+  CPPUNIT_TEST(all_restart_at_any_step_of_a_replacement);
+  CPPUNIT_TEST(all_restart_at_any_step_of_a_removal);
+  CPPUNIT_TEST(a_change_that_was_committed_needs_no_old_voter_after_a_restart);
+  CPPUNIT_TEST(random_changes_of_voters_and_restarts_lose_nothing);
   CPPUNIT_TEST_SUITE_END();
 
   static void found_with(record_group &group,
@@ -505,6 +510,157 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{60}, group.at(lead).table().turns());
   }
 
+  static void restart(record_group &group,
+                      const std::vector<std::string> &names) {
+    for (const std::string &name : names) {
+      group.kill(name);
+    }
+    group.run(500ms);
+    for (const std::string &name : names) {
+      group.start(name);
+    }
+  }
+
+  /// Two voters of three remain, and the third machine is taken away.
+  static std::vector<std::string> shrink_to_two(record_group &group) {
+    found_with(group, {"a", "b", "c"});
+    const std::string retired = group.leader() == "c" ? "b" : "c";
+    group.retire(retired);
+    group.run(1000ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, group.voters().size());
+    group.kill(retired);
+    std::vector<std::string> left{"a", "b", "c"};
+    std::erase(left, retired);
+    return left;
+  }
+
+  void of_two_one_is_replaced_and_all_restart() {
+    // Played on the bench: nothing was granted again to the end of the day. The
+    // leader that had returned with its disk counted the old voters, one of
+    // them dead, for a change that had long been committed.
+    for (std::size_t wiped = 0; wiped < 2; ++wiped) {
+      record_group group(60 + wiped);
+      const std::vector<std::string> left = shrink_to_two(group);
+      keep(group, "t", 10, 500ms);
+      group.wipe(left[wiped]);
+      group.run(1000ms);
+      group.start(left[wiped]);
+      group.run(3000ms);
+      keep(group, "u", 10, 500ms);
+      restart(group, left);
+      group.run(3000ms);
+      keep(group, "v", 3, 500ms);
+      check_kept(group, "t", 10);
+      check_kept(group, "u", 10);
+    }
+  }
+
+  void all_restart_at_any_step_of_a_replacement() {
+    // What is on the disks differs from step to step: the dead identity still
+    // votes, its successor follows, the change is proposed, is committed.
+    for (std::size_t wiped = 0; wiped < 2; ++wiped) {
+      for (int step = 0; step < 100; ++step) {
+        record_group group(70 + wiped);
+        const std::vector<std::string> left = shrink_to_two(group);
+        keep(group, "t", 5, 500ms);
+        group.wipe(left[wiped]);
+        group.run(1000ms);
+        group.start(left[wiped]);
+        group.run(duration_ms{20 * step});
+        restart(group, left);
+        group.run(4000ms);
+        keep(group, fmt::format("step{}-", step), 2, 500ms);
+        check_kept(group, "t", 5);
+      }
+    }
+  }
+
+  void all_restart_at_any_step_of_a_removal() {
+    for (int step = 0; step < 60; ++step) {
+      record_group group(75);
+      found_with(group, {"a", "b", "c"});
+      keep(group, "t", 5, 500ms);
+      group.retire(group.leader() == "c" ? "b" : "c");
+      group.run(duration_ms{5 * step});
+      restart(group, {"a", "b", "c"});
+      group.run(4000ms);
+      keep(group, fmt::format("step{}-", step), 2, 500ms);
+      check_kept(group, "t", 5);
+    }
+  }
+
+  void a_change_that_was_committed_needs_no_old_voter_after_a_restart() {
+    // Two voters take a third one in. Then one of the two is gone for good, and
+    // the others restart before anybody takes its place.
+    record_group group(77);
+    found_with(group, {"a", "b"});
+    keep(group, "t", 5, 500ms);
+    group.add("c");
+    group.run(4000ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group.voters().size());
+    const std::string lost = group.leader() == "a" ? "b" : "a";
+    group.kill(lost);
+    restart(group, {lost == "a" ? "b" : "a", "c"});
+    group.run(4000ms);
+    keep(group, "u", 3, 500ms);
+    check_kept(group, "t", 5);
+  }
+
+  void random_changes_of_voters_and_restarts_lose_nothing() {
+    for (std::uint64_t seed = 700; seed < 740; ++seed) {
+      run_random_changes(seed);
+    }
+  }
+
+  /// Machines are retired, lose their disks, come back and are added; between
+  /// and during that one of the others, or all, restart with their disks.
+  static void run_random_changes(std::uint64_t seed) {
+    record_group group(seed);
+    found_with(group, {"a", "b", "c"});
+    const std::string message = fmt::format("seed {}", seed);
+    std::set<std::string> there{"a", "b", "c"};
+    std::vector<std::pair<std::uint64_t, std::string>> asked;
+    for (int round = 0; round < 8; ++round) {
+      for (int turn = 0; turn < 3; ++turn) {
+        const std::string id = fmt::format("r{}-{}", round, turn);
+        asked.emplace_back(group.keep_turn(id), id);
+      }
+      group.run(duration_ms{group.draw() % 40});
+      const std::vector<std::string> names(there.begin(), there.end());
+      const std::string victim = names[group.draw() % names.size()];
+      constexpr std::uint64_t kinds = 3;
+      const std::uint64_t kind = group.draw() % kinds;
+      if (kind == 0 && there.size() > 2) {
+        group.retire(victim);
+        group.run(duration_ms{2000});
+        CPPUNIT_ASSERT_MESSAGE(message, !group.voters().contains(victim));
+        group.kill(victim);
+        there.erase(victim);
+      } else if (kind == 1) {
+        const std::string added = fmt::format("n{}", round);
+        group.add(added);
+        there.insert(added);
+      } else {
+        group.wipe(victim);
+        group.run(duration_ms{700});
+        group.start(victim);
+      }
+      group.run(duration_ms{group.draw() % 2500});
+      const bool all = group.draw() % 2 == 0;
+      const std::vector<std::string> present(there.begin(), there.end());
+      restart(group, all ? present
+                         : std::vector{present[group.draw() % present.size()]});
+      group.run(duration_ms{4500});
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::size_t{0}, group.unanswered());
+    for (const auto &[id, turn] : asked) {
+      const auto read = group.begin_turn("reader", "read-" + turn, 0, 1, turn);
+      group.run(500ms);
+      CPPUNIT_ASSERT_MESSAGE(message + " turn " + turn,
+                             group.verdict(read) == wire::RECORD_GRANTED);
+    }
+  }
+
   void a_voter_that_is_back_soon_is_not_replaced() {
     record_group group(43, records::group_size::bearing(2, 4), 0, 4);
     group.options().replace_after = 3000ms;
--- a/tests/storage/log_storage_test.cpp
+++ b/tests/storage/log_storage_test.cpp
@@ -74,7 +74,9 @@
       const auto storage = open();
       raft::unsaved_changes changes;
       changes.hard = raft::hard_state{
-          .term = 5, .voted_for = replica_id{node_id{1}, boot_id{2}}};
+          .term = 5,
+          .voted_for = replica_id{node_id{1}, boot_id{2}},
+          .settled_voters = 17};
       const wire::LogEntry one = entry(1, 4);
       changes.entries = {&one};
       CPPUNIT_ASSERT(storage->write(changes, nullptr));
@@ -84,6 +86,8 @@
     }
     const auto state = open()->recover();
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, state.value().replica.hard.term);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{17},
+                         state.value().replica.hard.settled_voters);
     CPPUNIT_ASSERT(state.value().replica.hard.voted_for ==
                    (replica_id{node_id{1}, boot_id{2}}));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.value().replica.entries.size());
