Place turns by learnt costs, recorded places and shared loads

Engines there read 38 tokens a ms; the constants of the choice said 270, and 18 ms for a running request. 40 in 100 of the turns that go on from another come in at another gateway, which knew nothing of the conversation's memory (2,500 to 3,400 tokens read each), and a gateway knew of the load of engines only its own part, times a constant. Ruled out: grants (8 to 10 ms throughout), tools (their times do not change). Each mechanism can be switched off by policy.disabled.

--- a/src/balance/instance_choice.cpp
+++ b/src/balance/instance_choice.cpp
@@ -49,30 +49,34 @@
 
 } // namespace
 
-double engine_cost(const candidate &each, const engine_cost_options &options) {
-  const double running = each.in_flight * options.gateways_in_zone;
+double engine_cost(const candidate &each,
+                   const engine_choice_options &options) {
+  const engine_costs &costs = options.costs;
   const double slots = std::max<std::uint32_t>(each.slots, 1);
+  const double beside = std::min(each.running, slots);
   const double reading =
-      static_cast<double>(each.missing_tokens) / options.tokens_per_ms;
-  const double held_up = std::min(running, slots);
-  const double queued = std::max(running - slots + 1, 0.0);
-  const double work = reading * (1 + held_up) +
-                      options.slowdown_per_request * held_up +
-                      options.wait_per_queued * queued;
-  return work * each.slowdown + (each.same_zone ? 0 : options.leave_zone);
+      static_cast<double>(each.missing_tokens) * costs.ms_per_token;
+  // It waits for those that run, and they for it.
+  const double sharing = 2 * costs.ms_per_running * beside;
+  // With all slots taken, one frees itself each time a turn ends.
+  const double queued = std::max(each.running - slots + 1, 0.0);
+  const double queueing = queued * costs.turn_ms / slots;
+  const double work = reading * (1 + beside) + sharing + queueing;
+  const double leaving = options.zone_preference * costs.turn_ms;
+  return work * each.slowdown + each.wait_ms + (each.same_zone ? 0 : leaving);
 }
 
 double plain_cost(const candidate &each, bool is_home,
-                  const plain_cost_options &options) {
+                  const plain_choice_options &options) {
   const double slots = std::max<std::uint32_t>(each.slots, 1);
-  const double load = each.in_flight * options.gateways / slots * each.slowdown;
+  const double load = each.running / slots * each.slowdown;
   return load + (each.same_zone ? 0 : options.zone_preference) -
          (is_home ? options.home_preference : 0);
 }
 
 std::optional<std::size_t> choose_engine(std::span<const candidate> candidates,
                                          std::uint64_t random,
-                                         const engine_cost_options &options) {
+                                         const engine_choice_options &options) {
   return cheapest(candidates, random, [&](std::size_t index) {
     return engine_cost(candidates[index], options);
   });
@@ -80,7 +84,7 @@
 
 std::optional<std::size_t> choose_plain(std::span<const candidate> candidates,
                                         std::uint64_t random,
-                                        const plain_cost_options &options) {
+                                        const plain_choice_options &options) {
   const std::size_t home = home_of(candidates);
   return cheapest(candidates, random, [&](std::size_t index) {
     return plain_cost(candidates[index], index == home, options);
--- a/src/balance/prefix_view.hpp
+++ b/src/balance/prefix_view.hpp
@@ -13,7 +13,8 @@
 
 namespace heathtrestle::balance {
 
-/// A part of a prompt; equal ids have equal content.
+/// A part of a prompt. Of two parts with the same id the shorter is the
+/// beginning of the longer: a conversation grows under one id.
 struct prompt_part {
   std::uint64_t id = 0;
   std::uint64_t tokens = 0;
@@ -21,6 +22,10 @@
   bool operator==(const prompt_part &) const = default;
 };
 
+/// The first tokens of a prompt, so many at most.
+std::vector<prompt_part> beginning_of(const std::vector<prompt_part> &parts,
+                                      std::uint64_t tokens);
+
 class prefix_view {
 public:
   /// @param capacity tokens that are taken to be kept at most.
@@ -31,11 +36,19 @@
   missing_tokens(const std::vector<prompt_part> &parts) const;
 
   /// A request with this prompt was sent to the engine.
-  void record(const std::vector<prompt_part> &parts);
+  /// @param generated tokens that it made, which stay behind the last part.
+  void record(const std::vector<prompt_part> &parts,
+              std::uint64_t generated = 0);
+
+  /// The memory of the engine, as its service's configuration tells it.
+  void set_capacity(std::uint64_t capacity);
 
   [[nodiscard]] std::uint64_t tokens() const { return tokens_; }
 
 private:
+  void put(const prompt_part &part);
+  void shrink();
+
   using order = std::list<prompt_part>;
 
   std::uint64_t capacity_;
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -4,15 +4,32 @@
 #include "logging/log.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace heathtrestle::forwarding {
 
+namespace {
+
+/// Times are measured in whole milliseconds; none is taken for zero.
+constexpr double shortest_answer_ms = 0.5;
+/// What others told of their load counts this long: more than an election of
+/// the record group's leader takes, through whom it comes.
+constexpr duration_ms shared_loads_for{3000};
+
+std::uint32_t load_key(const routing::instance_id &id) {
+  return static_cast<std::uint32_t>(stable_hash(id.value()));
+}
+
+} // namespace
+
 gateway::gateway(asio::io_context &io, gateway_options options,
                  records::turn_ledger &ledger)
     : io_(io), options_(std::move(options)), ledger_(ledger),
-      pool_(io, options_.pool), turns_(options_.turn_cache_bytes) {}
+      pool_(io, options_.pool), turns_(options_.turn_cache_bytes) {
+  if (!options_.policies.patience) {
+    options_.plan.patience = 0;
+  }
+}
 
 gateway::~gateway() {
   for (client_session *session : sessions_) {
@@ -32,13 +49,31 @@
   metrics_.set_configuration_version(
       static_cast<double>(settings.version.value()));
   routes_ = std::make_shared<const routing::route_table>(std::move(settings));
+  for (const routing::instance_record &each : directory_.records()) {
+    set_engine_memory(each.service);
+  }
+}
+
+void gateway::set_engine_memory(const routing::service_id &service) {
+  const routing::service *known =
+      routes_ != nullptr ? routes_->find_service(service) : nullptr;
+  const bool told = known != nullptr && known->engine.has_value() &&
+                    known->engine->memory_tokens > 0;
+  if (!told) {
+    return;
+  }
+  for (const routing::instance_ptr &each : directory_.of(service)) {
+    each->prefixes.set_capacity(known->engine->memory_tokens);
+  }
 }
 
 void gateway::put_instance(routing::instance_record record) {
   const std::string id = record.id.value();
   const std::string service = record.service.value();
+  const routing::service_id service_id = record.service;
   const bool draining = record.draining;
   if (directory_.put(std::move(record))) {
+    set_engine_memory(service_id);
     logging::line(logging::event::instances_changed)
         .field("instance", id)
         .field("service", service)
@@ -72,12 +107,39 @@
   }
 }
 
-routing::instance_ptr gateway::choose(const routing::service_id &service,
-                                      const send_step &step,
-                                      const client_request &request) {
+balance::candidate gateway::candidate_of(const routing::instance &each,
+                                         const client_request &request,
+                                         timestamp now) const {
+  const policy_switches &policies = options_.policies;
+  const bool on_engine = !request.prompt.empty();
+  balance::candidate view;
+  view.running = on_engine ? running_at_engine(each) : running_at_plain(each);
+  view.slots = each.record.slots;
+  view.same_zone =
+      !policies.zone_preference || each.record.zone == options_.zone;
+  view.suspect = policies.avoidance && now < each.avoid_until;
+  if (policies.replica_speed) {
+    view.slowdown = each.speed.slowdown();
+  }
+  if (policies.engine_wait && on_engine) {
+    view.wait_ms = each.speed.wait_ms(now);
+  }
+  if (policies.prefix_view) {
+    view.missing_tokens = each.prefixes.missing_tokens(request.prompt);
+  }
+  if (policies.object_affinity && !request.object.empty()) {
+    view.affinity =
+        balance::rendezvous_weight(request.object, each.record.id.value());
+  }
+  return view;
+}
+
+placement gateway::choose(const routing::service_id &service,
+                          const send_step &step,
+                          const client_request &request) {
   const timestamp now = steady_now();
   std::vector<routing::instance_ptr> fitting;
-  double fastest = std::numeric_limits<double>::infinity();
+  std::vector<balance::candidate> candidates;
   for (const routing::instance_ptr &each : directory_.of(service)) {
     const routing::instance_id &id = each->record.id;
     const bool wanted = step.only.empty() || step.only.contains(id);
@@ -85,30 +147,77 @@
       continue;
     }
     fitting.push_back(each);
-    if (each->pace_ms > 0) {
-      fastest = std::min(fastest, each->pace_ms);
-    }
+    candidates.push_back(candidate_of(*each, request, now));
   }
-  std::vector<balance::candidate> candidates;
-  for (const routing::instance_ptr &each : fitting) {
-    const std::string &id = each->record.id.value();
-    const bool known = each->pace_ms > 0;
-    candidates.push_back(
-        {.in_flight = each->in_flight,
-         .slots = each->record.slots,
-         .same_zone = each->record.zone == options_.zone,
-         .suspect = now < each->avoid_until,
-         .slowdown = known ? each->pace_ms / fastest : 1,
-         .missing_tokens = each->prefixes.missing_tokens(request.prompt),
-         .affinity = request.object.empty()
-                         ? 0
-                         : balance::rendezvous_weight(request.object, id)});
+  balance::engine_choice_options engine_choice = options_.engine_choice;
+  if (!request.prompt.empty()) {
+    engine_choice.costs = engine_models_[service].costs();
   }
   const auto chosen =
       request.prompt.empty()
-          ? balance::choose_plain(candidates, random_(), options_.plain_cost)
-          : balance::choose_engine(candidates, random_(), options_.engine_cost);
-  return chosen ? fitting[*chosen] : nullptr;
+          ? balance::choose_plain(candidates, random_(), options_.plain_choice)
+          : balance::choose_engine(candidates, random_(), engine_choice);
+  if (!chosen) {
+    return {};
+  }
+  return {.target = fitting[*chosen],
+          .missing_tokens = candidates[*chosen].missing_tokens,
+          .running = candidates[*chosen].running};
+}
+
+void gateway::learn_place(const records::turn_place &place,
+                          const routing::service_id &service,
+                          const std::vector<balance::prompt_part> &prompt) {
+  if (!options_.policies.turn_places) {
+    return;
+  }
+  const auto &instances = directory_.of(service);
+  const auto found =
+      std::find_if(instances.begin(), instances.end(), [&](const auto &each) {
+        return each->record.id.value() == place.instance;
+      });
+  if (found != instances.end()) {
+    (*found)->prefixes.record(balance::beginning_of(prompt, place.tokens));
+  }
+}
+
+wire::ReplicaLoads gateway::engine_loads() const {
+  wire::ReplicaLoads loads;
+  for (const auto &[service, model] : engine_models_) {
+    for (const routing::instance_ptr &each : directory_.of(service)) {
+      if (each->in_flight > 0) {
+        loads.add_replicas(load_key(each->record.id));
+        loads.add_running(each->in_flight);
+      }
+    }
+  }
+  return loads;
+}
+
+void gateway::take_shared_loads(const wire::SharedLoads &shared) {
+  if (!options_.policies.shared_loads) {
+    return;
+  }
+  loads_taken_ = steady_now();
+  gateways_ = std::max(shared.gateways(), 1U);
+  others_running_.clear();
+  const wire::ReplicaLoads &others = shared.others();
+  const int listed = std::min(others.replicas_size(), others.running_size());
+  for (int place = 0; place < listed; ++place) {
+    others_running_[others.replicas(place)] = others.running(place);
+  }
+}
+
+double gateway::running_at_engine(const routing::instance &each) const {
+  const auto others = others_running_.find(load_key(each.record.id));
+  const bool told = others != others_running_.end() &&
+                    steady_now() < loads_taken_ + shared_loads_for;
+  return each.in_flight + (told ? others->second : 0);
+}
+
+double gateway::running_at_plain(const routing::instance &each) const {
+  // Gateways spread alike over the replicas of a plain service.
+  return static_cast<double>(each.in_flight) * gateways_;
 }
 
 void gateway::on_instance_failed(routing::instance &failed,
@@ -124,14 +233,40 @@
       .write();
 }
 
-void gateway::on_instance_answered(routing::instance &answered,
-                                   double pace_ms) {
-  constexpr double weight = 0.05;
+void gateway::on_instance_sound(routing::instance &answered) {
   answered.consecutive_failures = 0;
   answered.avoid_until = {};
-  answered.pace_ms = answered.pace_ms == 0
-                         ? pace_ms
-                         : (1 - weight) * answered.pace_ms + weight * pace_ms;
+}
+
+void gateway::on_answered(routing::instance &answered, const std::string &route,
+                          double elapsed_ms) {
+  // Answers of one route differ by their content: the mean of some fifty.
+  constexpr double weight = 0.02;
+  on_instance_sound(answered);
+  const double taken = std::max(elapsed_ms, shortest_answer_ms);
+  double &usual = answer_ms_.try_emplace(route, taken).first->second;
+  answered.speed.note_time(taken, usual);
+  usual += weight * (taken - usual);
+}
+
+void gateway::on_turn_answered(routing::instance &answered,
+                               const balance::turn_observation &turn,
+                               bool from_start) {
+  on_instance_sound(answered);
+  balance::engine_cost_model &model = engine_models_[answered.record.service];
+  if (turn.event_gap_ms > 0) {
+    answered.speed.note_time(turn.event_gap_ms,
+                             model.event_gap_ms(turn.running));
+  }
+  if (from_start) {
+    const double expected =
+        model.first_event_ms(turn.missing_tokens, turn.running);
+    answered.speed.note_first_event(turn.first_event_ms - expected,
+                                    steady_now());
+    if (options_.policies.learnt_costs) {
+      model.observe(turn);
+    }
+  }
 }
 
 void gateway::begin_drain() {
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -7,18 +7,22 @@
 #include "forwarding/client_request.hpp"
 #include "forwarding/gateway_metrics.hpp"
 #include "forwarding/header_names.hpp"
+#include "forwarding/policy_switches.hpp"
 #include "forwarding/upstream_pool.hpp"
 #include "records/turn_cache.hpp"
 #include "records/turn_ledger.hpp"
 #include "routing/instance_directory.hpp"
 #include "routing/route_table.hpp"
 #include "runtime/asio.hpp"
+#include "wire/messages.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 namespace heathtrestle::forwarding {
 
@@ -26,10 +30,11 @@
   std::string name;
   std::string zone;
   header_names headers;
+  policy_switches policies;
   pool_options pool;
   plan_limits plan;
-  balance::engine_cost_options engine_cost;
-  balance::plain_cost_options plain_cost;
+  balance::engine_choice_options engine_choice;
+  balance::plain_choice_options plain_choice;
   /// How long a replica that could not be reached is avoided.
   duration_ms avoid_for{1000};
   /// Time to read a body whose header is complete.
@@ -40,6 +45,16 @@
   std::size_t turn_cache_bytes = 32U << 20U;
 };
 
+/// The replica that a request goes to, and what was known of it then.
+struct placement {
+  /// Null when no replica fits.
+  routing::instance_ptr target;
+  /// Tokens of the prompt that it was taken to lack.
+  std::uint64_t missing_tokens = 0;
+  /// Requests that were taken to run there.
+  double running = 0;
+};
+
 class client_session;
 
 class gateway {
@@ -65,16 +80,31 @@
   void remove_instance(const routing::instance_id &id);
   void replace_instances(std::vector<routing::instance_record> records);
 
-  /// Chooses a replica of `service` for a request.
-  /// @return null when no replica fits the step.
-  [[nodiscard]] routing::instance_ptr choose(const routing::service_id &service,
-                                             const send_step &step,
-                                             const client_request &request);
+  /// Chooses a replica of `service` that fits the step.
+  [[nodiscard]] placement choose(const routing::service_id &service,
+                                 const send_step &step,
+                                 const client_request &request);
+
+  /// An engine of `service` keeps the beginning of a prompt, as the record of
+  /// an earlier turn tells.
+  void learn_place(const records::turn_place &place,
+                   const routing::service_id &service,
+                   const std::vector<balance::prompt_part> &prompt);
+
+  /// This gateway's requests at engines, to be told to the others.
+  [[nodiscard]] wire::ReplicaLoads engine_loads() const;
+  /// What the other gateways have told of theirs.
+  void take_shared_loads(const wire::SharedLoads &shared);
 
   /// The replica could not be reached or broke off.
   void on_instance_failed(routing::instance &failed, std::string_view reason);
-  /// @param pace_ms time for an event of a stream, or for a whole answer.
-  void on_instance_answered(routing::instance &answered, double pace_ms);
+  /// An answer that is no stream.
+  void on_answered(routing::instance &answered, const std::string &route,
+                   double elapsed_ms);
+  /// A stream that an engine has ended whole.
+  /// @param from_start false when it only went on from an earlier engine's.
+  void on_turn_answered(routing::instance &answered,
+                        const balance::turn_observation &turn, bool from_start);
 
   /// True once routes and replicas are known and until the drain begins.
   [[nodiscard]] bool ready() const {
@@ -109,6 +139,17 @@
   }
 
 private:
+  /// Requests that run at an engine, of all gateways as far as they tell.
+  [[nodiscard]] double running_at_engine(const routing::instance &each) const;
+  /// The same of a plain replica, for which nobody tells.
+  [[nodiscard]] double running_at_plain(const routing::instance &each) const;
+  /// A replica as the policies see it.
+  [[nodiscard]] balance::candidate candidate_of(const routing::instance &each,
+                                                const client_request &request,
+                                                timestamp now) const;
+  void on_instance_sound(routing::instance &answered);
+  void set_engine_memory(const routing::service_id &service);
+
   asio::io_context &io_;
   gateway_options options_;
   records::turn_ledger &ledger_;
@@ -118,6 +159,13 @@
   upstream_pool pool_;
   records::turn_cache turns_;
   gateway_metrics metrics_;
+  std::map<routing::service_id, balance::engine_cost_model> engine_models_;
+  /// Requests of the others at engines, by hash of the engine's id.
+  std::unordered_map<std::uint32_t, std::uint32_t> others_running_;
+  std::uint32_t gateways_ = 1;
+  timestamp loads_taken_{};
+  /// Smoothed time of an answer, by route, in milliseconds.
+  std::map<std::string, double> answer_ms_;
   std::minstd_rand random_{std::random_device{}()};
   std::set<client_session *> sessions_;
   std::size_t open_requests_ = 0;
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -91,6 +91,7 @@
   options.name = settings.name;
   options.zone = settings.zone;
   options.headers = binding.headers;
+  options.policies = policies_without(settings.disabled_policies);
   return options;
 }
 
@@ -139,6 +140,10 @@
     seen.set_instances(instance_watch_->newest_change());
     return seen;
   };
+  options.loads = [this] { return gateway_.engine_loads(); };
+  options.on_loads = [this](const wire::SharedLoads &shared) {
+    gateway_.take_shared_loads(shared);
+  };
   options.on_seen = [this](const wire::SeenRevisions &seen) {
     configuration_watch_->hint(seen.configuration());
     instance_watch_->hint(seen.instances());
--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/gateway_settings.hpp"
 
+#include "forwarding/policy_switches.hpp"
 #include "records/partitions.hpp"
 
 namespace heathtrestle::forwarding {
@@ -36,6 +37,9 @@
                  "the platform's object store", true);
   schema.real("timing.grace_seconds", settings.grace_seconds, 0, longest_grace,
               "seconds from a stop signal until the process is killed");
+  schema.choices("policy.disabled", settings.disabled_policies, policy_names(),
+                 "mechanisms of choice that are switched off, to measure what "
+                 "they are worth");
   schema.choice("log.level", settings.log_level,
                 {"debug", "info", "warning", "error"},
                 "least severity that is logged");
--- a/src/forwarding/gateway_settings.hpp
+++ b/src/forwarding/gateway_settings.hpp
@@ -25,6 +25,8 @@
   std::uint64_t partitions = 0;
   std::string store_address;
   double grace_seconds = 8;
+  /// Mechanisms of choice that are switched off, by name.
+  std::vector<std::string> disabled_policies;
   std::string log_level = "info";
   std::uint64_t log_lines = 200;
 };
--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -109,14 +109,16 @@
   }
 }
 
-asio::awaitable<bool> program_turn::keep(std::uint64_t used_tokens) {
+asio::awaitable<bool> program_turn::keep(std::uint64_t used_tokens,
+                                         records::turn_place place) {
   records::turn_end end{.program = turn_.program,
                         .attempt = request_.attempt_id,
                         .used = used_tokens,
                         .kept = {.id = request_.attempt_id,
                                  .previous = turn_.previous,
                                  .input = request_.message.body(),
-                                 .output = output_},
+                                 .output = output_,
+                                 .place = std::move(place)},
                         .keep = kept_for_};
   records::retained_turn copy = end.kept;
   granted_ = false; // settled by this, now or later
--- a/src/forwarding/program_turn.hpp
+++ b/src/forwarding/program_turn.hpp
@@ -35,9 +35,15 @@
 
   /// An event's data has reached the client.
   void add_output(std::string_view data);
+  /// Where the turn was answered that this one goes on from.
+  [[nodiscard]] const records::turn_place &previous_place() const {
+    return grant_.previous_place;
+  }
   /// Records the end durably. @return false when that is not confirmed in time;
   /// it goes on being tried.
-  asio::awaitable<bool> keep(std::uint64_t used_tokens);
+  /// @param place the engine that answered.
+  asio::awaitable<bool> keep(std::uint64_t used_tokens,
+                             records::turn_place place);
   /// Gives back what a granted turn that is not kept has left.
   void settle(std::uint64_t used_tokens);
 
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -202,6 +202,7 @@
   }
   if (verdict == records::turn_verdict::granted) {
     body_.insert(0, turn_->history());
+    gateway_.learn_place(turn_->previous_place(), service_, request_.prompt);
     co_return true;
   }
   turn_->log_refusal();
@@ -248,9 +249,9 @@
                       final->retry_after, final->reason);
     } else {
       const auto &send = std::get<send_step>(step);
-      const auto target = gateway_.choose(service_, send, request_);
-      if (target) {
-        co_await attempt(target);
+      placement_ = gateway_.choose(service_, send, request_);
+      if (placement_.target) {
+        co_await attempt(placement_.target);
       } else {
         forget_ended(send);
         plan_->on_no_candidate();
@@ -333,12 +334,11 @@
   head_at_ = steady_now();
   if (is_stream) {
     target.prefixes.record(request_.prompt);
-    const std::uint64_t before = events_passed_;
+    const bool from_start = events_passed_ == 0;
+    relayed_ = {};
     const attempt_end end = co_await relay_stream(*connection, *parser);
     if (!end) {
-      const auto events = static_cast<double>(events_passed_ - before);
-      gateway_.on_instance_answered(target, milliseconds_since(sent_at_) /
-                                                std::max(events, 1.0));
+      note_turn(target, from_start);
       recycle(target, std::move(connection), head, parser->keep_alive());
     }
     co_return end;
@@ -367,11 +367,30 @@
     last_failure_ = "an answer that cannot be passed on";
     co_return attempt_outcome::lost;
   }
-  gateway_.on_instance_answered(target, milliseconds_since(sent_at_));
+  gateway_.on_answered(target, route_->name, milliseconds_since(sent_at_));
   co_await pass_answer(head, std::move(body));
   co_return std::nullopt;
 }
 
+void request_exchange::note_turn(routing::instance &target, bool from_start) {
+  const auto events = static_cast<double>(relayed_.events);
+  if (relayed_.events == 0) {
+    return;
+  }
+  const auto span =
+      static_cast<double>((relayed_.last_at - relayed_.first_at).count());
+  target.prefixes.record(request_.prompt, used_tokens());
+  gateway_.on_turn_answered(
+      target,
+      {.missing_tokens = static_cast<double>(placement_.missing_tokens),
+       .running = placement_.running,
+       .first_event_ms =
+           static_cast<double>((relayed_.first_at - sent_at_).count()),
+       .event_gap_ms = events > 1 ? span / (events - 1) : 0,
+       .events = events},
+      from_start);
+}
+
 asio::awaitable<bool> request_exchange::send(const routing::instance &target,
                                              upstream_connection &connection) {
   const header_names &names = gateway_.options().headers;
@@ -417,7 +436,7 @@
   constexpr std::uint32_t on_time = 3;
   constexpr std::uint32_t late = 6;
   const bool is_late =
-      request_.program_deadline &&
+      gateway_.options().policies.late_priority && request_.program_deadline &&
       *request_.program_deadline <= steady_now() - request_.arrived;
   return is_late ? late : on_time;
 }
@@ -504,6 +523,7 @@
         connection.socket, connection.buffer, parser, as_result);
     const std::size_t filled = chunk.size() - parser.get().body().size;
     auto events = splitter.feed({chunk.data(), filled});
+    relayed_.note(events.size(), steady_now());
     if (!events.empty() && !co_await pass_on(std::move(events))) {
       last_failure_ = "the client has gone";
       co_return attempt_outcome::lost;
@@ -644,9 +664,17 @@
   co_return !failure;
 }
 
+records::turn_place request_exchange::place_of_memory() const {
+  std::uint64_t tokens = used_tokens();
+  for (const balance::prompt_part &part : request_.prompt) {
+    tokens += part.tokens;
+  }
+  return {.instance = last_instance_, .tokens = tokens};
+}
+
 asio::awaitable<bool> request_exchange::finish_stream() {
   const bool keeps = route_->retained && turn_ && turn_->granted();
-  if (keeps && !co_await turn_->keep(used_tokens())) {
+  if (keeps && !co_await turn_->keep(used_tokens(), place_of_memory())) {
     reason_ = "the turn could not be recorded in time";
     co_return false;
   }
@@ -699,6 +727,8 @@
       .field("previous", request_.previous_turn)
       .field("status", status_)
       .field("events", events_passed_)
+      .field("missing_tokens", placement_.missing_tokens)
+      .field("running", placement_.running)
       .field("reason", reason_)
       .field("client_left", client_gone_)
       .field("granted_ms",
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -36,6 +36,21 @@
   using response_parser = beast_http::response_parser<beast_http::buffer_body>;
   using response_head = beast_http::response_header<beast_http::fields>;
 
+  /// The events that one attempt has brought, and when.
+  struct relayed_events {
+    std::uint64_t events = 0;
+    timestamp first_at{};
+    timestamp last_at{};
+
+    void note(std::size_t count, timestamp now) {
+      if (count > 0) {
+        first_at = events == 0 ? now : first_at;
+        last_at = now;
+        events += count;
+      }
+    }
+  };
+
   /// How one attempt ended. Nothing means that the client has its answer.
   using attempt_end = std::optional<attempt_outcome>;
 
@@ -62,6 +77,8 @@
   /// Reads heads until the one of this request; surplus answers are dropped.
   asio::awaitable<bool> read_own_head(upstream_connection &connection,
                                       std::optional<response_parser> &parser);
+  /// Learns from a stream that the engine has ended whole.
+  void note_turn(routing::instance &target, bool from_start);
   /// The rank at an engine: 0 is the most urgent, 9 the least.
   [[nodiscard]] std::uint32_t engine_priority() const;
   [[nodiscard]] bool is_own(const response_head &head) const;
@@ -81,6 +98,8 @@
                                     std::string body);
   asio::awaitable<bool> start_stream(const response_head &head);
   asio::awaitable<bool> finish_stream();
+  /// The engine that answered, and what of the conversation it keeps.
+  [[nodiscard]] records::turn_place place_of_memory() const;
   template <typename Message>
   void copy_head(const response_head &head, Message &message) const;
   void log_end() const;
@@ -120,6 +139,10 @@
   std::string last_failure_;
   std::uint32_t attempts_ = 0;
 
+  /// Of the present attempt.
+  placement placement_;
+  relayed_events relayed_;
+
   /// When the parts of the way were behind it; the epoch for never.
   timestamp sent_at_{};
   timestamp head_at_{};
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -17,11 +17,16 @@
   return static_cast<std::uint64_t>(keep.count());
 }
 
+turn_place from_wire_place(const wire::TurnPlace &place) {
+  return {.instance = place.instance(), .tokens = place.tokens()};
+}
+
 retained_turn from_wire_turn(const wire::RecordTurn &turn) {
   return {.id = turn.id(),
           .previous = turn.previous(),
           .input = turn.input(),
-          .output = turn.output()};
+          .output = turn.output(),
+          .place = from_wire_place(turn.place())};
 }
 
 void fill(wire::RecordTurn &message, retained_turn turn) {
@@ -29,6 +34,10 @@
   message.set_previous(std::move(turn.previous));
   message.set_input(std::move(turn.input));
   message.set_output(std::move(turn.output));
+  if (!turn.place.instance.empty()) {
+    message.mutable_place()->set_instance(std::move(turn.place.instance));
+    message.mutable_place()->set_tokens(turn.place.tokens);
+  }
 }
 
 wire::RecordChange to_change(turn_end end) {
@@ -129,6 +138,7 @@
   grant.verdict = verdict_of(entry.reply.verdict());
   grant.spent = entry.reply.spent();
   grant.reserved = entry.reply.reserved();
+  grant.previous_place = from_wire_place(entry.reply.previous_place());
   for (const wire::RecordTurn &turn : entry.reply.history()) {
     grant.history.push_back(from_wire_turn(turn));
   }
@@ -226,6 +236,12 @@
   if (options_.seen) {
     *request.mutable_seen() = options_.seen();
   }
+  const bool loads_due = loads_told_ == timestamp{} ||
+                         now >= loads_told_ + options_.loads_interval;
+  if (options_.loads && loads_due) {
+    *request.mutable_loads() = options_.loads();
+    loads_told_ = now;
+  }
   request.set_reply_to(options_.address);
   request.set_members_hash(members_hash_);
   send_(leader_, envelope);
@@ -240,6 +256,9 @@
   if (options_.on_seen) {
     options_.on_seen(reply.seen());
   }
+  if (options_.on_loads && reply.has_loads()) {
+    options_.on_loads(reply.loads());
+  }
   if (reply.has_members()) {
     members_ = reply.members();
     members_hash_ = hash_of(members_);
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -36,6 +36,12 @@
   std::function<wire::SeenRevisions()> seen;
   /// Gets what any gateway has seen, with each answer.
   std::function<void(const wire::SeenRevisions &)> on_seen;
+  /// This process's own requests at replicas; told with a question, so often
+  /// at most. Empty for a client that tells none.
+  std::function<wire::ReplicaLoads()> loads;
+  duration_ms loads_interval{200};
+  /// Gets what the others have told, with the answer to such a question.
+  std::function<void(const wire::SharedLoads &)> on_loads;
   /// Silence of all nodes after which their addresses are looked up again.
   duration_ms lookup_after{1000};
 };
@@ -123,6 +129,7 @@
   timestamp last_answer_{};
   timestamp leader_answered_{};
   timestamp first_unanswered_{};
+  timestamp loads_told_{};
   bool flush_posted_ = false;
   std::size_t unsettled_ = 0;
 };
--- a/src/records/partitioned_ledger.cpp
+++ b/src/records/partitioned_ledger.cpp
@@ -16,6 +16,9 @@
   for (std::size_t number = 0; number < partitions; ++number) {
     ledger_options own = options;
     own.partition = static_cast<std::uint32_t>(number);
+    if (number != 0) {
+      own.loads = {}; // one leader adds them up
+    }
     clients_.push_back(std::make_unique<ledger_client>(io, own, send));
   }
 }
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -153,7 +153,7 @@
       continue;
     }
     const auto outcomes = table_.apply(entry.command().record_batch());
-    answer(entry.index(), outcomes, effects);
+    answer(entry.index(), outcomes, now, effects);
   }
   follow_leadership(now);
   members_[self_id_].heard = now;
@@ -180,7 +180,7 @@
   note_heard(from, now);
   switch (envelope.body_case()) {
   case wire::Envelope::kRecordRequest:
-    on_request(envelope.record_request());
+    on_request(envelope.record_request(), now);
     break;
   case wire::Envelope::kRecordHello:
     on_hello(envelope.record_hello(), now);
@@ -236,7 +236,8 @@
   }
 }
 
-void record_node::on_request(const wire::RecordRequest &request) {
+void record_node::on_request(const wire::RecordRequest &request,
+                             timestamp now) {
   const wire::SeenRevisions &told = request.seen();
   seen_.set_configuration(
       std::max(seen_.configuration(), told.configuration()));
@@ -245,6 +246,10 @@
     refuse(request);
     return;
   }
+  if (request.has_loads()) {
+    loads_.tell(request.reply_to(), request.loads(), now);
+    owed_loads_.insert(request.reply_to());
+  }
   for (const wire::RecordRequestItem &item : request.items()) {
     if (!take_up(request.reply_to(), item.id())) {
       continue;
@@ -397,7 +402,7 @@
 
 void record_node::answer(std::uint64_t index,
                          const std::vector<wire::RecordReplyItem> &outcomes,
-                         record_effects &effects) {
+                         timestamp now, record_effects &effects) {
   const auto found = askers_.find(index);
   if (found == askers_.end()) {
     return;
@@ -422,6 +427,9 @@
     if (known_hash != hash) {
       *reply.mutable_members() = known;
     }
+    if (owed_loads_.erase(address) > 0) {
+      *reply.mutable_loads() = loads_.others(address, now);
+    }
     wire::Envelope envelope;
     *envelope.mutable_record_reply() = std::move(reply);
     envelope.set_from(self_id_.node.value());
@@ -447,6 +455,7 @@
     taken_up_.clear();
     successors_.clear();
     sender_.clear();
+    owed_loads_.clear();
   }
   learners_.clear();
 }
@@ -624,8 +633,8 @@
   }
   for (const replica_id &id : candidates) {
     const bool silent = now >= last_heard(id) + dead_after_silence;
-    const bool gone = id != self_id_ && !log_->is_dead(id) && silent &&
-                      has_successor(id);
+    const bool gone =
+        id != self_id_ && !log_->is_dead(id) && silent && has_successor(id);
     if (gone) {
       log_->declare_dead(id);
       members_changed_ = members_.erase(id) > 0 || members_changed_;
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -12,6 +12,7 @@
 #include "logging/event_catalogue.hpp"
 #include "raft/consensus.hpp"
 #include "records/group_plan.hpp"
+#include "records/load_board.hpp"
 #include "records/record_table.hpp"
 #include "records/snapshot_transfer.hpp"
 #include "storage/log_storage.hpp"
@@ -158,7 +159,7 @@
 
   void reduce(wire::Envelope &envelope, timestamp now, std::uint64_t random,
               raft::outbox &out);
-  void on_request(const wire::RecordRequest &request);
+  void on_request(const wire::RecordRequest &request, timestamp now);
   /// @return false when the question is being answered already: whoever asks
   /// again is only impatient.
   bool take_up(const std::string &reply_to, std::uint64_t id);
@@ -190,7 +191,7 @@
   void pass_on_proposals();
   void flush(raft::outbox &out, record_effects &effects);
   void answer(std::uint64_t index,
-              const std::vector<wire::RecordReplyItem> &outcomes,
+              const std::vector<wire::RecordReplyItem> &outcomes, timestamp now,
               record_effects &effects);
   void follow_leadership(timestamp now);
   /// Declares identities dead whose node speaks under another one.
@@ -214,6 +215,9 @@
   bool members_changed_ = false;
   std::set<std::string> retiring_;
   wire::SeenRevisions seen_;
+  load_board loads_;
+  /// Those that have told their loads and are to be told the others'.
+  std::set<std::string> owed_loads_;
 
   std::vector<wire::Envelope> inbox_;
   std::vector<std::pair<asker, wire::RecordChange>> proposals_;
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -66,7 +66,8 @@
 
 wire::RecordReplyItem record_table::begin(const wire::BeginTurn &wanted) {
   wire::RecordReplyItem reply;
-  if (!wanted.previous().empty() && find_turn(wanted.previous()) == nullptr) {
+  const retained_entry *previous = find_turn(wanted.previous());
+  if (!wanted.previous().empty() && previous == nullptr) {
     reply.set_verdict(wire::RECORD_UNKNOWN_TURN);
     return reply;
   }
@@ -91,6 +92,9 @@
   if (granted && wanted.want_history()) {
     add_history(wanted.previous(), reply);
   }
+  if (granted && previous != nullptr && previous->turn->has_place()) {
+    *reply.mutable_previous_place() = previous->turn->place();
+  }
   return reply;
 }
 
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -13,6 +13,16 @@
 
 namespace heathtrestle::records {
 
+/// Where a turn was answered: the next one of its conversation finds most of
+/// its prompt read there.
+struct turn_place {
+  std::string instance; // empty when it is not known
+  /// Tokens of the conversation that the engine's memory held at its end.
+  std::uint64_t tokens = 0;
+
+  bool operator==(const turn_place &) const = default;
+};
+
 /// A finished turn, as it is kept for the turns that go on from it. Never
 /// changes once it is recorded.
 struct retained_turn {
@@ -20,6 +30,7 @@
   std::string previous; // the turn that it went on from; empty for the first
   std::string input;    // the body that its client sent
   std::string output;   // the data of its events, a line feed behind each
+  turn_place place;
 };
 
 /// Asks leave to run a turn.
@@ -50,6 +61,8 @@
   std::vector<retained_turn> history;
   std::uint64_t spent = 0;    // tokens settled
   std::uint64_t reserved = 0; // tokens granted and not settled, this turn's too
+  /// Where the turn was answered that this one goes on from.
+  turn_place previous_place;
 };
 
 /// The end of a turn: what it used of its grant and what is kept of it.
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -66,6 +66,8 @@
 struct engine_profile {
   std::uint32_t slots = 0;
   std::uint64_t tokens_per_event = 1;
+  /// Tokens that one engine's memory holds; zero when it is not told.
+  std::uint64_t memory_tokens = 0;
   /// Longest time that a finished request's memory may be pinned.
   duration_ms pin_limit{0};
 };
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "balance/prefix_view.hpp"
+#include "balance/replica_speed.hpp"
 #include "base/time.hpp"
 #include "routing/configuration.hpp"
 
@@ -26,8 +27,9 @@
   bool operator==(const instance_record &) const = default;
 };
 
-/// Tokens that one gateway takes an engine to keep of what it sent there.
-inline constexpr std::uint64_t default_prefix_capacity = 300000;
+/// Tokens that an engine is taken to keep whose configuration does not tell:
+/// a few long conversations, so that a wrong guess is cheap.
+inline constexpr std::uint64_t unknown_engine_memory = 100000;
 
 /// One replica and this gateway's own view of it. Shared with the requests
 /// that are on it, which may outlast its place in the directory.
@@ -41,11 +43,10 @@
   std::uint32_t consecutive_failures = 0;
   /// It gets new work before then only when nothing else is there.
   timestamp avoid_until{};
-  /// Smoothed time for an event of its streams, or for an answer that is no
-  /// stream, in milliseconds; zero before the first.
-  double pace_ms = 0;
+  /// How it answers in comparison with the others.
+  balance::replica_speed speed;
   /// What it probably keeps of prompts.
-  balance::prefix_view prefixes{default_prefix_capacity};
+  balance::prefix_view prefixes{unknown_engine_memory};
 
   [[nodiscard]] bool accepts_work() const { return listed && !record.draining; }
 };
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -31,6 +31,7 @@
   int refused_for_reservations = 0;
   std::uint64_t spent = 0;
   int asked = 0;
+  records::turn_place previous_place;
 
   asio::awaitable<records::turn_grant> begin(records::turn_request,
                                              timestamp) override {
@@ -40,7 +41,8 @@
         .verdict = refused ? records::turn_verdict::budget_spent : verdict,
         .history = {},
         .spent = spent,
-        .reserved = refused ? std::uint64_t{1} : std::uint64_t{0}};
+        .reserved = refused ? std::uint64_t{1} : std::uint64_t{0},
+        .previous_place = previous_place};
   }
   asio::awaitable<bool> finish(records::turn_end end, timestamp) override {
     ends.push_back(std::move(end));
@@ -155,6 +157,10 @@
   CPPUNIT_TEST(a_stream_that_must_not_repeat_does_not_look_complete);
   CPPUNIT_TEST(a_turn_is_kept_before_its_answer_ends);
   CPPUNIT_TEST(a_turn_that_cannot_be_recorded_does_not_look_complete);
+  CPPUNIT_TEST(a_turn_goes_on_where_its_conversation_is_kept);
+  CPPUNIT_TEST(the_record_of_a_turn_tells_where_it_was_answered);
+  CPPUNIT_TEST(a_place_that_is_gone_or_switched_off_binds_nothing);
+  CPPUNIT_TEST(a_busy_engine_is_left_to_others);
   CPPUNIT_TEST(a_spent_budget_runs_nothing);
   CPPUNIT_TEST(a_budget_that_is_only_reserved_is_waited_for);
   CPPUNIT_TEST(a_budget_that_stays_reserved_is_not_called_spent);
@@ -392,6 +398,86 @@
              .has_value());
   }
 
+  /// Turns of which each names its prompt of 5,000 tokens.
+  void ask_turns(int count) {
+    for (int turn = 0; turn < count; ++turn) {
+      const auto answer = ask("/kept/x", {{"Parts", "a:2000,b:3000"},
+                                          {"Previous", "t0"},
+                                          {"Program", "p"},
+                                          {"Budget", "1000"},
+                                          {"Tokens", "5000,10"}});
+      CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    }
+  }
+
+  void script_turns(int count) {
+    for (const auto &replica : replicas_) {
+      for (int turn = 0; turn < count; ++turn) {
+        replica->script.push_back({stream_head + chunk(event(1)) + stream_end});
+      }
+    }
+  }
+
+  void a_turn_goes_on_where_its_conversation_is_kept() {
+    // This gateway has never seen the conversation.
+    add_replica("r2");
+    add_replica("r3");
+    script_turns(1);
+    ledger_.previous_place = {.instance = "r2", .tokens = 4500};
+    ask_turns(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[1]->received.size());
+  }
+
+  void the_record_of_a_turn_tells_where_it_was_answered() {
+    script_turns(1);
+    ask_turns(1);
+    const records::turn_place &place = ledger_.ends.at(0).kept.place;
+    CPPUNIT_ASSERT_EQUAL(std::string("r1"), place.instance);
+    // The prompt, and one event of five tokens.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5005}, place.tokens);
+  }
+
+  void a_place_that_is_gone_or_switched_off_binds_nothing() {
+    script_turns(2);
+    ledger_.previous_place = {.instance = "gone", .tokens = 4500};
+    ask_turns(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[0]->received.size());
+    const balance::prompt_part part{.id = 0xa, .tokens = 2000};
+    gateway_->learn_place({.instance = "r1", .tokens = 100},
+                          routing::service_id{"s"}, {part});
+    const auto &known = gateway_->directory().of(routing::service_id{"s"});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         known.at(0)->prefixes.missing_tokens({part}));
+    gateway_options options = gateway_->options();
+    options.policies.turn_places = false;
+    gateway without(io_, options, ledger_);
+    without.put_instance(known.at(0)->record);
+    without.learn_place({.instance = "r1", .tokens = 2000},
+                        routing::service_id{"s"}, {part});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2000},
+                         without.directory()
+                             .of(routing::service_id{"s"})
+                             .at(0)
+                             ->prefixes.missing_tokens({part}));
+  }
+
+  void a_busy_engine_is_left_to_others() {
+    // Other gateways tell of many requests at two of three engines.
+    add_replica("r2");
+    add_replica("r3");
+    script_turns(1);
+    wire::SharedLoads shared;
+    shared.set_gateways(8);
+    for (const char *busy : {"r1", "r2"}) {
+      shared.mutable_others()->add_replicas(
+          static_cast<std::uint32_t>(stable_hash(std::string_view(busy))));
+      shared.mutable_others()->add_running(40);
+    }
+    gateway_->take_shared_loads(shared);
+    ask_turns(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[2]->received.size());
+  }
+
   void a_spent_budget_runs_nothing() {
     ledger_.verdict = records::turn_verdict::budget_spent;
     const auto answer = ask("/stream/x", {{"Program", "p"}, {"Budget", "1"}});
--- a/tests/records/ledger_client_test.cpp
+++ b/tests/records/ledger_client_test.cpp
@@ -32,6 +32,8 @@
   std::vector<std::string> asked;
   std::vector<wire::RecordChange> taken;
   std::vector<std::uint64_t> asked_ids;
+  int told_loads = 0;
+  std::string place_of_previous;
   ledger_client *client = nullptr;
   asio::io_context *io = nullptr;
 
@@ -53,10 +55,18 @@
       }
     } else {
       reply.set_leader_address(leader);
+      if (envelope.record_request().has_loads()) {
+        ++told_loads;
+        reply.mutable_loads()->set_gateways(3);
+      }
       for (const auto &item : envelope.record_request().items()) {
         taken.push_back(item.change());
         wire::RecordReplyItem &done = *reply.add_items();
         done.set_id(item.id());
+        if (!place_of_previous.empty()) {
+          done.mutable_previous_place()->set_instance(place_of_previous);
+          done.mutable_previous_place()->set_tokens(77);
+        }
         done.set_verdict(item.change().has_end() ? wire::RECORD_DONE : verdict);
       }
     }
@@ -67,6 +77,8 @@
 class ledger_client_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ledger_client_test);
   CPPUNIT_TEST(a_turn_is_granted_by_the_leader);
+  CPPUNIT_TEST(loads_are_told_now_and_then_and_the_others_heard);
+  CPPUNIT_TEST(the_place_of_a_turn_is_told_and_heard);
   CPPUNIT_TEST(a_refusal_leads_to_the_leader);
   CPPUNIT_TEST(a_silent_node_is_passed_over);
   CPPUNIT_TEST(an_unanswered_turn_is_unavailable_and_given_back);
@@ -127,6 +139,55 @@
                    turn_verdict::budget_spent);
   }
 
+  void loads_are_told_now_and_then_and_the_others_heard() {
+    constexpr duration_ms an_hour{3600000};
+    for (const duration_ms interval : {an_hour, duration_ms{0}}) {
+      ledger_options options{.address = "gateway:1"};
+      int heard = 0;
+      options.loads = [] {
+        wire::ReplicaLoads own;
+        own.add_replicas(1);
+        own.add_running(2);
+        return own;
+      };
+      options.loads_interval = interval;
+      options.on_loads = [&heard](const wire::SharedLoads &shared) {
+        CPPUNIT_ASSERT_EQUAL(3U, shared.gateways());
+        ++heard;
+      };
+      ledger_client telling(
+          io_, options,
+          [this](const std::string &address, const wire::Envelope &envelope) {
+            group_.receive(address, envelope);
+          });
+      group_.client = &telling;
+      group_.told_loads = 0;
+      telling.learn_members(members_at({"third:1", "leader:1"}));
+      for (const char *attempt : {"a", "b", "c"}) {
+        await_result(io_, telling.begin(turn(attempt),
+                                        steady_now() + duration_ms{5000}));
+      }
+      const int expected = interval == an_hour ? 1 : 3;
+      CPPUNIT_ASSERT_EQUAL(expected, group_.told_loads);
+      CPPUNIT_ASSERT_EQUAL(expected, heard);
+    }
+  }
+
+  void the_place_of_a_turn_is_told_and_heard() {
+    group_.place_of_previous = "engine-1";
+    const auto grant = begin("a", duration_ms{5000});
+    CPPUNIT_ASSERT((grant.previous_place ==
+                    turn_place{.instance = "engine-1", .tokens = 77}));
+    turn_end end{.program = "p", .attempt = "a", .used = 1};
+    end.kept.id = "a";
+    end.kept.place = {.instance = "engine-2", .tokens = 99};
+    CPPUNIT_ASSERT(await_result(
+        io_, client_->finish(end, steady_now() + duration_ms{5000})));
+    const wire::TurnPlace &told = group_.taken.back().end().kept().place();
+    CPPUNIT_ASSERT_EQUAL(std::string("engine-2"), told.instance());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{99}, told.tokens());
+  }
+
   void a_refusal_leads_to_the_leader() {
     group_.leader = "third:1";
     CPPUNIT_ASSERT(begin("a", duration_ms{5000}).verdict ==
--- /dev/null
+++ b/tests/records/load_board_test.cpp
@@ -0,0 +1,85 @@
+#include "records/load_board.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace heathtrestle::records {
+namespace {
+
+constexpr std::uint32_t engine_one = 11;
+constexpr std::uint32_t engine_two = 22;
+const timestamp start = timestamp_from(10000);
+
+wire::ReplicaLoads
+loads(const std::map<std::uint32_t, std::uint32_t> &running) {
+  wire::ReplicaLoads made;
+  for (const auto &[replica, count] : running) {
+    made.add_replicas(replica);
+    made.add_running(count);
+  }
+  return made;
+}
+
+std::map<std::uint32_t, std::uint32_t>
+others(const load_board &board, const std::string &gateway, timestamp now) {
+  const wire::SharedLoads shared = board.others(gateway, now);
+  std::map<std::uint32_t, std::uint32_t> sums;
+  for (int place = 0; place < shared.others().replicas_size(); ++place) {
+    sums[shared.others().replicas(place)] = shared.others().running(place);
+  }
+  return sums;
+}
+
+using sums = std::map<std::uint32_t, std::uint32_t>;
+
+class load_board_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(load_board_test);
+  CPPUNIT_TEST(each_is_told_the_sum_of_the_others);
+  CPPUNIT_TEST(what_was_told_before_is_void);
+  CPPUNIT_TEST(a_gateway_that_falls_silent_is_forgotten);
+  CPPUNIT_TEST(lists_of_unequal_length_do_no_harm);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void each_is_told_the_sum_of_the_others() {
+    load_board board;
+    board.tell("a", loads({{engine_one, 3}}), start);
+    board.tell("b", loads({{engine_one, 2}, {engine_two, 5}}), start);
+    board.tell("c", loads({}), start);
+    CPPUNIT_ASSERT(others(board, "a", start) ==
+                   (sums{{engine_one, 2}, {engine_two, 5}}));
+    CPPUNIT_ASSERT(others(board, "c", start) ==
+                   (sums{{engine_one, 5}, {engine_two, 5}}));
+    CPPUNIT_ASSERT_EQUAL(3U, board.others("a", start).gateways());
+  }
+
+  void what_was_told_before_is_void() {
+    load_board board;
+    board.tell("a", loads({{engine_one, 3}}), start);
+    board.tell("a", loads({{engine_two, 1}}), start);
+    CPPUNIT_ASSERT(others(board, "b", start) == (sums{{engine_two, 1}}));
+  }
+
+  void a_gateway_that_falls_silent_is_forgotten() {
+    load_board board;
+    board.tell("a", loads({{engine_one, 3}}), start);
+    const timestamp later = start + duration_ms{2000};
+    CPPUNIT_ASSERT(others(board, "b", later).empty());
+    board.tell("b", loads({{engine_two, 4}}), later);
+    CPPUNIT_ASSERT_EQUAL(1U, board.others("b", later).gateways());
+  }
+
+  void lists_of_unequal_length_do_no_harm() {
+    load_board board;
+    wire::ReplicaLoads broken = loads({{engine_one, 3}});
+    broken.add_replicas(engine_two);
+    board.tell("a", broken, start);
+    CPPUNIT_ASSERT(others(board, "b", start) == (sums{{engine_one, 3}}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(load_board_test);
+
+} // namespace
+} // namespace heathtrestle::records
--- a/tests/records/record_table_test.cpp
+++ b/tests/records/record_table_test.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(expired_and_swept_look_alike);
   CPPUNIT_TEST(a_snapshot_holds_everything);
   CPPUNIT_TEST(time_does_not_run_backwards);
+  CPPUNIT_TEST(a_grant_tells_where_the_last_turn_was_answered);
   CPPUNIT_TEST_SUITE_END();
 
   record_table table_;
@@ -158,6 +159,29 @@
     CPPUNIT_ASSERT_EQUAL(1, granted.history_size());
   }
 
+  void a_grant_tells_where_the_last_turn_was_answered() {
+    wire::RecordChange ended = end("t1", 3, {}, true);
+    wire::TurnPlace &place =
+        *ended.mutable_end()->mutable_kept()->mutable_place();
+    place.set_instance("engine-7");
+    place.set_tokens(1234);
+    apply(begin("t1", 5, 100));
+    apply(ended);
+    const auto told = apply(begin("t2", 5, 100, "t1"));
+    CPPUNIT_ASSERT_EQUAL(std::string("engine-7"),
+                         told.previous_place().instance());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1234}, told.previous_place().tokens());
+    CPPUNIT_ASSERT(!apply(begin("t3", 5, 100)).has_previous_place());
+    // It outlasts a snapshot with the turn that it belongs to.
+    record_table copy;
+    copy.restore(table_.snapshot());
+    wire::RecordBatch batch;
+    batch.set_time_ms(1);
+    *batch.add_changes() = begin("t4", 5, 100, "t1");
+    CPPUNIT_ASSERT_EQUAL(std::string("engine-7"),
+                         copy.apply(batch).at(0).previous_place().instance());
+  }
+
   void time_does_not_run_backwards() {
     apply(end("a", 0, "", true), 100000);
     apply(end("b", 0, "", true), 1000);
