Let turns of more urgent routes go first at the engines

Change: the route's priority is part of the rank that an engine is told; programs that have missed their time stay last.

--- a/src/forwarding/policy_switches.hpp
+++ b/src/forwarding/policy_switches.hpp
@@ -27,6 +27,8 @@
   bool object_affinity = true;
   /// Replicas that failed lately are avoided.
   bool avoidance = true;
+  /// Turns of more urgent routes go first at the engines.
+  bool route_priority = true;
   /// Programs that have missed their time come last at the engines.
   bool late_priority = true;
   /// Requests wait for a place before they are refused.
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -431,14 +431,22 @@
 }
 
 std::uint32_t request_exchange::engine_priority() const {
-  // A program that has missed its time earns little any more: it must not hold
-  // up those that can still keep theirs.
-  constexpr std::uint32_t on_time = 3;
+  // Routes that are more urgent go first. A program that has missed its time
+  // earns little any more: it must not hold up those that can still keep
+  // theirs.
+  constexpr std::uint32_t most_urgent = 2;
+  constexpr std::uint32_t route_ranks = 3;
   constexpr std::uint32_t late = 6;
+  const policy_switches &policies = gateway_.options().policies;
   const bool is_late =
-      gateway_.options().policies.late_priority && request_.program_deadline &&
+      policies.late_priority && request_.program_deadline &&
       *request_.program_deadline <= steady_now() - request_.arrived;
-  return is_late ? late : on_time;
+  if (is_late) {
+    return late;
+  }
+  const std::uint32_t rank =
+      policies.route_priority ? std::min(route_->priority, route_ranks) : 1;
+  return most_urgent + rank;
 }
 
 bool request_exchange::is_own(const response_head &head) const {
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -161,6 +161,7 @@
   CPPUNIT_TEST(the_record_of_a_turn_tells_where_it_was_answered);
   CPPUNIT_TEST(a_place_that_is_gone_or_switched_off_binds_nothing);
   CPPUNIT_TEST(a_busy_engine_is_left_to_others);
+  CPPUNIT_TEST(urgent_routes_go_first_and_late_programs_last);
   CPPUNIT_TEST(a_spent_budget_runs_nothing);
   CPPUNIT_TEST(a_budget_that_is_only_reserved_is_waited_for);
   CPPUNIT_TEST(a_budget_that_stays_reserved_is_not_called_spent);
@@ -208,6 +209,7 @@
         route("/kept/", routing::request_kind::streaming),
     };
     settings.routes[2].resumable = true;
+    settings.routes[3].priority = 2;
     settings.routes[4].retained = true;
     routing::service service;
     service.id = routing::service_id{"s"};
@@ -478,6 +480,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[2]->received.size());
   }
 
+  void urgent_routes_go_first_and_late_programs_last() {
+    script_turns(3);
+    ask("/kept/x");
+    ask("/once/x");
+    ask("/kept/x", {{"Program-Deadline", "-5"}});
+    const auto &got = replicas_[0]->received;
+    const auto rank = [&got](std::size_t place) {
+      const auto value = got.at(place)["Priority"];
+      return std::stoi(std::string(value.data(), value.size()));
+    };
+    CPPUNIT_ASSERT(rank(0) < rank(1));
+    CPPUNIT_ASSERT(rank(1) < rank(2));
+  }
+
   void a_spent_budget_runs_nothing() {
     ledger_.verdict = records::turn_verdict::budget_spent;
     const auto answer = ask("/stream/x", {{"Program", "p"}, {"Budget", "1"}});
