Watch replicas by the drain notice; weigh preferences by requests; show what is learnt

A gateway watched replicas twice a second, and a hint that came within that pause brought a listing. Not seen failing first: a_hint_between_two_calls_waits_for_the_next.

--- a/src/balance/instance_choice.cpp
+++ b/src/balance/instance_choice.cpp
@@ -69,9 +69,11 @@
 double plain_cost(const candidate &each, bool is_home,
                   const plain_choice_options &options) {
   const double slots = std::max<std::uint32_t>(each.slots, 1);
-  const double load = each.running / slots * each.slowdown;
-  return load + (each.same_zone ? 0 : options.zone_preference) -
-         (is_home ? options.home_preference : 0);
+  const double preference =
+      (each.same_zone ? options.zone_preference : 0) +
+      (is_home ? options.home_preference : 0) +
+      (each.connected ? options.connection_preference : 0);
+  return (each.running * each.slowdown - preference) / slots;
 }
 
 std::optional<std::size_t> choose_engine(std::span<const candidate> candidates,
--- a/src/balance/instance_choice.hpp
+++ b/src/balance/instance_choice.hpp
@@ -26,6 +26,8 @@
   double wait_ms = 0;
   /// Tokens of the prompt that it would have to read. Engines only.
   std::uint64_t missing_tokens = 0;
+  /// A connection to it stands idle: none has to be made. Plain replicas only.
+  bool connected = false;
   /// Rendezvous weight of the request's object; 0 when it has none.
   std::uint64_t affinity = 0;
 };
@@ -37,18 +39,22 @@
   double zone_preference = 0.1;
 };
 
+/// What is worth less than one request that this gateway has at a replica
+/// already, in such requests: each decides among replicas that are alike
+/// otherwise. A gateway's own requests are all that it knows of their load.
 struct plain_choice_options {
-  /// Load, in shares of a replica's slots, that staying in the zone is worth.
-  double zone_preference = 0.15;
-  /// Load, in shares of a replica's slots, that a warm replica is worth.
-  double home_preference = 0.3;
+  double zone_preference = 0.12;
+  /// The replica that the object hashes to knows it already.
+  double home_preference = 0.24;
+  /// No connection has to be made.
+  double connection_preference = 0.04;
 };
 
 /// The cost of sending a request to an engine, in milliseconds of all requests
 /// together: its own reading holds up those that run there.
 double engine_cost(const candidate &each, const engine_choice_options &options);
 
-/// The cost of sending a request to a plain replica, in shares of its slots.
+/// The cost of sending a request to a plain replica, in requests a slot.
 /// @param is_home whether the replica is the one that the object hashes to.
 double plain_cost(const candidate &each, bool is_home,
                   const plain_choice_options &options);
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -113,7 +113,9 @@
   const policy_switches &policies = options_.policies;
   const bool on_engine = !request.prompt.empty();
   balance::candidate view;
-  view.running = on_engine ? running_at_engine(each) : running_at_plain(each);
+  // Gateways tell each other of engines only: answers of plain replicas are
+  // short, and what others have there is the same for all that can be known.
+  view.running = on_engine ? running_at_engine(each) : each.in_flight;
   view.slots = each.record.slots;
   view.same_zone =
       !policies.zone_preference || each.record.zone == options_.zone;
@@ -124,6 +126,8 @@
   if (policies.engine_wait && on_engine) {
     view.wait_ms = each.speed.wait_ms(now);
   }
+  view.connected =
+      policies.connection_reuse && pool_.has_idle(each.record.id, now);
   if (policies.prefix_view) {
     view.missing_tokens = each.prefixes.missing_tokens(request.prompt);
   }
@@ -199,7 +203,7 @@
     return;
   }
   loads_taken_ = steady_now();
-  gateways_ = std::max(shared.gateways(), 1U);
+  metrics_.set_sharing_gateways(shared.gateways());
   others_running_.clear();
   const wire::ReplicaLoads &others = shared.others();
   const int listed = std::min(others.replicas_size(), others.running_size());
@@ -215,11 +219,6 @@
   return each.in_flight + (told ? others->second : 0);
 }
 
-double gateway::running_at_plain(const routing::instance &each) const {
-  // Gateways spread alike over the replicas of a plain service.
-  return static_cast<double>(each.in_flight) * gateways_;
-}
-
 void gateway::on_instance_failed(routing::instance &failed,
                                  std::string_view reason) {
   ++failed.consecutive_failures;
@@ -269,6 +268,13 @@
   }
 }
 
+void gateway::refresh_metrics() {
+  metrics_.set_open_requests(static_cast<double>(open_requests_));
+  for (const auto &[service, model] : engine_models_) {
+    metrics_.set_engine_costs(service.value(), model.costs());
+  }
+}
+
 void gateway::begin_drain() {
   draining_ = true;
   const std::set<client_session *> open = sessions_;
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -122,6 +122,9 @@
   /// True while no client is connected.
   [[nodiscard]] bool idle() const { return sessions_.empty(); }
 
+  /// Brings those figures up to date that are worked out when asked for.
+  void refresh_metrics();
+
   void on_request_started() { ++open_requests_; }
   void on_request_finished() { --open_requests_; }
   void add_session(client_session &session) { sessions_.insert(&session); }
@@ -141,8 +144,6 @@
 private:
   /// Requests that run at an engine, of all gateways as far as they tell.
   [[nodiscard]] double running_at_engine(const routing::instance &each) const;
-  /// The same of a plain replica, for which nobody tells.
-  [[nodiscard]] double running_at_plain(const routing::instance &each) const;
   /// A replica as the policies see it.
   [[nodiscard]] balance::candidate candidate_of(const routing::instance &each,
                                                 const client_request &request,
@@ -162,7 +163,6 @@
   std::map<routing::service_id, balance::engine_cost_model> engine_models_;
   /// Requests of the others at engines, by hash of the engine's id.
   std::unordered_map<std::uint32_t, std::uint32_t> others_running_;
-  std::uint32_t gateways_ = 1;
   timestamp loads_taken_{};
   /// Smoothed time of an answer, by route, in milliseconds.
   std::map<std::string, double> answer_ms_;
--- a/src/forwarding/gateway_metrics.cpp
+++ b/src/forwarding/gateway_metrics.cpp
@@ -44,7 +44,17 @@
               .Name("heathtrestle_gateway_configuration_version")
               .Help("Version of the routes in force")
               .Register(*registry_)
-              .Add({})) {}
+              .Add({})),
+      sharing_gateways_(prometheus::BuildGauge()
+                            .Name("heathtrestle_gateway_sharing_gateways")
+                            .Help("Gateways that tell each other their load")
+                            .Register(*registry_)
+                            .Add({})),
+      engine_costs_(prometheus::BuildGauge()
+                        .Name("heathtrestle_gateway_engine_cost_ms")
+                        .Help("Learnt cost of a token to read, of a running "
+                              "request to the others, and of a turn at rest")
+                        .Register(*registry_)) {}
 
 void gateway_metrics::on_finished(const std::string &route,
                                   std::uint32_t status, double seconds) {
@@ -74,6 +84,20 @@
   configuration_version_.Set(version);
 }
 
+void gateway_metrics::set_sharing_gateways(double count) {
+  sharing_gateways_.Set(count);
+}
+
+void gateway_metrics::set_engine_costs(const std::string &service,
+                                       const balance::engine_costs &costs) {
+  const auto set = [this, &service](const char *of, double value) {
+    engine_costs_.Add({{"service", service}, {"of", of}}).Set(value);
+  };
+  set("token", costs.ms_per_token);
+  set("running", costs.ms_per_running);
+  set("turn", costs.turn_ms);
+}
+
 std::string gateway_metrics::text() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/forwarding/gateway_metrics.hpp
+++ b/src/forwarding/gateway_metrics.hpp
@@ -1,6 +1,8 @@
 // Counters and latency histograms of a forwarding gateway.
 #pragma once
 
+#include "balance/engine_cost_model.hpp"
+
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -26,6 +28,11 @@
   void on_turn_verdict(const std::string &verdict, double seconds);
   void set_open_requests(double count);
   void set_configuration_version(double version);
+  /// Gateways that tell their load, this one included.
+  void set_sharing_gateways(double count);
+  /// What turns at a service's engines are taken to cost.
+  void set_engine_costs(const std::string &service,
+                        const balance::engine_costs &costs);
 
   /// All figures in the Prometheus text format.
   [[nodiscard]] std::string text() const;
@@ -39,6 +46,8 @@
   prometheus::Family<prometheus::Histogram> &verdicts_;
   prometheus::Gauge &open_requests_;
   prometheus::Gauge &configuration_version_;
+  prometheus::Gauge &sharing_gateways_;
+  prometheus::Family<prometheus::Gauge> &engine_costs_;
 };
 
 } // namespace heathtrestle::forwarding
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -34,9 +34,10 @@
 constexpr duration_ms least_drain{2600};
 constexpr duration_ms exit_margin{500};
 constexpr duration_ms lookup_pause{500};
-/// Replicas come and go in waves, and each call to the store has its price. A
-/// draining replica may be sent to for seconds yet.
-constexpr duration_ms instance_watch_interval{500};
+/// Replicas come and go in waves, and each call to the store has its price. The
+/// time for which a draining replica may still be sent to has to hold the pause
+/// between two calls, a call, and a listing where the watch has gone deaf.
+constexpr std::int64_t watches_in_drain_notice = 3;
 constexpr std::uint32_t status_not_found = 404;
 constexpr std::uint32_t status_unavailable = 503;
 
@@ -122,7 +123,8 @@
   instance_watch_.emplace(
       io, *binding.store, sources_, cache_,
       objects::watch_options{.kind = binding.instance_kind,
-                             .least_interval = instance_watch_interval},
+                             .least_interval = settings_.drain_notice /
+                                               watches_in_drain_notice},
       instance_handlers());
 }
 
@@ -261,8 +263,7 @@
       [this](std::string_view target) { return peer_page(target); }));
   BOOST_OUTCOME_TRY(http::serve_pages(
       io_, settings_.metrics_address, [this](std::string_view target) {
-        gateway_.metrics().set_open_requests(
-            static_cast<double>(gateway_.open_requests()));
+        gateway_.refresh_metrics();
         return target == "/metrics"
                    ? http::page{.body = gateway_.metrics().text()}
                    : http::page{.status = status_not_found, .body = {}};
--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -8,6 +8,7 @@
 void describe_settings(config::settings_schema &schema,
                        gateway_settings &settings) {
   constexpr double longest_grace = 600;
+  constexpr std::uint64_t longest_drain_notice = 60000;
   constexpr std::uint64_t most_lines = 100000;
   schema.text("node.name", settings.name,
               "name of this process, unique among the gateways", true);
@@ -37,6 +38,10 @@
                  "the platform's object store", true);
   schema.real("timing.grace_seconds", settings.grace_seconds, 0, longest_grace,
               "seconds from a stop signal until the process is killed");
+  schema.milliseconds("timing.drain_notice_ms", settings.drain_notice, 1,
+                      longest_drain_notice,
+                      "milliseconds for which a replica may get new work after "
+                      "its leaving was recorded");
   schema.choices("policy.disabled", settings.disabled_policies, policy_names(),
                  "mechanisms of choice that are switched off, to measure what "
                  "they are worth");
--- a/src/forwarding/gateway_settings.hpp
+++ b/src/forwarding/gateway_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "config/settings_schema.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,6 +26,8 @@
   std::uint64_t partitions = 0;
   std::string store_address;
   double grace_seconds = 8;
+  /// For so long after a replica's leaving was recorded it may get new work.
+  std::chrono::milliseconds drain_notice{1500};
   /// Mechanisms of choice that are switched off, by name.
   std::vector<std::string> disabled_policies;
   std::string log_level = "info";
--- a/src/forwarding/policy_switches.cpp
+++ b/src/forwarding/policy_switches.cpp
@@ -9,7 +9,7 @@
 
 using named_switch = std::pair<std::string_view, bool policy_switches::*>;
 
-constexpr std::array<named_switch, 12> switches{{
+constexpr std::array<named_switch, 13> switches{{
     {"prefix_view", &policy_switches::prefix_view},
     {"learnt_costs", &policy_switches::learnt_costs},
     {"turn_places", &policy_switches::turn_places},
@@ -18,6 +18,7 @@
     {"replica_speed", &policy_switches::replica_speed},
     {"zone_preference", &policy_switches::zone_preference},
     {"object_affinity", &policy_switches::object_affinity},
+    {"connection_reuse", &policy_switches::connection_reuse},
     {"avoidance", &policy_switches::avoidance},
     {"route_priority", &policy_switches::route_priority},
     {"late_priority", &policy_switches::late_priority},
--- a/src/forwarding/policy_switches.hpp
+++ b/src/forwarding/policy_switches.hpp
@@ -25,6 +25,8 @@
   bool zone_preference = true;
   /// Requests of one object go to one plain replica.
   bool object_affinity = true;
+  /// Among plain replicas that are alike, one with an idle connection is taken.
+  bool connection_reuse = true;
   /// Replicas that failed lately are avoided.
   bool avoidance = true;
   /// Turns of more urgent routes go first at the engines.
--- a/src/forwarding/upstream_pool.cpp
+++ b/src/forwarding/upstream_pool.cpp
@@ -67,6 +67,13 @@
   co_return connection;
 }
 
+bool upstream_pool::has_idle(const routing::instance_id &id,
+                             timestamp now) const {
+  const auto found = idle_.find(id);
+  return found != idle_.end() && !found->second.empty() &&
+         now < found->second.back()->usable_until;
+}
+
 void upstream_pool::release(const routing::instance_id &id,
                             connection_ptr connection, duration_ms keep_alive) {
   const duration_ms kept =
--- a/src/forwarding/upstream_pool.hpp
+++ b/src/forwarding/upstream_pool.hpp
@@ -56,6 +56,10 @@
   asio::awaitable<result_or<connection_ptr, connect_error>>
   acquire(const routing::instance_record &target);
 
+  /// True when a connection to the instance waits to be used again.
+  [[nodiscard]] bool has_idle(const routing::instance_id &id,
+                              timestamp now) const;
+
   /// Keeps a connection whose last answer was read whole.
   /// @param keep_alive how long the replica keeps it idle; zero when unsaid.
   void release(const routing::instance_id &id, connection_ptr connection,
--- a/src/objects/object_watch.cpp
+++ b/src/objects/object_watch.cpp
@@ -111,8 +111,10 @@
   while (true) {
     timer.expires_after(options_.hint_check);
     co_await timer.async_wait(as_result);
-    const bool behind = hinted_ > revision_ &&
-                        steady_now() >= behind_since_ + options_.hint_patience;
+    // Between two calls nothing can be heard; the next one brings it.
+    const timestamp since = std::max(behind_since_, next_call_);
+    const bool behind =
+        hinted_ > revision_ && steady_now() >= since + options_.hint_patience;
     if (!behind || !in_sync_) {
       continue; // caught up, or listing anew already
     }
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -21,7 +21,8 @@
   /// How long one watching call waits. An answer that is lost on its way is
   /// noticed at the end of the call, or by a hint from elsewhere.
   duration_ms wait{28000};
-  /// A hint counts when the watch has not caught up with it for this long.
+  /// A hint counts when the watch has not caught up with it for this long, the
+  /// pause between two calls not counted.
   duration_ms hint_patience{400};
   duration_ms hint_check{200};
   /// How long the first call after a lost one waits: a store that is dropping
--- a/tests/balance/instance_choice_test.cpp
+++ b/tests/balance/instance_choice_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(a_suspect_is_taken_only_when_alone);
   CPPUNIT_TEST(equals_are_taken_alike);
   CPPUNIT_TEST(a_plain_replica_is_chosen_by_load_before_warmth);
+  CPPUNIT_TEST(an_idle_connection_decides_among_equals_only);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,9 +127,22 @@
     nodes[0].affinity = 2;
     nodes[1].affinity = 1;
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *choose_plain(nodes, 1, {}));
-    nodes[0].running = 8;
+    nodes[0].running = 1;
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *choose_plain(nodes, 1, {}));
   }
+
+  void an_idle_connection_decides_among_equals_only() {
+    std::array nodes{idle(true), idle(true), idle(false)};
+    nodes[1].connected = true;
+    nodes[2].connected = true;
+    for (std::uint64_t random = 0; random < nodes.size(); ++random) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, *choose_plain(nodes, random, {}));
+    }
+    nodes[1].running = 1;
+    for (std::uint64_t random = 0; random < nodes.size(); ++random) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *choose_plain(nodes, random, {}));
+    }
+  }
 };
 
 class prefix_view_test : public CppUnit::TestFixture {
--- a/tests/objects/object_watch_test.cpp
+++ b/tests/objects/object_watch_test.cpp
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(the_first_watch_after_a_loss_is_short);
   CPPUNIT_TEST(a_watch_that_stays_behind_a_hint_lists_anew);
   CPPUNIT_TEST(a_hint_of_what_is_known_changes_nothing);
+  CPPUNIT_TEST(a_hint_between_two_calls_waits_for_the_next);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -115,13 +116,16 @@
 
   /// Hints while a watching call is never answered, and waits until `listings`
   /// were taken in, or for `patience`.
+  /// @param interval from one watching call to the next.
   void hint_during_watch(std::uint64_t revision, std::size_t listings,
-                         duration_ms patience) {
+                         duration_ms patience,
+                         duration_ms interval = duration_ms{5}) {
     object_watch watch(
         io_, store_, {}, cache_,
         {.kind = "things",
          .hint_patience = duration_ms{20},
-         .hint_check = duration_ms{5}},
+         .hint_check = duration_ms{5},
+         .least_interval = interval},
         {.on_listing =
              [this](const listing &listed) {
                seen_.push_back("listed " + std::to_string(listed.items.size()));
@@ -225,6 +229,17 @@
     hint_during_watch(4, 2, duration_ms{120});
     CPPUNIT_ASSERT(seen_ == std::vector<std::string>{"listed 1"});
   }
+
+  void a_hint_between_two_calls_waits_for_the_next() {
+    // The call has been answered and the next one is not due yet: a listing
+    // would only bring sooner, and dearer, what that call brings.
+    store_.listings.push_back(listing{{named("a", 3)}, 5});
+    store_.listings.push_back(listing{{named("a", 8)}, 9});
+    store_.watches.push_back(change_list{{{named("b", 6), false}}, 6});
+    hint_during_watch(8, 2, duration_ms{120}, duration_ms{60000});
+    CPPUNIT_ASSERT(seen_ == std::vector<std::string>{"listed 1"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.watched_from.size());
+  }
 };
 
 class object_cache_test : public CppUnit::TestFixture {
