--- a/src/forwarding/policy_switches.cpp
+++ b/src/forwarding/policy_switches.cpp
@@ -29,6 +29,7 @@
 
 std::vector<std::string> policy_names() {
   std::vector<std::string> names;
+  names.reserve(switches.size());
   for (const auto &[name, member] : switches) {
     names.emplace_back(name);
   }
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -512,10 +512,10 @@
 unsaved_changes consensus::take_unsaved() {
   unsaved_changes changes;
   const std::uint64_t settled = change_in_progress() ? 0 : voters_index_;
-  const hard_state hard{
-      .term = term_,
-      .voted_for = voted_for_,
-      .settled_voters = std::max(saved_hard_.settled_voters, settled)};
+  const hard_state hard{.term = term_,
+                        .voted_for = voted_for_,
+                        .settled_voters =
+                            std::max(saved_hard_.settled_voters, settled)};
   if (!(hard == saved_hard_)) {
     changes.hard = hard;
     saved_hard_ = hard;
--- a/tests/storage/log_storage_test.cpp
+++ b/tests/storage/log_storage_test.cpp
@@ -73,10 +73,10 @@
     {
       const auto storage = open();
       raft::unsaved_changes changes;
-      changes.hard = raft::hard_state{
-          .term = 5,
-          .voted_for = replica_id{node_id{1}, boot_id{2}},
-          .settled_voters = 17};
+      changes.hard =
+          raft::hard_state{.term = 5,
+                           .voted_for = replica_id{node_id{1}, boot_id{2}},
+                           .settled_voters = 17};
       const wire::LogEntry one = entry(1, 4);
       changes.entries = {&one};
       CPPUNIT_ASSERT(storage->write(changes, nullptr));
