Let one strike of the soak at a time end and start a process

In the last round stop:gateway-1 began in the background, kill:gateway-1 struck the same process meanwhile and started it again, and nine seconds later the first strike started it once more: the second process found its ports taken, and its id was the one that was checked. The gateway that served logged a lost dependency when the soak ended the object store, so it had lived. Ruled out: a crash (no signal told, no line of the process). Change: a strike holds its process; another one on it is passed over.

--- a/scripts/lib/soak_faults.sh
+++ b/scripts/lib/soak_faults.sh
@@ -106,6 +106,11 @@
 
 note_strike() { echo "$*" >>"$run/strikes"; }
 
+# One strike at a time ends and starts a process: two would start it twice, and
+# the second of the two ends by itself, for its ports are taken.
+hold() { mkdir "$run/held-$1" 2>/dev/null; }
+let_go() { rmdir "$run/held-$1"; }
+
 restart() { # name
   start_soak_process "$1" false
   echo "${pid_of[$1]}" >"$run/restarted-$1"
@@ -131,23 +136,29 @@
     set_link "store-of-$name" sound
     ;;
   pause)
+    hold "$name" || return 0
     note_strike "pause:$name"
     end_process "$name" STOP
     sleep "$((RANDOM % 3 + 1))"
     end_process "$name" CONT
+    let_go "$name"
     ;;
   stop)
+    hold "$name" || return 0
     note_strike "stop:$name"
     end_process "$name" TERM
     sleep 9
     restart "$name"
+    let_go "$name"
     ;;
   kill | kill_gateway)
     [[ $1 == kill_gateway ]] && name=$(draw gateway-1 gateway-2)
+    hold "$name" || return 0
     note_strike "kill:$name"
     end_process "$name" KILL
     sleep "0.$((RANDOM % 9 + 1))"
     restart "$name"
+    let_go "$name"
     ;;
   wipe)
     name=$(draw storage-1 storage-2 storage-3)
