Let a gateway that is cut off from the record group send its clients elsewhere

Change: a gateway that has heard no node of the record group for 0.6 s though it asked asks the gateways of its seeds whether they hear it. If one does, or none answers at all, it is cut off: not ready, turns are rejected at once (Retry-After 20 ms: any other gateway can serve them), waiting grants are given up, connections are closed behind their answers. If the others hear nothing either, turns wait as before, for then nobody could serve them sooner. A probe each 100 ms (a request without items, answered at once by any node) finds the end of the cut.

Ruled out: rejecting at once on silence alone; with all storage machines down for some seconds a client would use up its tries within a second.

--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -106,9 +106,11 @@
   void on_turn_answered(routing::instance &answered,
                         const balance::turn_observation &turn, bool from_start);
 
-  /// True once routes and replicas are known and until the drain begins.
+  /// True once routes and replicas are known, until the drain begins, and while
+  /// this gateway is not the only one that cannot serve turns.
   [[nodiscard]] bool ready() const {
-    return !draining_ && routes_ != nullptr && directory_.size() > 0;
+    return !draining_ && routes_ != nullptr && directory_.size() > 0 &&
+           !ledger_.cut_off();
   }
   /// From now on new requests are refused as not run: what is left of the time
   /// to stop is for those under way.
@@ -118,6 +120,11 @@
   /// connection behind its answer.
   void begin_drain();
   [[nodiscard]] bool draining() const { return draining_; }
+  /// True while clients had better come to another gateway with their next
+  /// request: their connections are closed behind the answers.
+  [[nodiscard]] bool sends_clients_on() const {
+    return draining_ || ledger_.cut_off();
+  }
   [[nodiscard]] std::size_t open_requests() const { return open_requests_; }
   /// True while no client is connected.
   [[nodiscard]] bool idle() const { return sessions_.empty(); }
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/client_session.hpp"
 #include "forwarding/gateway.hpp"
+#include "forwarding/peer_contacts.hpp"
 #include "http/status_server.hpp"
 #include "logging/log.hpp"
 #include "objects/object_watch.hpp"
@@ -34,6 +35,7 @@
 constexpr duration_ms least_drain{2600};
 constexpr duration_ms exit_margin{500};
 constexpr duration_ms lookup_pause{500};
+constexpr duration_ms contact_check{100};
 /// Replicas come and go in waves, and each call to the store has its price. The
 /// time for which a draining replica may still be sent to has to hold the pause
 /// between two calls, a call, and a listing where the watch has gone deaf.
@@ -61,6 +63,8 @@
   http::page peer_page(std::string_view target);
   asio::awaitable<void> housekeeping();
   asio::awaitable<void> find_record_group();
+  /// Notices that the record group is not heard, and asks others about it.
+  asio::awaitable<void> watch_contact();
   asio::awaitable<void> drain();
   void on_reload();
 
@@ -70,6 +74,7 @@
   const std::function<std::optional<gateway_settings>()> &reload_;
   std::vector<std::unique_ptr<objects::peer_listing>> peers_;
   std::vector<objects::listing_source *> sources_;
+  peer_contacts contacts_;
   objects::object_cache cache_;
   std::unique_ptr<rpc::transport> transport_;
   records::partitioned_ledger ledger_;
@@ -86,6 +91,13 @@
              : settings.advertised_rpc_address;
 }
 
+/// The seeds but for this gateway itself.
+std::vector<std::string> other_seeds(const gateway_settings &settings) {
+  std::vector<std::string> others = settings.seeds;
+  std::erase(others, settings.peer_address);
+  return others;
+}
+
 gateway_options options_from(const gateway_settings &settings,
                              const gateway_binding &binding) {
   gateway_options options;
@@ -101,7 +113,7 @@
     const gateway_binding &binding,
     const std::function<std::optional<gateway_settings>()> &reload)
     : io_(io), settings_(std::move(settings)), binding_(binding),
-      reload_(reload),
+      reload_(reload), contacts_(io, other_seeds(settings_)),
       ledger_(
           io, make_ledger_options(),
           records::partition_count(settings_.partitions,
@@ -110,11 +122,9 @@
             send(address, envelope);
           }),
       gateway_(io, options_from(settings_, binding), ledger_) {
-  for (const std::string &seed : settings_.seeds) {
-    if (seed != settings_.peer_address) {
-      peers_.push_back(std::make_unique<objects::peer_listing>(io, seed));
-      sources_.push_back(peers_.back().get());
-    }
+  for (const std::string &seed : other_seeds(settings_)) {
+    peers_.push_back(std::make_unique<objects::peer_listing>(io, seed));
+    sources_.push_back(peers_.back().get());
   }
   configuration_watch_.emplace(
       io, *binding.store, sources_, cache_,
@@ -221,6 +231,12 @@
 }
 
 http::page gateway_process::peer_page(std::string_view target) {
+  if (target == peer_contact_path) {
+    return ledger_.contact().heard_lately(steady_now())
+               ? http::page{.body = "heard\n"}
+               : http::page{.status = status_unavailable,
+                            .body = "not heard\n"};
+  }
   if (!target.starts_with(objects::peer_objects_path)) {
     return {.status = status_not_found, .body = {}};
   }
@@ -274,6 +290,7 @@
     asio::co_spawn(io_, watch->follow_hints(), asio::detached);
   }
   asio::co_spawn(io_, find_record_group(), asio::detached);
+  asio::co_spawn(io_, watch_contact(), asio::detached);
   asio::co_spawn(io_, ledger_.run(), asio::detached);
   asio::co_spawn(io_, accept_clients(gateway_, *acceptor_), asio::detached);
   asio::co_spawn(io_, housekeeping(), asio::detached);
@@ -310,6 +327,18 @@
   }
 }
 
+asio::awaitable<void> gateway_process::watch_contact() {
+  asio::steady_timer timer(io_);
+  while (true) {
+    timer.expires_after(contact_check);
+    co_await timer.async_wait(as_result);
+    ledger_.check_contact();
+    if (ledger_.contact().state() != records::contact_state::in_touch) {
+      ledger_.on_peer_opinion(co_await contacts_.ask());
+    }
+  }
+}
+
 asio::awaitable<void> gateway_process::drain() {
   const timestamp begun = steady_now();
   logging::line(logging::event::daemon_stopping)
--- /dev/null
+++ b/src/forwarding/peer_contacts.cpp
@@ -0,0 +1,62 @@
+#include "forwarding/peer_contacts.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace heathtrestle::forwarding {
+
+namespace {
+
+/// A gateway that is there answers within a few round trips; it may be short of
+/// processor time.
+constexpr duration_ms answer_limit{350};
+
+} // namespace
+
+peer_contacts::peer_contacts(asio::io_context &io,
+                             const std::vector<std::string> &addresses)
+    : io_(io) {
+  for (const std::string &address : addresses) {
+    peers_.push_back(std::make_shared<peer>(
+        peer{.address = address,
+             .client = http::call_client(io, address, answer_limit)}));
+  }
+}
+
+asio::awaitable<void> peer_contacts::ask_one(std::shared_ptr<peer> asked,
+                                             std::shared_ptr<tally> counted) {
+  const auto answer = co_await asked->client.call(
+      http::get_request(asked->address, std::string(peer_contact_path)),
+      answer_limit);
+  if (answer) {
+    ++counted->answers;
+    counted->hear_it +=
+        answer->result() == boost::beast::http::status::ok ? 1 : 0;
+  }
+}
+
+asio::awaitable<records::peer_opinion> peer_contacts::ask() {
+  if (peers_.empty()) {
+    co_return records::peer_opinion::nobody_known;
+  }
+  const auto counted = std::make_shared<tally>();
+  for (const auto &each : peers_) {
+    asio::co_spawn(io_, ask_one(each, counted), asio::detached);
+  }
+  // One that hears the group is enough; silence has to be waited for.
+  constexpr duration_ms check_interval{20};
+  const timestamp last = steady_now() + answer_limit;
+  asio::steady_timer timer(io_);
+  while (counted->hear_it == 0 && counted->answers < peers_.size() &&
+         steady_now() < last) {
+    timer.expires_after(check_interval);
+    co_await timer.async_wait(as_result);
+  }
+  if (counted->hear_it > 0) {
+    co_return records::peer_opinion::heard;
+  }
+  co_return counted->answers > 0 ? records::peer_opinion::unheard
+                                 : records::peer_opinion::no_answer;
+}
+
+} // namespace heathtrestle::forwarding
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -34,6 +34,8 @@
 constexpr duration_ms startup_retry{500};
 constexpr duration_ms drain_retry{50};
 constexpr duration_ms ledger_retry{300};
+/// Another gateway can serve at once what this one cannot.
+constexpr duration_ms elsewhere_retry{20};
 /// A turn whose budget is held by others asks again after this long.
 constexpr duration_ms budget_pause{100};
 constexpr std::string_view answered_reason = "answered";
@@ -213,6 +215,10 @@
     co_await answer(status_payment_required, duration_ms{0}, "budget spent");
   } else if (verdict == records::turn_verdict::unknown_turn) {
     co_await answer(status_not_found, duration_ms{0}, "no such turn");
+  } else if (gateway_.ledger().cut_off()) {
+    keep_open_ = false; // the next connection leads to another gateway
+    co_await answer(status_unavailable, elsewhere_retry,
+                    "this gateway is cut off from the record group");
   } else {
     co_await answer(status_unavailable, ledger_retry,
                     "record group unavailable");
@@ -618,7 +624,7 @@
                     std::chrono::duration<double>(retry_after).count()));
   }
   message.body() = std::string(reason) + "\n";
-  keep_open_ = keep_open_ && !gateway_.draining();
+  keep_open_ = keep_open_ && !gateway_.sends_clients_on();
   message.keep_alive(keep_open_);
   message.prepare_payload();
   const auto [failure, written] =
@@ -648,7 +654,7 @@
   }
   beast_http::response<beast_http::string_body> message;
   copy_head(head, message);
-  keep_open_ = keep_open_ && !gateway_.draining();
+  keep_open_ = keep_open_ && !gateway_.sends_clients_on();
   message.keep_alive(keep_open_);
   message.body() = std::move(body);
   message.prepare_payload();
@@ -662,7 +668,7 @@
   head_sent_ = true;
   beast_http::response<beast_http::empty_body> message;
   copy_head(head, message);
-  keep_open_ = keep_open_ && !gateway_.draining();
+  keep_open_ = keep_open_ && !gateway_.sends_clients_on();
   message.keep_alive(keep_open_);
   message.chunked(true);
   beast_http::response_serializer<beast_http::empty_body> serializer(message);
--- /dev/null
+++ b/src/records/group_contact.hpp
@@ -0,0 +1,54 @@
+// Whether a process still hears the record group, and whose fault it is when it
+// does not: its own, when others hear the group (it is cut off, and somebody
+// else had better serve its clients), or the group's, when nobody does (then
+// waiting is the best that anybody can do). A reducer; it does no I/O.
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstdint>
+
+namespace heathtrestle::records {
+
+/// What other gateways answered to whether they hear the group.
+enum class peer_opinion : std::uint8_t {
+  /// There is nobody to ask.
+  nobody_known,
+  /// Nobody answered.
+  no_answer,
+  /// Somebody answered, and none that did hears the group.
+  unheard,
+  /// One of them hears it.
+  heard,
+};
+
+enum class contact_state : std::uint8_t {
+  in_touch,
+  /// Nothing was heard for a while though something was asked.
+  silent,
+  /// It is silent for this process, and not for others.
+  cut_off,
+};
+
+class group_contact {
+public:
+  /// A node of the group has answered something.
+  void on_heard(timestamp now);
+  /// @param unanswered_since when the oldest question without any answer since
+  /// was asked; the epoch for none.
+  void check(timestamp unanswered_since, timestamp now);
+  void on_opinion(peer_opinion opinion);
+
+  [[nodiscard]] contact_state state() const { return state_; }
+  [[nodiscard]] bool cut_off() const {
+    return state_ == contact_state::cut_off;
+  }
+  /// True when something was heard so lately that others may rely on it.
+  [[nodiscard]] bool heard_lately(timestamp now) const;
+
+private:
+  contact_state state_ = contact_state::in_touch;
+  timestamp heard_{};
+};
+
+} // namespace heathtrestle::records
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -356,6 +356,34 @@
   return nobody_known || unanswered;
 }
 
+timestamp ledger_client::unanswered_since() const {
+  if (first_unanswered_ == timestamp{} || pending_.empty()) {
+    return {};
+  }
+  return std::max(first_unanswered_, last_answer_);
+}
+
+void ledger_client::probe() {
+  try_next_member();
+  if (leader_.empty()) {
+    return;
+  }
+  wire::Envelope envelope;
+  envelope.set_record_partition(options_.partition);
+  wire::RecordRequest &request = *envelope.mutable_record_request();
+  request.set_reply_to(options_.address);
+  request.set_members_hash(members_hash_);
+  send_(leader_, envelope);
+}
+
+void ledger_client::give_up_grants() {
+  for (const auto &[id, entry] : pending_) {
+    if (entry->awaited && entry->change.has_begin()) {
+      entry->done.cancel();
+    }
+  }
+}
+
 void ledger_client::tick() {
   const timestamp now = steady_now();
   bool timed_out = false;
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -74,6 +74,13 @@
   [[nodiscard]] const wire::RecordMembers &members() const { return members_; }
   /// True when nothing has answered for a while though something was asked.
   [[nodiscard]] bool is_lost() const;
+  /// Since when something has been waiting for an answer while nothing at all
+  /// was heard of this partition; the epoch when nothing waits.
+  [[nodiscard]] timestamp unanswered_since() const;
+  /// Asks the next node whether it is there; it answers at once.
+  void probe();
+  /// Ends the wait for grants that have not come: they are `unavailable`.
+  void give_up_grants();
   /// Ends that are not confirmed yet.
   [[nodiscard]] std::size_t unsettled() const { return unsettled_; }
 
--- a/src/records/partitioned_ledger.cpp
+++ b/src/records/partitioned_ledger.cpp
@@ -1,5 +1,6 @@
 #include "records/partitioned_ledger.hpp"
 
+#include "logging/log.hpp"
 #include "records/partitions.hpp"
 
 #include <algorithm>
@@ -8,6 +9,14 @@
 
 namespace heathtrestle::records {
 
+namespace {
+
+/// While nothing is heard one node is asked so often: some requests on the way
+/// at a time, whatever the way takes.
+constexpr duration_ms probe_interval{100};
+
+} // namespace
+
 partitioned_ledger::partitioned_ledger(asio::io_context &io,
                                        const ledger_options &options,
                                        std::size_t partitions,
@@ -29,6 +38,9 @@
 
 asio::awaitable<turn_grant> partitioned_ledger::begin(turn_request request,
                                                       timestamp deadline) {
+  if (contact_.cut_off()) {
+    co_return turn_grant{};
+  }
   const std::size_t home = partition_of(request.program, clients_.size());
   ledger_client &client = *clients_[home];
   turn_grant grant = co_await client.begin(request, deadline);
@@ -80,7 +92,54 @@
   client.settle(std::move(end));
 }
 
+void partitioned_ledger::check_contact() {
+  const timestamp now = steady_now();
+  timestamp oldest{};
+  for (const auto &client : clients_) {
+    const timestamp since = client->unanswered_since();
+    const bool older =
+        since != timestamp{} && (oldest == timestamp{} || since < oldest);
+    oldest = older ? since : oldest;
+  }
+  const contact_state before = contact_.state();
+  contact_.check(oldest, now);
+  if (before != contact_.state()) {
+    logging::line(logging::event::dependency_lost)
+        .field("dependency", "record group")
+        .field("reason", "no node answers")
+        .write();
+  }
+  if (contact_.state() != contact_state::in_touch && now >= next_probe_) {
+    next_probe_ = now + probe_interval;
+    clients_.front()->probe();
+  }
+}
+
+void partitioned_ledger::on_peer_opinion(peer_opinion opinion) {
+  const bool was_cut_off = contact_.cut_off();
+  contact_.on_opinion(opinion);
+  if (was_cut_off == contact_.cut_off()) {
+    return;
+  }
+  logging::line(logging::event::dependency_lost)
+      .field("dependency", "record group")
+      .field("reason", contact_.cut_off() ? "this gateway is cut off"
+                                          : "no gateway hears it")
+      .write();
+  if (contact_.cut_off()) {
+    for (const auto &client : clients_) {
+      client->give_up_grants();
+    }
+  }
+}
+
 void partitioned_ledger::on_message(const wire::Envelope &envelope) {
+  if (contact_.state() != contact_state::in_touch) {
+    logging::line(logging::event::dependency_regained)
+        .field("dependency", "record group")
+        .write();
+  }
+  contact_.on_heard(steady_now());
   const std::size_t number = envelope.record_partition();
   if (number < clients_.size()) {
     clients_[number]->on_message(envelope);
--- a/src/records/partitioned_ledger.hpp
+++ b/src/records/partitioned_ledger.hpp
@@ -2,6 +2,7 @@
 // and the way of a program that goes on from a turn of another partition.
 #pragma once
 
+#include "records/group_contact.hpp"
 #include "records/ledger_client.hpp"
 #include "records/turn_ledger.hpp"
 
@@ -27,6 +28,13 @@
   asio::awaitable<bool> finish(turn_end end, timestamp deadline) override;
   void settle(turn_end end) override;
 
+  [[nodiscard]] bool cut_off() const override { return contact_.cut_off(); }
+  /// Notices silence of the whole group, and its end. To be called often.
+  void check_contact();
+  /// What other gateways say while this one hears nothing.
+  void on_peer_opinion(peer_opinion opinion);
+  [[nodiscard]] const group_contact &contact() const { return contact_; }
+
   /// Takes in an answer of the group.
   void on_message(const wire::Envelope &envelope);
   /// Storage nodes found elsewhere; they are added to those known.
@@ -48,6 +56,8 @@
 
   asio::io_context &io_;
   std::vector<std::unique_ptr<ledger_client>> clients_;
+  group_contact contact_;
+  timestamp next_probe_{};
 };
 
 } // namespace heathtrestle::records
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -250,6 +250,9 @@
     loads_.tell(request.reply_to(), request.loads(), now);
     owed_loads_.insert(request.reply_to());
   }
+  if (request.items().empty()) {
+    answer_probe(request);
+  }
   for (const wire::RecordRequestItem &item : request.items()) {
     if (!take_up(request.reply_to(), item.id())) {
       continue;
@@ -281,6 +284,14 @@
   send(request.reply_to(), std::move(envelope));
 }
 
+void record_node::answer_probe(const wire::RecordRequest &request) {
+  wire::Envelope envelope;
+  wire::RecordReply &reply = *envelope.mutable_record_reply();
+  *reply.mutable_seen() = seen_;
+  reply.set_leader_address(self_.address());
+  send(request.reply_to(), std::move(envelope));
+}
+
 void record_node::on_hello(const wire::RecordHello &hello, timestamp now) {
   learn(hello.self(), now);
   wire::Envelope envelope;
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -174,6 +174,8 @@
   void learn(const wire::RecordMember &record, timestamp now);
   void propose_batch(timestamp now, std::uint64_t wall_ms, raft::outbox &out);
   void refuse(const wire::RecordRequest &request);
+  /// A request without items asks whether this node is reached.
+  void answer_probe(const wire::RecordRequest &request);
   void say_hello(timestamp now);
   void maintain(timestamp now, raft::outbox &out);
   void carry_out(const group_change &change, timestamp now, raft::outbox &out);
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -95,6 +95,10 @@
 
   /// Records the end of a turn some time soon.
   virtual void settle(turn_end end) = 0;
+
+  /// True while this process cannot reach the record group and others can: it
+  /// had better send its clients to them.
+  [[nodiscard]] virtual bool cut_off() const { return false; }
 };
 
 } // namespace heathtrestle::records
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -32,6 +32,9 @@
   std::uint64_t spent = 0;
   int asked = 0;
   records::turn_place previous_place;
+  bool is_cut_off = false;
+
+  [[nodiscard]] bool cut_off() const override { return is_cut_off; }
 
   asio::awaitable<records::turn_grant> begin(records::turn_request,
                                              timestamp) override {
@@ -161,6 +164,7 @@
   CPPUNIT_TEST(the_record_of_a_turn_tells_where_it_was_answered);
   CPPUNIT_TEST(a_place_that_is_gone_or_switched_off_binds_nothing);
   CPPUNIT_TEST(a_busy_engine_is_left_to_others);
+  CPPUNIT_TEST(a_gateway_that_is_cut_off_sends_turns_elsewhere);
   CPPUNIT_TEST(urgent_routes_go_first_and_late_programs_last);
   CPPUNIT_TEST(a_spent_budget_runs_nothing);
   CPPUNIT_TEST(a_budget_that_is_only_reserved_is_waited_for);
@@ -480,6 +484,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[2]->received.size());
   }
 
+  void a_gateway_that_is_cut_off_sends_turns_elsewhere() {
+    CPPUNIT_ASSERT(gateway_->ready());
+    ledger_.verdict = records::turn_verdict::unavailable;
+    ledger_.is_cut_off = true;
+    CPPUNIT_ASSERT(!gateway_->ready());
+    const auto refused = ask("/stream/x", {{"Program", "p"}, {"Budget", "9"}});
+    CPPUNIT_ASSERT_EQUAL(503U, refused->result_int());
+    CPPUNIT_ASSERT_EQUAL(std::string("0.020"),
+                         field_of(*refused, "Retry-After"));
+    CPPUNIT_ASSERT(!refused->keep_alive());
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+    // What needs no grant is served here, and the next request elsewhere.
+    replicas_[0]->script.push_back({plain("hello")});
+    const auto served = ask("/call/x");
+    CPPUNIT_ASSERT_EQUAL(200U, served->result_int());
+    CPPUNIT_ASSERT(!served->keep_alive());
+  }
+
   void urgent_routes_go_first_and_late_programs_last() {
     script_turns(3);
     ask("/kept/x");
--- a/tests/records/partitioned_ledger_test.cpp
+++ b/tests/records/partitioned_ledger_test.cpp
@@ -63,6 +63,8 @@
   CPPUNIT_TEST(a_chain_of_another_partition_is_copied_over);
   CPPUNIT_TEST(a_turn_that_no_partition_knows_is_unknown);
   CPPUNIT_TEST(a_silent_partition_may_know_the_turn);
+  CPPUNIT_TEST(a_gateway_that_is_cut_off_grants_nothing_until_it_is_back);
+  CPPUNIT_TEST(a_group_that_is_down_for_all_is_waited_for);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -169,6 +171,56 @@
         begin(program_in(1), "one", "never was", duration_ms{300});
     CPPUNIT_ASSERT(grant.verdict == turn_verdict::unavailable);
   }
+
+  void a_gateway_that_is_cut_off_grants_nothing_until_it_is_back() {
+    const std::string program = program_in(1);
+    begin(program, "one", "");
+    group_.silent = {0, 1, 2, 3};
+    // The patience is longer than the test may take: only the cut ends it.
+    asio::co_spawn(io_, cut_off_once_silent(peer_opinion::heard),
+                   asio::detached);
+    CPPUNIT_ASSERT(begin(program, "two", "", an_hour).verdict ==
+                   turn_verdict::unavailable);
+    CPPUNIT_ASSERT(ledger_->cut_off());
+    const int asked = group_.asked[1];
+    CPPUNIT_ASSERT(begin(program, "three", "", an_hour).verdict ==
+                   turn_verdict::unavailable);
+    CPPUNIT_ASSERT_EQUAL(asked, group_.asked[1]);
+    group_.silent.clear();
+    while (ledger_->cut_off()) { // a probe restores contact
+      ledger_->check_contact();
+      io_.restart();
+      io_.run_one_for(duration_ms{20});
+    }
+    CPPUNIT_ASSERT(begin(program, "four", "").verdict == turn_verdict::granted);
+  }
+
+  void a_group_that_is_down_for_all_is_waited_for() {
+    group_.silent = {0, 1, 2, 3};
+    asio::co_spawn(io_, cut_off_once_silent(peer_opinion::unheard),
+                   asio::detached);
+    asio::co_spawn(io_, ledger_->run(), asio::detached);
+    CPPUNIT_ASSERT(begin(program_in(1), "one", "", an_hour).verdict ==
+                   turn_verdict::granted);
+  }
+
+private:
+  static constexpr duration_ms an_hour{3600000};
+
+  /// Waits until the silence is noticed, and takes in what others say of it.
+  /// If they do not hear the group either, it comes back.
+  asio::awaitable<void> cut_off_once_silent(peer_opinion opinion) {
+    asio::steady_timer timer(io_);
+    while (ledger_->contact().state() == contact_state::in_touch) {
+      timer.expires_after(duration_ms{20});
+      co_await timer.async_wait(as_result);
+      ledger_->check_contact();
+    }
+    ledger_->on_peer_opinion(opinion);
+    if (opinion != peer_opinion::heard) {
+      group_.silent.clear();
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(partitioned_ledger_test);
