Let gateways follow the configuration and the replicas through storage nodes

Change: gateways follow tolerated losses + 1 storage nodes, chosen by the hash of their names from different zones, by a heartbeat each 250 ms that tells their revision; the node answers with what they lack and pushes changes. A relay that is silent, or says that its own watch is interrupted, is left after 0.6 s; after 0.9 s without any a gateway watches the store itself. Copies only move up: one copy a gateway takes listings, changes and relayed changes alike, and changes that follow others which are missing are made up for at the next heartbeat. Revisions that travel with the record group's answers still show a deaf watch. Storage nodes are looked up with other gateways before the store is asked, one node tries to found the group before the others do, only leaders watch the requests to empty machines.

--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -5,6 +5,7 @@
 #include "forwarding/peer_contacts.hpp"
 #include "http/status_server.hpp"
 #include "logging/log.hpp"
+#include "objects/object_follower.hpp"
 #include "objects/object_watch.hpp"
 #include "objects/peer_listing.hpp"
 #include "records/group_directory.hpp"
@@ -34,12 +35,12 @@
 /// new connections still come.
 constexpr duration_ms least_drain{2600};
 constexpr duration_ms exit_margin{500};
-constexpr duration_ms lookup_pause{500};
+constexpr duration_ms first_lookup_pause{250};
 constexpr duration_ms contact_check{100};
-/// Replicas come and go in waves, and each call to the store has its price. The
-/// time for which a draining replica may still be sent to has to hold the pause
-/// between two calls, a call, and a listing where the watch has gone deaf.
-constexpr std::int64_t watches_in_drain_notice = 3;
+/// Rounds of asking other gateways for the storage nodes before the store is
+/// asked: at the start of the whole system nobody knows them for a while.
+constexpr int rounds_without_store = 4;
+constexpr duration_ms longest_lookup_pause{4000};
 constexpr std::uint32_t status_not_found = 404;
 constexpr std::uint32_t status_unavailable = 503;
 
@@ -65,6 +66,11 @@
   asio::awaitable<void> find_record_group();
   /// Notices that the record group is not heard, and asks others about it.
   asio::awaitable<void> watch_contact();
+  /// Looks the storage nodes up: with other gateways first, for a call to the
+  /// store has its price.
+  asio::awaitable<bool> look_up_members(bool may_ask_store);
+  void on_message(const wire::Envelope &envelope);
+  [[nodiscard]] std::vector<objects::relay_address> relays() const;
   asio::awaitable<void> drain();
   void on_reload();
 
@@ -81,6 +87,7 @@
   gateway gateway_;
   std::optional<objects::object_watch> configuration_watch_;
   std::optional<objects::object_watch> instance_watch_;
+  objects::object_follower follower_;
   std::optional<tcp::acceptor> acceptor_;
   std::optional<runtime::process_signals> signals_;
 };
@@ -121,21 +128,51 @@
           [this](const std::string &address, const wire::Envelope &envelope) {
             send(address, envelope);
           }),
-      gateway_(io, options_from(settings_, binding), ledger_) {
+      gateway_(io, options_from(settings_, binding), ledger_),
+      follower_(
+          io,
+          {.address = advertised_rpc(settings_),
+           .relays = static_cast<std::size_t>(settings_.tolerated_losses) + 1},
+          [this] { return relays(); },
+          [this](const std::string &address, const wire::Envelope &envelope) {
+            send(address, envelope);
+          }) {
   for (const std::string &seed : other_seeds(settings_)) {
     peers_.push_back(std::make_unique<objects::peer_listing>(io, seed));
     sources_.push_back(peers_.back().get());
   }
+  const auto not_relayed = [this] { return !follower_.is_current(); };
   configuration_watch_.emplace(
       io, *binding.store, sources_, cache_,
-      objects::watch_options{.kind = binding.configuration_kind},
+      objects::watch_options{.kind = binding.configuration_kind,
+                             .wanted = not_relayed},
       configuration_handlers());
   instance_watch_.emplace(
       io, *binding.store, sources_, cache_,
-      objects::watch_options{.kind = binding.instance_kind,
-                             .least_interval = settings_.drain_notice /
-                                               watches_in_drain_notice},
+      objects::watch_options{
+          .kind = binding.instance_kind,
+          .least_interval = objects::instance_interval(settings_.drain_notice),
+          .wanted = not_relayed},
       instance_handlers());
+  follower_.add(binding.configuration_kind, *configuration_watch_);
+  follower_.add(binding.instance_kind, *instance_watch_);
+}
+
+std::vector<objects::relay_address> gateway_process::relays() const {
+  std::vector<objects::relay_address> known;
+  for (const wire::RecordMember &each : ledger_.members().members()) {
+    known.push_back(
+        {.name = each.name(), .address = each.address(), .zone = each.zone()});
+  }
+  return known;
+}
+
+void gateway_process::on_message(const wire::Envelope &envelope) {
+  if (envelope.has_object_copies()) {
+    follower_.on_copies(envelope.object_copies());
+  } else {
+    ledger_.on_message(envelope);
+  }
 }
 
 void gateway_process::send(const std::string &address,
@@ -256,7 +293,7 @@
       {.address = settings_.rpc_address, .cluster = record_cluster},
       [this](wire::Envelope envelope) {
         asio::post(io_, [this, message = std::move(envelope)] {
-          ledger_.on_message(message);
+          on_message(message);
         });
       });
   if (!transport) {
@@ -289,6 +326,7 @@
     asio::co_spawn(io_, watch->run(), asio::detached);
     asio::co_spawn(io_, watch->follow_hints(), asio::detached);
   }
+  asio::co_spawn(io_, follower_.run(), asio::detached);
   asio::co_spawn(io_, find_record_group(), asio::detached);
   asio::co_spawn(io_, watch_contact(), asio::detached);
   asio::co_spawn(io_, ledger_.run(), asio::detached);
@@ -311,22 +349,51 @@
 
 asio::awaitable<void> gateway_process::find_record_group() {
   asio::steady_timer timer(io_);
-  const std::string kind(records::member_kind);
+  // A gateway that others ask must not wait for them.
+  const bool is_seed = other_seeds(settings_).size() < settings_.seeds.size();
+  int rounds = is_seed ? rounds_without_store : 0;
+  duration_ms pause = first_lookup_pause;
   while (true) {
     if (ledger_.is_lost()) {
-      auto listed = co_await binding_.store->list(kind);
-      for (std::size_t peer = 0; !listed && peer < sources_.size(); ++peer) {
-        listed = co_await sources_[peer]->list(kind);
-      }
-      if (listed) {
-        ledger_.learn_members(records::members_from(listed.value()));
-      }
+      const bool knew_some = ledger_.members().members_size() > 0;
+      co_await look_up_members(knew_some || rounds >= rounds_without_store);
+      ++rounds;
+      // The nodes change rarely: what is known is most likely still true.
+      pause = knew_some ? std::min(2 * pause, longest_lookup_pause)
+                        : first_lookup_pause;
+    } else {
+      pause = first_lookup_pause;
     }
-    timer.expires_after(lookup_pause);
+    timer.expires_after(pause);
     co_await timer.async_wait(as_result);
   }
 }
 
+asio::awaitable<bool> gateway_process::look_up_members(bool may_ask_store) {
+  const std::string kind(records::member_kind);
+  const std::size_t before =
+      static_cast<std::size_t>(ledger_.members().members_size());
+  for (objects::listing_source *peer : sources_) {
+    const auto listed = co_await peer->list(kind);
+    if (listed && !listed.value().items.empty()) {
+      ledger_.learn_members(records::members_from(listed.value()));
+      const bool learnt =
+          static_cast<std::size_t>(ledger_.members().members_size()) > before;
+      if (learnt) {
+        co_return true;
+      }
+    }
+  }
+  if (!may_ask_store) {
+    co_return false;
+  }
+  const auto listed = co_await binding_.store->list(kind);
+  if (listed) {
+    ledger_.learn_members(records::members_from(listed.value()));
+  }
+  co_return listed.has_value();
+}
+
 asio::awaitable<void> gateway_process::watch_contact() {
   asio::steady_timer timer(io_);
   while (true) {
--- /dev/null
+++ b/src/objects/change_log.cpp
@@ -0,0 +1,157 @@
+#include "objects/change_log.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <zlib.h>
+
+namespace heathtrestle::objects {
+
+namespace {
+
+/// Changes that are kept: some seconds of the busiest times, in which every
+/// replica of a large fleet is replaced.
+constexpr std::size_t most_changes = 2000;
+/// A shorter specification gains nothing by being deflated.
+constexpr std::size_t deflate_above_bytes = 1000;
+/// No object of the store is larger by far; a larger claim is not believed.
+constexpr std::size_t most_inflated_bytes = 16U << 20U;
+
+std::string deflated(const std::string &text) {
+  uLongf size = compressBound(text.size());
+  std::string packed(size, '\0');
+  const int done = compress2(reinterpret_cast<Bytef *>(packed.data()), &size,
+                             reinterpret_cast<const Bytef *>(text.data()),
+                             text.size(), Z_BEST_SPEED);
+  packed.resize(done == Z_OK ? size : 0);
+  return packed;
+}
+
+/// @return nothing but an empty text when `packed` is damaged.
+std::string inflated(const std::string &packed, std::size_t size) {
+  std::string text(size, '\0');
+  uLongf written = size;
+  const int done =
+      uncompress(reinterpret_cast<Bytef *>(text.data()), &written,
+                 reinterpret_cast<const Bytef *>(packed.data()), packed.size());
+  return done == Z_OK && written == size ? text : std::string();
+}
+
+} // namespace
+
+wire::CopiedObject to_wire(const object &copied, bool deleted) {
+  wire::CopiedObject message;
+  message.set_name(copied.name);
+  message.set_revision(copied.revision);
+  message.set_deleted(deleted);
+  if (deleted) {
+    return message;
+  }
+  std::string text = boost::json::serialize(copied.specification);
+  if (text.size() > deflate_above_bytes) {
+    std::string packed = deflated(text);
+    if (!packed.empty()) {
+      message.set_inflated_bytes(static_cast<std::uint32_t>(text.size()));
+      text = std::move(packed);
+    }
+  }
+  message.set_specification(std::move(text));
+  return message;
+}
+
+store_result<change> from_wire(const wire::CopiedObject &message) {
+  change read;
+  read.changed.name = message.name();
+  read.changed.revision = message.revision();
+  read.deleted = message.deleted();
+  if (read.deleted) {
+    return read;
+  }
+  if (message.inflated_bytes() > most_inflated_bytes) {
+    return store_error::malformed;
+  }
+  const std::string text =
+      message.inflated_bytes() > 0
+          ? inflated(message.specification(), message.inflated_bytes())
+          : message.specification();
+  boost::system::error_code ec;
+  read.changed.specification = boost::json::parse(text, ec);
+  if (ec) {
+    return store_error::malformed;
+  }
+  return read;
+}
+
+void change_log::take(const listing &listed) {
+  if (known_ && listed.revision < revision_) {
+    return;
+  }
+  std::set<std::string> names;
+  for (const object &each : listed.items) {
+    names.insert(each.name);
+    const auto before = by_name_.find(each.name);
+    const bool same =
+        before != by_name_.end() && before->second.revision() == each.revision;
+    if (!same) {
+      log(to_wire(each, false), listed.revision);
+    }
+  }
+  std::vector<std::string> gone;
+  for (const auto &[name, copied] : by_name_) {
+    if (!names.contains(name)) {
+      gone.push_back(name);
+    }
+  }
+  for (const std::string &name : gone) {
+    log(to_wire({.name = name, .revision = listed.revision}, true),
+        listed.revision);
+  }
+  if (!known_) {
+    changes_.clear(); // nobody has the state before the first listing
+    base_ = listed.revision;
+  }
+  known_ = true;
+  revision_ = listed.revision;
+}
+
+void change_log::take(const change &changed, std::uint64_t revision) {
+  log(to_wire(changed.changed, changed.deleted), revision);
+  revision_ = std::max(revision_, revision);
+}
+
+void change_log::log(wire::CopiedObject object, std::uint64_t revision) {
+  if (object.deleted()) {
+    by_name_.erase(object.name());
+  } else {
+    by_name_[object.name()] = object;
+  }
+  changes_.push_back({.revision = revision, .object = std::move(object)});
+  while (changes_.size() > most_changes) {
+    base_ = changes_.front().revision;
+    changes_.pop_front();
+  }
+}
+
+void change_log::fill(wire::CopiedKind &message,
+                      const followed_revision &have) const {
+  message.set_revision(revision_);
+  message.set_since(have.revision);
+  const bool in_log = have.known && have.revision >= base_;
+  if (!in_log) {
+    message.set_whole(true);
+    for (const auto &[name, copied] : by_name_) {
+      *message.add_objects() = copied;
+    }
+    return;
+  }
+  for (const logged &each : changes_) {
+    if (each.revision > have.revision) {
+      *message.add_objects() = each.object;
+    }
+  }
+}
+
+} // namespace heathtrestle::objects
--- a/src/objects/object_cache.cpp
+++ b/src/objects/object_cache.cpp
@@ -23,9 +23,12 @@
   return true;
 }
 
-void object_cache::apply(const std::string &kind, const change_list &changes) {
+bool object_cache::apply(const std::string &kind, const change_list &changes) {
   kind_copy &copy = kinds_[kind];
-  copy.revision = std::max(copy.revision, changes.revision);
+  if (changes.revision <= copy.revision) {
+    return false;
+  }
+  copy.revision = changes.revision;
   for (const change &each : changes.changes) {
     if (each.deleted) {
       copy.by_name.erase(each.changed.name);
@@ -33,6 +36,7 @@
       copy.by_name[each.changed.name] = each.changed;
     }
   }
+  return true;
 }
 
 std::optional<listing> object_cache::find(const std::string &kind) const {
--- a/src/objects/object_cache.hpp
+++ b/src/objects/object_cache.hpp
@@ -16,7 +16,9 @@
   /// Replaces all objects of a kind, unless the copy is newer already.
   /// @return false when the listing is older than what is known.
   bool replace(const std::string &kind, listing objects);
-  void apply(const std::string &kind, const change_list &changes);
+  /// Takes in changes that follow what is known, unless they are known already.
+  /// @return false when the copy is as new as they are.
+  bool apply(const std::string &kind, const change_list &changes);
 
   /// @return nothing when the kind was never listed.
   [[nodiscard]] std::optional<listing> find(const std::string &kind) const;
--- /dev/null
+++ b/src/objects/object_follower.cpp
@@ -0,0 +1,161 @@
+#include "objects/object_follower.hpp"
+
+#include "base/ids.hpp"
+#include "logging/log.hpp"
+#include "objects/change_log.hpp"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace heathtrestle::objects {
+
+std::vector<relay_address> in_trial_order(std::vector<relay_address> relays) {
+  std::sort(relays.begin(), relays.end(),
+            [](const relay_address &left, const relay_address &right) {
+              return std::tuple(stable_hash(left.name), left.name) <
+                     std::tuple(stable_hash(right.name), right.name);
+            });
+  // The first of each zone, then the second of each, and so on.
+  std::map<std::string, std::size_t> taken_of_zone;
+  std::vector<std::pair<std::size_t, relay_address>> by_turn;
+  for (relay_address &each : relays) {
+    const std::size_t turn = taken_of_zone[each.zone]++;
+    by_turn.emplace_back(turn, std::move(each));
+  }
+  std::stable_sort(by_turn.begin(), by_turn.end(),
+                   [](const auto &left, const auto &right) {
+                     return left.first < right.first;
+                   });
+  std::vector<relay_address> ordered;
+  for (auto &[turn, each] : by_turn) {
+    ordered.push_back(std::move(each));
+  }
+  return ordered;
+}
+
+object_follower::object_follower(
+    asio::io_context &io, follow_options options,
+    std::function<std::vector<relay_address>()> relays, sender send)
+    : io_(io), options_(std::move(options)), relays_(std::move(relays)),
+      send_(std::move(send)),
+      first_relay_(stable_hash(options_.address) %
+                   std::max<std::size_t>(options_.relays, 1)),
+      started_(steady_now()) {}
+
+void object_follower::add(std::string kind, object_watch &watch) {
+  kinds_.push_back({.kind = std::move(kind), .watch = &watch});
+}
+
+asio::awaitable<void> object_follower::run() {
+  asio::steady_timer timer(io_);
+  while (true) {
+    beat();
+    timer.expires_after(options_.heartbeat);
+    co_await timer.async_wait(as_result);
+  }
+}
+
+void object_follower::beat() {
+  const bool useless = steady_now() >= useful_ + options_.answer_limit;
+  if (relay_.empty() || useless) {
+    take_next_relay();
+  }
+  if (!relay_.empty()) {
+    send_heartbeat();
+  }
+}
+
+void object_follower::take_next_relay() {
+  const auto relays = in_trial_order(relays_());
+  if (relays.empty()) {
+    return;
+  }
+  const std::string before = relay_;
+  relay_ = relays[(first_relay_ + tried_) % relays.size()].address;
+  ++tried_;
+  useful_ = steady_now();
+  logging::line(logging::event::relay_chosen)
+      .field("relay", relay_)
+      .field("before", before)
+      .field("known", relays.size())
+      .write();
+}
+
+void object_follower::send_heartbeat() {
+  wire::Envelope envelope;
+  wire::FollowObjects &follow = *envelope.mutable_follow_objects();
+  follow.set_reply_to(options_.address);
+  for (const followed &each : kinds_) {
+    wire::FollowedKind &kind = *follow.add_kinds();
+    kind.set_kind(each.kind);
+    kind.set_known(each.watch->known());
+    kind.set_revision(each.watch->revision());
+    kind.set_hinted(each.watch->hinted());
+  }
+  send_(relay_, envelope);
+}
+
+void object_follower::on_copies(const wire::ObjectCopies &copies) {
+  if (copies.from() != relay_) {
+    return; // one that was left
+  }
+  bool all_current = true;
+  for (const wire::CopiedKind &copied : copies.kinds()) {
+    if (object_watch *watch = watch_of(copied.kind())) {
+      take(copied, *watch);
+    }
+    all_current = all_current && copied.current();
+  }
+  const bool heartbeat =
+      static_cast<std::size_t>(copies.kinds_size()) >= kinds_.size();
+  if (heartbeat && all_current) {
+    useful_ = steady_now();
+    current_until_ = useful_ + options_.current_for;
+    tried_ = 0; // the next search begins with its usual one again
+  }
+}
+
+void object_follower::take(const wire::CopiedKind &copied,
+                           object_watch &watch) {
+  listing listed{.items = {}, .revision = copied.revision()};
+  change_list changes{.changes = {}, .revision = copied.revision()};
+  for (const wire::CopiedObject &each : copied.objects()) {
+    auto read = from_wire(each);
+    if (!read) {
+      logging::line(logging::event::copy_rejected)
+          .field("kind", copied.kind())
+          .field("object", each.name())
+          .field("relay", relay_)
+          .write();
+      return;
+    }
+    if (copied.whole()) {
+      listed.items.push_back(std::move(read.value().changed));
+    } else {
+      changes.changes.push_back(std::move(read).value());
+    }
+  }
+  if (copied.whole()) {
+    watch.take_listing(listed);
+  } else if (!changes.changes.empty()) {
+    watch.take_changes(changes, copied.since());
+  }
+}
+
+bool object_follower::is_current() const {
+  const timestamp now = steady_now();
+  const bool starting =
+      current_until_ == timestamp{} && now < started_ + options_.start_patience;
+  return starting || now < current_until_;
+}
+
+object_watch *object_follower::watch_of(const std::string &kind) {
+  const auto found =
+      std::find_if(kinds_.begin(), kinds_.end(),
+                   [&kind](const followed &each) { return each.kind == kind; });
+  return found == kinds_.end() ? nullptr : found->watch;
+}
+
+} // namespace heathtrestle::objects
--- /dev/null
+++ b/src/objects/object_relay.cpp
@@ -0,0 +1,123 @@
+#include "objects/object_relay.hpp"
+
+#include "logging/log.hpp"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+namespace heathtrestle::objects {
+
+namespace {
+
+/// A follower that is silent this long has gone elsewhere: several of its
+/// heartbeats (`follow_options::heartbeat`).
+constexpr duration_ms follower_gone_after{1500};
+/// The store is watched this long after the last follower was heard of, so that
+/// one that comes back finds a current copy.
+constexpr duration_ms watched_for{3000};
+
+} // namespace
+
+object_relay::object_relay(asio::io_context &io, object_store &store,
+                           std::string self, std::vector<watch_options> watches,
+                           sender send)
+    : io_(io), store_(store), self_(std::move(self)), send_(std::move(send)) {
+  for (watch_options &options : watches) {
+    const std::string kind = options.kind;
+    kind_copy &copy = kinds_[kind];
+    options.wanted = [this] { return followed(); };
+    copy.watch = std::make_unique<object_watch>(
+        io_, store_, std::vector<listing_source *>(), cache_,
+        std::move(options), handlers_of(copy));
+  }
+}
+
+object_watch::handlers object_relay::handlers_of(kind_copy &copy) {
+  return {.on_listing =
+              [this, &copy](const listing &listed) {
+                copy.log.take(listed);
+                push_soon();
+              },
+          .on_change =
+              [this, &copy](const change &changed) {
+                copy.log.take(changed, copy.watch->revision());
+                push_soon();
+              }};
+}
+
+void object_relay::start() {
+  for (const auto &[kind, copy] : kinds_) {
+    asio::co_spawn(io_, copy.watch->run(), asio::detached);
+    asio::co_spawn(io_, copy.watch->follow_hints(), asio::detached);
+  }
+}
+
+bool object_relay::followed() const {
+  return followed_at_ != timestamp{} &&
+         steady_now() < followed_at_ + watched_for;
+}
+
+void object_relay::on_follow(const wire::FollowObjects &follow) {
+  const timestamp now = steady_now();
+  followed_at_ = now;
+  follower &from = followers_[follow.reply_to()];
+  from.heard = now;
+  for (const wire::FollowedKind &each : follow.kinds()) {
+    const auto known = kinds_.find(each.kind());
+    if (known == kinds_.end()) {
+      continue;
+    }
+    from.have[each.kind()] = {.known = each.known(),
+                              .revision = each.revision()};
+    known->second.watch->hint(each.hinted());
+  }
+  send_to(follow.reply_to(), from, true);
+}
+
+void object_relay::push_soon() {
+  if (!push_posted_) {
+    push_posted_ = true;
+    asio::post(io_, [this] { push(); });
+  }
+}
+
+void object_relay::push() {
+  push_posted_ = false;
+  const timestamp now = steady_now();
+  std::erase_if(followers_, [now](const auto &each) {
+    return now >= each.second.heard + follower_gone_after;
+  });
+  for (auto &[address, to] : followers_) {
+    send_to(address, to, false);
+  }
+}
+
+void object_relay::send_to(const std::string &address, follower &to, bool all) {
+  wire::Envelope envelope;
+  wire::ObjectCopies &copies = *envelope.mutable_object_copies();
+  copies.set_from(self_);
+  for (auto &[kind, have] : to.have) {
+    const kind_copy &copy = kinds_.at(kind);
+    const bool lacks = copy.log.known() &&
+                       (!have.known || have.revision < copy.log.revision());
+    if (!lacks && !all) {
+      continue;
+    }
+    wire::CopiedKind &message = *copies.add_kinds();
+    message.set_kind(kind);
+    message.set_current(copy.log.known() && copy.watch->in_sync());
+    if (lacks) {
+      copy.log.fill(message, have);
+      // A message that is lost is made up for at the next heartbeat.
+      have = {.known = true, .revision = copy.log.revision()};
+    }
+  }
+  if (copies.kinds_size() > 0) {
+    send_(address, envelope);
+  }
+}
+
+} // namespace heathtrestle::objects
--- a/src/objects/object_watch.cpp
+++ b/src/objects/object_watch.cpp
@@ -17,9 +17,13 @@
 
 asio::awaitable<void> object_watch::run() {
   while (true) {
+    co_await wait_until_wanted();
     if (!in_sync_) {
       co_await list_until_known();
     }
+    if (!in_sync_) {
+      continue; // not wanted any more
+    }
     if (steady_now() < next_call_) {
       asio::steady_timer timer(io_, next_call_ - steady_now());
       co_await timer.async_wait(as_result);
@@ -45,8 +49,18 @@
   }
 }
 
+asio::awaitable<void> object_watch::wait_until_wanted() {
+  asio::steady_timer timer(io_);
+  while (!wanted()) {
+    // Changes of the time between are found by a listing.
+    in_sync_ = false;
+    timer.expires_after(options_.wanted_check);
+    co_await timer.async_wait(as_result);
+  }
+}
+
 asio::awaitable<void> object_watch::list_until_known() {
-  while (true) {
+  while (wanted()) {
     if (co_await list_from(store_, "store")) {
       in_sync_ = true;
       co_return;
@@ -69,20 +83,41 @@
     on_failure(listed.error());
     co_return false;
   }
-  const bool newer = cache_.replace(options_.kind, listed.value());
-  if (!newer) {
+  if (!take_in(listed.value())) {
     co_return false;
   }
   if (source_name == "store") {
     on_answer();
   }
-  revision_ = std::max(revision_, listed.value().revision);
-  for (const object &each : listed.value().items) {
+  co_return true;
+}
+
+bool object_watch::take_in(const listing &listed) {
+  if (!cache_.replace(options_.kind, listed)) {
+    return false;
+  }
+  revision_ = std::max(revision_, listed.revision);
+  for (const object &each : listed.items) {
     newest_change_ = std::max(newest_change_, each.revision);
   }
   known_ = true;
-  notify_.on_listing(listed.value());
-  co_return true;
+  notify_.on_listing(listed);
+  return true;
+}
+
+void object_watch::take_listing(const listing &listed) {
+  if (!known_ || listed.revision > revision_) {
+    take_in(listed);
+  }
+}
+
+bool object_watch::take_changes(const change_list &changes,
+                                std::uint64_t since) {
+  if (!known_ || since > revision_) {
+    return false;
+  }
+  take(changes);
+  return true;
 }
 
 void object_watch::take(const change_list &changes) {
@@ -91,7 +126,9 @@
     // old revision on, what was missed is told, or that it is forgotten.
     return;
   }
-  cache_.apply(options_.kind, changes);
+  if (!cache_.apply(options_.kind, changes)) {
+    return;
+  }
   revision_ = std::max(revision_, changes.revision);
   for (const change &each : changes.changes) {
     newest_change_ = std::max(newest_change_, each.changed.revision);
@@ -111,11 +148,14 @@
   while (true) {
     timer.expires_after(options_.hint_check);
     co_await timer.async_wait(as_result);
-    // Between two calls nothing can be heard; the next one brings it.
-    const timestamp since = std::max(behind_since_, next_call_);
+    // Between two calls nothing can be heard; the next one brings it. When a
+    // relay makes these calls, the pause between them is all that is known.
+    const bool relayed = !wanted();
+    const timestamp since = relayed ? behind_since_ + options_.least_interval
+                                    : std::max(behind_since_, next_call_);
     const bool behind =
         hinted_ > revision_ && steady_now() >= since + options_.hint_patience;
-    if (!behind || !in_sync_) {
+    if (!behind || (!in_sync_ && !relayed)) {
       continue; // caught up, or listing anew already
     }
     logging::line(logging::event::watch_behind)
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -32,8 +32,21 @@
   duration_ms least_interval{150};
   duration_ms first_pause{100};
   duration_ms longest_pause{1000};
+  /// Whether the store is to be watched at present; empty for always. While it
+  /// is not, the copy is kept by what a relay sends.
+  std::function<bool()> wanted;
+  duration_ms wanted_check{50};
 };
 
+/// The pause between two calls that watch replicas. They come and go in waves,
+/// and each call to the store has its price. The time for which a draining
+/// replica may still be sent to has to hold the pause, a call, and a listing
+/// where the watch has gone deaf.
+constexpr duration_ms instance_interval(duration_ms drain_notice) {
+  constexpr std::int64_t calls_in_drain_notice = 3;
+  return drain_notice / calls_in_drain_notice;
+}
+
 class object_watch {
 public:
   /// Both are called after the cache has taken the objects in.
@@ -52,8 +65,21 @@
   /// Lists anew when the watch stays behind what `hint` told.
   asio::awaitable<void> follow_hints();
 
+  /// Takes in what a relay sent; what is known already changes nothing.
+  void take_listing(const listing &listed);
+  /// @param since the changes are those after this revision.
+  /// @return false when changes before them are missing here.
+  bool take_changes(const change_list &changes, std::uint64_t since);
+
   /// Another process has heard of a change with this revision.
   void hint(std::uint64_t revision);
+  [[nodiscard]] std::uint64_t hinted() const { return hinted_; }
+  /// The revision of the copy.
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  /// True once a listing was taken in.
+  [[nodiscard]] bool known() const { return known_; }
+  /// True while the store is watched, as far as it says.
+  [[nodiscard]] bool in_sync() const { return in_sync_; }
   /// The newest change of an object of this kind that was heard of.
   [[nodiscard]] std::uint64_t newest_change() const { return newest_change_; }
 
@@ -61,6 +87,11 @@
   asio::awaitable<bool> list_from(listing_source &source,
                                   std::string_view source_name);
   asio::awaitable<void> list_until_known();
+  asio::awaitable<void> wait_until_wanted();
+  [[nodiscard]] bool wanted() const {
+    return !options_.wanted || options_.wanted();
+  }
+  bool take_in(const listing &listed);
   asio::awaitable<void> pause();
   void take(const change_list &changes);
   void on_answer();
--- a/src/records/group_directory.cpp
+++ b/src/records/group_directory.cpp
@@ -18,6 +18,12 @@
 constexpr duration_ms longest_pause{1000};
 /// A node that has its group checks now and then whether it still does.
 constexpr duration_ms settled_pause{500};
+/// With the pauses above: 0.7 s after contact was lost, and then every four
+/// seconds.
+constexpr int rounds_a_listing = 4;
+/// The node that is to found the group tries in the first rounds alone; with
+/// the pauses above the others follow 0.7 s later.
+constexpr int rounds_for_first_founder = 3;
 constexpr int hexadecimal = 16;
 
 std::string text_of(const json::object &fields, std::string_view name) {
@@ -100,9 +106,17 @@
     if (!published) {
       published = co_await publish();
     }
-    if (!in_touch) {
-      co_await look_up();
+    if (in_touch) {
+      search_.rounds = 0;
+    } else {
+      // Those that register later greet this node, so that one listing does
+      // unless the search takes long.
+      if (!search_.looked_up ||
+          search_.rounds % rounds_a_listing == rounds_a_listing - 1) {
+        co_await look_up();
+      }
       co_await try_to_found();
+      ++search_.rounds;
     }
     const bool settled = in_touch && published;
     timer.expires_after(settled ? settled_pause : pause);
@@ -130,6 +144,11 @@
 asio::awaitable<void> group_directory::look_up() {
   const auto listed = co_await store_.list(std::string(member_kind));
   if (listed) {
+    search_.looked_up = true;
+    listed_.clear();
+    for (const objects::object &each : listed.value().items) {
+      listed_.insert(each.name);
+    }
     runtime_.learn_members(members_from(listed.value()));
     co_return;
   }
@@ -142,8 +161,16 @@
   }
 }
 
+bool group_directory::is_its_turn_to_found() const {
+  const bool is_first =
+      !listed_.empty() && *listed_.begin() == runtime_.self().name();
+  return is_first || search_.rounds >= rounds_for_first_founder;
+}
+
 asio::awaitable<void> group_directory::try_to_found() {
-  if (!may_found_ || runtime_.has_group()) {
+  const bool needless =
+      !may_found_ || runtime_.has_group() || search_.founded_elsewhere;
+  if (needless || !is_its_turn_to_found()) {
     co_return;
   }
   const std::string self = identity_of(runtime_.self());
@@ -162,6 +189,7 @@
   }
   const json::object *fields = group.value().specification.if_object();
   const bool own = fields != nullptr && text_of(*fields, "founder") == self;
+  search_.founded_elsewhere = !own;
   if (own && !runtime_.has_group()) {
     runtime_.found();
   }
--- a/src/records/group_directory.hpp
+++ b/src/records/group_directory.hpp
@@ -8,6 +8,7 @@
 #include "records/record_runtime.hpp"
 #include "runtime/asio.hpp"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,15 +43,28 @@
   asio::awaitable<void> run();
 
 private:
+  /// How far the search for the group has come since the last contact.
+  struct search {
+    int rounds = 0;
+    bool looked_up = false;
+    /// Another node is the founder.
+    bool founded_elsewhere = false;
+  };
+
   asio::awaitable<bool> publish();
   asio::awaitable<void> look_up();
   asio::awaitable<void> try_to_found();
+  /// One node had better try first; the others make up for one that fails.
+  [[nodiscard]] bool is_its_turn_to_found() const;
 
   asio::io_context &io_;
   objects::object_store &store_;
   std::vector<objects::listing_source *> peers_;
   record_runtime &runtime_;
   bool may_found_;
+  search search_;
+  /// Names of the storage nodes that were listed last.
+  std::set<std::string> listed_;
 };
 
 } // namespace heathtrestle::records
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -118,6 +118,12 @@
                      });
 }
 
+bool record_runtime::leads_any() const {
+  return std::any_of(
+      partitions_.begin(), partitions_.end(),
+      [](const partition &each) { return each.node->is_leader(); });
+}
+
 bool record_runtime::has_group() const {
   return std::any_of(
       partitions_.begin(), partitions_.end(),
@@ -210,6 +216,12 @@
 }
 
 void record_runtime::receive(wire::Envelope envelope) {
+  if (envelope.has_follow_objects()) {
+    if (follow_handler_) {
+      follow_handler_(envelope.follow_objects());
+    }
+    return;
+  }
   const std::size_t number = envelope.record_partition();
   if (number >= partitions_.size()) {
     return; // of a group with more partitions than the settings say
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -9,6 +9,7 @@
 #include "storage/log_storage.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -47,6 +48,8 @@
   [[nodiscard]] const wire::RecordMember &self() const;
   /// True when it is known of each partition who leads it.
   [[nodiscard]] bool in_touch() const;
+  /// True while this node leads some partition.
+  [[nodiscard]] bool leads_any() const;
   /// True when this node has a part in the group, of any partition.
   [[nodiscard]] bool has_group() const;
   /// Makes this node the founder of every partition.
@@ -54,6 +57,15 @@
   /// Storage nodes that the object store or a peer knows of.
   void learn_members(const wire::RecordMembers &members);
 
+  /// Gets what gateways ask of this node's copies of watched objects.
+  void on_follow(std::function<void(const wire::FollowObjects &)> handler) {
+    follow_handler_ = std::move(handler);
+  }
+  /// Sends a message that concerns no partition.
+  void send_to(const std::string &address, const wire::Envelope &envelope) {
+    transport_->send(address, envelope);
+  }
+
   /// Names of the nodes whose machines are to be emptied.
   void set_retiring(const std::set<std::string> &names);
   /// True when this node is the one that reports on emptied machines: the first
@@ -97,6 +109,7 @@
   std::minstd_rand random_{std::random_device{}()}; // before what draws from it
   std::vector<partition> partitions_;
   std::set<std::size_t> touched_;
+  std::function<void(const wire::FollowObjects &)> follow_handler_;
   std::unique_ptr<rpc::transport> transport_;
 
   std::mutex mutex_;
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -2,6 +2,7 @@
 
 #include "http/status_server.hpp"
 #include "logging/log.hpp"
+#include "objects/object_relay.hpp"
 #include "objects/object_watch.hpp"
 #include "objects/peer_listing.hpp"
 #include "records/group_directory.hpp"
@@ -24,6 +25,9 @@
 
 constexpr duration_ms retirement_check{200};
 constexpr std::uint32_t status_not_found = 404;
+/// One watching call of a relay waits this long: with it ends the time in which
+/// a store that holds the call without ever answering goes unnoticed.
+constexpr duration_ms relay_wait{8000};
 
 /// Follows the operator's requests to empty machines and reports on them.
 class retirement_watch {
@@ -32,7 +36,9 @@
                    record_runtime &runtime)
       : io_(io), binding_(binding), runtime_(runtime),
         watch_(io, *binding.store, {}, cache_,
-               {.kind = binding.retirement_kind},
+               // Only leaders act on them.
+               {.kind = binding.retirement_kind,
+                .wanted = [this] { return runtime_.leads_any(); }},
                {.on_listing =
                     [this](const objects::listing &listed) {
                       requested_.clear();
@@ -112,6 +118,7 @@
 void describe_settings(config::settings_schema &schema,
                        store_settings &settings) {
   constexpr std::uint64_t most_lines = 100000;
+  constexpr std::uint64_t longest_drain_notice = 60000;
   schema.text("node.name", settings.name,
               "name of this process, unique among the storage nodes", true);
   schema.text("node.zone", settings.zone, "zone of this machine");
@@ -137,6 +144,10 @@
                "may be stale");
   schema.address("store.address", settings.store_address,
                  "the platform's object store", true);
+  schema.milliseconds("timing.drain_notice_ms", settings.drain_notice, 1,
+                      longest_drain_notice,
+                      "milliseconds for which a replica may get new work after "
+                      "its leaving was recorded");
   schema.choice("log.level", settings.log_level,
                 {"debug", "info", "warning", "error"},
                 "least severity that is logged");
@@ -191,6 +202,18 @@
   group_directory directory(io, *binding.store, sources, runtime,
                             settings.first_start);
   asio::co_spawn(io, directory.run(), asio::detached);
+  objects::object_relay relay(
+      io, *binding.store, runtime.self().address(),
+      {{.kind = binding.configuration_kind, .wait = relay_wait},
+       {.kind = binding.instance_kind,
+        .wait = relay_wait,
+        .least_interval = objects::instance_interval(settings.drain_notice)}},
+      [&runtime](const std::string &address, const wire::Envelope &envelope) {
+        runtime.send_to(address, envelope);
+      });
+  runtime.on_follow(
+      [&relay](const wire::FollowObjects &follow) { relay.on_follow(follow); });
+  relay.start();
   retirement_watch retirements(io, binding, runtime);
   retirements.start();
   const auto pages = http::serve_pages(
--- a/src/records/store_process.hpp
+++ b/src/records/store_process.hpp
@@ -28,6 +28,8 @@
   /// Storage nodes that may be lost at once, disks and all.
   std::uint64_t tolerated_losses = 1;
   std::uint64_t partitions = 0;
+  /// How long a replica may get new work after its leaving was recorded.
+  duration_ms drain_notice{1500};
   std::string log_level = "info";
   std::uint64_t log_lines = 200;
 };
@@ -40,6 +42,10 @@
   objects::object_store *store = nullptr;
   /// Kind of the operator's requests to empty a machine, named after its node.
   std::string retirement_kind;
+  /// Kinds of the objects that gateways follow through this node: the
+  /// operator's configuration, and the replicas.
+  std::string configuration_kind;
+  std::string instance_kind;
   /// The status that tells how far such a request has come.
   std::function<boost::json::value(bool completed)> retirement_status;
 };
--- /dev/null
+++ b/tests/objects/shared_copies_test.cpp
@@ -0,0 +1,452 @@
+// Copies of watched objects that gateways get through storage nodes: what a
+// relay keeps and sends, and what a follower does with it and without it.
+#include "objects/change_log.hpp"
+#include "objects/object_follower.hpp"
+#include "objects/object_relay.hpp"
+
+#include "support/coroutines.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace heathtrestle::objects {
+namespace {
+
+const std::string things = "things";
+
+object named(const std::string &name, std::uint64_t revision,
+             const std::string &text = "") {
+  return {.name = name,
+          .revision = revision,
+          .specification = boost::json::value(text.empty() ? name : text),
+          .status = {},
+          .is_deleting = false};
+}
+
+/// A store with one kind of objects that changes when the test says so.
+class small_store : public object_store {
+public:
+  explicit small_store(asio::io_context &io) : io_(io) {}
+
+  /// Whether calls are answered at all.
+  bool reachable = true;
+  int listings = 0;
+  int watches = 0;
+
+  void put(const std::string &name, const std::string &text = "") {
+    ++revision_;
+    objects_[name] = named(name, revision_, text);
+    log_.push_back({revision_, {objects_[name], false}});
+  }
+  void erase(const std::string &name) {
+    ++revision_;
+    objects_.erase(name);
+    log_.push_back({revision_, {named(name, revision_), true}});
+  }
+  /// Waiting watches end without an answer, as when their machine is cut off.
+  void cut_off() { reachable = false; }
+
+  asio::awaitable<store_result<listing>> list(std::string) override {
+    ++listings;
+    if (!reachable) {
+      co_return store_error::no_answer;
+    }
+    listing all{.items = {}, .revision = revision_};
+    for (const auto &[name, each] : objects_) {
+      all.items.push_back(each);
+    }
+    co_return all;
+  }
+  asio::awaitable<store_result<change_list>>
+  watch(std::string, std::uint64_t revision, duration_ms) override {
+    ++watches;
+    asio::steady_timer timer(io_);
+    while (reachable && revision_ <= revision) {
+      timer.expires_after(duration_ms{1});
+      co_await timer.async_wait(as_result);
+    }
+    if (!reachable) {
+      co_return store_error::no_answer;
+    }
+    change_list changes{.changes = {}, .revision = revision_};
+    for (const auto &[at, each] : log_) {
+      if (at > revision) {
+        changes.changes.push_back(each);
+      }
+    }
+    co_return changes;
+  }
+  asio::awaitable<store_result<object>> get(std::string, std::string) override {
+    co_return store_error::not_found;
+  }
+  asio::awaitable<store_result<object>> create(std::string, std::string,
+                                               boost::json::value) override {
+    co_return store_error::conflict;
+  }
+  asio::awaitable<store_result<object>> replace(std::string, std::string,
+                                                std::uint64_t,
+                                                boost::json::value) override {
+    co_return store_error::conflict;
+  }
+  asio::awaitable<store_result<object>>
+  put_status(std::string, std::string, boost::json::value) override {
+    co_return store_error::not_found;
+  }
+  asio::awaitable<store_result<bool>> remove(std::string,
+                                             std::string) override {
+    co_return true;
+  }
+
+private:
+  asio::io_context &io_;
+  std::uint64_t revision_ = 0;
+  std::map<std::string, object> objects_;
+  std::vector<std::pair<std::uint64_t, change>> log_;
+};
+
+class change_log_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(change_log_test);
+  CPPUNIT_TEST(a_new_follower_gets_everything);
+  CPPUNIT_TEST(a_follower_gets_the_changes_since_its_revision);
+  CPPUNIT_TEST(a_new_listing_counts_as_changes);
+  CPPUNIT_TEST(who_is_too_far_behind_gets_everything);
+  CPPUNIT_TEST(long_specifications_travel_deflated);
+  CPPUNIT_TEST(damaged_objects_are_rejected);
+  CPPUNIT_TEST_SUITE_END();
+
+  change_log log_;
+
+  std::set<std::string> lacking(const followed_revision &have,
+                                bool *whole = nullptr) {
+    wire::CopiedKind message;
+    log_.fill(message, have);
+    if (whole != nullptr) {
+      *whole = message.whole();
+    }
+    std::set<std::string> names;
+    for (const wire::CopiedObject &each : message.objects()) {
+      names.insert((each.deleted() ? "-" : "+") + each.name());
+    }
+    return names;
+  }
+
+  using names = std::set<std::string>;
+
+public:
+  void a_new_follower_gets_everything() {
+    log_.take(listing{{named("a", 3), named("b", 4)}, 5});
+    bool whole = false;
+    CPPUNIT_ASSERT((lacking({}, &whole) == names{"+a", "+b"}));
+    CPPUNIT_ASSERT(whole);
+  }
+
+  void a_follower_gets_the_changes_since_its_revision() {
+    log_.take(listing{{named("a", 3)}, 5});
+    log_.take(change{named("b", 6), false}, 6);
+    log_.take(change{named("a", 7), true}, 7);
+    bool whole = true;
+    CPPUNIT_ASSERT((lacking({true, 5}, &whole) == names{"+b", "-a"}));
+    CPPUNIT_ASSERT(!whole);
+    CPPUNIT_ASSERT((lacking({true, 6}) == names{"-a"}));
+    CPPUNIT_ASSERT(lacking({true, 7}).empty());
+    CPPUNIT_ASSERT(lacking({true, 9}).empty()); // ahead of this relay
+  }
+
+  void a_new_listing_counts_as_changes() {
+    log_.take(listing{{named("a", 3), named("b", 4)}, 5});
+    log_.take(listing{{named("b", 4), named("c", 8)}, 9});
+    CPPUNIT_ASSERT((lacking({true, 5}) == names{"-a", "+c"}));
+    log_.take(listing{{named("a", 3)}, 6}); // older than what is known
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, log_.revision());
+  }
+
+  void who_is_too_far_behind_gets_everything() {
+    log_.take(listing{{named("a", 3)}, 5});
+    for (std::uint64_t revision = 6; revision < 4000; ++revision) {
+      log_.take(change{named("b", revision), false}, revision);
+    }
+    bool whole = false;
+    CPPUNIT_ASSERT((lacking({true, 5}, &whole) == names{"+a", "+b"}));
+    CPPUNIT_ASSERT(whole);
+    lacking({true, 3990}, &whole);
+    CPPUNIT_ASSERT(!whole);
+  }
+
+  void long_specifications_travel_deflated() {
+    const std::string text(100000, 'x');
+    const wire::CopiedObject message = to_wire(named("a", 3, text), false);
+    CPPUNIT_ASSERT(message.specification().size() < 2000);
+    const auto read = from_wire(message);
+    CPPUNIT_ASSERT(read);
+    CPPUNIT_ASSERT(read.value().changed.specification ==
+                   boost::json::value(text));
+  }
+
+  void damaged_objects_are_rejected() {
+    wire::CopiedObject message =
+        to_wire(named("a", 3, std::string(5000, 'x')), false);
+    message.set_inflated_bytes(4000);
+    CPPUNIT_ASSERT(!from_wire(message));
+    message.set_inflated_bytes(1U << 31U);
+    CPPUNIT_ASSERT(!from_wire(message));
+    wire::CopiedObject plain = to_wire(named("a", 3), false);
+    plain.set_specification("{");
+    CPPUNIT_ASSERT(!from_wire(plain));
+  }
+};
+
+/// Two relays and a gateway, with messages that may be lost.
+class shared_copies_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(shared_copies_test);
+  CPPUNIT_TEST(a_gateway_is_kept_current_without_the_store);
+  CPPUNIT_TEST(a_lost_message_is_made_up_for);
+  CPPUNIT_TEST(a_silent_relay_is_left);
+  CPPUNIT_TEST(a_relay_that_is_cut_from_the_store_is_left);
+  CPPUNIT_TEST(without_relays_the_gateway_watches_the_store);
+  CPPUNIT_TEST(a_relay_that_lags_turns_nothing_back);
+  CPPUNIT_TEST(a_relay_watches_only_while_it_is_followed);
+  CPPUNIT_TEST(relays_next_to_each_other_lie_in_different_zones);
+  CPPUNIT_TEST_SUITE_END();
+
+  asio::io_context io_;
+  small_store store_{io_};       // as the gateway reaches it
+  small_store near_store_{io_};  // as the first relay reaches it
+  small_store other_store_{io_}; // as the second one reaches it
+  std::map<std::string, std::unique_ptr<object_relay>> relays_;
+  std::set<std::string> dead_;
+  int lose_copies_ = 0;
+  object_cache cache_;
+  std::set<std::string> seen_;
+  std::unique_ptr<object_watch> watch_;
+  std::unique_ptr<object_follower> follower_;
+
+  static constexpr const char *first = "relay-a:1";
+  static constexpr const char *second = "relay-b:1";
+
+  void add_relay(const std::string &address, small_store &store) {
+    relays_[address] = std::make_unique<object_relay>(
+        io_, store, address,
+        std::vector<watch_options>{{.kind = things,
+                                    .least_interval = duration_ms{1},
+                                    .first_pause = duration_ms{1},
+                                    .wanted_check = duration_ms{1}}},
+        [this, address](const std::string &, const wire::Envelope &envelope) {
+          const bool lost = dead_.contains(address) ||
+                            (lose_copies_ > 0 && lose_copies_-- > 0);
+          if (!lost) {
+            asio::post(io_, [this, envelope] {
+              follower_->on_copies(envelope.object_copies());
+            });
+          }
+        });
+    relays_[address]->start();
+  }
+
+  void to_relay(const std::string &address, const wire::Envelope &envelope) {
+    if (!dead_.contains(address)) {
+      asio::post(io_, [this, address, envelope] {
+        relays_.at(address)->on_follow(envelope.follow_objects());
+      });
+    }
+  }
+
+  void put(const std::string &name) {
+    for (small_store *store : {&store_, &near_store_, &other_store_}) {
+      store->put(name);
+    }
+  }
+  void erase(const std::string &name) {
+    for (small_store *store : {&store_, &near_store_, &other_store_}) {
+      store->erase(name);
+    }
+  }
+
+  /// Runs until the gateway has these objects.
+  void wait_for(const std::set<std::string> &wanted) {
+    while (seen_ != wanted) {
+      io_.restart();
+      io_.run_one();
+    }
+  }
+
+  template <typename Condition> void run_until(Condition holds) {
+    while (!holds()) {
+      io_.restart();
+      io_.run_one();
+    }
+  }
+
+  void start(std::vector<relay_address> known) {
+    watch_ = std::make_unique<object_watch>(
+        io_, store_, std::vector<listing_source *>{}, cache_,
+        watch_options{.kind = things,
+                      .least_interval = duration_ms{1},
+                      .first_pause = duration_ms{1},
+                      .wanted = [this] { return !follower_->is_current(); },
+                      .wanted_check = duration_ms{1}},
+        object_watch::handlers{.on_listing =
+                                   [this](const listing &listed) {
+                                     seen_.clear();
+                                     for (const object &each : listed.items) {
+                                       seen_.insert(each.name);
+                                     }
+                                   },
+                               .on_change =
+                                   [this](const change &changed) {
+                                     if (changed.deleted) {
+                                       seen_.erase(changed.changed.name);
+                                     } else {
+                                       seen_.insert(changed.changed.name);
+                                     }
+                                   }});
+    follower_ = std::make_unique<object_follower>(
+        io_,
+        follow_options{.address = "gateway:1",
+                       .relays = 1,
+                       .heartbeat = duration_ms{5},
+                       .answer_limit = duration_ms{40},
+                       .current_for = duration_ms{60},
+                       .start_patience = start_patience_},
+        [known = std::move(known)] { return known; },
+        [this](const std::string &address, const wire::Envelope &envelope) {
+          to_relay(address, envelope);
+        });
+    follower_->add(things, *watch_);
+    asio::co_spawn(io_, watch_->run(), asio::detached);
+    asio::co_spawn(io_, follower_->run(), asio::detached);
+  }
+
+  /// Both relays, the one that is tried first in front.
+  std::vector<relay_address> both() {
+    return in_trial_order({{.name = "a", .address = first, .zone = "z"},
+                           {.name = "b", .address = second, .zone = "z"}});
+  }
+
+  /// Starts with the store that a relay of `both()` reaches.
+  small_store &store_of(const std::string &address) {
+    return address == first ? near_store_ : other_store_;
+  }
+
+  duration_ms start_patience_{3600000};
+
+public:
+  void setUp() override {
+    add_relay(first, near_store_);
+    add_relay(second, other_store_);
+    put("one");
+  }
+  void tearDown() override { io_.stop(); }
+
+  void a_gateway_is_kept_current_without_the_store() {
+    start(both());
+    wait_for({"one"});
+    put("two");
+    wait_for({"one", "two"});
+    erase("one");
+    wait_for({"two"});
+    CPPUNIT_ASSERT_EQUAL(0, store_.listings + store_.watches);
+    CPPUNIT_ASSERT(near_store_.listings == 0 || other_store_.listings == 0);
+  }
+
+  void a_lost_message_is_made_up_for() {
+    start(both());
+    wait_for({"one"});
+    lose_copies_ = 1;
+    put("two");
+    put("three");
+    wait_for({"one", "two", "three"});
+    CPPUNIT_ASSERT_EQUAL(0, store_.listings);
+  }
+
+  void a_silent_relay_is_left() {
+    start(both());
+    wait_for({"one"});
+    const std::string left = follower_->relay();
+    dead_.insert(left);
+    put("two");
+    wait_for({"one", "two"});
+    run_until([this] { return follower_->is_current(); });
+    CPPUNIT_ASSERT(follower_->relay() != left);
+  }
+
+  void a_relay_that_is_cut_from_the_store_is_left() {
+    start(both());
+    wait_for({"one"});
+    const std::string left = follower_->relay();
+    store_of(left).cut_off();
+    put("two");
+    wait_for({"one", "two"});
+    run_until([this, &left] {
+      return follower_->relay() != left && follower_->is_current();
+    });
+  }
+
+  void without_relays_the_gateway_watches_the_store() {
+    dead_ = {first, second};
+    start_patience_ = duration_ms{20};
+    start(both());
+    wait_for({"one"});
+    put("two");
+    wait_for({"one", "two"});
+    CPPUNIT_ASSERT(store_.listings > 0);
+    // Once a relay is back the store is left alone.
+    dead_.clear();
+    run_until([this] { return follower_->is_current(); });
+    put("three");
+    wait_for({"one", "two", "three"});
+  }
+
+  void a_relay_that_lags_turns_nothing_back() {
+    start(both());
+    wait_for({"one"});
+    // The gateway has listed the store itself, which was ahead.
+    watch_->take_listing(listing{{named("one", 1), named("new", 9)}, 9});
+    wire::ObjectCopies copies;
+    copies.set_from(follower_->relay());
+    wire::CopiedKind &kind = *copies.add_kinds();
+    kind.set_kind(things);
+    kind.set_whole(true);
+    kind.set_revision(5);
+    *kind.add_objects() = to_wire(named("old", 5), false);
+    follower_->on_copies(copies);
+    CPPUNIT_ASSERT((seen_ == std::set<std::string>{"one", "new"}));
+    // Changes that follow others which are missing here are not taken in.
+    CPPUNIT_ASSERT(
+        !watch_->take_changes({{{named("late", 20), false}}, 20}, 15));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, watch_->revision());
+  }
+
+  void a_relay_watches_only_while_it_is_followed() {
+    const auto order = both();
+    start({order.front()});
+    wait_for({"one"});
+    CPPUNIT_ASSERT(store_of(order.front().address).watches > 0);
+    CPPUNIT_ASSERT_EQUAL(0, store_of(order.back().address).listings);
+  }
+
+  void relays_next_to_each_other_lie_in_different_zones() {
+    std::vector<relay_address> known;
+    for (int number = 0; number < 12; ++number) {
+      const std::string name = std::to_string(number);
+      known.push_back({.name = name,
+                       .address = name + ":1",
+                       .zone = number < 8 ? "big" : "small"});
+    }
+    const auto order = in_trial_order(known);
+    CPPUNIT_ASSERT_EQUAL(known.size(), order.size());
+    for (std::size_t place = 0; place + 1 < 8; place += 2) {
+      CPPUNIT_ASSERT(order[place].zone != order[place + 1].zone);
+    }
+    std::reverse(known.begin(), known.end());
+    CPPUNIT_ASSERT(in_trial_order(known) == order);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(change_log_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(shared_copies_test);
+
+} // namespace
+} // namespace heathtrestle::objects
