--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -124,7 +124,8 @@
       ledger_(
           io, make_ledger_options(),
           records::partition_count(settings_.partitions,
-                                   settings_.tolerated_losses),
+                                   settings_.tolerated_losses,
+                                   settings_.store_writes_per_second),
           [this](const std::string &address, const wire::Envelope &envelope) {
             send(address, envelope);
           }),
--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -30,7 +30,8 @@
   schema.integer("cluster.tolerated_losses", settings.tolerated_losses, 0,
                  records::most_tolerated_losses,
                  "storage nodes that may be lost at once, disks and all");
-  records::describe_partitions(schema, settings.partitions);
+  records::describe_partitions(schema, settings.partitions,
+                               settings.store_writes_per_second);
   schema.texts("cluster.seeds", settings.seeds,
                "peer addresses to ask while the object store is down; they "
                "may be stale");
--- a/src/forwarding/gateway_settings.hpp
+++ b/src/forwarding/gateway_settings.hpp
@@ -24,6 +24,7 @@
   /// Storage nodes that may be lost at once, disks and all.
   std::uint64_t tolerated_losses = 1;
   std::uint64_t partitions = 0;
+  std::uint64_t store_writes_per_second = 0;
   std::string store_address;
   double grace_seconds = 8;
   /// For so long after a replica's leaving was recorded it may get new work.
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -138,7 +138,8 @@
                  most_tolerated_losses,
                  "storage nodes that may be lost at once, disks and all: the "
                  "group has twice as many voters and one more, three at least");
-  describe_partitions(schema, settings.partitions);
+  describe_partitions(schema, settings.partitions,
+                      settings.store_writes_per_second);
   schema.texts("cluster.seeds", settings.seeds,
                "peer addresses to ask while the object store is down; they "
                "may be stale");
@@ -159,7 +160,8 @@
 int run_store(asio::io_context &io, const store_settings &settings,
               const store_binding &binding) {
   const std::size_t partitions =
-      partition_count(settings.partitions, settings.tolerated_losses);
+      partition_count(settings.partitions, settings.tolerated_losses,
+                      settings.store_writes_per_second);
   auto disks =
       open_partitions(settings.data_directory, partitions, draw_identity());
   if (!disks) {
--- a/src/records/store_process.hpp
+++ b/src/records/store_process.hpp
@@ -28,6 +28,7 @@
   /// Storage nodes that may be lost at once, disks and all.
   std::uint64_t tolerated_losses = 1;
   std::uint64_t partitions = 0;
+  std::uint64_t store_writes_per_second = 0;
   /// How long a replica may get new work after its leaving was recorded.
   duration_ms drain_notice{1500};
   std::string log_level = "info";
