Let every storage node name the leader it was told of

Cause: at 36 storage nodes five have a part in a partition; the others know its leader from greetings but refused a gateway's question without naming it, and an answer "I know nobody" from one node wiped what another had told.

Test: record_group_test every_node_names_the_leader failed before (first for want of a name, then by the wiped one).

--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -186,8 +186,8 @@
     on_hello(envelope.record_hello(), now);
     break;
   case wire::Envelope::kRecordMembers:
-    told_leader_ = envelope.record_members().leader_address();
-    leader_told_ = now;
+    take_told_leader(envelope.record_members().leader_address(),
+                     address_of(from), now);
     for (const auto &each : envelope.record_members().members()) {
       learn(each, timestamp{});
     }
@@ -243,7 +243,7 @@
       std::max(seen_.configuration(), told.configuration()));
   seen_.set_instances(std::max(seen_.instances(), told.instances()));
   if (!log_->is_leader()) {
-    refuse(request);
+    refuse(request, now);
     return;
   }
   if (request.has_loads()) {
@@ -268,18 +268,22 @@
   return taken_up_.insert(question_hash(reply_to, id)).second;
 }
 
-void record_node::refuse(const wire::RecordRequest &request) {
+void record_node::refuse(const wire::RecordRequest &request, timestamp now) {
   wire::Envelope envelope;
   wire::RecordReply &reply = *envelope.mutable_record_reply();
   reply.set_not_leader(true);
   *reply.mutable_seen() = seen_;
-  reply.set_leader_address(leader_address());
+  // Most nodes of a large fleet have no part in this partition. What the leader
+  // told them saves a gateway from asking one node after the other.
+  const std::string known = leader_address();
+  reply.set_leader_address(known.empty() && told_lately(now) ? told_leader_
+                                                             : known);
   for (const wire::RecordRequestItem &item : request.items()) {
     reply.add_refused(item.id());
   }
-  const wire::RecordMembers known = members();
-  if (hash_of(known) != request.members_hash()) {
-    *reply.mutable_members() = known;
+  const wire::RecordMembers listed = members();
+  if (hash_of(listed) != request.members_hash()) {
+    *reply.mutable_members() = listed;
   }
   send(request.reply_to(), std::move(envelope));
 }
@@ -364,7 +368,7 @@
 void record_node::propose_batch(timestamp now, std::uint64_t wall_ms,
                                 raft::outbox &out) {
   if (!log_->is_leader()) {
-    pass_on_proposals();
+    pass_on_proposals(now);
     return;
   }
   const bool joins = now < proposed_ + options_.join_interval;
@@ -387,7 +391,7 @@
   }
 }
 
-void record_node::pass_on_proposals() {
+void record_node::pass_on_proposals(timestamp now) {
   if (leader_address().empty()) {
     return; // told when there is somebody to ask
   }
@@ -399,7 +403,7 @@
     request.add_items()->set_id(asked_by.id);
   }
   for (const auto &[address, request] : by_asker) {
-    refuse(request);
+    refuse(request, now);
   }
   proposals_.clear();
 }
@@ -476,7 +480,7 @@
   if (served || now < next_hello_) {
     return;
   }
-  const bool told = !told_leader_.empty() && now < leader_told_ + told_for;
+  const bool told = told_lately(now);
   next_hello_ =
       now + (told ? options_.idle_hello_interval : options_.hello_interval);
   wire::RecordHello hello;
@@ -493,8 +497,22 @@
 }
 
 bool record_node::in_touch(timestamp now) const {
-  const bool told = !told_leader_.empty() && now < leader_told_ + told_for;
-  return log_->is_leader() || log_->leader().has_value() || told;
+  return log_->is_leader() || log_->leader().has_value() || told_lately(now);
+}
+
+void record_node::take_told_leader(const std::string &leader,
+                                   const std::string &told_by, timestamp now) {
+  // Most nodes that are asked have no part and know nobody. That says nothing,
+  // unless it is the one that was taken for the leader.
+  const bool says_something = !leader.empty() || told_by == told_leader_;
+  if (says_something) {
+    told_leader_ = leader;
+    leader_told_ = now;
+  }
+}
+
+bool record_node::told_lately(timestamp now) const {
+  return !told_leader_.empty() && now < leader_told_ + told_for;
 }
 
 std::vector<node_view> record_node::view(timestamp now) const {
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -173,7 +173,12 @@
   void note_heard(const replica_id &from, timestamp now);
   void learn(const wire::RecordMember &record, timestamp now);
   void propose_batch(timestamp now, std::uint64_t wall_ms, raft::outbox &out);
-  void refuse(const wire::RecordRequest &request);
+  void refuse(const wire::RecordRequest &request, timestamp now);
+  /// Takes in whom another node takes for the leader; empty for nobody.
+  void take_told_leader(const std::string &leader, const std::string &told_by,
+                        timestamp now);
+  /// True when another node has named a leader a short while ago.
+  [[nodiscard]] bool told_lately(timestamp now) const;
   /// A request without items asks whether this node is reached.
   void answer_probe(const wire::RecordRequest &request);
   void say_hello(timestamp now);
@@ -190,7 +195,7 @@
   void begin_hand_over(std::set<replica_id> eligible, timestamp now);
   void go_on_handing_over(timestamp now, raft::outbox &out);
   /// Tells those whose questions wait here who leads now.
-  void pass_on_proposals();
+  void pass_on_proposals(timestamp now);
   void flush(raft::outbox &out, record_effects &effects);
   void answer(std::uint64_t index,
               const std::vector<wire::RecordReplyItem> &outcomes, timestamp now,
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(the_lead_is_handed_over_while_questions_come);
   CPPUNIT_TEST(a_voter_that_is_back_soon_is_not_replaced);
   CPPUNIT_TEST(a_node_without_a_part_keeps_to_the_leader);
+  CPPUNIT_TEST(every_node_names_the_leader);
   CPPUNIT_TEST(a_node_that_is_back_leads_before_it_has_applied_all);
   CPPUNIT_TEST(of_two_one_is_replaced_and_all_restart);
   CPPUNIT_TEST(all_restart_at_any_step_of_a_replacement);
@@ -457,6 +458,32 @@
     }
   }
 
+  void every_node_names_the_leader() {
+    // A gateway of a large fleet asks any node first; most have no part.
+    record_group group(7, records::group_size::bearing(2, 4), 0, 4);
+    std::vector<std::string> names;
+    for (char name = 'a'; name < 'a' + 20; ++name) {
+      names.emplace_back(1, name);
+    }
+    found_with(group, names);
+    const std::string leader = group.leader();
+    CPPUNIT_ASSERT(!leader.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, group.voters().size());
+    for (const std::string &name : names) {
+      if (name != leader) {
+        CPPUNIT_ASSERT_EQUAL(leader, group.leader_named_by(name));
+      }
+    }
+    // It does not name a leader for long that is gone.
+    group.kill(leader);
+    group.run(6000ms);
+    for (const std::string &name : names) {
+      if (name != leader && name != group.leader()) {
+        CPPUNIT_ASSERT_EQUAL(group.leader(), group.leader_named_by(name));
+      }
+    }
+  }
+
   void a_node_without_a_part_keeps_to_the_leader() {
     // Three of eight nodes have no part in this partition.
     record_group group(44, records::group_size::bearing(2, 4), 0, 4);
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -237,6 +237,18 @@
     const auto found = largest_to_.find(name);
     return found == largest_to_.end() ? 0 : found->second;
   }
+  /// The leader that a node names to somebody who asks it for a grant; empty
+  /// when it knows none.
+  std::string leader_named_by(const std::string &name) {
+    wire::Envelope envelope;
+    wire::RecordRequest &request = *envelope.mutable_record_request();
+    request.set_reply_to(client_address);
+    request.add_items()->set_id(++next_id_);
+    letters_.push_back({now_, client_address, name, std::move(envelope)});
+    named_leader_.clear();
+    run(duration_ms{50});
+    return named_leader_;
+  }
   /// How often nodes have said hello to one another.
   [[nodiscard]] std::size_t hellos() const { return hellos_; }
   /// How often the nodes have logged an event.
@@ -339,6 +351,9 @@
   }
 
   void take_reply(const wire::RecordReply &reply) {
+    if (reply.not_leader()) {
+      named_leader_ = reply.leader_address();
+    }
     for (const wire::RecordReplyItem &item : reply.items()) {
       if (asked_.erase(item.id()) > 0) {
         answered_[item.id()] = item.verdict();
@@ -382,6 +397,7 @@
   std::map<std::string, std::size_t> bytes_to_;
   std::map<std::string, std::size_t> largest_to_;
   std::size_t hellos_ = 0;
+  std::string named_leader_;
   std::map<logging::event, std::size_t> logged_;
 };
 
