--- a/src/objects/object_follower.cpp
+++ b/src/objects/object_follower.cpp
@@ -29,6 +29,7 @@
                      return left.first < right.first;
                    });
   std::vector<relay_address> ordered;
+  ordered.reserve(by_turn.size());
   for (auto &[turn, each] : by_turn) {
     ordered.push_back(std::move(each));
   }
