--- a/tests/objects/object_watch_test.cpp
+++ b/tests/objects/object_watch_test.cpp
@@ -1,6 +1,7 @@
 #include "objects/object_watch.hpp"
 
 #include "support/coroutines.hpp"
+#include "support/read_only_store.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -18,7 +19,7 @@
 }
 
 /// Answers what it is told to, in order; then it waits for ever.
-class scripted_store : public object_store {
+class scripted_store : public test_support::read_only_store {
 public:
   explicit scripted_store(asio::io_context &io) : io_(io) {}
 
@@ -48,26 +49,6 @@
     watches.pop_front();
     co_return next;
   }
-  asio::awaitable<store_result<object>> get(std::string, std::string) override {
-    co_return store_error::not_found;
-  }
-  asio::awaitable<store_result<object>> create(std::string, std::string,
-                                               boost::json::value) override {
-    co_return store_error::conflict;
-  }
-  asio::awaitable<store_result<object>> replace(std::string, std::string,
-                                                std::uint64_t,
-                                                boost::json::value) override {
-    co_return store_error::conflict;
-  }
-  asio::awaitable<store_result<object>>
-  put_status(std::string, std::string, boost::json::value) override {
-    co_return store_error::not_found;
-  }
-  asio::awaitable<store_result<bool>> remove(std::string,
-                                             std::string) override {
-    co_return true;
-  }
 
 private:
   asio::io_context &io_;
--- a/tests/objects/shared_copies_test.cpp
+++ b/tests/objects/shared_copies_test.cpp
@@ -5,6 +5,7 @@
 #include "objects/object_relay.hpp"
 
 #include "support/coroutines.hpp"
+#include "support/read_only_store.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -27,7 +28,7 @@
 }
 
 /// A store with one kind of objects that changes when the test says so.
-class small_store : public object_store {
+class small_store : public test_support::read_only_store {
 public:
   explicit small_store(asio::io_context &io) : io_(io) {}
 
@@ -79,26 +80,6 @@
     }
     co_return changes;
   }
-  asio::awaitable<store_result<object>> get(std::string, std::string) override {
-    co_return store_error::not_found;
-  }
-  asio::awaitable<store_result<object>> create(std::string, std::string,
-                                               boost::json::value) override {
-    co_return store_error::conflict;
-  }
-  asio::awaitable<store_result<object>> replace(std::string, std::string,
-                                                std::uint64_t,
-                                                boost::json::value) override {
-    co_return store_error::conflict;
-  }
-  asio::awaitable<store_result<object>>
-  put_status(std::string, std::string, boost::json::value) override {
-    co_return store_error::not_found;
-  }
-  asio::awaitable<store_result<bool>> remove(std::string,
-                                             std::string) override {
-    co_return true;
-  }
 
 private:
   asio::io_context &io_;
