Tell what a storage node's log and heap hold, in metrics and at its start

Cause: a storage process that is ended for its memory leaves no figure that says what the memory was for: the log that a start reads, or state that only grows. Change: log_bytes, disk_log_bytes and heap_bytes in the metrics, and the bytes of the log in record_log_recovered. No change of logic.

--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -22,6 +22,7 @@
       base_voters_(std::move(saved.base.voters)), commit_(saved.base.index),
       applied_(saved.base.index), saved_hard_(saved.hard), leader_heard_(now) {
   for (wire::LogEntry &each : saved.entries) {
+    log_bytes_ += each.ByteSizeLong();
     log_.push_back(std::move(each));
   }
   saved_through_ = last();
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -228,6 +228,8 @@
   [[nodiscard]] log_index commit_index() const { return log_index{commit_}; }
   [[nodiscard]] log_index last_index() const { return log_index{last()}; }
   [[nodiscard]] std::size_t log_entries() const { return log_.size(); }
+  /// Encoded size of the entries in memory.
+  [[nodiscard]] std::size_t log_bytes() const { return log_bytes_; }
   [[nodiscard]] const std::vector<replica_id> &voters() const {
     return voters_;
   }
@@ -334,6 +336,7 @@
 
   // log_[i] has index base_index_ + 1 + i.
   std::deque<wire::LogEntry> log_;
+  std::size_t log_bytes_ = 0; // the sum of their encoded sizes
   std::uint64_t base_index_ = 0;
   std::uint64_t base_term_ = 0;
   std::vector<replica_id> base_voters_;
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -224,6 +224,7 @@
   const bool newer = request.last_index() > commit_;
   if (newer) {
     log_.clear();
+    log_bytes_ = 0;
     base_index_ = request.last_index();
     base_term_ = request.last_term();
     base_voters_ = from_wire_set(request.replicas());
@@ -347,6 +348,7 @@
 
 void consensus::append(wire::LogEntry entry) {
   const bool changes_voters = entry.has_replicas();
+  log_bytes_ += entry.ByteSizeLong();
   log_.push_back(std::move(entry));
   if (changes_voters) {
     refresh_voters();
@@ -360,6 +362,7 @@
         truncated_from_ == 0 ? index + 1 : std::min(truncated_from_, index + 1);
   }
   while (last() > index) {
+    log_bytes_ -= log_.back().ByteSizeLong();
     log_.pop_back();
   }
   if (voters_index_ > index) {
@@ -613,6 +616,7 @@
     if (log_.front().has_replicas()) {
       base_voters_ = from_wire_set(log_.front().replicas());
     }
+    log_bytes_ -= log_.front().ByteSizeLong();
     log_.pop_front();
     ++base_index_;
   }
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -14,6 +14,8 @@
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
+#include <malloc.h>
+
 namespace heathtrestle::records {
 
 namespace {
@@ -40,6 +42,12 @@
   return options;
 }
 
+/// What the allocator has handed out and not been given back.
+std::size_t heap_bytes() {
+  const struct mallinfo2 info = ::mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
 std::uint64_t wall_ms() {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<duration_ms>(
@@ -352,6 +360,8 @@
   std::uint64_t term = 0;
   std::uint64_t committed = 0;
   std::uint64_t last = 0;
+  std::size_t log_bytes = 0;
+  std::uint64_t disk_log_bytes = 0;
   std::size_t programs = 0;
   std::size_t turns = 0;
   std::size_t voters = partitions_.front().node->log()->voters().size();
@@ -362,6 +372,8 @@
     committed += log->commit_index().value();
     last += log->last_index().value();
     voters = std::min(voters, log->voters().size());
+    log_bytes += log->log_bytes();
+    disk_log_bytes += each.disk->log_bytes();
     programs += each.node->table().programs();
     turns += each.node->table().turns();
   }
@@ -378,6 +390,9 @@
   add("voters", voters);
   add("programs", programs);
   add("turns", turns);
+  add("log_bytes", log_bytes);
+  add("disk_log_bytes", disk_log_bytes);
+  add("heap_bytes", heap_bytes());
   add("disk_writes_total", writes_);
   add("disk_write_seconds_total", write_seconds_);
   add("steps_total", steps_);
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -177,6 +177,7 @@
         .field("new_disk", found.is_new)
         .field("base", found.replica.base.index)
         .field("entries", found.replica.entries.size())
+        .field("bytes", disks.value()[number].disk->log_bytes())
         .field("term", found.replica.hard.term)
         .write();
   }
