Keep the bodies of turns on a storage node's disk, and bound its log in bytes

Cause: a node held each kept turn twice in memory, in its state and in the log; the log in memory was bounded by its entries (512 to 2,048), not by their bytes, and the log on disk was cut only at 24 MB a partition, all of which a start reads and applies. So memory followed the traffic, and a start needed more than what had just been too much: a process ended for its memory never came back.

Change: the state machine keeps of a turn what decides (id, predecessor, place, expiry, size). The log in memory is bounded in bytes (2 to 4 MB, 8 MB for a voter that lags).

Ruled out: a lower limit of 24 MB alone (each compaction would write the whole state, and the state would still grow past the machine); the questions of returning clients as the memory's cause (25 to 190 KB came in while processes were ended).

--- a/src/logging/event_catalogue.hpp
+++ b/src/logging/event_catalogue.hpp
@@ -76,6 +76,7 @@
   record_snapshot_installed = 1107,
   record_storage_failed = 1108,
   retirement_progress = 1109,
+  record_turns_missing = 1110,
 };
 
 struct event_row {
@@ -175,6 +176,8 @@
               severity::error},
     event_row{event::retirement_progress, "retirement_progress",
               severity::info},
+    event_row{event::record_turns_missing, "record_turns_missing",
+              severity::error},
 };
 
 /// The catalogue's row of an event.
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -22,10 +22,11 @@
       base_voters_(std::move(saved.base.voters)), commit_(saved.base.index),
       applied_(saved.base.index), saved_hard_(saved.hard), leader_heard_(now) {
   for (wire::LogEntry &each : saved.entries) {
-    log_bytes_ += each.ByteSizeLong();
-    log_.push_back(std::move(each));
+    push_back(std::move(each));
   }
   saved_through_ = last();
+  applied_ = std::max(applied_, saved.applied);
+  commit_ = std::max(commit_, applied_);
   commit_ = std::max(commit_, std::min(saved_hard_.settled_voters, last()));
   refresh_voters();
   reset_election_deadline(now, random);
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -40,6 +40,10 @@
   /// lacks them, or a snapshot is under way to one; zero to keep no more than
   /// `retained_entries` for them.
   std::size_t held_entries = 0;
+  /// Encoded size of the applied entries that are kept, and that a leader keeps
+  /// at most for peers that lack them; zero for no limit but the numbers above.
+  std::size_t retained_bytes = 0;
+  std::size_t held_bytes = 0;
   std::size_t entries_per_append = 128;
   /// A message of entries ends with the one that brings it to this size; zero
   /// for no limit.
@@ -104,6 +108,9 @@
   hard_state hard;
   log_base base;
   std::vector<wire::LogEntry> entries; // from base.index + 1 on
+  /// What the state machine's snapshot holds; the entries up to here are kept
+  /// for followers that lack them. At the base or behind it.
+  std::uint64_t applied = 0;
 };
 
 /// What is to be written to disk, in one step that takes effect whole.
@@ -252,6 +259,7 @@
   [[nodiscard]] std::uint64_t match_index(const replica_id &peer) const;
   /// Where the log in memory begins.
   [[nodiscard]] log_base base() const;
+  [[nodiscard]] std::uint64_t applied_index() const { return applied_; }
   /// The replica set as of the last applied entry.
   [[nodiscard]] log_base applied_base() const;
   /// True when this replica knows that it is out of the committed set. It
@@ -312,6 +320,7 @@
   void reset_election_deadline(timestamp now, std::uint64_t random);
   void append(wire::LogEntry entry);
   void truncate_after(std::uint64_t index);
+  void push_back(wire::LogEntry entry);
   void refresh_voters();
   /// The first entry that a peer may lack, when nothing is under way to it.
   [[nodiscard]] std::uint64_t first_unsent(const progress &state) const;
@@ -319,6 +328,10 @@
   void replicate_to(const replica_id &peer, timestamp now, outbox &out);
   void advance_commit(timestamp now);
   void compact();
+  /// The last applied entry that is not among the latest that come to so many
+  /// entries and bytes; zero bytes for no limit.
+  [[nodiscard]] std::uint64_t applied_before_last(std::size_t entries,
+                                                  std::size_t bytes) const;
   /// The last entry that may be dropped although peers lag.
   [[nodiscard]] std::uint64_t dropped_up_to() const;
   /// Marks peers that are out of the committed set, and forgets them later.
@@ -336,7 +349,8 @@
 
   // log_[i] has index base_index_ + 1 + i.
   std::deque<wire::LogEntry> log_;
-  std::size_t log_bytes_ = 0; // the sum of their encoded sizes
+  std::deque<std::size_t> entry_bytes_; // their encoded sizes
+  std::size_t log_bytes_ = 0;           // the sum of these
   std::uint64_t base_index_ = 0;
   std::uint64_t base_term_ = 0;
   std::vector<replica_id> base_voters_;
--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -224,6 +224,7 @@
   const bool newer = request.last_index() > commit_;
   if (newer) {
     log_.clear();
+    entry_bytes_.clear();
     log_bytes_ = 0;
     base_index_ = request.last_index();
     base_term_ = request.last_term();
@@ -348,13 +349,18 @@
 
 void consensus::append(wire::LogEntry entry) {
   const bool changes_voters = entry.has_replicas();
-  log_bytes_ += entry.ByteSizeLong();
-  log_.push_back(std::move(entry));
+  push_back(std::move(entry));
   if (changes_voters) {
     refresh_voters();
   }
 }
 
+void consensus::push_back(wire::LogEntry entry) {
+  entry_bytes_.push_back(entry.ByteSizeLong());
+  log_bytes_ += entry_bytes_.back();
+  log_.push_back(std::move(entry));
+}
+
 void consensus::truncate_after(std::uint64_t index) {
   if (saved_through_ > index) {
     saved_through_ = index;
@@ -362,7 +368,8 @@
         truncated_from_ == 0 ? index + 1 : std::min(truncated_from_, index + 1);
   }
   while (last() > index) {
-    log_bytes_ -= log_.back().ByteSizeLong();
+    log_bytes_ -= entry_bytes_.back();
+    entry_bytes_.pop_back();
     log_.pop_back();
   }
   if (voters_index_ > index) {
@@ -586,13 +593,28 @@
   found->second.snapshot_index = last_index;
 }
 
+std::uint64_t consensus::applied_before_last(std::size_t entries,
+                                             std::size_t bytes) const {
+  std::uint64_t index = applied_;
+  std::size_t passed = 0;
+  while (index > base_index_ && applied_ - index < entries) {
+    passed += entry_bytes_.at(index - base_index_ - 1);
+    if (bytes > 0 && passed > bytes) {
+      break;
+    }
+    --index;
+  }
+  return index;
+}
+
 std::uint64_t consensus::dropped_up_to() const {
-  const std::uint64_t retained = applied_ - options_.retained_entries;
+  const std::uint64_t retained =
+      applied_before_last(options_.retained_entries, options_.retained_bytes);
   if (role_ != role::leader || options_.held_entries == 0) {
     return retained;
   }
   const std::uint64_t held =
-      applied_ - std::min<std::uint64_t>(applied_, options_.held_entries);
+      applied_before_last(options_.held_entries, options_.held_bytes);
   std::uint64_t needed = retained;
   for (const auto &[peer, state] : peers_) {
     const std::uint64_t reached = std::max(state.match, state.snapshot_index);
@@ -604,7 +626,11 @@
 
 void consensus::compact() {
   const std::uint64_t kept = applied_ - base_index_;
-  if (kept <= 2 * options_.retained_entries) {
+  const bool many = kept > 2 * options_.retained_entries;
+  // Entries are as large as what callers send: only bytes bound the memory.
+  const bool large =
+      options_.retained_bytes > 0 && log_bytes_ > 2 * options_.retained_bytes;
+  if (!many && !large) {
     return;
   }
   const std::uint64_t new_base = dropped_up_to();
@@ -616,7 +642,8 @@
     if (log_.front().has_replicas()) {
       base_voters_ = from_wire_set(log_.front().replicas());
     }
-    log_bytes_ -= log_.front().ByteSizeLong();
+    log_bytes_ -= entry_bytes_.front();
+    entry_bytes_.pop_front();
     log_.pop_front();
     ++base_index_;
   }
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -1,5 +1,7 @@
 #include "records/record_node.hpp"
 
+#include "records/turn_bodies.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -58,7 +60,7 @@
       started_(now) {
   self_id_ = {make_node_id(self_.name()), recovered.identity};
   *self_.mutable_replica() = to_wire(self_id_);
-  table_.restore(recovered.snapshot);
+  table_.restore(std::move(recovered.snapshot));
   log_.emplace(the_partition, self_id_, std::move(recovered.replica),
                options_.raft, now, random);
   learn_members(recovered.members);
@@ -134,6 +136,7 @@
   }
   effects.write = log_->take_unsaved();
   effects.installed = std::exchange(installed_, std::nullopt);
+  effects.kept = std::exchange(arrived_turns_, {});
   if (std::exchange(members_changed_, false)) {
     effects.members = members();
   }
@@ -155,6 +158,8 @@
     const auto outcomes = table_.apply(entry.command().record_batch());
     answer(entry.index(), outcomes, now, effects);
   }
+  effects.kept = table_.take_kept();
+  effects.dropped = table_.take_dropped();
   follow_leadership(now);
   members_[self_id_].heard = now;
   effects.messages.insert(effects.messages.end(),
@@ -313,6 +318,10 @@
   const replica_id leader = from_wire(part.leader());
   const bool superseded = part.term() < log_->term().value();
   const bool held = part.last_index() <= log_->commit_index().value();
+  if (!superseded && !held) {
+    // Straight to the disk: the whole state may be more than the memory holds.
+    take_bodies(*part.mutable_records(), arrived_turns_);
+  }
   const bool complete = !superseded && !held && receiver_.receive(part);
   if (superseded || held || complete) {
     // Answers for itself: with the newer term, or with what this log holds.
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -34,6 +34,8 @@
                      .restart_election_timeout = duration_ms{150},
                      .retained_entries = 512,
                      .held_entries = 2048,
+                     .retained_bytes = std::size_t{2} << 20U,
+                     .held_bytes = std::size_t{8} << 20U,
                      .entries_per_append = 64,
                      .bytes_per_append = 96U << 10U,
                      .backlog_entries = 64,
@@ -89,8 +91,15 @@
   raft::unsaved_changes write;
   /// Set when `write` installs a snapshot.
   std::optional<wire::RecordSnapshot> installed;
+  /// Whole turns that are to be kept on the disk, before any message that names
+  /// them is sent; they have to last when the log or a snapshot that brought
+  /// them is dropped.
+  std::vector<wire::RecordTurn> kept;
+  /// Turns that no message names any more once those of this step are sent.
+  std::vector<std::string> dropped;
   /// Set when the member list is to be written.
   std::optional<wire::RecordMembers> members;
+  /// Turns that they name are filled in from `turn_bodies`.
   std::vector<addressed_message> messages;
   std::vector<logged_event> log;
 };
@@ -234,6 +243,7 @@
   std::vector<addressed_message> outgoing_;
   std::vector<logged_event> events_;
   std::optional<wire::RecordSnapshot> installed_;
+  std::vector<wire::RecordTurn> arrived_turns_; // with parts of snapshots
   std::vector<replica_id> learners_;
   snapshot_sender sender_;
   snapshot_receiver receiver_;
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -21,8 +21,10 @@
 namespace {
 
 constexpr duration_ms tick_interval{50};
-/// A longer log is replaced by a snapshot.
-constexpr std::uint64_t compact_above_bytes = 24U << 20U;
+/// After so many bytes of entries a snapshot is written, and the log before
+/// those kept for followers is dropped. A restart reads and applies as much at
+/// most; a snapshot holds no turns and is small.
+constexpr std::uint64_t snapshot_after_bytes = 4U << 20U;
 constexpr const char *cluster_name = "records";
 /// How long what another leader told of emptied machines counts.
 constexpr duration_ms told_for{1000};
@@ -48,6 +50,15 @@
   return info.uordblks + info.hblkhd;
 }
 
+/// Ends the process where what it promises from here on might not be kept.
+void exit_unless_done(const result<void> &done) {
+  if (!done) {
+    logging::write(logging::event::record_storage_failed,
+                   describe(done.error()));
+    std::_Exit(EXIT_FAILURE);
+  }
+}
+
 std::uint64_t wall_ms() {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<duration_ms>(
@@ -286,7 +297,10 @@
   send(number, first.early);
   write(stepped, first);
   record_effects second = stepped.node->after_write(steady_now());
+  exit_unless_done(stepped.disk->keep(std::move(second.kept)));
+  fill_in(number, second.messages);
   send(number, second.messages);
+  stepped.disk->drop(second.dropped);
   for (const logged_event &each : second.log) {
     logging::line(each.number)
         .field("partition", number)
@@ -297,11 +311,26 @@
   if (stepped.node->has_more_to_apply()) {
     go_on_applying(number);
   }
-  if (stepped.disk->log_bytes() > compact_above_bytes) {
+  if (stepped.disk->bytes_since_snapshot() > snapshot_after_bytes) {
     compact(stepped);
   }
 }
 
+void record_runtime::fill_in(std::size_t number,
+                             std::vector<addressed_message> &messages) {
+  for (addressed_message &message : messages) {
+    const std::size_t missing =
+        records::fill_in(message.envelope, *partitions_[number].disk);
+    if (missing > 0) {
+      logging::line(logging::event::record_turns_missing)
+          .field("partition", number)
+          .field("peer", message.address)
+          .field("turns", missing)
+          .write();
+    }
+  }
+}
+
 void record_runtime::go_on_applying(std::size_t number) {
   partition &behind = partitions_[number];
   if (std::exchange(behind.applying, true)) {
@@ -314,10 +343,10 @@
   });
 }
 
-void record_runtime::write(partition &written, const record_effects &effects) {
+void record_runtime::write(partition &written, record_effects &effects) {
   const auto begun = std::chrono::steady_clock::now();
-  result<void> done = BOOST_OUTCOME_V2_NAMESPACE::success();
-  if (!effects.write.empty()) {
+  result<void> done = written.disk->keep(std::move(effects.kept));
+  if (done && !effects.write.empty()) {
     done = written.disk->write(
         effects.write, effects.installed ? &*effects.installed : nullptr);
     ++writes_;
@@ -325,26 +354,16 @@
   if (done && effects.members) {
     done = written.disk->write_members(*effects.members);
   }
-  if (!done) {
-    // What this node promises from here on might not be kept.
-    logging::write(logging::event::record_storage_failed,
-                   describe(done.error()));
-    std::_Exit(EXIT_FAILURE);
-  }
+  exit_unless_done(done);
   write_seconds_ +=
       std::chrono::duration<double>(std::chrono::steady_clock::now() - begun)
           .count();
 }
 
 void record_runtime::compact(partition &compacted) {
-  const auto done =
-      compacted.disk->compact(compacted.node->log()->applied_base(),
-                              compacted.node->table().snapshot());
-  if (!done) {
-    logging::write(logging::event::record_storage_failed,
-                   describe(done.error()));
-    std::_Exit(EXIT_FAILURE);
-  }
+  const raft::consensus &log = *compacted.node->log();
+  exit_unless_done(compacted.disk->compact(log.base(), log.applied_index(),
+                                           compacted.node->table().snapshot()));
 }
 
 void record_runtime::send(std::size_t number,
@@ -364,6 +383,7 @@
   std::uint64_t disk_log_bytes = 0;
   std::size_t programs = 0;
   std::size_t turns = 0;
+  std::size_t turn_bytes = 0;
   std::size_t voters = partitions_.front().node->log()->voters().size();
   for (const partition &each : partitions_) {
     const raft::consensus *log = each.node->log();
@@ -376,6 +396,7 @@
     disk_log_bytes += each.disk->log_bytes();
     programs += each.node->table().programs();
     turns += each.node->table().turns();
+    turn_bytes += each.node->table().turn_bytes();
   }
   const rpc::transport_counts counts = transport_->counts();
   std::string text;
@@ -390,6 +411,7 @@
   add("voters", voters);
   add("programs", programs);
   add("turns", turns);
+  add("turn_bytes", turn_bytes);
   add("log_bytes", log_bytes);
   add("disk_log_bytes", disk_log_bytes);
   add("heap_bytes", heap_bytes());
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -100,7 +100,9 @@
   /// Steps again soon for entries that one step left unapplied.
   void go_on_applying(std::size_t number);
   void send(std::size_t number, std::vector<addressed_message> &messages);
-  void write(partition &written, const record_effects &effects);
+  void write(partition &written, record_effects &effects);
+  /// Completes the turns that messages name.
+  void fill_in(std::size_t number, std::vector<addressed_message> &messages);
   void compact(partition &compacted);
   void tell_emptied();
   asio::awaitable<void> tick();
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -1,5 +1,7 @@
 #include "records/record_table.hpp"
 
+#include "records/turn_bodies.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -140,8 +142,14 @@
 void record_table::keep(const wire::RecordTurn &turn, std::uint64_t keep_ms) {
   const std::uint64_t expires = now_ms_ + keep_ms + clock_slack_ms;
   if (find_turn(turn.id()) == nullptr) {
-    turns_[turn.id()] = {.turn = std::make_shared<const wire::RecordTurn>(turn),
-                         .expires_ms = expires};
+    retained_entry &entry = turns_[turn.id()];
+    turn_bytes_ -= entry.bytes;
+    entry = {.turn =
+                 std::make_shared<const wire::RecordTurn>(without_body(turn)),
+             .expires_ms = expires,
+             .bytes = turn.ByteSizeLong()};
+    turn_bytes_ += entry.bytes;
+    kept_.push_back(turn);
   }
   // A turn is kept with its whole chain.
   std::string id = turn.id();
@@ -178,8 +186,21 @@
     return now_ms_ >= entry.second.expires_ms;
   });
   std::erase_if(turns_, [this](const auto &entry) {
-    return now_ms_ >= entry.second.expires_ms;
+    const bool expired = now_ms_ >= entry.second.expires_ms;
+    if (expired) {
+      turn_bytes_ -= entry.second.bytes;
+      dropped_.push_back(entry.first);
+    }
+    return expired;
+  });
+}
+
+std::vector<std::string> record_table::take_dropped() {
+  std::vector<std::string> dropped = std::exchange(dropped_, {});
+  std::erase_if(dropped, [this](const std::string &id) {
+    return turns_.contains(id); // was kept anew
   });
+  return dropped;
 }
 
 wire::RecordSnapshot record_table::snapshot() const {
@@ -212,11 +233,16 @@
   return {now_ms_, std::move(programs), std::move(turns), part_bytes};
 }
 
-void record_table::restore(const wire::RecordSnapshot &snapshot) {
+void record_table::restore(wire::RecordSnapshot snapshot) {
+  take_bodies(snapshot, kept_);
   now_ms_ = snapshot.time_ms();
   next_sweep_ms_ = now_ms_;
   programs_.clear();
+  for (const auto &[id, kept] : turns_) {
+    dropped_.push_back(id);
+  }
   turns_.clear();
+  turn_bytes_ = 0;
   for (const wire::RecordProgram &saved : snapshot.programs()) {
     program &account = programs_[saved.id()];
     account.spent = saved.spent();
@@ -230,7 +256,9 @@
   for (const wire::RecordKeptTurn &saved : snapshot.turns()) {
     turns_[saved.turn().id()] = {
         .turn = std::make_shared<const wire::RecordTurn>(saved.turn()),
-        .expires_ms = saved.expires_ms()};
+        .expires_ms = saved.expires_ms(),
+        .bytes = saved.bytes()};
+    turn_bytes_ += saved.bytes();
   }
 }
 
--- a/src/records/record_table.hpp
+++ b/src/records/record_table.hpp
@@ -1,5 +1,6 @@
 // The state machine of the record group: what each program has spent and
-// reserved of its budget, and the turns that are kept.
+// reserved of its budget, and the turns that are kept. Of a turn it holds what
+// decides; bodies pass through to whoever keeps them (`turn_bodies`).
 //
 // Deterministic: time comes with each batch and never runs backwards. The same
 // batches in the same order leave the same state on every replica.
@@ -14,23 +15,34 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace heathtrestle::records {
 
 class record_table {
 public:
   /// Applies one entry of the log.
-  /// @return the outcome of each change, in order, without ids.
+  /// @return the outcome of each change, in order, without ids; histories name
+  /// their turns without the bodies.
   std::vector<wire::RecordReplyItem> apply(const wire::RecordBatch &batch);
 
-  /// The whole state in one message.
+  /// Whole turns that were taken in since the last call.
+  std::vector<wire::RecordTurn> take_kept() { return std::exchange(kept_, {}); }
+  /// Turns that were dropped since the last call and are not kept anew.
+  std::vector<std::string> take_dropped();
+
+  /// The whole state in one message, without the turns' bodies.
   [[nodiscard]] wire::RecordSnapshot snapshot() const;
   /// The state as of now, in parts.
   [[nodiscard]] snapshot_image image(std::size_t part_bytes) const;
-  void restore(const wire::RecordSnapshot &snapshot);
+  /// @param snapshot its turns may come with their bodies.
+  void restore(wire::RecordSnapshot snapshot);
 
   [[nodiscard]] std::size_t programs() const { return programs_.size(); }
   [[nodiscard]] std::size_t turns() const { return turns_.size(); }
+  /// Encoded size of the turns with their bodies.
+  [[nodiscard]] std::size_t turn_bytes() const { return turn_bytes_; }
 
 private:
   /// A program's account, in tokens.
@@ -61,6 +73,9 @@
   std::uint64_t next_sweep_ms_ = 0;
   std::unordered_map<std::string, program> programs_;
   std::unordered_map<std::string, retained_entry> turns_;
+  std::size_t turn_bytes_ = 0;
+  std::vector<wire::RecordTurn> kept_;
+  std::vector<std::string> dropped_;
 };
 
 } // namespace heathtrestle::records
--- a/src/records/snapshot_image.cpp
+++ b/src/records/snapshot_image.cpp
@@ -24,9 +24,8 @@
 }
 
 std::size_t snapshot_image::size_of(std::size_t place) const {
-  return place < programs_.size()
-             ? programs_[place].ByteSizeLong()
-             : turns_[place - programs_.size()].turn->ByteSizeLong();
+  return place < programs_.size() ? programs_[place].ByteSizeLong()
+                                  : turns_[place - programs_.size()].bytes;
 }
 
 wire::RecordSnapshot snapshot_image::part(std::size_t number) const {
@@ -42,6 +41,7 @@
     wire::RecordKeptTurn &saved = *part.add_turns();
     *saved.mutable_turn() = *kept.turn;
     saved.set_expires_ms(kept.expires_ms);
+    saved.set_bytes(kept.bytes);
   }
   return part;
 }
--- a/src/records/snapshot_image.hpp
+++ b/src/records/snapshot_image.hpp
@@ -13,10 +13,13 @@
 
 namespace heathtrestle::records {
 
-/// A turn that is kept, and until when, in milliseconds of the leaders' clocks.
+/// A turn that is kept, without its body, which lies on the disk.
 struct retained_entry {
   std::shared_ptr<const wire::RecordTurn> turn;
+  /// Until when it is kept, in milliseconds of the leaders' clocks.
   std::uint64_t expires_ms = 0;
+  /// Encoded size of the turn with its body.
+  std::size_t bytes = 0;
 };
 
 class snapshot_image {
@@ -29,6 +32,7 @@
 
   /// At least one, also of an empty table.
   [[nodiscard]] std::size_t parts() const { return part_ends_.size(); }
+  /// Names the turns; their bodies are filled in when the part is sent.
   [[nodiscard]] wire::RecordSnapshot part(std::size_t number) const;
 
 private:
--- /dev/null
+++ b/src/records/turn_bodies.cpp
@@ -0,0 +1,83 @@
+#include "records/turn_bodies.hpp"
+
+#include <utility>
+
+namespace heathtrestle::records {
+
+namespace {
+
+/// @return how many turns were missing.
+std::size_t fill_in(wire::RecordReplyItem &item, turn_bodies &bodies) {
+  std::size_t missing = 0;
+  for (wire::RecordTurn &turn : *item.mutable_history()) {
+    std::optional<wire::RecordTurn> whole = bodies.read(turn.id());
+    if (whole) {
+      turn = std::move(*whole);
+    } else {
+      ++missing;
+    }
+  }
+  if (missing > 0) {
+    // Another conversation than the caller's would be gone on with.
+    item.clear_history();
+    item.set_verdict(wire::RECORD_UNAVAILABLE);
+  }
+  return missing;
+}
+
+void fill_in(wire::RecordSnapshot &part, turn_bodies &bodies) {
+  auto &turns = *part.mutable_turns();
+  int filled = 0;
+  for (int place = 0; place < turns.size(); ++place) {
+    std::optional<wire::RecordTurn> whole =
+        bodies.read(turns.Get(place).turn().id());
+    if (!whole) {
+      continue;
+    }
+    *turns.Mutable(place)->mutable_turn() = std::move(*whole);
+    turns.Mutable(place)->clear_bytes();
+    turns.SwapElements(filled, place);
+    ++filled;
+  }
+  turns.DeleteSubrange(filled, turns.size() - filled);
+}
+
+} // namespace
+
+std::size_t fill_in(wire::Envelope &message, turn_bodies &bodies) {
+  std::size_t missing = 0;
+  if (message.has_record_reply()) {
+    for (wire::RecordReplyItem &item :
+         *message.mutable_record_reply()->mutable_items()) {
+      missing += fill_in(item, bodies);
+    }
+  }
+  if (message.has_snapshot_request()) {
+    fill_in(*message.mutable_snapshot_request()->mutable_records(), bodies);
+  }
+  return missing;
+}
+
+void take_bodies(wire::RecordSnapshot &snapshot,
+                 std::vector<wire::RecordTurn> &taken) {
+  for (wire::RecordKeptTurn &kept : *snapshot.mutable_turns()) {
+    if (kept.bytes() != 0) {
+      continue; // came without its body
+    }
+    kept.set_bytes(kept.turn().ByteSizeLong());
+    wire::RecordTurn named = without_body(kept.turn());
+    taken.push_back(std::exchange(*kept.mutable_turn(), std::move(named)));
+  }
+}
+
+wire::RecordTurn without_body(const wire::RecordTurn &turn) {
+  wire::RecordTurn named;
+  named.set_id(turn.id());
+  named.set_previous(turn.previous());
+  if (turn.has_place()) {
+    *named.mutable_place() = turn.place();
+  }
+  return named;
+}
+
+} // namespace heathtrestle::records
--- a/src/storage/log_storage.cpp
+++ b/src/storage/log_storage.cpp
@@ -19,6 +19,8 @@
     "CREATE TABLE IF NOT EXISTS meta(key TEXT PRIMARY KEY, value BLOB NOT NULL)"
     " WITHOUT ROWID;"
     "CREATE TABLE IF NOT EXISTS log(idx INTEGER PRIMARY KEY, entry BLOB NOT "
+    "NULL);"
+    "CREATE TABLE IF NOT EXISTS turns(id TEXT PRIMARY KEY, body BLOB NOT "
     "NULL);";
 /// The exclusive lock keeps the index of the write-ahead log in this process's
 /// memory instead of in a file that is shared; full synchronisation syncs each
@@ -27,7 +29,7 @@
                                 "PRAGMA journal_mode=WAL;"
                                 "PRAGMA synchronous=FULL;"
                                 "PRAGMA wal_autocheckpoint=4000;"
-                                "PRAGMA cache_size=-4000;"
+                                "PRAGMA cache_size=-1000;"
                                 "PRAGMA temp_store=MEMORY;";
 
 constexpr std::string_view key_identity = "identity";
@@ -35,6 +37,11 @@
 constexpr std::string_view key_base = "base";
 constexpr std::string_view key_snapshot = "snapshot";
 constexpr std::string_view key_members = "members";
+constexpr std::string_view key_applied = "applied";
+
+/// Turns that come to so many bytes are written without waiting for a change of
+/// the log: some 30 of the usual ones.
+constexpr std::size_t most_unwritten_bytes = std::size_t{512} << 10U;
 
 /// Hard state and base are kept as messages that exist for the wire. Of the
 /// hard state, the last index is that of the last settled change of voters.
@@ -86,12 +93,14 @@
 
 } // namespace
 
-/// The connection and its prepared statements.
+/// The connection, and the statement that is used most.
 struct log_storage::database {
   using statement = std::unique_ptr<sqlite3_stmt, int (*)(sqlite3_stmt *)>;
 
   sqlite3 *handle = nullptr;
   std::string path;
+  /// Made with its first use; SQLite keeps the connection until it is gone.
+  statement read_turn{nullptr, &sqlite3_finalize};
 
   ~database() { sqlite3_close_v2(handle); }
 
@@ -120,6 +129,11 @@
                         SQLITE_TRANSIENT);
   }
 
+  static void bind_text(sqlite3_stmt *into, int place, std::string_view text) {
+    sqlite3_bind_text(into, place, text.data(), static_cast<int>(text.size()),
+                      SQLITE_TRANSIENT);
+  }
+
   static std::string column(sqlite3_stmt *from, int place) {
     const void *bytes = sqlite3_column_blob(from, place);
     const auto size =
@@ -132,8 +146,7 @@
   result<void> put_meta(std::string_view key, std::string_view value) {
     const statement put =
         prepare("INSERT OR REPLACE INTO meta(key, value) VALUES(?, ?)");
-    sqlite3_bind_text(put.get(), 1, key.data(), static_cast<int>(key.size()),
-                      SQLITE_TRANSIENT);
+    bind_text(put.get(), 1, key);
     bind(put.get(), 2, value);
     if (sqlite3_step(put.get()) != SQLITE_DONE) {
       return failure("write " + std::string(key));
@@ -143,8 +156,7 @@
 
   std::optional<std::string> get_meta(std::string_view key) {
     const statement get = prepare("SELECT value FROM meta WHERE key = ?");
-    sqlite3_bind_text(get.get(), 1, key.data(), static_cast<int>(key.size()),
-                      SQLITE_TRANSIENT);
+    bind_text(get.get(), 1, key);
     if (sqlite3_step(get.get()) != SQLITE_ROW) {
       return std::nullopt;
     }
@@ -230,6 +242,10 @@
       bytes && !decode(*bytes, state.replica.base)) {
     return unreadable(key_base);
   }
+  state.replica.applied = state.replica.base.index;
+  if (const auto bytes = database_->get_meta(key_applied)) {
+    state.replica.applied = std::stoull(*bytes);
+  }
   if (const auto bytes = database_->get_meta(key_snapshot);
       bytes && !state.snapshot.ParseFromString(*bytes)) {
     return unreadable(key_snapshot);
@@ -248,11 +264,114 @@
       return unreadable("log entry");
     }
     log_bytes_ += bytes.size();
+    const bool in_snapshot = expected <= state.replica.applied;
+    bytes_since_snapshot_ += in_snapshot ? 0 : bytes.size();
     state.replica.entries.push_back(std::move(entry));
   }
+  BOOST_OUTCOME_TRY(drop_unknown_turns(state));
   return state;
 }
 
+result<void> log_storage::drop_unknown_turns(const recovered_state &state) {
+  std::unordered_set<std::string> known;
+  for (const wire::RecordKeptTurn &kept : state.snapshot.turns()) {
+    known.insert(kept.turn().id());
+  }
+  for (const wire::LogEntry &entry : state.replica.entries) {
+    for (const wire::RecordChange &change :
+         entry.command().record_batch().changes()) {
+      known.insert(change.end().kept().id());
+      for (const wire::RecordTurn &copy : change.keep().turns()) {
+        known.insert(copy.id());
+      }
+    }
+  }
+  const auto rows = database_->prepare("SELECT id FROM turns");
+  while (sqlite3_step(rows.get()) == SQLITE_ROW) {
+    std::string id = database::column(rows.get(), 0);
+    if (!known.contains(id)) {
+      undropped_turns_.push_back(std::move(id));
+    }
+  }
+  if (undropped_turns_.empty()) {
+    return outcome::success();
+  }
+  return database_->transact([this] { return write_turns(); });
+}
+
+result<void> log_storage::keep(std::vector<wire::RecordTurn> turns) {
+  for (wire::RecordTurn &turn : turns) {
+    unwritten_bytes_ += turn.ByteSizeLong();
+    std::string id = turn.id();
+    unwritten_turns_.insert_or_assign(std::move(id), std::move(turn));
+  }
+  if (unwritten_bytes_ < most_unwritten_bytes) {
+    return outcome::success();
+  }
+  return database_->transact([this] { return write_turns(); });
+}
+
+void log_storage::drop(const std::vector<std::string> &ids) {
+  for (const std::string &id : ids) {
+    unwritten_turns_.erase(id);
+    undropped_turns_.push_back(id);
+  }
+}
+
+std::optional<wire::RecordTurn> log_storage::read(const std::string &id) {
+  const auto unwritten = unwritten_turns_.find(id);
+  if (unwritten != unwritten_turns_.end()) {
+    return unwritten->second;
+  }
+  if (!database_->read_turn) {
+    database_->read_turn =
+        database_->prepare("SELECT body FROM turns WHERE id = ?");
+  }
+  sqlite3_stmt *const get = database_->read_turn.get();
+  database::bind_text(get, 1, id);
+  std::optional<wire::RecordTurn> turn;
+  if (sqlite3_step(get) == SQLITE_ROW) {
+    turn.emplace();
+    const bool readable = turn->ParseFromArray(sqlite3_column_blob(get, 0),
+                                               sqlite3_column_bytes(get, 0));
+    if (!readable) {
+      turn.reset();
+    }
+  }
+  sqlite3_reset(get);
+  return turn;
+}
+
+result<void> log_storage::write_turns() {
+  if (!undropped_turns_.empty()) {
+    const auto remove = database_->prepare("DELETE FROM turns WHERE id = ?");
+    for (const std::string &id : undropped_turns_) {
+      sqlite3_reset(remove.get());
+      database::bind_text(remove.get(), 1, id);
+      if (sqlite3_step(remove.get()) != SQLITE_DONE) {
+        return database_->failure("drop a turn");
+      }
+    }
+    undropped_turns_.clear();
+  }
+  if (!unwritten_turns_.empty()) {
+    // A turn never changes: one that a replayed entry brings again is there.
+    const auto insert = database_->prepare(
+        "INSERT OR IGNORE INTO turns(id, body) VALUES(?, ?)");
+    for (const auto &[id, turn] : unwritten_turns_) {
+      sqlite3_reset(insert.get());
+      database::bind_text(insert.get(), 1, id);
+      database::bind(insert.get(), 2, turn.SerializeAsString());
+      if (sqlite3_step(insert.get()) != SQLITE_DONE) {
+        return database_->failure("keep a turn");
+      }
+    }
+    unwritten_turns_.clear();
+    unwritten_bytes_ = 0;
+  }
+  return outcome::success();
+}
+
 result<void> log_storage::write(const raft::unsaved_changes &changes,
                                 const wire::RecordSnapshot *snapshot) {
   return database_->transact([&]() -> result<void> {
@@ -263,9 +382,12 @@
       // The snapshot replaces the whole log, also what lies behind it.
       BOOST_OUTCOME_TRY(
           database_->delete_log("DELETE FROM log WHERE idx >= ?", 0));
-      BOOST_OUTCOME_TRY(put_base(*changes.installed, *snapshot));
+      BOOST_OUTCOME_TRY(
+          put_base(*changes.installed, changes.installed->index, *snapshot));
       log_bytes_ = 0;
+      bytes_since_snapshot_ = 0;
     }
+    BOOST_OUTCOME_TRY(write_turns());
     if (changes.truncate_from != 0) {
       BOOST_OUTCOME_TRY(database_->delete_log("DELETE FROM log WHERE idx >= ?",
                                               changes.truncate_from));
@@ -282,27 +404,36 @@
         return database_->failure("append to the log");
       }
       log_bytes_ += bytes.size();
+      bytes_since_snapshot_ += bytes.size();
     }
     return outcome::success();
   });
 }
 
 result<void> log_storage::compact(const raft::log_base &base,
+                                  std::uint64_t applied,
                                   const wire::RecordSnapshot &snapshot) {
-  auto done = database_->transact([&]() -> result<void> {
+  BOOST_OUTCOME_TRY(database_->transact([&]() -> result<void> {
+    BOOST_OUTCOME_TRY(write_turns());
     BOOST_OUTCOME_TRY(
         database_->delete_log("DELETE FROM log WHERE idx <= ?", base.index));
-    return put_base(base, snapshot);
-  });
-  if (done) {
-    log_bytes_ = 0;
+    return put_base(base, applied, snapshot);
+  }));
+  bytes_since_snapshot_ = 0;
+  const auto left =
+      database_->prepare("SELECT IFNULL(SUM(LENGTH(entry)), 0) FROM log");
+  if (sqlite3_step(left.get()) != SQLITE_ROW) {
+    return database_->failure("measure the log");
   }
-  return done;
+  log_bytes_ = static_cast<std::uint64_t>(sqlite3_column_int64(left.get(), 0));
+  return outcome::success();
 }
 
 result<void> log_storage::put_base(const raft::log_base &base,
+                                   std::uint64_t applied,
                                    const wire::RecordSnapshot &snapshot) {
   BOOST_OUTCOME_TRY(database_->put_meta(key_base, encode(base)));
+  BOOST_OUTCOME_TRY(database_->put_meta(key_applied, std::to_string(applied)));
   return database_->put_meta(key_snapshot, snapshot.SerializeAsString());
 }
 
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -175,6 +175,9 @@
   CPPUNIT_TEST(old_acknowledgements_bring_no_second_snapshot);
   CPPUNIT_TEST(a_follower_that_starts_late_needs_no_snapshot);
   CPPUNIT_TEST(a_backlog_is_sent_a_bounded_message_at_a_time);
+  CPPUNIT_TEST(the_log_in_memory_is_bounded_in_bytes);
+  CPPUNIT_TEST(entries_that_a_voter_lacks_are_held_up_to_their_bytes);
+  CPPUNIT_TEST(a_restored_log_may_begin_before_what_is_applied);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -496,6 +499,67 @@
     }
   }
 
+  void the_log_in_memory_is_bounded_in_bytes() {
+    options settings;
+    settings.retained_bytes = 20 * entry_size;
+    consensus leader = restored({replica(1), replica(2), replica(3)}, settings);
+    const timestamp now = elect(leader);
+    for (int each = 0; each < 200; ++each) {
+      propose_large(leader, now);
+      for (const std::uint64_t voter : {2, 3}) {
+        acknowledge(leader, replica(voter), leader.last_index().value(), now);
+      }
+      CPPUNIT_ASSERT(leader.take_committed().size() <= 2);
+      CPPUNIT_ASSERT(leader.log_bytes() < 42 * entry_size);
+    }
+    CPPUNIT_ASSERT(leader.log_bytes() >= 19 * entry_size);
+  }
+
+  void entries_that_a_voter_lacks_are_held_up_to_their_bytes() {
+    options settings;
+    settings.retained_bytes = 10 * entry_size;
+    settings.held_entries = 1000;
+    settings.held_bytes = 50 * entry_size;
+    consensus leader = restored({replica(1), replica(2), replica(3)}, settings);
+    const timestamp now = elect(leader);
+    acknowledge(leader, replica(3), leader.last_index().value(), now);
+    const std::uint64_t reached = leader.match_index(replica(3));
+    const auto commit_large = [&](int count) {
+      for (int each = 0; each < count; ++each) {
+        propose_large(leader, now);
+        acknowledge(leader, replica(2), leader.last_index().value(), now);
+        leader.take_committed();
+      }
+    };
+    commit_large(45);
+    CPPUNIT_ASSERT_EQUAL(reached, leader.base().index);
+    commit_large(45);
+    CPPUNIT_ASSERT(leader.base().index > reached);
+    CPPUNIT_ASSERT(leader.log_bytes() <= 52 * entry_size);
+  }
+
+  void a_restored_log_may_begin_before_what_is_applied() {
+    saved_replica saved;
+    saved.hard.term = 1;
+    saved.base = {.index = 10, .term = 1, .voters = {replica(1)}};
+    for (std::uint64_t index = 11; index <= 15; ++index) {
+      wire::LogEntry &entry = saved.entries.emplace_back();
+      entry.set_index(index);
+      entry.set_term(1);
+      entry.mutable_command()->mutable_forget_program();
+    }
+    saved.applied = 13;
+    consensus alone(the_partition, replica(1), std::move(saved), options{},
+                    timestamp_from(1000), 1);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{13}, alone.commit_index().value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, alone.base().index);
+    outbox out;
+    alone.tick(timestamp_from(60000), 1, out);
+    CPPUNIT_ASSERT(alone.is_leader());
+    const std::vector<wire::LogEntry> committed = alone.take_committed();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{14}, committed.front().index());
+  }
+
 private:
   /// @return how many entries are sent to the third replica, in one message,
   /// when it acknowledges `match`.
@@ -513,6 +577,14 @@
         out.messages.front().envelope.append_request().entries_size());
   }
 
+  static constexpr std::size_t entry_size = 1000;
+  static void propose_large(consensus &leader, timestamp now) {
+    wire::Command command;
+    command.mutable_forget_program()->set_program(std::string(entry_size, 'x'));
+    outbox out;
+    CPPUNIT_ASSERT(leader.propose(std::move(command), now, out));
+  }
+
   static consensus restored(const std::vector<replica_id> &voters,
                             options settings = {}, std::uint64_t base = 0) {
     saved_replica saved;
--- a/tests/records/partitioned_ledger_test.cpp
+++ b/tests/records/partitioned_ledger_test.cpp
@@ -3,6 +3,7 @@
 #include "records/partitions.hpp"
 #include "records/record_table.hpp"
 #include "support/coroutines.hpp"
+#include "support/turns_in_memory.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -43,7 +44,9 @@
       wire::RecordReplyItem &done = *reply.add_items();
       done = tables_[number].apply(batch).front();
       done.set_id(item.id());
+      bodies_[number].keep(tables_[number].take_kept());
     }
+    fill_in(answer, bodies_[number]);
     asio::post(io_, [this, answer] { ledger->on_message(answer); });
   }
 
@@ -54,6 +57,7 @@
 private:
   asio::io_context &io_;
   std::map<std::uint32_t, record_table> tables_;
+  std::map<std::uint32_t, test_support::turns_in_memory> bodies_;
 };
 
 class partitioned_ledger_test : public CppUnit::TestFixture {
--- a/tests/records/record_table_test.cpp
+++ b/tests/records/record_table_test.cpp
@@ -1,5 +1,6 @@
 #include "records/record_table.hpp"
 #include "records/turn_cache.hpp"
+#include "support/turns_in_memory.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -54,22 +55,33 @@
   CPPUNIT_TEST(a_snapshot_holds_everything);
   CPPUNIT_TEST(time_does_not_run_backwards);
   CPPUNIT_TEST(a_grant_tells_where_the_last_turn_was_answered);
+  CPPUNIT_TEST(bodies_pass_through_and_are_dropped_with_their_turns);
+  CPPUNIT_TEST(a_snapshot_that_brings_bodies_is_taken_in);
+  CPPUNIT_TEST(a_history_that_lacks_a_turn_is_refused);
   CPPUNIT_TEST_SUITE_END();
 
   record_table table_;
+  test_support::turns_in_memory bodies_;
 
   wire::RecordReplyItem apply(const wire::RecordChange &change,
                               std::uint64_t time_ms = 1000) {
     return apply_to(table_, change, time_ms);
   }
 
-  static wire::RecordReplyItem apply_to(record_table &table,
-                                        const wire::RecordChange &change,
-                                        std::uint64_t time_ms) {
+  /// As a node does it: the outcome with the bodies of its history.
+  wire::RecordReplyItem apply_to(record_table &table,
+                                 const wire::RecordChange &change,
+                                 std::uint64_t time_ms) {
     wire::RecordBatch batch;
     batch.set_time_ms(time_ms);
     *batch.add_changes() = change;
-    return table.apply(batch).at(0);
+    wire::Envelope message;
+    wire::RecordReplyItem &item = *message.mutable_record_reply()->add_items();
+    item = table.apply(batch).at(0);
+    bodies_.keep(table.take_kept());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fill_in(message, bodies_));
+    bodies_.drop(table.take_dropped());
+    return item;
   }
 
 public:
@@ -182,6 +194,45 @@
                          copy.apply(batch).at(0).previous_place().instance());
   }
 
+  void bodies_pass_through_and_are_dropped_with_their_turns() {
+    apply(end("a", 0, "", true));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bodies_.size());
+    CPPUNIT_ASSERT(table_.turn_bytes() > 0);
+    const wire::RecordSnapshot snapshot = table_.snapshot();
+    CPPUNIT_ASSERT(snapshot.turns(0).turn().input().empty());
+    constexpr std::uint64_t later = 1000 + 10 * keep;
+    apply(begin("b", 1, 100), later);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, bodies_.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, table_.turn_bytes());
+  }
+
+  void a_snapshot_that_brings_bodies_is_taken_in() {
+    apply(end("a", 0, "", true));
+    wire::Envelope message;
+    *message.mutable_snapshot_request()->mutable_records() = table_.snapshot();
+    fill_in(message, bodies_);
+    record_table restored;
+    restored.restore(message.snapshot_request().records());
+    const std::vector<wire::RecordTurn> kept = restored.take_kept();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, kept.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("in-a"), kept.front().input());
+    CPPUNIT_ASSERT_EQUAL(table_.turn_bytes(), restored.turn_bytes());
+  }
+
+  void a_history_that_lacks_a_turn_is_refused() {
+    apply(end("a", 0, "", true));
+    apply(end("b", 0, "a", true));
+    bodies_.drop({"a"});
+    wire::RecordBatch batch;
+    *batch.add_changes() = begin("c", 1, 100, "b");
+    wire::Envelope message;
+    *message.mutable_record_reply()->add_items() = table_.apply(batch).at(0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fill_in(message, bodies_));
+    const wire::RecordReplyItem &item = message.record_reply().items(0);
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_UNAVAILABLE, item.verdict());
+    CPPUNIT_ASSERT_EQUAL(0, item.history_size());
+  }
+
   void time_does_not_run_backwards() {
     apply(end("a", 0, "", true), 100000);
     apply(end("b", 0, "", true), 1000);
--- a/tests/records/snapshot_transfer_test.cpp
+++ b/tests/records/snapshot_transfer_test.cpp
@@ -31,7 +31,8 @@
     auto turn = std::make_shared<wire::RecordTurn>();
     turn->set_id(fmt::format("turn-{}", each));
     turn->set_input(std::string(input_bytes, 'x'));
-    kept.push_back({.turn = turn, .expires_ms = each});
+    kept.push_back(
+        {.turn = turn, .expires_ms = each, .bytes = turn->ByteSizeLong()});
   }
   constexpr std::uint64_t time_ms = 77;
   return {time_ms, std::move(programs), std::move(kept), part_limit};
--- a/tests/storage/log_storage_test.cpp
+++ b/tests/storage/log_storage_test.cpp
@@ -18,6 +18,13 @@
   return made;
 }
 
+wire::RecordTurn turn(const std::string &id) {
+  wire::RecordTurn made;
+  made.set_id(id);
+  made.set_input("said in " + id);
+  return made;
+}
+
 class log_storage_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(log_storage_test);
   CPPUNIT_TEST(a_new_disk_gets_an_identity_and_keeps_it);
@@ -25,6 +32,9 @@
   CPPUNIT_TEST(a_truncated_tail_stays_away);
   CPPUNIT_TEST(a_snapshot_replaces_the_log);
   CPPUNIT_TEST(a_compacted_log_goes_on_behind_its_snapshot);
+  CPPUNIT_TEST(a_snapshot_keeps_the_log_that_followers_may_lack);
+  CPPUNIT_TEST(turns_are_read_before_and_after_they_are_written);
+  CPPUNIT_TEST(turns_that_nobody_knows_are_gone_after_a_start);
   CPPUNIT_TEST(a_torn_tail_leaves_the_last_whole_write);
   CPPUNIT_TEST(a_file_that_is_no_database_is_refused);
   CPPUNIT_TEST_SUITE_END();
@@ -134,8 +144,9 @@
       CPPUNIT_ASSERT(storage->log_bytes() > 0);
       wire::RecordSnapshot snapshot;
       CPPUNIT_ASSERT(
-          storage->compact({.index = 2, .term = 1, .voters = {}}, snapshot));
-      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, storage->log_bytes());
+          storage->compact({.index = 2, .term = 1, .voters = {}}, 2, snapshot));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, storage->bytes_since_snapshot());
+      CPPUNIT_ASSERT_EQUAL(entry(3, 1).ByteSizeLong(), storage->log_bytes());
     }
     const auto state = open()->recover();
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, state.value().replica.base.index);
@@ -143,6 +154,68 @@
                          state.value().replica.entries.front().index());
   }
 
+  void a_snapshot_keeps_the_log_that_followers_may_lack() {
+    {
+      const auto storage = open();
+      append(*storage, {entry(1, 1), entry(2, 1), entry(3, 1), entry(4, 1)});
+      CPPUNIT_ASSERT(storage->compact({.index = 1, .term = 1, .voters = {}}, 3,
+                                      wire::RecordSnapshot()));
+    }
+    const auto storage = open();
+    const auto state = storage->recover();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.value().replica.base.index);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, state.value().replica.applied);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, state.value().replica.entries.size());
+    // Only what the snapshot lacks counts for the next one.
+    CPPUNIT_ASSERT_EQUAL(entry(4, 1).ByteSizeLong(),
+                         storage->bytes_since_snapshot());
+  }
+
+  void turns_are_read_before_and_after_they_are_written() {
+    {
+      const auto storage = open();
+      CPPUNIT_ASSERT(storage->keep({turn("a"), turn("b"), turn("c")}));
+      storage->drop({"b"});
+      CPPUNIT_ASSERT(storage->read("a").has_value());
+      CPPUNIT_ASSERT(!storage->read("b").has_value());
+      append(*storage, {entry(1, 1)});
+      CPPUNIT_ASSERT_EQUAL(std::string("said in a"),
+                           storage->read("a")->input());
+      storage->drop({"a"});
+      CPPUNIT_ASSERT(storage->keep({turn("a")})); // kept anew
+      wire::RecordSnapshot snapshot;
+      snapshot.add_turns()->mutable_turn()->set_id("a");
+      snapshot.add_turns()->mutable_turn()->set_id("c");
+      CPPUNIT_ASSERT(
+          storage->compact({.index = 1, .term = 1, .voters = {}}, 1, snapshot));
+    }
+    const auto storage = open();
+    CPPUNIT_ASSERT(storage->recover());
+    CPPUNIT_ASSERT_EQUAL(std::string("said in a"), storage->read("a")->input());
+    CPPUNIT_ASSERT(storage->read("c").has_value());
+    CPPUNIT_ASSERT(!storage->read("b").has_value());
+  }
+
+  void turns_that_nobody_knows_are_gone_after_a_start() {
+    wire::LogEntry in_log;
+    in_log.set_index(1);
+    in_log.set_term(1);
+    *in_log.mutable_command()
+         ->mutable_record_batch()
+         ->add_changes()
+         ->mutable_end()
+         ->mutable_kept() = turn("in the log");
+    {
+      const auto storage = open();
+      CPPUNIT_ASSERT(storage->keep({turn("in the log"), turn("of no use")}));
+      append(*storage, {in_log});
+    }
+    const auto storage = open();
+    CPPUNIT_ASSERT(storage->recover());
+    CPPUNIT_ASSERT(storage->read("in the log").has_value());
+    CPPUNIT_ASSERT(!storage->read("of no use").has_value());
+  }
+
   void a_torn_tail_leaves_the_last_whole_write() {
     // A copy of the files taken while the database is open, its write-ahead log
     // cut at every length: what a loss of power may leave.
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "records/record_node.hpp"
+#include "support/turns_in_memory.hpp"
 
 #include <algorithm>
 #include <map>
@@ -22,9 +23,11 @@
   raft::saved_replica replica;
   wire::RecordSnapshot snapshot;
   wire::RecordMembers members;
+  turns_in_memory turns;
 
   void write(const records::record_effects &effects) {
     const raft::unsaved_changes &changes = effects.write;
+    turns.keep(effects.kept);
     if (changes.hard) {
       replica.hard = *changes.hard;
     }
@@ -256,6 +259,8 @@
     const auto found = logged_.find(number);
     return found == logged_.end() ? 0 : found->second;
   }
+  /// Turns of histories that a node was to tell and did not have.
+  [[nodiscard]] std::size_t missing_turns() const { return missing_turns_; }
   /// Bytes handed to the network for a node that cannot take them.
   [[nodiscard]] std::size_t undeliverable_bytes() const {
     return undeliverable_bytes_;
@@ -294,7 +299,12 @@
     post(name, first.early);
     stepped.disk.write(first);
     auto second = stepped.node->after_write(now_);
+    stepped.disk.turns.keep(second.kept);
+    for (records::addressed_message &message : second.messages) {
+      missing_turns_ += records::fill_in(message.envelope, stepped.disk.turns);
+    }
     post(name, second.messages);
+    stepped.disk.turns.drop(second.dropped);
     for (const records::logged_event &each : second.log) {
       ++logged_[each.number];
     }
@@ -394,6 +404,7 @@
   std::uint64_t next_id_ = 0;
   timestamp next_retry_{};
   std::size_t undeliverable_bytes_ = 0;
+  std::size_t missing_turns_ = 0;
   std::map<std::string, std::size_t> bytes_to_;
   std::map<std::string, std::size_t> largest_to_;
   std::size_t hellos_ = 0;
