--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -83,6 +83,8 @@
     for (const std::uint64_t id : asked) {
       CPPUNIT_ASSERT_MESSAGE(prefix, group.verdict(id) == wire::RECORD_GRANTED);
     }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, group.missing_turns());
+    CPPUNIT_ASSERT(group.has_all_bodies(group.leader()));
   }
 
 public:
--- a/tests/records/snapshot_transfer_test.cpp
+++ b/tests/records/snapshot_transfer_test.cpp
@@ -183,6 +183,7 @@
     CPPUNIT_ASSERT(group.largest_to("c") < 2 * part_bytes);
     CPPUNIT_ASSERT_EQUAL(group.at("a").table().turns(),
                          group.at("c").table().turns());
+    CPPUNIT_ASSERT(group.has_all_bodies("c"));
   }
 
   void a_long_transfer_is_not_begun_again() {
@@ -222,6 +223,7 @@
                    group.at(group.leader()).log()->last_index());
     CPPUNIT_ASSERT_EQUAL(group.at(group.leader()).table().turns(),
                          group.at("c").table().turns());
+    CPPUNIT_ASSERT(group.has_all_bodies("c"));
   }
 
 private:
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -177,6 +177,7 @@
     begin.set_most(most);
     begin.set_budget(budget);
     begin.set_previous(previous);
+    begin.set_want_history(true);
     begin.set_keep_ms(1000000);
     return ask(std::move(change));
   }
@@ -259,6 +260,15 @@
     const auto found = logged_.find(number);
     return found == logged_.end() ? 0 : found->second;
   }
+  /// True when the node's disk has the body of each turn that it keeps.
+  [[nodiscard]] bool has_all_bodies(const std::string &name) {
+    node_machine &machine = machines_.at(name);
+    const wire::RecordSnapshot state = machine.node->table().snapshot();
+    return std::ranges::all_of(state.turns(), [&machine](const auto &kept) {
+      const auto whole = machine.disk.turns.read(kept.turn().id());
+      return whole && whole->ByteSizeLong() == kept.bytes();
+    });
+  }
   /// Turns of histories that a node was to tell and did not have.
   [[nodiscard]] std::size_t missing_turns() const { return missing_turns_; }
   /// Bytes handed to the network for a node that cannot take them.
