--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -614,6 +614,7 @@
   std::uint64_t change_to(consensus &leader,
                           const std::vector<std::uint64_t> &numbers) {
     std::vector<replica_id> voters;
+    voters.reserve(numbers.size());
     for (const std::uint64_t number : numbers) {
       voters.push_back(replica(number));
     }
