--- a/scripts/lib/platform_cluster.sh
+++ b/scripts/lib/platform_cluster.sh
@@ -1,16 +1,21 @@
 # Starts the programs that run on the platform, against stand-ins, on one
 # machine. Sourced after cluster.sh, whose process functions it uses; expects
-# `platform_bin` (the folder of the platform's programs), `run` and `base`.
+# `platform_bin` (the folder of the platform's programs), `run` and `base` (the
+# first of nine hundred free ports). The numbers of storage nodes and gateways, up to
+# 99 each, may be set before it is sourced.
+
+storages=${storages:-3}
+gateways=${gateways:-2}
 
 store_address="127.0.0.1:$((base))"
-gateway_address() { echo "127.0.0.1:$((base + 10 + $1))"; }
-ready_address() { echo "127.0.0.1:$((base + 20 + $1))"; }
-peer_address() { echo "127.0.0.1:$((base + 30 + $1))"; }
-gateway_rpc() { echo "127.0.0.1:$((base + 40 + $1))"; }
-gateway_metrics() { echo "127.0.0.1:$((base + 50 + $1))"; }
-storage_rpc() { echo "127.0.0.1:$((base + 60 + $1))"; }
-storage_metrics() { echo "127.0.0.1:$((base + 70 + $1))"; }
-replica_address() { echo "127.0.0.1:$((base + 80 + $1))"; }
+gateway_address() { echo "127.0.0.1:$((base + 100 + $1))"; }
+ready_address() { echo "127.0.0.1:$((base + 200 + $1))"; }
+peer_address() { echo "127.0.0.1:$((base + 300 + $1))"; }
+gateway_rpc() { echo "127.0.0.1:$((base + 400 + $1))"; }
+gateway_metrics() { echo "127.0.0.1:$((base + 500 + $1))"; }
+storage_rpc() { echo "127.0.0.1:$((base + 600 + $1))"; }
+storage_metrics() { echo "127.0.0.1:$((base + 700 + $1))"; }
+replica_address() { echo "127.0.0.1:$((base + 800 + $1))"; }
 
 # The address under which a process reaches the object store, and the one that is
 # told to others in place of its own. The fault soak puts its proxy between.
@@ -85,7 +90,7 @@
 
 # The number of the storage node that leads, or nothing.
 storage_leader() {
-  for number in 1 2 3; do
+  for ((number = 1; number <= storages; number++)); do
     if [[ $(storage_value "$number" leader) == 1 ]]; then
       echo "$number"
       return
@@ -103,6 +108,11 @@
   curl -sf -m 2 -o /dev/null "http://$(ready_address "$1")/readiness"
 }
 
+gateway_value() { # number metric
+  curl -s -m 2 "http://$(gateway_metrics "$1")/metrics" |
+    sed -n "s/^heathtrestle_gateway_$2 //p"
+}
+
 start_platform_cluster() {
   start_object_store
   wait_until 100 curl -s -m 1 -o /dev/null "http://$store_address/objects/config"
@@ -123,8 +133,11 @@
 
 # Plays programs through both gateways; prints the outcome.
 play_programs() { # programs turns
-  "$platform_bin/heathtrestle-platform-stand-in" --role load \
-    --load.gateways "$(gateway_address 1)" --load.gateways "$(gateway_address 2)" \
+  local number all=()
+  for ((number = 1; number <= gateways; number++)); do
+    all+=(--load.gateways "$(gateway_address "$number")")
+  done
+  "$platform_bin/heathtrestle-platform-stand-in" --role load "${all[@]}" \
     --load.replicas "$(replica_address 1)" --load.replicas "$(replica_address 2)" \
     --load.replicas "$(replica_address 3)" \
     --load.programs "$1" --load.turns "$2"
--- a/scripts/lib/soak_faults.sh
+++ b/scripts/lib/soak_faults.sh
@@ -1,18 +1,26 @@
 # The cluster of the fault soak and its faults. Sourced by scripts/soak after
 # platform_cluster.sh; expects `bin`, `platform_bin`, `run` and `base`.
 #
-# Every address that others use is a link of the fault proxy, 500 ports above the
-# address that the process listens on. Each process has a link of its own to the
+# Every address that others use is a link of the fault proxy, a thousand ports above
+# the address that the process listens on. Each process has a link of its own to the
 # object store, so that the store may turn single machines away.
 
-soak_processes=(storage-1 storage-2 storage-3 gateway-1 gateway-2)
+soak_storages=()
+for ((number = 1; number <= storages; number++)); do
+  soak_storages+=("storage-$number")
+done
+soak_gateways=()
+for ((number = 1; number <= gateways; number++)); do
+  soak_gateways+=("gateway-$number")
+done
+soak_processes=("${soak_storages[@]}" "${soak_gateways[@]}")
 soak_replicas=(engine-1 engine-2 tool-1)
-proxy_control="127.0.0.1:$((base + 499))"
+proxy_control="127.0.0.1:$((base + 1099))"
 struck=()
 
 # The address of a link before another address.
 advertised() { # address
-  echo "${1%:*}:$((${1##*:} + 500))"
+  echo "${1%:*}:$((${1##*:} + 1000))"
 }
 
 # A process's own link to the object store.
@@ -20,11 +28,11 @@
   local number
   case $1 in
   storage-*) number=${1#storage-} ;;
-  gateway-*) number=$((3 + ${1#gateway-})) ;;
-  engine-*) number=$((5 + ${1#engine-})) ;;
-  *) number=8 ;;
+  gateway-*) number=$((200 + ${1#gateway-})) ;;
+  engine-*) number=$((100 + ${1#engine-})) ;;
+  *) number=110 ;;
   esac
-  echo "127.0.0.1:$((base + 600 + number))"
+  echo "127.0.0.1:$((base + 1100 + number))"
 }
 
 start_proxy() {
@@ -32,11 +40,13 @@
   for name in "${soak_processes[@]}" "${soak_replicas[@]}"; do
     links+=(--link "store-of-$name=$(store_for "$name")=$store_address")
   done
-  for number in 1 2 3; do
+  for ((number = 1; number <= storages; number++)); do
     links+=(--link "storage-$number=$(advertised "$(storage_rpc "$number")")=$(storage_rpc "$number")")
+  done
+  for number in 1 2 3; do
     links+=(--link "replica-$number=$(advertised "$(replica_address "$number")")=$(replica_address "$number")")
   done
-  for number in 1 2; do
+  for ((number = 1; number <= gateways; number++)); do
     links+=(--link "gateway-$number=$(advertised "$(gateway_rpc "$number")")=$(gateway_rpc "$number")")
   done
   start_process fault-proxy "$bin/heathtrestle-fault-proxy" \
@@ -65,12 +75,23 @@
   start_replica 1 engine-1 models --replica.events 5 --replica.break_every 9
   start_replica 2 engine-2 models --replica.events 5
   start_replica 3 tool-1 tools --replica.surplus_every 5
-  write_configuration 1
-  wait_until 100 gateway_is_ready 1
-  wait_until 100 gateway_is_ready 2
+  change_configuration
+  for ((number = 1; number <= gateways; number++)); do
+    wait_until 200 gateway_is_ready "$number"
+  done
   wait_until 200 group_is_whole
 }
 
+# Writes the next version, one writer at a time.
+change_configuration() {
+  wait_until 100 mkdir "$run/held-configuration" 2>/dev/null || return 0
+  local version=$(($(cat "$run/version" 2>/dev/null || echo 0) + 1))
+  if write_configuration "$version"; then
+    echo "$version" >"$run/version"
+  fi
+  rmdir "$run/held-configuration"
+}
+
 draw() { # one of the words given
   local words=("$@")
   echo "${words[RANDOM % ${#words[@]}]}"
@@ -80,11 +101,14 @@
 # begins while the first lasts.
 strike_at_random() {
   sleep "0.$((RANDOM % 9))"
-  strike "$(draw link link store pause kill wipe stop power)" &
+  strike "$(draw link link store pause kill wipe stop power roll)" &
   local first=$!
   if ((RANDOM % 3 == 0)); then
     strike "$(draw link store kill_gateway)"
   fi
+  if ((RANDOM % 3 == 0)); then
+    strike "$(draw change reload)"
+  fi
   wait "$first" || true
   collect_strikes
 }
@@ -116,12 +140,20 @@
   echo "${pid_of[$1]}" >"$run/restarted-$1"
 }
 
+strike_stop() { # name
+  hold "$1" || return 0
+  end_process "$1" TERM
+  sleep 9
+  restart "$1"
+  let_go "$1"
+}
+
 strike() { # kind
   local name link fault
   name=$(draw "${soak_processes[@]}")
   case $1 in
   link)
-    link=$(draw storage-1 storage-2 storage-3 gateway-1 gateway-2 replica-1 replica-2 replica-3)
+    link=$(draw "${soak_processes[@]}" replica-1 replica-2 replica-3)
     fault=$(draw delay-40 delay-150 silent hold-requests hold-answers refuse reset)
     note_strike "$link:$fault"
     set_link "$link" "$fault"
@@ -144,15 +176,11 @@
     let_go "$name"
     ;;
   stop)
-    hold "$name" || return 0
     note_strike "stop:$name"
-    end_process "$name" TERM
-    sleep 9
-    restart "$name"
-    let_go "$name"
+    strike_stop "$name"
     ;;
   kill | kill_gateway)
-    [[ $1 == kill_gateway ]] && name=$(draw gateway-1 gateway-2)
+    [[ $1 == kill_gateway ]] && name=$(draw "${soak_gateways[@]}")
     hold "$name" || return 0
     note_strike "kill:$name"
     end_process "$name" KILL
@@ -161,7 +189,7 @@
     let_go "$name"
     ;;
   wipe)
-    name=$(draw storage-1 storage-2 storage-3)
+    name=$(draw "${soak_storages[@]}")
     note_strike "wipe:$name"
     end_process "$name" KILL
     sleep 0.5
@@ -171,14 +199,41 @@
     ;;
   power)
     note_strike "power"
-    for name in storage-1 storage-2 storage-3; do
+    for name in "${soak_storages[@]}"; do
       end_process "$name" KILL
     done
     sleep "0.$((RANDOM % 9 + 1))"
-    for name in storage-1 storage-2 storage-3; do
+    for name in "${soak_storages[@]}"; do
       restart "$name"
     done
     ;;
+  change) # a series of versions, some in quick succession
+    local count=$((RANDOM % 4 + 1))
+    note_strike "change:$count"
+    while ((count-- > 0)); do
+      change_configuration
+      sleep "0.$((RANDOM % 6))"
+    done
+    ;;
+  reload) # of one that is not just starting: it could not take the signal yet
+    hold "$name" || return 0
+    note_strike "reload:$name"
+    end_process "$name" HUP
+    let_go "$name"
+    ;;
+  roll) # two gateways are stopped one soon after the other
+    local second
+    name=$(draw "${soak_gateways[@]}")
+    second=$(draw "${soak_gateways[@]}")
+    note_strike "roll:$name:$second"
+    strike_stop "$name" &
+    local rolling=$!
+    sleep "$((RANDOM % 3))"
+    if [[ $second != "$name" ]]; then
+      strike_stop "$second"
+    fi
+    wait "$rolling" || true
+    ;;
   esac
 }
 
@@ -190,7 +245,13 @@
 }
 
 everything_serves() {
-  gateway_is_ready 1 && gateway_is_ready 2 && group_is_whole
+  local number version
+  version=$(cat "$run/version")
+  for ((number = 1; number <= gateways; number++)); do
+    gateway_is_ready "$number" || return 1
+    [[ $(gateway_value "$number" configuration_version) == "$version" ]] || return 1
+  done
+  group_is_whole
 }
 
 # Programs may fail while faults last; promises may not be broken.
