--- a/tests/objects/shared_copies_test.cpp
+++ b/tests/objects/shared_copies_test.cpp
@@ -114,13 +114,13 @@
     return names;
   }
 
-  using names = std::set<std::string>;
+  using name_set = std::set<std::string>;
 
 public:
   void a_new_follower_gets_everything() {
     log_.take(listing{{named("a", 3), named("b", 4)}, 5});
     bool whole = false;
-    CPPUNIT_ASSERT((lacking({}, &whole) == names{"+a", "+b"}));
+    CPPUNIT_ASSERT((lacking({}, &whole) == name_set{"+a", "+b"}));
     CPPUNIT_ASSERT(whole);
   }
 
@@ -129,9 +129,9 @@
     log_.take(change{named("b", 6), false}, 6);
     log_.take(change{named("a", 7), true}, 7);
     bool whole = true;
-    CPPUNIT_ASSERT((lacking({true, 5}, &whole) == names{"+b", "-a"}));
+    CPPUNIT_ASSERT((lacking({true, 5}, &whole) == name_set{"+b", "-a"}));
     CPPUNIT_ASSERT(!whole);
-    CPPUNIT_ASSERT((lacking({true, 6}) == names{"-a"}));
+    CPPUNIT_ASSERT((lacking({true, 6}) == name_set{"-a"}));
     CPPUNIT_ASSERT(lacking({true, 7}).empty());
     CPPUNIT_ASSERT(lacking({true, 9}).empty()); // ahead of this relay
   }
@@ -139,7 +139,7 @@
   void a_new_listing_counts_as_changes() {
     log_.take(listing{{named("a", 3), named("b", 4)}, 5});
     log_.take(listing{{named("b", 4), named("c", 8)}, 9});
-    CPPUNIT_ASSERT((lacking({true, 5}) == names{"-a", "+c"}));
+    CPPUNIT_ASSERT((lacking({true, 5}) == name_set{"-a", "+c"}));
     log_.take(listing{{named("a", 3)}, 6}); // older than what is known
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, log_.revision());
   }
@@ -150,7 +150,7 @@
       log_.take(change{named("b", revision), false}, revision);
     }
     bool whole = false;
-    CPPUNIT_ASSERT((lacking({true, 5}, &whole) == names{"+a", "+b"}));
+    CPPUNIT_ASSERT((lacking({true, 5}, &whole) == name_set{"+a", "+b"}));
     CPPUNIT_ASSERT(whole);
     lacking({true, 3990}, &whole);
     CPPUNIT_ASSERT(!whole);
--- a/tests/records/record_memory_test.cpp
+++ b/tests/records/record_memory_test.cpp
@@ -10,6 +10,8 @@
 // grew by 0.5 to 1.2 MB a second, as much as came in.
 #include "records/record_runtime.hpp"
 
+#include "support/temporary_directory.hpp"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -23,7 +25,6 @@
 #include <fmt/format.h>
 
 #include <malloc.h>
-#include <unistd.h>
 
 namespace heathtrestle::records {
 namespace {
@@ -205,18 +206,10 @@
   CPPUNIT_TEST(a_start_reads_no_more_than_the_memory_holds);
   CPPUNIT_TEST_SUITE_END();
 
-  std::string directory_;
+  test_support::temporary_directory folder_;
+  const std::string &directory_ = folder_.path();
 
 public:
-  void setUp() override {
-    std::string pattern =
-        (std::filesystem::temp_directory_path() / "record-memory-XXXXXX")
-            .string();
-    CPPUNIT_ASSERT(::mkdtemp(pattern.data()) != nullptr);
-    directory_ = pattern;
-  }
-  void tearDown() override { std::filesystem::remove_all(directory_); }
-
   void kept_turns_take_disk_and_not_memory() {
     asker client;
     const std::size_t before = heap_bytes();
--- a/tests/storage/log_storage_test.cpp
+++ b/tests/storage/log_storage_test.cpp
@@ -1,12 +1,12 @@
 #include "storage/log_storage.hpp"
 
+#include "support/temporary_directory.hpp"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <filesystem>
 #include <fstream>
 
-#include <unistd.h>
-
 namespace heathtrestle::storage {
 namespace {
 
@@ -39,7 +39,8 @@
   CPPUNIT_TEST(a_file_that_is_no_database_is_refused);
   CPPUNIT_TEST_SUITE_END();
 
-  std::string directory_;
+  test_support::temporary_directory folder_;
+  const std::string &directory_ = folder_.path();
 
   std::unique_ptr<log_storage> open(std::uint64_t identity = 7) {
     auto opened = log_storage::open(directory_, identity);
@@ -59,15 +60,6 @@
   }
 
 public:
-  void setUp() override {
-    std::string pattern =
-        (std::filesystem::temp_directory_path() / "log-storage-XXXXXX")
-            .string();
-    CPPUNIT_ASSERT(::mkdtemp(pattern.data()) != nullptr);
-    directory_ = pattern;
-  }
-  void tearDown() override { std::filesystem::remove_all(directory_); }
-
   void a_new_disk_gets_an_identity_and_keeps_it() {
     {
       const auto first = open(7)->recover();
