--- a/tests/records/record_memory_test.cpp
+++ b/tests/records/record_memory_test.cpp
@@ -6,8 +6,8 @@
 // each turn was held twice, in the log and in the state, the log in memory was
 // bounded by its entries and not by their bytes, and a start read the whole log
 // of up to 24 MB a partition back. Settled by `record_log_recovered`, base 0
-// with 3,000 and more entries in each of four partitions, and processes that
-// grew by 0.5 to 1.2 MB a second, as much as came in.
+// with 2,657 and more entries in each of four partitions, and a process of 124
+// MB after a minute in which 0.6 to 1.5 MB a second came in.
 #include "records/record_runtime.hpp"
 
 #include "support/temporary_directory.hpp"
