--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -39,6 +39,7 @@
     }
   }
   const int run = results.runTests();
-  std::cout << run - results.testFailuresTotal() << " passed, " << failed << " failed\n";
+  std::cout << run - results.testFailuresTotal() << " passed, " << failed
+            << " failed\n";
   return run > 0 && failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
