--- a/tests/process/platform_bad_input.sh
+++ b/tests/process/platform_bad_input.sh
@@ -17,7 +17,7 @@
 wait_until 100 rejected || fail "a malformed configuration was not told"
 
 ask() { # raw bytes
-  exec 3<>"/dev/tcp/127.0.0.1/$((base + 11))"
+  exec 3<>"/dev/tcp/$(gateway_address 1 | tr : /)"
   printf "$1" >&3
   head -n 1 <&3 | tr -d '\r'
   exec 3<&-
--- a/tests/process/platform_common.sh
+++ b/tests/process/platform_common.sh
@@ -1,6 +1,6 @@
 # Sourced by the process tests of the programs that run on the platform.
 # Expects the folder of those programs as the test's first argument and `base`
-# as the first of a hundred free ports.
+# as the first of nine hundred free ports.
 platform_bin=$1
 . "$(dirname "${BASH_SOURCE[0]}")/common.sh" "$@"
 . "$(dirname "${BASH_SOURCE[0]}")/../../scripts/lib/platform_cluster.sh"
