--- a/src/storage/log_storage.cpp
+++ b/src/storage/log_storage.cpp
@@ -31,7 +31,7 @@
                                 "PRAGMA journal_mode=WAL;"
                                 "PRAGMA synchronous=FULL;"
                                 "PRAGMA wal_autocheckpoint=250;"
-                                "PRAGMA cache_size=-1000;"
+                                "PRAGMA cache_size=-2000;"
                                 "PRAGMA temp_store=MEMORY;";
 
 constexpr std::string_view key_identity = "identity";
@@ -41,10 +41,9 @@
 constexpr std::string_view key_members = "members";
 constexpr std::string_view key_applied = "applied";
 
-/// Turns are written when they come to so many bytes, in one transaction. Until
-/// then their entries bring them back, and a node that is sent the whole state
-/// acknowledges ten parts between two of these writes.
-constexpr std::size_t most_unwritten_bytes = std::size_t{1} << 20U;
+/// Turns are written when they come to so many bytes: some eight of the usual
+/// ones, in one transaction. Until then their entries bring them back.
+constexpr std::size_t most_unwritten_bytes = std::size_t{128} << 10U;
 /// Entries that a snapshot has made needless are deleted a few with each write:
 /// SQLite walks all pages of each.
 constexpr std::uint64_t entries_deleted_at_once = 8;
