--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -22,8 +22,9 @@
 
 constexpr duration_ms tick_interval{50};
 /// After so many bytes of entries a snapshot is written, and the log before
-/// those kept for followers is dropped. A restart reads and applies as much at
-/// most; a snapshot holds no turns and is small.
+/// those kept for followers is dropped. A restart applies as much at most, and
+/// reads those kept for followers besides; a snapshot holds no bodies of turns
+/// and is small.
 constexpr std::uint64_t snapshot_after_bytes = 8U << 20U;
 constexpr const char *cluster_name = "records";
 /// How long what another leader told of emptied machines counts.
--- a/src/storage/log_storage.hpp
+++ b/src/storage/log_storage.hpp
@@ -60,8 +60,9 @@
   result<void> write(const raft::unsaved_changes &changes,
                      const wire::RecordSnapshot *snapshot);
 
-  /// Writes a snapshot of what is applied, and drops the log up to `base`.
-  /// @param base where the log is to begin; not behind `applied`.
+  /// Writes a snapshot of what is applied, and drops the log up to `base`:
+  /// its entries count no more at once, and are deleted a few with each write.
+  /// @param base where the log is to begin; at `applied` or before it.
   /// @param applied the last entry that `snapshot` holds.
   result<void> compact(const raft::log_base &base, std::uint64_t applied,
                        const wire::RecordSnapshot &snapshot);
--- a/tests/records/record_memory_test.cpp
+++ b/tests/records/record_memory_test.cpp
@@ -15,11 +15,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <filesystem>
 #include <map>
 #include <mutex>
-#include <optional>
-#include <set>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <fmt/format.h>
