--- a/src/forwarding/client_request.cpp
+++ b/src/forwarding/client_request.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/client_request.hpp"
 
+#include "tenants/key_ring.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -93,15 +95,20 @@
     return duration_ms{static_cast<std::int64_t>(*number)};
   };
   request.attempt_id = field(names.attempt_id);
+  if (message.count(names.credential) == 1) {
+    request.key = tenants::api_key{std::string(
+        tenants::key_in(field(names.credential), names.credential_scheme))};
+  }
+  request.program = field(names.program_id);
   request.client_deadline = duration(names.deadline_ms);
   request.program_deadline = signed_duration(field(names.program_deadline));
   request.object = field(names.affinity_key);
   request.prompt = parse_prompt(field(names.prompt_parts));
   request.previous_turn = field(names.previous_turn);
   const auto budget = parse_number(field(names.token_budget));
-  if (budget && !field(names.program_id).empty()) {
+  if (budget && !request.program.empty()) {
     request.turn = turn_header{
-        .program = std::string(field(names.program_id)),
+        .program = request.program,
         .session = std::string(field(names.session_id)),
         .budget = *budget,
         .most_tokens = most_tokens_of(field(names.token_usage)),
--- a/src/forwarding/client_request.hpp
+++ b/src/forwarding/client_request.hpp
@@ -5,6 +5,7 @@
 #include "balance/prefix_view.hpp"
 #include "base/time.hpp"
 #include "forwarding/header_names.hpp"
+#include "tenants/tenant.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -34,6 +35,8 @@
   timestamp arrived{};
 
   std::string attempt_id; // empty when the client sent none
+  tenants::api_key key;   // empty when the client sent none that can be read
+  std::string program;    // empty for requests of no program
   std::optional<duration_ms> client_deadline;
   std::string object; // what a plain replica may know already; may be empty
   /// The prompt's parts in order; empty for requests without a prompt.
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -22,7 +22,8 @@
 gateway::gateway(asio::io_context &io, gateway_options options,
                  records::turn_ledger &ledger)
     : io_(io), options_(std::move(options)), ledger_(ledger),
-      pool_(io, options_.pool), turns_(options_.turn_cache_bytes) {
+      tenants_(options_.tenants, steady_now()), pool_(io, options_.pool),
+      turns_(options_.turn_cache_bytes) {
   if (!options_.policies.patience) {
     options_.plan.patience = 0;
   }
@@ -46,6 +47,7 @@
   metrics_.set_configuration_version(
       static_cast<double>(settings.version.value()));
   routes_ = std::make_shared<const routing::route_table>(std::move(settings));
+  tenants_.apply(*routes_, steady_now());
   for (const routing::instance_record &each : directory_.records()) {
     set_engine_memory(each.service);
   }
@@ -235,6 +237,62 @@
   }
 }
 
+admission gateway::admit(const client_request &request,
+                         const routing::route &route,
+                         const routing::route_table &routes) {
+  admission decided = tenants_.admit(request, route, routes, steady_now());
+  if (const auto *against = std::get_if<refused>(&decided)) {
+    metrics_.on_refused(std::string(name_of(against->cause)));
+  }
+  return decided;
+}
+
+std::optional<refusal_cause>
+gateway::objection(const client_request &request,
+                   const routing::route &route) const {
+  return tenants_.objection(request, route, *routes_, steady_now());
+}
+
+duration_ms gateway::unconfirmed_retry() {
+  constexpr duration_ms elsewhere{20};
+  // A call of a tool has some 0.4 s left to wait, and fails its program when it
+  // comes back in vain.
+  constexpr duration_ms store_away{300};
+  if (!unconfirmed_everywhere_()) {
+    return elsewhere;
+  }
+  const auto spread = static_cast<std::int64_t>(
+      random_() % static_cast<std::uint64_t>(store_away.count() / 3));
+  return store_away + duration_ms{spread};
+}
+
+wire::TenantUsage gateway::tenant_usage() {
+  wire::TenantUsage told;
+  told.set_covered_ms(static_cast<std::uint32_t>(
+      tenants_.quotas().covered(steady_now()).count()));
+  for (const tenants::tenant_usage &each :
+       tenants_.quotas().own_usage(steady_now())) {
+    told.add_tenants(each.tenant);
+    told.add_requests(each.asked.requests);
+    told.add_programs(each.asked.programs);
+  }
+  return told;
+}
+
+void gateway::take_tenant_usage(const wire::TenantUsage &others) {
+  const int listed = std::min(
+      {others.tenants_size(), others.requests_size(), others.programs_size()});
+  std::vector<tenants::tenant_usage> usage;
+  usage.reserve(static_cast<std::size_t>(listed));
+  for (int place = 0; place < listed; ++place) {
+    usage.push_back({.tenant = others.tenants(place),
+                     .asked = {.requests = others.requests(place),
+                               .programs = others.programs(place)}});
+  }
+  tenants_.quotas().take_others(usage, duration_ms{others.covered_ms()},
+                                steady_now());
+}
+
 void gateway::on_instance_failed(routing::instance &failed,
                                  std::string_view reason) {
   ++failed.consecutive_failures;
@@ -286,6 +344,9 @@
 
 void gateway::refresh_metrics() {
   metrics_.set_open_requests(static_cast<double>(open_requests_));
+  const auto age = tenants_.freshness().age(steady_now());
+  metrics_.set_configuration_age(
+      age ? std::chrono::duration<double>(*age).count() : -1);
   for (const auto &[service, model] : engine_models_) {
     metrics_.set_engine_costs(service.value(), model.costs());
   }
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -8,6 +8,7 @@
 #include "forwarding/gateway_metrics.hpp"
 #include "forwarding/header_names.hpp"
 #include "forwarding/policy_switches.hpp"
+#include "forwarding/tenant_gate.hpp"
 #include "forwarding/upstream_pool.hpp"
 #include "records/turn_cache.hpp"
 #include "records/turn_ledger.hpp"
@@ -17,6 +18,7 @@
 #include "wire/messages.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -31,6 +33,7 @@
   std::string zone;
   header_names headers;
   policy_switches policies;
+  tenant_gate_options tenants;
   pool_options pool;
   plan_limits plan;
   balance::engine_choice_options engine_choice;
@@ -96,6 +99,26 @@
   /// What the other gateways have reported of theirs.
   void take_shared_loads(const wire::SharedLoads &shared);
 
+  /// Decides on a request that has just come, by `routes`.
+  admission admit(const client_request &request, const routing::route &route,
+                  const routing::route_table &routes);
+  /// Why a request that was admitted may not be sent any more, if it may not.
+  [[nodiscard]] std::optional<refusal_cause>
+  objection(const client_request &request, const routing::route &route) const;
+  /// The configuration was current at `moment`.
+  void confirm_configuration(timestamp moment) { tenants_.confirm(moment); }
+  /// Tells whether the other gateways cannot confirm theirs either.
+  void set_unconfirmed_everywhere(std::function<bool()> asked) {
+    unconfirmed_everywhere_ = std::move(asked);
+  }
+  /// When to come back with a key that cannot be relied on at the moment: soon
+  /// where another gateway can serve, else when the store may be back.
+  [[nodiscard]] duration_ms unconfirmed_retry();
+  /// What tenants asked of this gateway, to be told to the others.
+  [[nodiscard]] wire::TenantUsage tenant_usage();
+  /// What they asked of the others.
+  void take_tenant_usage(const wire::TenantUsage &others);
+
   /// The replica could not be reached or broke off.
   void on_instance_failed(routing::instance &failed, std::string_view reason);
   /// An answer that is no stream.
@@ -110,7 +133,11 @@
   /// this gateway is not the only one that cannot serve turns.
   [[nodiscard]] bool ready() const {
     return !draining_ && routes_ != nullptr && directory_.size() > 0 &&
-           !ledger_.cut_off();
+           !ledger_.cut_off() && keys_hold();
+  }
+  /// False while the configuration is too old to tell whose a key is.
+  [[nodiscard]] bool keys_hold() const {
+    return routes_ != nullptr && tenants_.keys_hold(*routes_, steady_now());
   }
   /// From now on new requests are refused as not run: what is left of the time
   /// to stop is for those under way.
@@ -123,7 +150,7 @@
   /// True while clients had better come to another gateway with their next
   /// request: their connections are closed behind the answers.
   [[nodiscard]] bool sends_clients_on() const {
-    return draining_ || ledger_.cut_off();
+    return draining_ || ledger_.cut_off() || !keys_hold();
   }
   [[nodiscard]] std::size_t open_requests() const { return open_requests_; }
   /// True while no client is connected.
@@ -166,6 +193,8 @@
   std::shared_ptr<const routing::route_table> routes_;
   routing::instance_directory directory_;
   routing::split_rotation rotation_;
+  tenant_gate tenants_;
+  std::function<bool()> unconfirmed_everywhere_ = [] { return false; };
   upstream_pool pool_;
   records::turn_cache turns_;
   gateway_metrics metrics_;
--- a/src/forwarding/gateway_metrics.cpp
+++ b/src/forwarding/gateway_metrics.cpp
@@ -34,6 +34,16 @@
                     .Register(*registry_)),
       verdicts_(histogram(*registry_, "heathtrestle_gateway_turn_grant_seconds",
                           "Time until the record group answered a turn")),
+      refused_(prometheus::BuildCounter()
+                   .Name("heathtrestle_gateway_refused_total")
+                   .Help("Requests refused for their key or quota, by cause")
+                   .Register(*registry_)),
+      configuration_age_(
+          prometheus::BuildGauge()
+              .Name("heathtrestle_gateway_configuration_age_seconds")
+              .Help("Time since the configuration was current for certain")
+              .Register(*registry_)
+              .Add({})),
       open_requests_(prometheus::BuildGauge()
                          .Name("heathtrestle_gateway_open_requests")
                          .Help("Requests being served")
@@ -76,6 +86,14 @@
   verdicts_.Add({{"verdict", verdict}}, latency_buckets).Observe(seconds);
 }
 
+void gateway_metrics::on_refused(const std::string &cause) {
+  refused_.Add({{"cause", cause}}).Increment();
+}
+
+void gateway_metrics::set_configuration_age(double seconds) {
+  configuration_age_.Set(seconds);
+}
+
 void gateway_metrics::set_open_requests(double count) {
   open_requests_.Set(count);
 }
--- a/src/forwarding/gateway_metrics.hpp
+++ b/src/forwarding/gateway_metrics.hpp
@@ -26,6 +26,10 @@
   void on_first_event(const std::string &route, double seconds);
   void on_attempt(const std::string &outcome);
   void on_turn_verdict(const std::string &verdict, double seconds);
+  /// A request was refused before anything was asked for it.
+  void on_refused(const std::string &cause);
+  /// Seconds since the configuration was current for certain; -1 for never.
+  void set_configuration_age(double seconds);
   void set_open_requests(double count);
   void set_configuration_version(double version);
   /// Gateways that tell their load, this one included.
@@ -44,6 +48,8 @@
   prometheus::Family<prometheus::Histogram> &first_event_;
   prometheus::Family<prometheus::Counter> &attempts_;
   prometheus::Family<prometheus::Histogram> &verdicts_;
+  prometheus::Family<prometheus::Counter> &refused_;
+  prometheus::Gauge &configuration_age_;
   prometheus::Gauge &open_requests_;
   prometheus::Gauge &configuration_version_;
   prometheus::Gauge &sharing_gateways_;
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -112,6 +112,11 @@
   options.zone = settings.zone;
   options.headers = binding.headers;
   options.policies = policies_without(settings.disabled_policies);
+  const auto window = std::chrono::duration_cast<duration_ms>(
+      std::chrono::duration<double>(settings.quota_window_seconds));
+  options.tenants = {
+      .key_revocation = settings.key_revocation,
+      .quota = {.window = window, .salt = stable_hash(settings.name)}};
   return options;
 }
 
@@ -142,11 +147,16 @@
     peers_.push_back(std::make_unique<objects::peer_listing>(io, seed));
     sources_.push_back(peers_.back().get());
   }
+  gateway_.set_unconfirmed_everywhere(
+      [this] { return follower_.nobody_is_current(); });
   const auto not_relayed = [this] { return !follower_.is_current(); };
   configuration_watch_.emplace(
       io, *binding.store, sources_, cache_,
-      objects::watch_options{.kind = binding.configuration_kind,
-                             .wanted = not_relayed},
+      objects::watch_options{
+          .kind = binding.configuration_kind,
+          .wanted = not_relayed,
+          .confirm_interval =
+              2 * objects::confirm_interval(settings_.key_revocation)},
       configuration_handlers());
   instance_watch_.emplace(
       io, *binding.store, sources_, cache_,
@@ -194,6 +204,10 @@
   options.on_loads = [this](const wire::SharedLoads &shared) {
     gateway_.take_shared_loads(shared);
   };
+  options.usage = [this] { return gateway_.tenant_usage(); };
+  options.on_usage = [this](const wire::TenantUsage &others) {
+    gateway_.take_tenant_usage(others);
+  };
   options.on_seen = [this](const wire::SeenRevisions &seen) {
     configuration_watch_->hint(seen.configuration());
     instance_watch_->hint(seen.instances());
@@ -202,18 +216,21 @@
 }
 
 objects::object_watch::handlers gateway_process::configuration_handlers() {
-  return {.on_listing =
-              [this](const objects::listing &listed) {
-                for (const objects::object &each : listed.items) {
-                  take_configuration(each);
-                }
-              },
-          .on_change =
-              [this](const objects::change &changed) {
-                if (!changed.deleted) {
-                  take_configuration(changed.changed);
-                }
-              }};
+  return {
+      .on_listing =
+          [this](const objects::listing &listed) {
+            for (const objects::object &each : listed.items) {
+              take_configuration(each);
+            }
+          },
+      .on_change =
+          [this](const objects::change &changed) {
+            if (!changed.deleted) {
+              take_configuration(changed.changed);
+            }
+          },
+      .on_confirmed =
+          [this](timestamp moment) { gateway_.confirm_configuration(moment); }};
 }
 
 objects::object_watch::handlers gateway_process::instance_handlers() {
@@ -327,6 +344,7 @@
     asio::co_spawn(io_, watch->run(), asio::detached);
     asio::co_spawn(io_, watch->follow_hints(), asio::detached);
   }
+  asio::co_spawn(io_, configuration_watch_->confirm(), asio::detached);
   asio::co_spawn(io_, follower_.run(), asio::detached);
   asio::co_spawn(io_, find_record_group(), asio::detached);
   asio::co_spawn(io_, watch_contact(), asio::detached);
--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -10,6 +10,9 @@
   constexpr double longest_grace = 600;
   constexpr std::uint64_t longest_drain_notice = 60000;
   constexpr std::uint64_t most_lines = 100000;
+  constexpr std::uint64_t longest_revocation = 600000;
+  constexpr double shortest_window = 0.1;
+  constexpr double longest_window = 600;
   schema.text("node.name", settings.name,
               "name of this process, unique among the gateways", true);
   schema.text("node.zone", settings.zone, "zone of this machine");
@@ -43,6 +46,15 @@
                       longest_drain_notice,
                       "milliseconds for which a replica may get new work after "
                       "its leaving was recorded");
+  schema.milliseconds("tenants.key_revocation_ms", settings.key_revocation, 0,
+                      longest_revocation,
+                      "milliseconds within which a key that was taken away "
+                      "stops working, also on a gateway that is cut off; 0 "
+                      "for no such promise");
+  schema.real("tenants.quota_window_seconds", settings.quota_window_seconds,
+              shortest_window, longest_window,
+              "seconds within which a tenant's requests are counted against "
+              "its quota");
   schema.choices("policy.disabled", settings.disabled_policies, policy_names(),
                  "mechanisms of choice that are switched off, to measure what "
                  "they are worth");
--- a/src/forwarding/gateway_settings.hpp
+++ b/src/forwarding/gateway_settings.hpp
@@ -29,6 +29,11 @@
   double grace_seconds = 8;
   /// For so long after a replica's leaving was recorded it may get new work.
   std::chrono::milliseconds drain_notice{1500};
+  /// Time within which a key that was taken away must stop working everywhere;
+  /// zero when that is not promised.
+  std::chrono::milliseconds key_revocation{0};
+  /// Window within which a tenant's requests are counted against its quota.
+  double quota_window_seconds = 5;
   /// Mechanisms of choice that are switched off, by name.
   std::vector<std::string> disabled_policies;
   std::string log_level = "info";
--- a/src/forwarding/header_names.hpp
+++ b/src/forwarding/header_names.hpp
@@ -21,7 +21,10 @@
   std::string previous_turn;    // the attempt id of the turn to go on from
   std::string last_event_id;    // the event after which a stream goes on
   std::string expected_instance;
-  std::string request_priority; // 0 (first) to 9
+  std::string request_priority;  // 0 (first) to 9
+  std::string credential;        // the field with the client's key
+  std::string credential_scheme; // the word before the key
+  std::string tenant;            // to the replica: in whose name it asks
   // On answers.
   std::string signature;    // proof of the replica that answered
   std::string not_executed; // the replica did not run the request
--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -17,13 +17,23 @@
 constexpr duration_ms least_keep{60000};
 constexpr std::uint64_t unlimited_budget = 1ULL << 62U;
 
-turn_header header_of(const client_request &request) {
+/// A client's name as the record group knows it. No tenant's name holds a line
+/// feed, for it travels in a header field.
+std::string scoped(const tenant_id &tenant, const std::string &name) {
+  const bool plain = tenant.value().empty() || name.empty();
+  return plain ? name : tenant.value() + '\n' + name;
+}
+
+turn_header header_of(const client_request &request, const tenant_id &tenant) {
   const turn_header without_program{.program = request.attempt_id,
                                     .session = {},
                                     .budget = unlimited_budget,
                                     .most_tokens = 0,
                                     .previous = request.previous_turn};
-  return request.turn.value_or(without_program);
+  turn_header header = request.turn.value_or(without_program);
+  header.program = scoped(tenant, header.program);
+  header.previous = scoped(tenant, header.previous);
+  return header;
 }
 
 } // namespace
@@ -43,12 +53,14 @@
 }
 
 program_turn::program_turn(gateway &shared, const client_request &request,
-                           const routing::route &route, timestamp deadline)
+                           const routing::route &route, const tenant_id &tenant,
+                           timestamp deadline)
     : gateway_(shared), request_(request), route_(route), deadline_(deadline),
       patience_ends_(request.arrived +
                      std::chrono::duration_cast<duration_ms>(
                          grant_patience * (deadline - request.arrived))),
-      turn_(header_of(request)),
+      turn_(header_of(request, tenant)),
+      attempt_(scoped(tenant, request.attempt_id)),
       kept_for_(std::max(route.retention, least_keep)),
       previous_(route.retained ? turn_.previous : std::string()) {
   if (previous_.empty()) {
@@ -65,7 +77,7 @@
 
 records::turn_request program_turn::wanted() const {
   return {.program = turn_.program,
-          .attempt = request_.attempt_id,
+          .attempt = attempt_,
           .budget = turn_.budget,
           .most = turn_.most_tokens,
           .previous = previous_,
@@ -112,9 +124,9 @@
 asio::awaitable<bool> program_turn::keep(std::uint64_t used_tokens,
                                          records::turn_place place) {
   records::turn_end end{.program = turn_.program,
-                        .attempt = request_.attempt_id,
+                        .attempt = attempt_,
                         .used = used_tokens,
-                        .kept = {.id = request_.attempt_id,
+                        .kept = {.id = attempt_,
                                  .previous = turn_.previous,
                                  .input = request_.message.body(),
                                  .output = output_,
@@ -136,7 +148,7 @@
   }
   granted_ = false;
   gateway_.ledger().settle({.program = turn_.program,
-                            .attempt = request_.attempt_id,
+                            .attempt = attempt_,
                             .used = used_tokens,
                             .kept = {},
                             .keep = kept_for_});
@@ -145,13 +157,13 @@
 void program_turn::log_refusal() const {
   logging::line(logging::event::turn_refused)
       .field("id", request_.attempt_id)
-      .field("program", turn_.program)
+      .field("program", request_.program)
       .field("verdict", name_of(grant_.verdict))
       .field("budget", turn_.budget)
       .field("most", turn_.most_tokens)
       .field("spent", grant_.spent)
       .field("reserved", grant_.reserved)
-      .field("previous", turn_.previous)
+      .field("previous", request_.previous_turn)
       .field("waited_ms", (steady_now() - request_.arrived).count())
       .write();
 }
--- a/src/forwarding/program_turn.hpp
+++ b/src/forwarding/program_turn.hpp
@@ -14,9 +14,11 @@
 
 class program_turn {
 public:
+  /// @param tenant whose program it is; empty where there are no tenants.
   /// @param deadline until when the client waits for its answer.
   program_turn(gateway &shared, const client_request &request,
-               const routing::route &route, timestamp deadline);
+               const routing::route &route, const tenant_id &tenant,
+               timestamp deadline);
 
   /// Asks the record group once, for as long as a turn may wait for its grant.
   /// A turn that was refused may ask again.
@@ -59,7 +61,10 @@
   const routing::route &route_;
   timestamp deadline_;
   timestamp patience_ends_;
+  /// Its names carry the tenant's, as do those that the record group gets: what
+  /// one tenant keeps does not exist for another.
   turn_header turn_;
+  std::string attempt_;
   duration_ms kept_for_;
   /// The turn that a retained one goes on from; empty for none.
   std::string previous_;
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -22,9 +22,11 @@
 using field = beast_http::field;
 
 constexpr std::uint32_t status_ok = 200;
+constexpr std::uint32_t status_unauthorized = 401;
 constexpr std::uint32_t status_payment_required = 402;
 constexpr std::uint32_t status_not_found = 404;
 constexpr std::uint32_t status_misdirected = 421;
+constexpr std::uint32_t status_bad_gateway = 502;
 constexpr std::uint32_t status_unavailable = 503;
 constexpr std::uint32_t status_gateway_timeout = 504;
 constexpr std::uint32_t status_success_end = 300;
@@ -101,6 +103,10 @@
     log_end();
     co_return keep_open_;
   }
+  if (!co_await admit()) {
+    log_end();
+    co_return keep_open_;
+  }
   arm_deadline();
   watch_client();
   if (const auto *part = gateway_.rotation().next(*route_)) {
@@ -187,6 +193,59 @@
   return std::max(deadline_ - steady_now(), duration_ms{0});
 }
 
+// Tenants.
+
+asio::awaitable<bool> request_exchange::admit() {
+  const admission decided = gateway_.admit(request_, *route_, *routes_);
+  if (const auto *refusal = std::get_if<refused>(&decided)) {
+    co_await refuse(*refusal);
+    co_return false;
+  }
+  caller_ = std::get<admitted>(decided);
+  co_return true;
+}
+
+asio::awaitable<void> request_exchange::refuse(const refused &refusal) {
+  switch (refusal.cause) {
+  case refusal_cause::unknown_key:
+    co_await answer(status_unauthorized, duration_ms{0}, "no such key");
+    break;
+  case refusal_cause::stale_keys:
+    keep_open_ = false; // the next connection may lead to another gateway
+    co_await answer(status_unavailable, gateway_.unconfirmed_retry(),
+                    "the configuration cannot be confirmed");
+    break;
+  case refusal_cause::over_quota:
+    co_await answer(status_too_many, refusal.retry_after,
+                    "the tenant is over its quota");
+    break;
+  case refusal_cause::paced_programs:
+    co_await answer(status_too_many, refusal.retry_after,
+                    "the tenant's quota bears no further program yet");
+    break;
+  }
+}
+
+asio::awaitable<void> request_exchange::withdraw(refusal_cause cause) {
+  if (plan_->may_have_run()) {
+    co_await answer(status_bad_gateway, duration_ms{0},
+                    "its key holds no longer, and it may have run");
+  } else {
+    co_await refuse({.cause = cause});
+  }
+}
+
+bool request_exchange::is_private(boost::beast::string_view name) const {
+  const header_names &names = gateway_.options().headers;
+  const auto same = [name](const std::string &other) {
+    return boost::beast::iequals(name, other);
+  };
+  const bool is_key =
+      same(names.credential) && !gateway_.routes()->keys().empty();
+  return is_key || std::any_of(names.gateway_only.begin(),
+                               names.gateway_only.end(), same);
+}
+
 // The turn of a program.
 
 bool request_exchange::needs_grant() const {
@@ -194,7 +253,7 @@
 }
 
 asio::awaitable<bool> request_exchange::begin_turn() {
-  turn_.emplace(gateway_, request_, *route_, deadline_);
+  turn_.emplace(gateway_, request_, *route_, caller_.tenant, deadline_);
   records::turn_verdict verdict = co_await turn_->begin();
   while (turn_->budget_is_tied_up() && !client_gone_ &&
          steady_now() + budget_pause < turn_->patience_ends()) {
@@ -256,7 +315,9 @@
     } else {
       const auto &send = std::get<send_step>(step);
       placement_ = gateway_.choose(service_, send, request_);
-      if (placement_.target) {
+      if (const auto cause = gateway_.objection(request_, *route_)) {
+        co_await withdraw(*cause);
+      } else if (placement_.target) {
         co_await attempt(placement_.target);
       } else {
         forget_ended(send);
@@ -409,12 +470,8 @@
       to_view(incoming[field::connection]);
   for (const auto &each : incoming) {
     const std::string_view name = to_view(each.name_string());
-    const bool reserved =
-        std::any_of(names.gateway_only.begin(), names.gateway_only.end(),
-                    [&each](const std::string &own) {
-                      return boost::beast::iequals(each.name_string(), own);
-                    });
-    const bool dropped = reserved || is_hop_by_hop(name, connection_field) ||
+    const bool dropped = is_private(each.name_string()) ||
+                         is_hop_by_hop(name, connection_field) ||
                          each.name() == field::expect;
     if (!dropped) {
       outgoing.insert(each.name(), each.name_string(), each.value());
@@ -423,6 +480,9 @@
   outgoing.set(names.deadline_ms, std::to_string(remaining().count()));
   outgoing.set(names.expected_instance, target.record.id.value());
   outgoing.set(names.request_priority, std::to_string(engine_priority()));
+  if (!caller_.tenant.value().empty()) {
+    outgoing.set(names.tenant, caller_.tenant.value());
+  }
   if (last_event_id_) {
     outgoing.set(names.last_event_id, std::to_string(*last_event_id_));
   }
@@ -451,7 +511,9 @@
     return late;
   }
   const std::uint32_t rank =
-      policies.route_priority ? std::min(route_->priority, route_ranks) : 1;
+      policies.route_priority
+          ? std::min(caller_.priority.value_or(route_->priority), route_ranks)
+          : 1;
   return most_urgent + rank;
 }
 
@@ -623,6 +685,10 @@
         fmt::format("{:.3f}",
                     std::chrono::duration<double>(retry_after).count()));
   }
+  if (status == status_unauthorized) {
+    message.set(field::www_authenticate,
+                gateway_.options().headers.credential_scheme);
+  }
   message.body() = std::string(reason) + "\n";
   keep_open_ = keep_open_ && !gateway_.sends_clients_on();
   message.keep_alive(keep_open_);
@@ -730,7 +796,8 @@
   logging::line(ok ? logging::event::request_finished
                    : logging::event::request_failed)
       .field("id", request_.attempt_id)
-      .field("program", request_.turn ? request_.turn->program : "")
+      .field("program", request_.program)
+      .field("tenant", caller_.tenant.value())
       .field("route", route)
       .field("version", routes_ ? routes_->version().value() : 0)
       .field("instance", last_instance_)
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -61,6 +61,15 @@
   void abort_attempt();
   void disarm();
 
+  // Tenants.
+  /// @return true when the request may run; else it has its answer.
+  asio::awaitable<bool> admit();
+  asio::awaitable<void> refuse(const refused &refusal);
+  /// Ends a request that may not be sent any more.
+  asio::awaitable<void> withdraw(refusal_cause cause);
+  /// True for fields of the client that no replica may see.
+  [[nodiscard]] bool is_private(boost::beast::string_view name) const;
+
   // The turn of a program.
   [[nodiscard]] bool needs_grant() const;
   /// @return true when the request may run; else it has its answer.
@@ -115,6 +124,7 @@
   std::shared_ptr<const routing::route_table> routes_;
   const routing::route *route_ = nullptr;
   routing::service_id service_;
+  admitted caller_;
   std::optional<attempt_plan> plan_;
 
   timestamp deadline_{};
--- a/src/objects/object_follower.cpp
+++ b/src/objects/object_follower.cpp
@@ -88,6 +88,7 @@
   wire::Envelope envelope;
   wire::FollowObjects &follow = *envelope.mutable_follow_objects();
   follow.set_reply_to(options_.address);
+  follow.set_sent_ms(milliseconds_of(steady_now()));
   for (const followed &each : kinds_) {
     wire::FollowedKind &kind = *follow.add_kinds();
     kind.set_kind(each.kind);
@@ -102,10 +103,12 @@
   if (copies.from() != relay_) {
     return; // one that was left
   }
+  answered_ = steady_now();
   bool all_current = true;
   for (const wire::CopiedKind &copied : copies.kinds()) {
     if (object_watch *watch = watch_of(copied.kind())) {
       take(copied, *watch);
+      take_confirmation(copies, copied, *watch);
     }
     all_current = all_current && copied.current();
   }
@@ -142,9 +145,26 @@
     watch.take_listing(listed);
   } else if (!changes.changes.empty()) {
     watch.take_changes(changes, copied.since());
+  } else {
+    watch.take_unchanged(copied.since(), copied.revision());
   }
 }
 
+void object_follower::take_confirmation(const wire::ObjectCopies &copies,
+                                        const wire::CopiedKind &copied,
+                                        object_watch &watch) {
+  const bool answers =
+      copies.heartbeat_sent_ms() > 0 && copied.confirmed_age_ms() > 0;
+  const bool has_everything = copied.revision() <= watch.revision();
+  if (!answers || !has_everything) {
+    return;
+  }
+  // The relay told the age when the heartbeat had reached it: counted from when
+  // that was sent, no time on the way or in a queue makes the copy younger.
+  watch.take_confirmation(timestamp_from(copies.heartbeat_sent_ms()) -
+                          duration_ms{copied.confirmed_age_ms()});
+}
+
 bool object_follower::is_current() const {
   const timestamp now = steady_now();
   const bool starting =
@@ -152,6 +172,12 @@
   return starting || now < current_until_;
 }
 
+bool object_follower::nobody_is_current() const {
+  constexpr std::size_t relays_that_cannot_all_be_cut = 2;
+  return tried_ >= relays_that_cannot_all_be_cut &&
+         steady_now() < answered_ + options_.answer_limit;
+}
+
 object_watch *object_follower::watch_of(const std::string &kind) {
   const auto found =
       std::find_if(kinds_.begin(), kinds_.end(),
--- a/src/objects/object_follower.hpp
+++ b/src/objects/object_follower.hpp
@@ -65,6 +65,9 @@
 
   /// True while a relay keeps the copies current.
   [[nodiscard]] bool is_current() const;
+  /// True while relays answer and none of those tried lately is current: the
+  /// store is away for others too.
+  [[nodiscard]] bool nobody_is_current() const;
   /// The relay that is followed; empty before any is known.
   [[nodiscard]] const std::string &relay() const { return relay_; }
 
@@ -75,6 +78,9 @@
   };
 
   void take(const wire::CopiedKind &copied, object_watch &watch);
+  static void take_confirmation(const wire::ObjectCopies &copies,
+                                const wire::CopiedKind &copied,
+                                object_watch &watch);
   void take_next_relay();
   void send_heartbeat();
   object_watch *watch_of(const std::string &kind);
@@ -91,6 +97,8 @@
   timestamp started_;
   /// When the present relay was taken or was last known to be current.
   timestamp useful_{};
+  /// When a relay last answered a heartbeat, current or not.
+  timestamp answered_{};
   /// Until when the copies count as current.
   timestamp current_until_{};
 };
--- a/src/objects/object_relay.cpp
+++ b/src/objects/object_relay.cpp
@@ -1,7 +1,6 @@
 #include "objects/object_relay.hpp"
 
-#include "logging/log.hpp"
-
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -19,6 +18,15 @@
 /// one that comes back finds a current copy.
 constexpr duration_ms watched_for{3000};
 
+/// Milliseconds, one at the least; zero when the copy was never confirmed.
+std::uint32_t confirmed_age(const object_watch &watch) {
+  if (watch.confirmed_at() == timestamp{}) {
+    return 0;
+  }
+  const duration_ms age = steady_now() - watch.confirmed_at();
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 1));
+}
+
 } // namespace
 
 object_relay::object_relay(asio::io_context &io, object_store &store,
@@ -52,6 +60,7 @@
   for (const auto &[kind, copy] : kinds_) {
     asio::co_spawn(io_, copy.watch->run(), asio::detached);
     asio::co_spawn(io_, copy.watch->follow_hints(), asio::detached);
+    asio::co_spawn(io_, copy.watch->confirm(), asio::detached);
   }
 }
 
@@ -74,7 +83,7 @@
                               .revision = each.revision()};
     known->second.watch->hint(each.hinted());
   }
-  send_to(follow.reply_to(), from, true);
+  send_to(follow.reply_to(), from, &follow);
 }
 
 void object_relay::push_soon() {
@@ -91,24 +100,29 @@
     return now >= each.second.heard + follower_gone_after;
   });
   for (auto &[address, to] : followers_) {
-    send_to(address, to, false);
+    send_to(address, to, nullptr);
   }
 }
 
-void object_relay::send_to(const std::string &address, follower &to, bool all) {
+void object_relay::send_to(const std::string &address, follower &to,
+                           const wire::FollowObjects *heartbeat) {
   wire::Envelope envelope;
   wire::ObjectCopies &copies = *envelope.mutable_object_copies();
   copies.set_from(self_);
+  if (heartbeat != nullptr) {
+    copies.set_heartbeat_sent_ms(heartbeat->sent_ms());
+  }
   for (auto &[kind, have] : to.have) {
     const kind_copy &copy = kinds_.at(kind);
     const bool lacks = copy.log.known() &&
                        (!have.known || have.revision < copy.log.revision());
-    if (!lacks && !all) {
+    if (!lacks && heartbeat == nullptr) {
       continue;
     }
     wire::CopiedKind &message = *copies.add_kinds();
     message.set_kind(kind);
-    message.set_current(copy.log.known() && copy.watch->in_sync());
+    message.set_current(copy.log.known() && copy.watch->is_current());
+    message.set_confirmed_age_ms(confirmed_age(*copy.watch));
     if (lacks) {
       copy.log.fill(message, have);
       // A message that is lost is made up for at the next heartbeat.
--- a/src/objects/object_relay.hpp
+++ b/src/objects/object_relay.hpp
@@ -30,8 +30,6 @@
   /// Answers a follower's heartbeat.
   void on_follow(const wire::FollowObjects &follow);
 
-  [[nodiscard]] std::size_t followers() const { return followers_.size(); }
-
 private:
   struct kind_copy {
     change_log log;
@@ -46,8 +44,10 @@
   [[nodiscard]] bool followed() const;
   void push_soon();
   void push();
-  /// @param all false: kinds in which the follower lacks nothing are left out.
-  void send_to(const std::string &address, follower &to, bool all);
+  /// @param heartbeat the one that is answered; null where changes are pushed,
+  /// without the kinds in which the follower lacks nothing.
+  void send_to(const std::string &address, follower &to,
+               const wire::FollowObjects *heartbeat);
 
   asio::io_context &io_;
   object_store &store_;
--- a/src/objects/object_watch.cpp
+++ b/src/objects/object_watch.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace heathtrestle::objects {
 
 object_watch::object_watch(asio::io_context &io, object_store &store,
@@ -78,6 +81,7 @@
 
 asio::awaitable<bool> object_watch::list_from(listing_source &source,
                                               std::string_view source_name) {
+  const timestamp asked = steady_now();
   const auto listed = co_await source.list(options_.kind);
   if (!listed) {
     on_failure(listed.error());
@@ -88,6 +92,7 @@
   }
   if (source_name == "store") {
     on_answer();
+    take_confirmation(asked);
   }
   co_return true;
 }
@@ -105,6 +110,66 @@
   return true;
 }
 
+bool object_watch::has_all_of(const listing &listed) const {
+  return known_ && std::all_of(listed.items.begin(), listed.items.end(),
+                               [this](const object &each) {
+                                 return each.revision <= newest_change_;
+                               });
+}
+
+asio::awaitable<void> object_watch::confirm() {
+  constexpr int most_unanswered = 4;
+  if (options_.confirm_interval.count() == 0) {
+    co_return;
+  }
+  asio::steady_timer timer(io_);
+  while (true) {
+    // Sooner again while the copy is not current: a store that is back is to be
+    // noticed.
+    timer.expires_after(is_current() ? options_.confirm_interval
+                                     : options_.confirm_interval / 2);
+    co_await timer.async_wait(as_result);
+    const bool confirmed_lately =
+        steady_now() < confirmed_at_ + options_.confirm_interval;
+    const bool due = wanted() && known_ && !confirmed_lately;
+    if (due && confirming_ < most_unanswered) {
+      asio::co_spawn(io_, confirm_once(), asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> object_watch::confirm_once() {
+  ++confirming_;
+  const timestamp asked = steady_now();
+  const auto listed = co_await store_.list(options_.kind);
+  --confirming_;
+  if (!listed) {
+    on_failure(listed.error());
+    co_return;
+  }
+  if (has_all_of(listed.value()) || take_in(listed.value())) {
+    on_answer();
+    take_confirmation(asked);
+  }
+}
+
+void object_watch::take_confirmation(timestamp moment) {
+  confirmed_at_ = std::max(confirmed_at_, moment);
+  if (notify_.on_confirmed) {
+    notify_.on_confirmed(moment);
+  }
+}
+
+bool object_watch::is_current() const {
+  // One answer may come late or be lost before others stop relying on it.
+  constexpr int intervals_without_answer = 3;
+  const bool confirmed =
+      options_.confirm_interval.count() == 0 ||
+      steady_now() <
+          confirmed_at_ + intervals_without_answer * options_.confirm_interval;
+  return in_sync_ && confirmed;
+}
+
 void object_watch::take_listing(const listing &listed) {
   if (!known_ || listed.revision > revision_) {
     take_in(listed);
@@ -120,6 +185,12 @@
   return true;
 }
 
+void object_watch::take_unchanged(std::uint64_t since, std::uint64_t revision) {
+  if (known_ && since <= revision_) {
+    revision_ = std::max(revision_, revision);
+  }
+}
+
 void object_watch::take(const change_list &changes) {
   if (changes.changes.empty()) {
     // The store's counter may be ahead of what its watch has heard of. From the
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -36,6 +36,10 @@
   /// is not, the copy is kept by what a relay sends.
   std::function<bool()> wanted;
   duration_ms wanted_check{50};
+  /// The store is asked this often whether the copy is still current, and the
+  /// copy counts as current only while it says so; zero for never. A watch that
+  /// is silent proves nothing: the store may be silent to this process only.
+  duration_ms confirm_interval{0};
 };
 
 /// The pause between two calls that watch replicas. They come and go in waves,
@@ -47,12 +51,23 @@
   return drain_notice / calls_in_drain_notice;
 }
 
+/// How often a copy of the configuration is confirmed. A gateway whose relay
+/// cannot confirm it has to notice, try other relays and at last the store
+/// itself before what it knows of keys expires: three missed answers, and three
+/// relays of 0.6 s each, fit into the time where this is a tenth of it.
+constexpr duration_ms confirm_interval(duration_ms key_revocation) {
+  constexpr std::int64_t answers_in_revocation = 10;
+  return key_revocation / answers_in_revocation;
+}
+
 class object_watch {
 public:
   /// Both are called after the cache has taken the objects in.
   struct handlers {
     std::function<void(const listing &)> on_listing;
     std::function<void(const change &)> on_change;
+    /// The copy is as new as the store was at that moment, or newer.
+    std::function<void(timestamp)> on_confirmed;
   };
 
   /// All references outlive the watch.
@@ -60,8 +75,11 @@
                std::vector<listing_source *> peers, object_cache &cache,
                watch_options options, handlers notify);
 
-  /// Both run until the process ends.
+  /// All three run until the process ends.
   asio::awaitable<void> run();
+  /// Asks the store at intervals whether the copy is current, whether earlier
+  /// questions are answered or not: one that was lost holds up no other.
+  asio::awaitable<void> confirm();
   /// Lists anew when the watch stays behind what `hint` told.
   asio::awaitable<void> follow_hints();
 
@@ -71,6 +89,11 @@
   /// @return false when changes before them are missing here.
   bool take_changes(const change_list &changes, std::uint64_t since);
 
+  /// A relay says that nothing has changed between the two revisions.
+  void take_unchanged(std::uint64_t since, std::uint64_t revision);
+  /// A relay says that the copy is as new as the store was at `moment`.
+  void take_confirmation(timestamp moment);
+
   /// Another process has heard of a change with this revision.
   void hint(std::uint64_t revision);
   [[nodiscard]] std::uint64_t hinted() const { return hinted_; }
@@ -80,10 +103,17 @@
   [[nodiscard]] bool known() const { return known_; }
   /// True while the store is watched, as far as it says.
   [[nodiscard]] bool in_sync() const { return in_sync_; }
+  /// True while others may rely on the copy: the store is watched and, where
+  /// that is asked for, has lately confirmed it.
+  [[nodiscard]] bool is_current() const;
+  /// When the copy was last known to be as new as the store; the epoch for
+  /// never.
+  [[nodiscard]] timestamp confirmed_at() const { return confirmed_at_; }
   /// The newest change of an object of this kind that was heard of.
   [[nodiscard]] std::uint64_t newest_change() const { return newest_change_; }
 
 private:
+  asio::awaitable<void> confirm_once();
   asio::awaitable<bool> list_from(listing_source &source,
                                   std::string_view source_name);
   asio::awaitable<void> list_until_known();
@@ -92,6 +122,8 @@
     return !options_.wanted || options_.wanted();
   }
   bool take_in(const listing &listed);
+  /// True when the copy has every change that the listing has.
+  [[nodiscard]] bool has_all_of(const listing &listed) const;
   asio::awaitable<void> pause();
   void take(const change_list &changes);
   void on_answer();
@@ -106,6 +138,9 @@
   std::minstd_rand random_{std::random_device{}()};
   std::uint64_t revision_ = 0;
   std::uint64_t newest_change_ = 0;
+  timestamp confirmed_at_{};
+  /// Questions whether the copy is current that are not answered yet.
+  int confirming_ = 0;
   std::uint64_t hinted_ = 0;
   /// Since when `hinted_` is ahead of `revision_`.
   timestamp behind_since_{};
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -240,6 +240,9 @@
                          now >= loads_told_ + options_.loads_interval;
   if (options_.loads && loads_due) {
     *request.mutable_loads() = options_.loads();
+    if (options_.usage) {
+      *request.mutable_usage() = options_.usage();
+    }
     loads_told_ = now;
   }
   request.set_reply_to(options_.address);
@@ -259,6 +262,9 @@
   if (options_.on_loads && reply.has_loads()) {
     options_.on_loads(reply.loads());
   }
+  if (options_.on_usage && reply.has_usage()) {
+    options_.on_usage(reply.usage());
+  }
   if (reply.has_members()) {
     members_ = reply.members();
     members_hash_ = hash_of(members_);
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -42,6 +42,10 @@
   duration_ms loads_interval{200};
   /// Gets what the others have told, with the answer to such a question.
   std::function<void(const wire::SharedLoads &)> on_loads;
+  /// What tenants have asked of this process; told whenever loads are.
+  std::function<wire::TenantUsage()> usage;
+  /// Gets what they have asked of the others, with the answer.
+  std::function<void(const wire::TenantUsage &)> on_usage;
   /// Silence of all nodes after which their addresses are looked up again.
   duration_ms lookup_after{1000};
 };
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -253,6 +253,9 @@
   }
   if (request.has_loads()) {
     loads_.tell(request.reply_to(), request.loads(), now);
+    if (request.has_usage()) {
+      usage_.tell(request.reply_to(), request.usage(), now);
+    }
     owed_loads_.insert(request.reply_to());
   }
   if (request.items().empty()) {
@@ -453,6 +456,10 @@
     }
     if (owed_loads_.erase(address) > 0) {
       *reply.mutable_loads() = loads_.others(address, now);
+      wire::TenantUsage usage = usage_.others(address);
+      if (usage.covered_ms() > 0) {
+        *reply.mutable_usage() = std::move(usage);
+      }
     }
     wire::Envelope envelope;
     *envelope.mutable_record_reply() = std::move(reply);
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -15,6 +15,7 @@
 #include "records/load_board.hpp"
 #include "records/record_table.hpp"
 #include "records/snapshot_transfer.hpp"
+#include "records/usage_board.hpp"
 #include "storage/log_storage.hpp"
 #include "wire/messages.hpp"
 
@@ -232,6 +233,7 @@
   std::set<std::string> retiring_;
   wire::SeenRevisions seen_;
   load_board loads_;
+  usage_board usage_;
   /// Those that have told their loads and are to be told the others'.
   std::set<std::string> owed_loads_;
 
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -119,6 +119,7 @@
                        store_settings &settings) {
   constexpr std::uint64_t most_lines = 100000;
   constexpr std::uint64_t longest_drain_notice = 60000;
+  constexpr std::uint64_t longest_revocation = 600000;
   schema.text("node.name", settings.name,
               "name of this process, unique among the storage nodes", true);
   schema.text("node.zone", settings.zone, "zone of this machine");
@@ -149,6 +150,12 @@
                       longest_drain_notice,
                       "milliseconds for which a replica may get new work after "
                       "its leaving was recorded");
+  schema.milliseconds("tenants.key_revocation_ms", settings.key_revocation, 0,
+                      longest_revocation,
+                      "milliseconds within which a key that was taken away "
+                      "stops working; the copies that gateways follow are "
+                      "confirmed several times as often; 0 for no such "
+                      "promise");
   schema.choice("log.level", settings.log_level,
                 {"debug", "info", "warning", "error"},
                 "least severity that is logged");
@@ -207,7 +214,9 @@
   asio::co_spawn(io, directory.run(), asio::detached);
   objects::object_relay relay(
       io, *binding.store, runtime.self().address(),
-      {{.kind = binding.configuration_kind, .wait = relay_wait},
+      {{.kind = binding.configuration_kind,
+        .wait = relay_wait,
+        .confirm_interval = objects::confirm_interval(settings.key_revocation)},
        {.kind = binding.instance_kind,
         .wait = relay_wait,
         .least_interval = objects::instance_interval(settings.drain_notice)}},
--- a/src/records/store_process.hpp
+++ b/src/records/store_process.hpp
@@ -31,6 +31,9 @@
   std::uint64_t store_writes_per_second = 0;
   /// How long a replica may get new work after its leaving was recorded.
   duration_ms drain_notice{1500};
+  /// Time within which a key that was taken away must stop working everywhere;
+  /// zero when that is not promised.
+  duration_ms key_revocation{0};
   std::string log_level = "info";
   std::uint64_t log_lines = 200;
 };
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -6,6 +6,7 @@
 
 #include "base/time.hpp"
 #include "base/typed_id.hpp"
+#include "tenants/tenant.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -54,6 +55,8 @@
   /// The turns of programs are kept, and later ones name the earlier.
   bool retained = false;
   duration_ms retention{0};
+  /// Clients need no key for it.
+  bool open = false;
 
   /// True when a request that may already have run may be sent again.
   [[nodiscard]] bool repeatable() const {
@@ -93,6 +96,8 @@
   std::vector<route> routes;
   std::vector<service> services;
   client_limits limits;
+  /// Empty where clients need no keys.
+  std::vector<tenants::tenant> tenants;
 };
 
 } // namespace heathtrestle::routing
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 route_table::route_table(configuration settings)
-    : settings_(std::move(settings)) {
+    : settings_(std::move(settings)),
+      keys_(std::exchange(settings_.tenants, {})) {
   for (const route &each : settings_.routes) {
     by_host_[normalized_host(each.host)].push_back(&each);
   }
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "routing/configuration.hpp"
+#include "tenants/key_ring.hpp"
 
 #include <string_view>
 #include <unordered_map>
@@ -22,6 +23,9 @@
   /// @return null when the service is not configured.
   [[nodiscard]] const service *find_service(const service_id &id) const;
 
+  /// Whose each key is.
+  [[nodiscard]] const tenants::key_ring &keys() const { return keys_; }
+
   [[nodiscard]] configuration_version version() const {
     return settings_.version;
   }
@@ -30,6 +34,7 @@
 
 private:
   configuration settings_;
+  tenants::key_ring keys_;
   // Longest prefix first. Points into settings_, which never changes.
   std::unordered_map<std::string, std::vector<const route *>> by_host_;
 };
--- /dev/null
+++ b/src/tenants/key_ring.cpp
@@ -0,0 +1,99 @@
+#include "tenants/key_ring.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <cmath>
+#include <random>
+#include <set>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace heathtrestle::tenants {
+
+namespace {
+
+constexpr unsigned bits_of_half = 32;
+
+std::uint64_t draw_seed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << bits_of_half) | device();
+}
+
+bool is_quantity(double number) { return std::isfinite(number) && number >= 0; }
+
+auto refused(const tenant &of, const std::string &reason) {
+  return fail(error_code::invalid_request,
+              "tenant \"" + of.id.value() + "\": " + reason, "check tenants");
+}
+
+bool same_ignoring_case(std::string_view left, std::string_view right) {
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                    [](unsigned char one, unsigned char other) {
+                      return std::tolower(one) == std::tolower(other);
+                    });
+}
+
+} // namespace
+
+result<void> check_tenants(const std::vector<tenant> &tenants) {
+  std::set<tenant_id> names;
+  std::set<api_key> keys;
+  for (const tenant &each : tenants) {
+    if (each.id.value().empty()) {
+      return refused(each, "a tenant needs a name");
+    }
+    if (!names.insert(each.id).second) {
+      return refused(each, "the name stands twice");
+    }
+    if (!is_quantity(each.quota.rate_per_second) ||
+        !is_quantity(each.quota.burst)) {
+      return refused(each, "rate and burst are numbers from 0 on");
+    }
+    for (const api_key &key : each.keys) {
+      if (key.value().empty()) {
+        return refused(each, "a key is empty");
+      }
+      if (!keys.insert(key).second) {
+        return refused(each, "one of its keys stands elsewhere too");
+      }
+    }
+  }
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+key_ring::key_ring(std::vector<tenant> tenants)
+    : tenants_(std::move(tenants)), seed_(draw_seed()) {
+  for (std::size_t place = 0; place < tenants_.size(); ++place) {
+    for (const api_key &key : tenants_[place].keys) {
+      by_digest_.emplace(digest_of(key.value()), place);
+    }
+  }
+}
+
+key_ring::digest key_ring::digest_of(std::string_view key) const {
+  const XXH128_hash_t hash =
+      XXH3_128bits_withSeed(key.data(), key.size(), seed_);
+  return {.low = hash.low64, .high = hash.high64};
+}
+
+const tenant *key_ring::find(std::string_view key) const {
+  const auto found = by_digest_.find(digest_of(key));
+  return found == by_digest_.end() ? nullptr : &tenants_[found->second];
+}
+
+std::string_view key_in(std::string_view field, std::string_view scheme) {
+  const bool has_scheme =
+      field.size() > scheme.size() && field[scheme.size()] == ' ' &&
+      same_ignoring_case(field.substr(0, scheme.size()), scheme);
+  if (!has_scheme) {
+    return {};
+  }
+  std::string_view key = field.substr(scheme.size());
+  key.remove_prefix(std::min(key.find_first_not_of(' '), key.size()));
+  key = key.substr(0, key.find_last_not_of(" \t") + 1);
+  const bool one_word = key.find_first_of(" \t,") == std::string_view::npos;
+  return one_word ? key : std::string_view{};
+}
+
+} // namespace heathtrestle::tenants
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -10,7 +10,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <deque>
+#include <functional>
 #include <memory>
+#include <thread>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -26,6 +28,9 @@
 public:
   records::turn_verdict verdict = records::turn_verdict::granted;
   std::vector<records::turn_end> ends;
+  std::vector<records::turn_request> requests;
+  /// Called before a grant is given.
+  std::function<void()> before_grant;
   bool records_ends = true;
   /// So many first questions are refused since others hold the budget.
   int refused_for_reservations = 0;
@@ -36,8 +41,12 @@
 
   [[nodiscard]] bool cut_off() const override { return is_cut_off; }
 
-  asio::awaitable<records::turn_grant> begin(records::turn_request,
+  asio::awaitable<records::turn_grant> begin(records::turn_request request,
                                              timestamp) override {
+    requests.push_back(std::move(request));
+    if (before_grant) {
+      before_grant();
+    }
     ++asked;
     const bool refused = asked <= refused_for_reservations;
     co_return records::turn_grant{
@@ -171,6 +180,18 @@
   CPPUNIT_TEST(a_budget_that_stays_reserved_is_not_called_spent);
   CPPUNIT_TEST(a_gateway_that_leaves_refuses_new_requests);
   CPPUNIT_TEST(without_routes_nothing_is_denied);
+  CPPUNIT_TEST(a_replica_gets_the_tenant_and_not_the_key);
+  CPPUNIT_TEST(a_forged_tenant_is_replaced_on_every_attempt);
+  CPPUNIT_TEST(a_missing_or_unknown_key_is_unauthorized);
+  CPPUNIT_TEST(an_open_route_needs_no_key);
+  CPPUNIT_TEST(without_tenants_nobody_needs_a_key);
+  CPPUNIT_TEST(an_unconfirmed_configuration_admits_nobody);
+  CPPUNIT_TEST(a_key_taken_away_while_the_request_waits_runs_nothing);
+  CPPUNIT_TEST(
+      a_gateway_that_loses_its_proof_while_a_request_waits_runs_nothing);
+  CPPUNIT_TEST(what_one_tenant_keeps_does_not_exist_for_another);
+  CPPUNIT_TEST(a_tenant_over_its_quota_is_told_when_to_come_back);
+  CPPUNIT_TEST(the_priority_of_a_tenant_goes_first);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -178,6 +199,8 @@
   std::unique_ptr<gateway> gateway_;
   std::unique_ptr<tcp::acceptor> clients_;
   std::vector<std::unique_ptr<scripted_replica>> replicas_;
+  std::unique_ptr<gateway> first_gateway_;
+  std::unique_ptr<tcp::acceptor> first_clients_;
 
   static routing::route route(const std::string &prefix,
                               routing::request_kind kind) {
@@ -202,16 +225,20 @@
                             .draining = draining});
   }
 
-  void apply_routes() {
+  void apply_routes(std::uint64_t version = 1,
+                    std::vector<tenants::tenant> tenants = {}) {
     routing::configuration settings;
-    settings.version = routing::configuration_version{1};
+    settings.version = routing::configuration_version{version};
+    settings.tenants = std::move(tenants);
     settings.routes = {
         route("/call/", routing::request_kind::non_idempotent),
         route("/get/", routing::request_kind::idempotent),
         route("/stream/", routing::request_kind::streaming),
         route("/once/", routing::request_kind::streaming),
         route("/kept/", routing::request_kind::streaming),
+        route("/open/", routing::request_kind::non_idempotent),
     };
+    settings.routes[5].open = true;
     settings.routes[2].resumable = true;
     settings.routes[3].priority = 2;
     settings.routes[4].retained = true;
@@ -571,6 +598,194 @@
       io_.run_one();
     }
   }
+
+  static tenants::tenant holder(const std::string &name,
+                                const std::string &key) {
+    tenants::tenant made;
+    made.id = tenant_id{name};
+    made.keys.emplace_back(key);
+    return made;
+  }
+
+  /// Two tenants, "a" and "b", with the keys "ka" and "kb".
+  void apply_tenants() {
+    apply_routes(2, {holder("a", "ka"), holder("b", "kb")});
+  }
+
+  /// A gateway that has to prove how old its configuration is.
+  void demand_proof(duration_ms revocation) {
+    gateway_options options;
+    options.zone = "z";
+    options.headers = test_names();
+    options.tenants.key_revocation = revocation;
+    // What the first one has begun to accept ends with the test.
+    first_gateway_ = std::move(gateway_);
+    first_clients_ = std::move(clients_);
+    gateway_ = std::make_unique<gateway>(io_, options, ledger_);
+    clients_ = std::make_unique<tcp::acceptor>(
+        std::move(http::listen(io_, "127.0.0.1:0")).value());
+    asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
+    replicas_.clear();
+    add_replica("r1");
+    apply_tenants();
+  }
+
+  void a_replica_gets_the_tenant_and_not_the_key() {
+    apply_tenants();
+    replicas_[0]->script.push_back({plain("hello")});
+    const auto answer = ask("/call/x", {{"Credential", "Key ka"}});
+    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    const auto &got = replicas_[0]->received.at(0);
+    CPPUNIT_ASSERT(got["Tenant"] == "a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, got.count("Credential"));
+  }
+
+  void a_forged_tenant_is_replaced_on_every_attempt() {
+    apply_tenants();
+    add_replica("r2");
+    for (const auto &replica : replicas_) {
+      replica->script.push_back({refusal});
+      replica->script.push_back({plain("hello")});
+    }
+    const auto answer =
+        ask("/call/x", {{"Credential", "key kb"}, {"Tenant", "a"}});
+    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    std::size_t seen = 0;
+    for (const auto &replica : replicas_) {
+      for (const auto &got : replica->received) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, got.count("Tenant"));
+        CPPUNIT_ASSERT(got["Tenant"] == "b");
+        ++seen;
+      }
+    }
+    CPPUNIT_ASSERT(seen >= 2);
+  }
+
+  void a_missing_or_unknown_key_is_unauthorized() {
+    apply_tenants();
+    CPPUNIT_ASSERT_EQUAL(401U, ask("/call/x")->result_int());
+    for (const char *field : {"Key nobody", "ka", "Key ka kb", "Basic ka"}) {
+      const auto answer = ask("/call/x", {{"Credential", field}});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(field, 401U, answer->result_int());
+      CPPUNIT_ASSERT(!field_of(*answer, "WWW-Authenticate").empty());
+    }
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+  }
+
+  void an_open_route_needs_no_key() {
+    apply_tenants();
+    replicas_[0]->script.push_back({plain("hello")});
+    const auto answer = ask("/open/x", {{"Tenant", "a"}});
+    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         replicas_[0]->received.at(0).count("Tenant"));
+  }
+
+  void without_tenants_nobody_needs_a_key() {
+    replicas_[0]->script.push_back({plain("hello")});
+    const auto answer = ask("/call/x", {{"Credential", "Basic mine"}});
+    CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
+    CPPUNIT_ASSERT(replicas_[0]->received.at(0)["Credential"] == "Basic mine");
+  }
+
+  void an_unconfirmed_configuration_admits_nobody() {
+    demand_proof(duration_ms{5000});
+    CPPUNIT_ASSERT(!gateway_->ready());
+    const auto answer = ask("/call/x", {{"Credential", "Key ka"}});
+    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    CPPUNIT_ASSERT(!field_of(*answer, "Retry-After").empty());
+    CPPUNIT_ASSERT(!answer->keep_alive());
+    // Nor can it know that a key is unknown.
+    CPPUNIT_ASSERT_EQUAL(
+        503U, ask("/call/x", {{"Credential", "Key kc"}})->result_int());
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+
+    gateway_->confirm_configuration(steady_now());
+    CPPUNIT_ASSERT(gateway_->ready());
+    replicas_[0]->script.push_back({plain("hello")});
+    CPPUNIT_ASSERT_EQUAL(
+        200U, ask("/call/x", {{"Credential", "Key ka"}})->result_int());
+  }
+
+  void a_key_taken_away_while_the_request_waits_runs_nothing() {
+    apply_tenants();
+    ledger_.before_grant = [this] { apply_routes(3, {holder("b", "kb")}); };
+    const auto answer =
+        ask("/stream/x",
+            {{"Credential", "Key ka"}, {"Program", "p"}, {"Budget", "100"}});
+    CPPUNIT_ASSERT_EQUAL(401U, answer->result_int());
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+  }
+
+  void a_gateway_that_loses_its_proof_while_a_request_waits_runs_nothing() {
+    constexpr duration_ms left{50};
+    demand_proof(tenants::revocation_margin + left);
+    gateway_->confirm_configuration(steady_now());
+    // The process is held up while the grant is under way.
+    ledger_.before_grant = [left] { std::this_thread::sleep_for(2 * left); };
+    const auto answer =
+        ask("/stream/x",
+            {{"Credential", "Key ka"}, {"Program", "p"}, {"Budget", "100"}});
+    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+  }
+
+  void what_one_tenant_keeps_does_not_exist_for_another() {
+    apply_tenants();
+    for (int turn = 0; turn < 2; ++turn) {
+      replicas_[0]->script.push_back(
+          {stream_head + chunk(event(1)) + stream_end});
+    }
+    for (const char *key : {"Key ka", "Key kb"}) {
+      ask("/kept/x",
+          {{"Credential", key}, {"Program", "p"}, {"Budget", "100"}});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ledger_.requests.size());
+    CPPUNIT_ASSERT(ledger_.requests[0].program != ledger_.requests[1].program);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ledger_.ends.size());
+    CPPUNIT_ASSERT(ledger_.ends[0].kept.id != ledger_.ends[1].kept.id);
+    ledger_.verdict = records::turn_verdict::unknown_turn;
+    const auto answer = ask("/kept/x", {{"Credential", "Key kb"},
+                                        {"Program", "p"},
+                                        {"Budget", "100"},
+                                        {"Previous", "a1"}});
+    CPPUNIT_ASSERT_EQUAL(404U, answer->result_int());
+    CPPUNIT_ASSERT_EQUAL(ledger_.ends[1].kept.id,
+                         ledger_.requests.back().previous);
+  }
+
+  void a_tenant_over_its_quota_is_told_when_to_come_back() {
+    tenants::tenant small = holder("a", "ka");
+    small.quota = {.rate_per_second = 0.01, .burst = 4};
+    apply_routes(2, {small, holder("b", "kb")});
+    std::uint32_t last = 0;
+    for (int call = 0; call < 30 && last != 429; ++call) {
+      replicas_[0]->script.push_back({plain("hello")});
+      const auto answer = ask("/call/x", {{"Credential", "Key ka"}});
+      last = answer->result_int();
+      CPPUNIT_ASSERT(last == 200 || !field_of(*answer, "Retry-After").empty());
+    }
+    CPPUNIT_ASSERT_EQUAL(429U, last);
+    replicas_[0]->script.clear();
+    replicas_[0]->script.push_back({plain("hello")});
+    CPPUNIT_ASSERT_EQUAL(
+        200U, ask("/call/x", {{"Credential", "Key kb"}})->result_int());
+  }
+
+  void the_priority_of_a_tenant_goes_first() {
+    tenants::tenant urgent = holder("a", "ka");
+    urgent.priority = 0;
+    apply_routes(2, {urgent, holder("b", "kb")});
+    std::vector<int> ranks;
+    for (const char *key : {"Key ka", "Key kb"}) {
+      replicas_[0]->script.push_back(
+          {stream_head + chunk(event(1)) + stream_end});
+      ask("/once/x", {{"Credential", key}});
+      const auto rank = replicas_[0]->received.back()["Priority"];
+      ranks.push_back(std::stoi(std::string(rank.data(), rank.size())));
+    }
+    CPPUNIT_ASSERT(ranks[0] < ranks[1]);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(request_exchange_test);
--- a/tests/objects/shared_copies_test.cpp
+++ b/tests/objects/shared_copies_test.cpp
@@ -49,9 +49,16 @@
   }
   /// Waiting watches end without an answer, as when their machine is cut off.
   void cut_off() { reachable = false; }
+  /// Calls are taken and never answered; a listing gives up after a while.
+  bool mute = false;
 
   asio::awaitable<store_result<listing>> list(std::string) override {
     ++listings;
+    if (mute) {
+      asio::steady_timer timeout(io_, duration_ms{10});
+      co_await timeout.async_wait(as_result);
+      co_return store_error::no_answer;
+    }
     if (!reachable) {
       co_return store_error::no_answer;
     }
@@ -65,7 +72,7 @@
   watch(std::string, std::uint64_t revision, duration_ms) override {
     ++watches;
     asio::steady_timer timer(io_);
-    while (reachable && revision_ <= revision) {
+    while (reachable && (mute || revision_ <= revision)) {
       timer.expires_after(duration_ms{1});
       co_await timer.async_wait(as_result);
     }
@@ -190,6 +197,12 @@
   CPPUNIT_TEST(a_relay_that_lags_turns_nothing_back);
   CPPUNIT_TEST(a_relay_watches_only_while_it_is_followed);
   CPPUNIT_TEST(relays_next_to_each_other_lie_in_different_zones);
+  CPPUNIT_TEST(a_relay_tells_how_old_its_copy_can_be);
+  CPPUNIT_TEST(a_relay_whose_store_falls_silent_proves_nothing_more);
+  CPPUNIT_TEST(an_answer_that_was_long_on_its_way_looks_no_younger);
+  CPPUNIT_TEST(only_who_has_everything_is_as_new_as_the_relay);
+  CPPUNIT_TEST(a_relay_ahead_by_other_kinds_proves_as_much);
+  CPPUNIT_TEST(on_its_own_the_gateway_asks_the_store_for_proof);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -207,13 +220,16 @@
   static constexpr const char *first = "relay-a:1";
   static constexpr const char *second = "relay-b:1";
 
-  void add_relay(const std::string &address, small_store &store) {
+  /// A relay that confirms its copy every `interval`; zero for never.
+  void add_relay(const std::string &address, small_store &store,
+                 duration_ms interval = duration_ms{0}) {
     relays_[address] = std::make_unique<object_relay>(
         io_, store, address,
         std::vector<watch_options>{{.kind = things,
                                     .least_interval = duration_ms{1},
                                     .first_pause = duration_ms{1},
-                                    .wanted_check = duration_ms{1}}},
+                                    .wanted_check = duration_ms{1},
+                                    .confirm_interval = interval}},
         [this, address](const std::string &, const wire::Envelope &envelope) {
           const bool lost = dead_.contains(address) ||
                             (lose_copies_ > 0 && lose_copies_-- > 0);
@@ -267,7 +283,8 @@
                       .least_interval = duration_ms{1},
                       .first_pause = duration_ms{1},
                       .wanted = [this] { return !follower_->is_current(); },
-                      .wanted_check = duration_ms{1}},
+                      .wanted_check = duration_ms{1},
+                      .confirm_interval = confirm_interval_},
         object_watch::handlers{.on_listing =
                                    [this](const listing &listed) {
                                      seen_.clear();
@@ -297,6 +314,7 @@
         });
     follower_->add(things, *watch_);
     asio::co_spawn(io_, watch_->run(), asio::detached);
+    asio::co_spawn(io_, watch_->confirm(), asio::detached);
     asio::co_spawn(io_, follower_->run(), asio::detached);
   }
 
@@ -312,6 +330,22 @@
   }
 
   duration_ms start_patience_{3600000};
+  duration_ms confirm_interval_{0};
+
+  static constexpr duration_ms often{5};
+
+  /// Two relays that confirm their copies, in the order of their trial.
+  std::vector<relay_address> both_confirming() {
+    add_relay("relay-c:1", near_store_, often);
+    add_relay("relay-d:1", other_store_, often);
+    return in_trial_order({{.name = "c", .address = "relay-c:1", .zone = "z"},
+                           {.name = "d", .address = "relay-d:1", .zone = "z"}});
+  }
+
+  void run_for(duration_ms time) {
+    const timestamp end = steady_now() + time;
+    run_until([end] { return steady_now() >= end; });
+  }
 
 public:
   void setUp() override {
@@ -424,6 +458,107 @@
     std::reverse(known.begin(), known.end());
     CPPUNIT_ASSERT(in_trial_order(known) == order);
   }
+
+  void a_relay_tells_how_old_its_copy_can_be() {
+    const timestamp begun = steady_now();
+    start(both_confirming());
+    run_until([&] { return watch_->confirmed_at() > begun; });
+    const timestamp before = watch_->confirmed_at();
+    run_until([&] { return watch_->confirmed_at() > before; });
+    CPPUNIT_ASSERT(watch_->confirmed_at() <= steady_now());
+    CPPUNIT_ASSERT_EQUAL(0, store_.listings);
+  }
+
+  void a_relay_whose_store_falls_silent_proves_nothing_more() {
+    near_store_.put("only here"); // tells the two stores apart
+    start(both_confirming());
+    run_until([this] { return watch_->confirmed_at() != timestamp{}; });
+    const std::string left = follower_->relay();
+    small_store &silent = left == "relay-c:1" ? near_store_ : other_store_;
+    silent.mute = true;
+    store_.mute = true; // the gateway's own way proves nothing either
+    const timestamp muted = steady_now();
+    run_until([&] {
+      const bool followed = follower_->relay() == left;
+      CPPUNIT_ASSERT(!followed || watch_->confirmed_at() <= muted);
+      return !followed;
+    });
+    run_until([&] { return watch_->confirmed_at() > muted; });
+  }
+
+  /// An answer to a heartbeat, without anything that the gateway lacks.
+  wire::ObjectCopies answer_to(timestamp heartbeat, std::uint32_t age_ms) {
+    wire::ObjectCopies copies;
+    copies.set_from(follower_->relay());
+    copies.set_heartbeat_sent_ms(
+        heartbeat == timestamp{} ? 0 : milliseconds_of(heartbeat));
+    wire::CopiedKind &kind = *copies.add_kinds();
+    kind.set_kind(things);
+    kind.set_current(true);
+    kind.set_confirmed_age_ms(age_ms);
+    return copies;
+  }
+
+  void an_answer_that_was_long_on_its_way_looks_no_younger() {
+    start(both());
+    wait_for({"one"});
+    constexpr std::uint32_t age_ms = 700;
+    const timestamp sent = steady_now() - duration_ms{3000};
+    follower_->on_copies(answer_to(sent, age_ms));
+    CPPUNIT_ASSERT_EQUAL(milliseconds_of(sent) - age_ms,
+                         milliseconds_of(watch_->confirmed_at()));
+    // What is pushed answers nothing: nobody knows how long it travelled.
+    follower_->on_copies(answer_to({}, 1));
+    CPPUNIT_ASSERT_EQUAL(milliseconds_of(sent) - age_ms,
+                         milliseconds_of(watch_->confirmed_at()));
+    // A relay that was never confirmed proves nothing.
+    follower_->on_copies(answer_to(steady_now(), 0));
+    CPPUNIT_ASSERT_EQUAL(milliseconds_of(sent) - age_ms,
+                         milliseconds_of(watch_->confirmed_at()));
+  }
+
+  void only_who_has_everything_is_as_new_as_the_relay() {
+    start(both());
+    wait_for({"one"});
+    wire::ObjectCopies copies = answer_to(steady_now(), 1);
+    copies.mutable_kinds(0)->set_since(8); // what comes before is missing here
+    copies.mutable_kinds(0)->set_revision(9);
+    *copies.mutable_kinds(0)->add_objects() = to_wire(named("nine", 9), false);
+    follower_->on_copies(copies);
+    CPPUNIT_ASSERT(watch_->confirmed_at() == timestamp{});
+  }
+
+  void a_relay_ahead_by_other_kinds_proves_as_much() {
+    start(both());
+    wait_for({"one"});
+    // The relay has listed anew: the store's counter has gone on meanwhile,
+    // and no object of this kind has changed.
+    wire::ObjectCopies copies = answer_to(steady_now(), 1);
+    copies.mutable_kinds(0)->set_since(watch_->revision());
+    copies.mutable_kinds(0)->set_revision(watch_->revision() + 40);
+    follower_->on_copies(copies);
+    CPPUNIT_ASSERT(watch_->confirmed_at() != timestamp{});
+  }
+
+  void on_its_own_the_gateway_asks_the_store_for_proof() {
+    dead_ = {first, second};
+    start_patience_ = duration_ms{20};
+    confirm_interval_ = often;
+    start(both());
+    wait_for({"one"});
+    const timestamp listed = watch_->confirmed_at();
+    CPPUNIT_ASSERT(listed != timestamp{});
+    run_until([&] { return watch_->confirmed_at() > listed; });
+    // A store that is silent to this gateway proves nothing, whatever its
+    // watch looks like.
+    store_.mute = true;
+    run_for(4 * often);
+    const timestamp last = watch_->confirmed_at();
+    run_for(10 * often);
+    CPPUNIT_ASSERT_EQUAL(milliseconds_of(last),
+                         milliseconds_of(watch_->confirmed_at()));
+    CPPUNIT_ASSERT(!watch_->is_current());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(change_log_test);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -25,6 +25,9 @@
   CPPUNIT_TEST(a_configuration_is_read_whole);
   CPPUNIT_TEST(a_configuration_that_lacks_a_field_names_it);
   CPPUNIT_TEST(a_field_of_another_type_is_named);
+  CPPUNIT_TEST(tenants_are_read);
+  CPPUNIT_TEST(a_key_that_two_tenants_hold_is_refused);
+  CPPUNIT_TEST(damaged_tenants_are_refused);
   CPPUNIT_TEST(a_replica_is_read);
   CPPUNIT_TEST(a_listing_and_its_pages_are_read);
   CPPUNIT_TEST(changes_are_read);
@@ -32,7 +35,46 @@
   CPPUNIT_TEST(forged_fields_of_the_gateway_are_known);
   CPPUNIT_TEST_SUITE_END();
 
+  static json::value with_tenants(const char *tenants) {
+    json::value document = json::parse(configuration_document);
+    document.as_object()["tenants"] = json::parse(tenants);
+    return document;
+  }
+
 public:
+  void tenants_are_read() {
+    const auto read = read_configuration(with_tenants(
+        R"([{"name":"hule930","api-keys":["jvz4","26tt"],"priority":1,"rate-per-s":348,"burst":350},{"name":"b","api-keys":[]}])"));
+    CPPUNIT_ASSERT(read);
+    const auto &tenants = read.value().tenants;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, tenants.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("hule930"), tenants[0].id.value());
+    CPPUNIT_ASSERT_EQUAL(std::string("26tt"), tenants[0].keys.at(1).value());
+    CPPUNIT_ASSERT_EQUAL(348.0, tenants[0].quota.rate_per_second);
+    CPPUNIT_ASSERT_EQUAL(350.0, tenants[0].quota.burst);
+    CPPUNIT_ASSERT_EQUAL(1U, tenants[0].priority.value());
+    CPPUNIT_ASSERT(!tenants[1].quota.limited() && !tenants[1].priority);
+    CPPUNIT_ASSERT(!read.value().routes[0].open);
+  }
+
+  void a_key_that_two_tenants_hold_is_refused() {
+    const auto read = read_configuration(with_tenants(
+        R"([{"name":"a","api-keys":["k"]},{"name":"b","api-keys":["k"]}])"));
+    CPPUNIT_ASSERT(!read);
+    CPPUNIT_ASSERT(describe(read.error()).find("\"b\"") != std::string::npos);
+  }
+
+  void damaged_tenants_are_refused() {
+    for (const char *damaged :
+         {R"({})", R"([{}])", R"([{"name":"a"}])",
+          R"([{"name":"a","api-keys":[7]}])",
+          R"([{"name":"a","api-keys":["k"],"rate-per-s":-1}])",
+          R"([{"name":"","api-keys":["k"]}])"}) {
+      CPPUNIT_ASSERT_MESSAGE(damaged,
+                             !read_configuration(with_tenants(damaged)));
+    }
+  }
+
   void a_configuration_is_read_whole() {
     const auto read = read_configuration(json::parse(configuration_document));
     CPPUNIT_ASSERT(read);
--- a/tests/support/header_names.hpp
+++ b/tests/support/header_names.hpp
@@ -20,9 +20,12 @@
   names.last_event_id = "Last-Event-Id";
   names.expected_instance = "Expect";
   names.request_priority = "Priority";
+  names.credential = "Credential";
+  names.credential_scheme = "Key";
+  names.tenant = "Tenant";
   names.signature = "Signature";
   names.not_executed = "Not-Executed";
-  names.gateway_only = {"Expect", "Priority"};
+  names.gateway_only = {"Expect", "Priority", "Tenant"};
   return names;
 }
 
