--- a/src/tenants/key_ring.hpp
+++ b/src/tenants/key_ring.hpp
@@ -47,7 +47,7 @@
   std::unordered_map<digest, std::size_t, digest_hash> by_digest_;
 };
 
-/// The key in an Authorization header field.
+/// The key in a header field that holds a credential.
 /// @param field "SCHEME KEY"; the scheme's case is ignored.
 /// @return an empty view when the field is anything else.
 std::string_view key_in(std::string_view field, std::string_view scheme);
