Regions, residency, zone drains and slow start as types; placement in a room of its own

Cause: zones were all that the code knew of places; whether a request may go to a replica was asked in one place, before a connection was made, and never again. A key taken away, or a zone drained, while a connection came up was passed over.

Change: routing/topology (checked settings), residency, zone_drains, eligibility; the configuration's home regions and slow start; a replica's start and warm-up; replica_selector out of the gateway. Keys and eligibility are asked again behind the connection, in the instant before sending. What no replica may serve is refused at once.

--- a/src/forwarding/attempt_plan.cpp
+++ b/src/forwarding/attempt_plan.cpp
@@ -38,6 +38,9 @@
   if (losses_ >= limits_.repeats) {
     return give_up("too many attempts were lost");
   }
+  if (!barred_.empty()) {
+    return give_up(barred_);
+  }
   const bool places_used_up = ran_at_.size() >= max_attempts_;
   if (exhausted_) {
     exhausted_ = false;
--- a/src/forwarding/attempt_plan.hpp
+++ b/src/forwarding/attempt_plan.hpp
@@ -72,6 +72,10 @@
   void on_instance_ended(const routing::instance_id &instance);
   /// No replica fits the last `send_step`.
   void on_no_candidate();
+  /// Something that lasts keeps the request from every replica: it is answered
+  /// at once instead of waiting in vain.
+  /// @param reason outlives the plan.
+  void on_barred(std::string_view reason) { barred_ = reason; }
 
   [[nodiscard]] next_step next(timestamp now);
 
@@ -94,6 +98,7 @@
   std::set<routing::instance_id> refused_by_;
   std::uint32_t losses_ = 0;
   bool exhausted_ = false;
+  std::string_view barred_; // empty: not barred
   /// Set while the step is for those that may have run it, for want of others.
   bool asks_again_ = false;
   duration_ms pause_;
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -2,24 +2,21 @@
 // thread only, so nothing here is locked.
 #pragma once
 
-#include "balance/instance_choice.hpp"
 #include "forwarding/attempt_plan.hpp"
 #include "forwarding/client_request.hpp"
 #include "forwarding/gateway_metrics.hpp"
 #include "forwarding/header_names.hpp"
-#include "forwarding/policy_switches.hpp"
+#include "forwarding/replica_selector.hpp"
 #include "forwarding/tenant_gate.hpp"
 #include "forwarding/upstream_pool.hpp"
 #include "records/turn_cache.hpp"
 #include "records/turn_ledger.hpp"
-#include "routing/instance_directory.hpp"
 #include "routing/route_table.hpp"
 #include "runtime/asio.hpp"
 #include "wire/messages.hpp"
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -30,16 +27,11 @@
 
 struct gateway_options {
   std::string name;
-  std::string zone;
   header_names headers;
-  policy_switches policies;
+  selector_options selection;
   tenant_gate_options tenants;
   pool_options pool;
   plan_limits plan;
-  balance::engine_choice_options engine_choice;
-  balance::plain_choice_options plain_choice;
-  /// How long a replica that could not be reached is avoided.
-  duration_ms avoid_for{1000};
   /// Time to read a body whose header is complete.
   duration_ms body_timeout{10000};
   /// Largest answer that is held in memory before it is passed on, bytes.
@@ -48,16 +40,6 @@
   std::size_t turn_cache_bytes = 32U << 20U;
 };
 
-/// The replica that a request goes to, and what was known of it then.
-struct placement {
-  /// Null when no replica fits.
-  routing::instance_ptr target;
-  /// Tokens of the prompt that it was taken to lack.
-  std::uint64_t missing_tokens = 0;
-  /// Requests that were taken to run there.
-  double running = 0;
-};
-
 class client_session;
 
 class gateway {
@@ -79,25 +61,9 @@
     return routes_;
   }
 
-  void put_instance(routing::instance_record record);
-  void remove_instance(const routing::instance_id &id);
-  void replace_instances(std::vector<routing::instance_record> records);
-
-  /// Chooses a replica of `service` that fits the step.
-  [[nodiscard]] placement choose(const routing::service_id &service,
-                                 const send_step &step,
-                                 const client_request &request);
-
-  /// An engine of `service` keeps the beginning of a prompt, as the record of
-  /// an earlier turn tells.
-  void learn_place(const records::turn_place &place,
-                   const routing::service_id &service,
-                   const std::vector<balance::prompt_part> &prompt);
-
-  /// This gateway's requests at engines, to be told to the others.
-  [[nodiscard]] wire::ReplicaLoads engine_loads() const;
-  /// What the other gateways have reported of theirs.
-  void take_shared_loads(const wire::SharedLoads &shared);
+  /// Which replica a request goes to, and what is known of them.
+  [[nodiscard]] replica_selector &replicas() { return replicas_; }
+  [[nodiscard]] const replica_selector &replicas() const { return replicas_; }
 
   /// Decides on a request that has just come, by `routes`.
   admission admit(const client_request &request, const routing::route &route,
@@ -119,21 +85,12 @@
   /// What they asked of the others.
   void take_tenant_usage(const wire::TenantUsage &others);
 
-  /// The replica could not be reached or broke off.
-  void on_instance_failed(routing::instance &failed, std::string_view reason);
-  /// An answer that is no stream.
-  void on_answered(routing::instance &answered, const std::string &route,
-                   double elapsed_ms);
-  /// A stream that an engine has ended whole.
-  /// @param from_start false when it only went on from an earlier engine's.
-  void on_turn_answered(routing::instance &answered,
-                        const balance::turn_observation &turn, bool from_start);
-
   /// True once routes and replicas are known, until the drain begins, and while
   /// this gateway is not the only one that cannot serve turns.
   [[nodiscard]] bool ready() const {
-    return !draining_ && routes_ != nullptr && directory_.size() > 0 &&
-           !ledger_.cut_off() && keys_hold();
+    return !draining_ && routes_ != nullptr &&
+           replicas_.directory().size() > 0 && !ledger_.cut_off() &&
+           keys_hold();
   }
   /// False while the configuration is too old to tell whose a key is.
   [[nodiscard]] bool keys_hold() const {
@@ -171,36 +128,19 @@
   [[nodiscard]] records::turn_cache &turns() { return turns_; }
   [[nodiscard]] routing::split_rotation &rotation() { return rotation_; }
   [[nodiscard]] gateway_metrics &metrics() { return metrics_; }
-  [[nodiscard]] const routing::instance_directory &directory() const {
-    return directory_;
-  }
 
 private:
-  /// A replica as the policies see it.
-  [[nodiscard]] balance::candidate candidate_of(const routing::instance &each,
-                                                const client_request &request,
-                                                timestamp now) const;
-  /// Adds what the other gateways have at engines, and how those answer.
-  void add_engine_loads(std::vector<balance::candidate> &candidates,
-                        const std::vector<routing::instance_ptr> &engines,
-                        double turn_ms, timestamp now) const;
-  void on_instance_sound(routing::instance &answered);
-  void set_engine_memory(const routing::service_id &service);
-
   asio::io_context &io_;
   gateway_options options_;
   records::turn_ledger &ledger_;
   std::shared_ptr<const routing::route_table> routes_;
-  routing::instance_directory directory_;
   routing::split_rotation rotation_;
   tenant_gate tenants_;
   std::function<bool()> unconfirmed_everywhere_ = [] { return false; };
   upstream_pool pool_;
+  replica_selector replicas_;
   records::turn_cache turns_;
   gateway_metrics metrics_;
-  std::map<routing::service_id, balance::engine_cost_model> engine_models_;
-  /// Smoothed time of an answer, by route, in milliseconds.
-  std::map<std::string, double> answer_ms_;
   std::mt19937_64 random_{std::random_device{}()};
   std::set<client_session *> sessions_;
   std::size_t open_requests_ = 0;
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -48,7 +48,7 @@
 public:
   gateway_process(
       asio::io_context &io, gateway_settings settings,
-      const gateway_binding &binding,
+      const routing::topology &places, const gateway_binding &binding,
       const std::function<std::optional<gateway_settings>()> &reload);
 
   result<void> start();
@@ -106,12 +106,14 @@
 }
 
 gateway_options options_from(const gateway_settings &settings,
+                             const routing::topology &places,
                              const gateway_binding &binding) {
   gateway_options options;
   options.name = settings.name;
-  options.zone = settings.zone;
   options.headers = binding.headers;
-  options.policies = policies_without(settings.disabled_policies);
+  options.selection = {.places = places,
+                       .policies =
+                           policies_without(settings.disabled_policies)};
   const auto window = std::chrono::duration_cast<duration_ms>(
       std::chrono::duration<double>(settings.quota_window_seconds));
   options.tenants = {
@@ -122,7 +124,7 @@
 
 gateway_process::gateway_process(
     asio::io_context &io, gateway_settings settings,
-    const gateway_binding &binding,
+    const routing::topology &places, const gateway_binding &binding,
     const std::function<std::optional<gateway_settings>()> &reload)
     : io_(io), settings_(std::move(settings)), binding_(binding),
       reload_(reload), contacts_(io, other_seeds(settings_)),
@@ -134,7 +136,7 @@
           [this](const std::string &address, const wire::Envelope &envelope) {
             send(address, envelope);
           }),
-      gateway_(io, options_from(settings_, binding), ledger_),
+      gateway_(io, options_from(settings_, places, binding), ledger_),
       follower_(
           io,
           {.address = advertised_rpc(settings_),
@@ -200,9 +202,10 @@
     seen.set_instances(instance_watch_->newest_change());
     return seen;
   };
-  options.loads = [this] { return gateway_.engine_loads(); };
+  options.loads = [this] { return gateway_.replicas().engine_loads(); };
   options.on_loads = [this](const wire::SharedLoads &shared) {
-    gateway_.take_shared_loads(shared);
+    gateway_.metrics().set_sharing_gateways(shared.gateways());
+    gateway_.replicas().take_shared_loads(shared);
   };
   options.usage = [this] { return gateway_.tenant_usage(); };
   options.on_usage = [this](const wire::TenantUsage &others) {
@@ -242,15 +245,15 @@
                     records.push_back(std::move(*record));
                   }
                 }
-                gateway_.replace_instances(std::move(records));
+                gateway_.replicas().replace_all(std::move(records));
               },
           .on_change =
               [this](const objects::change &changed) {
                 if (changed.deleted) {
-                  gateway_.remove_instance(
+                  gateway_.replicas().remove(
                       routing::instance_id{changed.changed.name});
                 } else if (auto record = read_instance(changed.changed)) {
-                  gateway_.put_instance(std::move(*record));
+                  gateway_.replicas().put(std::move(*record));
                 }
               }};
 }
@@ -475,7 +478,12 @@
     asio::io_context &io, const gateway_settings &settings,
     const gateway_binding &binding,
     const std::function<std::optional<gateway_settings>()> &reload) {
-  gateway_process process(io, settings, binding, reload);
+  const auto places = routing::topology::from_settings(settings.places);
+  if (!places) {
+    logging::write(logging::event::settings_rejected, describe(places.error()));
+    return config::exit_code_bad_settings;
+  }
+  gateway_process process(io, settings, places.value(), binding, reload);
   const auto started = process.start();
   if (!started) {
     logging::write(logging::event::http_server_failed,
--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -15,7 +15,7 @@
   constexpr double longest_window = 600;
   schema.text("node.name", settings.name,
               "name of this process, unique among the gateways", true);
-  schema.text("node.zone", settings.zone, "zone of this machine");
+  routing::describe_places(schema, settings.places);
   schema.address("listen.clients", settings.client_address,
                  "where clients reach this gateway", true);
   schema.address("listen.readiness", settings.readiness_address,
--- a/src/forwarding/gateway_settings.hpp
+++ b/src/forwarding/gateway_settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/settings_schema.hpp"
+#include "routing/topology.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -12,7 +13,7 @@
 
 struct gateway_settings {
   std::string name;
-  std::string zone;
+  routing::place_settings places;
   std::string client_address;
   std::string readiness_address;
   std::string peer_address;
--- /dev/null
+++ b/src/forwarding/replica_selector.cpp
@@ -0,0 +1,294 @@
+#include "forwarding/replica_selector.hpp"
+
+#include "logging/log.hpp"
+
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace heathtrestle::forwarding {
+
+namespace {
+
+/// Times are measured in whole milliseconds; none is taken for zero.
+constexpr double shortest_answer_ms = 0.5;
+
+std::uint32_t load_key(const routing::instance_id &id) {
+  return static_cast<std::uint32_t>(stable_hash(id.value()));
+}
+
+void note_sound(routing::instance &answered) {
+  answered.consecutive_failures = 0;
+  answered.avoid_until = {};
+}
+
+/// What keeps the request from all of them alike; `none` while one may serve.
+routing::exclusion common_bar(const std::vector<routing::exclusion> &causes) {
+  using routing::exclusion;
+  exclusion common = exclusion::none;
+  for (const exclusion cause : causes) {
+    const bool lasts =
+        cause == exclusion::zone_drained || cause == exclusion::outside_home;
+    if (cause == exclusion::leaving) {
+      continue; // says nothing: others take its place
+    }
+    if (!lasts) {
+      return exclusion::none;
+    }
+    common = cause;
+  }
+  return common;
+}
+
+} // namespace
+
+void replica_selector::apply(
+    std::shared_ptr<const routing::route_table> routes) {
+  routes_ = std::move(routes);
+  for (const routing::instance_record &each : directory_.records()) {
+    set_engine_memory(each.service);
+  }
+}
+
+void replica_selector::set_engine_memory(const routing::service_id &service) {
+  const routing::service *known =
+      routes_ != nullptr ? routes_->find_service(service) : nullptr;
+  const bool told = known != nullptr && known->engine.has_value() &&
+                    known->engine->memory_tokens > 0;
+  if (!told) {
+    return;
+  }
+  for (const routing::instance_ptr &each : directory_.of(service)) {
+    each->prefixes.set_capacity(known->engine->memory_tokens);
+  }
+}
+
+void replica_selector::put(routing::instance_record record) {
+  const std::string id = record.id.value();
+  const std::string service = record.service.value();
+  const routing::service_id service_id = record.service;
+  const bool draining = record.draining;
+  if (directory_.put(std::move(record))) {
+    set_engine_memory(service_id);
+    logging::line(logging::event::instances_changed)
+        .field("instance", id)
+        .field("service", service)
+        .field("state", draining ? "draining" : "ready")
+        .write();
+  }
+}
+
+void replica_selector::remove(const routing::instance_id &id) {
+  if (directory_.remove(id)) {
+    pool_.drop(id);
+    logging::line(logging::event::instances_changed)
+        .field("instance", id.value())
+        .field("state", "gone")
+        .write();
+  }
+}
+
+void replica_selector::replace_all(
+    std::vector<routing::instance_record> records) {
+  std::set<routing::instance_id> kept;
+  for (const routing::instance_record &record : records) {
+    kept.insert(record.id);
+  }
+  for (const routing::instance_record &known : directory_.records()) {
+    if (!kept.contains(known.id)) {
+      remove(known.id);
+    }
+  }
+  for (routing::instance_record &record : records) {
+    put(std::move(record));
+  }
+}
+
+balance::candidate replica_selector::candidate_of(const routing::instance &each,
+                                                  const client_request &request,
+                                                  timestamp now) const {
+  const policy_switches &policies = options_.policies;
+  balance::candidate view;
+  view.running = each.in_flight;
+  view.slots = each.record.slots;
+  view.same_zone = !policies.zone_preference ||
+                   options_.places.locality_of(each.record.zone) ==
+                       routing::locality::same_zone;
+  view.suspect = policies.avoidance && now < each.avoid_until;
+  if (policies.replica_speed) {
+    view.slowdown = each.speed.slowdown();
+  }
+  view.connected =
+      policies.connection_reuse && pool_.has_idle(each.record.id, now);
+  if (policies.prefix_view) {
+    view.missing_tokens = each.prefixes.missing_tokens(request.prompt);
+  }
+  if (policies.object_affinity && !request.object.empty()) {
+    view.affinity =
+        balance::rendezvous_weight(request.object, each.record.id.value());
+  }
+  return view;
+}
+
+// Gateways report engines to each other only: answers of plain replicas are
+// shorter than any report is old.
+void replica_selector::add_engine_loads(
+    std::vector<balance::candidate> &candidates,
+    const std::vector<routing::instance_ptr> &engines, double turn_ms,
+    timestamp now) const {
+  std::vector<balance::reported_load> reports;
+  reports.reserve(engines.size());
+  for (const routing::instance_ptr &each : engines) {
+    reports.push_back(each->others);
+  }
+  const auto others = balance::estimate_loads(reports, now, turn_ms);
+  for (std::size_t index = 0; index < engines.size(); ++index) {
+    balance::candidate &view = candidates[index];
+    view.running += others[index].running;
+    view.running_spread = others[index].spread;
+    view.draw_weight = others[index].newcomers;
+    if (options_.policies.engine_wait) {
+      view.wait_ms = engines[index]->speed.wait_ms(now);
+    }
+  }
+}
+
+placement replica_selector::choose(const routing::service_id &service,
+                                   const send_step &step,
+                                   const client_request &request,
+                                   const routing::residency &home) {
+  const timestamp now = steady_now();
+  const bool on_engine = !request.prompt.empty();
+  balance::engine_choice_options engine_choice = options_.engine_choice;
+  if (on_engine) {
+    engine_choice.costs = engine_models_[service].costs();
+  }
+  std::vector<routing::instance_ptr> fitting;
+  std::vector<balance::candidate> candidates;
+  std::vector<routing::exclusion> exclusions;
+  for (const routing::instance_ptr &each : directory_.of(service)) {
+    const routing::instance_id &id = each->record.id;
+    exclusions.push_back(exclusion_of(*each, home));
+    const bool eligible = exclusions.back() == routing::exclusion::none;
+    const bool wanted = step.only.empty() || step.only.contains(id);
+    if (!eligible || !wanted || step.excluded.contains(id)) {
+      continue;
+    }
+    fitting.push_back(each);
+    candidates.push_back(candidate_of(*each, request, now));
+  }
+  if (on_engine) {
+    add_engine_loads(candidates, fitting, engine_choice.costs.turn_ms, now);
+  }
+  const auto chosen =
+      on_engine
+          ? balance::choose_engine(candidates, random_(), engine_choice)
+          : balance::choose_plain(candidates, random_(), options_.plain_choice);
+  if (!chosen) {
+    return {.barred_by = common_bar(exclusions)};
+  }
+  return {.target = fitting[*chosen],
+          .missing_tokens = candidates[*chosen].missing_tokens,
+          .running = candidates[*chosen].running};
+}
+
+routing::exclusion
+replica_selector::exclusion_of(const routing::instance &target,
+                               const routing::residency &home) const {
+  return routing::exclusion_of(target, home, options_.places, drains_);
+}
+
+void replica_selector::learn_place(
+    const records::turn_place &place, const routing::service_id &service,
+    const std::vector<balance::prompt_part> &prompt) {
+  if (!options_.policies.turn_places) {
+    return;
+  }
+  const auto &instances = directory_.of(service);
+  const auto found =
+      std::find_if(instances.begin(), instances.end(), [&](const auto &each) {
+        return each->record.id.value() == place.instance;
+      });
+  if (found != instances.end()) {
+    (*found)->prefixes.record(balance::beginning_of(prompt, place.tokens));
+  }
+}
+
+wire::ReplicaLoads replica_selector::engine_loads() const {
+  wire::ReplicaLoads loads;
+  for (const auto &[service, model] : engine_models_) {
+    for (const routing::instance_ptr &each : directory_.of(service)) {
+      if (each->in_flight > 0) {
+        loads.add_replicas(load_key(each->record.id));
+        loads.add_running(each->in_flight);
+      }
+    }
+  }
+  return loads;
+}
+
+void replica_selector::take_shared_loads(const wire::SharedLoads &shared) {
+  if (!options_.policies.shared_loads) {
+    return;
+  }
+  const timestamp at = steady_now() - duration_ms{shared.age_ms()};
+  std::unordered_map<std::uint32_t, std::uint32_t> running;
+  const wire::ReplicaLoads &others = shared.others();
+  const int listed = std::min(others.replicas_size(), others.running_size());
+  for (int place = 0; place < listed; ++place) {
+    running[others.replicas(place)] = others.running(place);
+  }
+  for (const auto &[id, each] : directory_.all()) {
+    const auto found = running.find(load_key(id));
+    const std::uint32_t reported = found != running.end() ? found->second : 0;
+    each->others = {.running = static_cast<double>(reported), .at = at};
+  }
+}
+
+void replica_selector::on_failed(routing::instance &failed,
+                                 std::string_view reason) {
+  ++failed.consecutive_failures;
+  failed.avoid_until = steady_now() + options_.avoid_for;
+  logging::line(logging::event::instance_avoided)
+      .field("instance", failed.record.id.value())
+      .field("address", failed.record.address)
+      .field("reason", reason)
+      .field("failures", failed.consecutive_failures)
+      .field("for_ms", options_.avoid_for.count())
+      .write();
+}
+
+void replica_selector::on_answered(routing::instance &answered,
+                                   const std::string &route,
+                                   double elapsed_ms) {
+  // Answers of one route differ by their content: the mean of some fifty.
+  constexpr double weight = 0.02;
+  note_sound(answered);
+  const double taken = std::max(elapsed_ms, shortest_answer_ms);
+  double &usual = answer_ms_.try_emplace(route, taken).first->second;
+  answered.speed.note_time(taken, usual);
+  usual += weight * (taken - usual);
+}
+
+void replica_selector::on_turn_answered(routing::instance &answered,
+                                        const balance::turn_observation &turn,
+                                        bool from_start) {
+  note_sound(answered);
+  balance::engine_cost_model &model = engine_models_[answered.record.service];
+  if (turn.event_gap_ms > 0) {
+    answered.speed.note_time(turn.event_gap_ms,
+                             model.event_gap_ms(turn.running));
+  }
+  if (from_start) {
+    const double expected =
+        model.first_event_ms(turn.missing_tokens, turn.running);
+    answered.speed.note_first_event(turn.first_event_ms - expected,
+                                    steady_now());
+    if (options_.policies.learnt_costs) {
+      model.observe(turn);
+    }
+  }
+}
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/replica_selector.hpp
@@ -0,0 +1,134 @@
+// Which replica of a service a request goes to, and what this gateway knows of
+// the replicas for that: the directory, how they answered, what they probably
+// keep, and what other gateways have told. Decides only; no I/O.
+#pragma once
+
+#include "balance/instance_choice.hpp"
+#include "forwarding/attempt_plan.hpp"
+#include "forwarding/client_request.hpp"
+#include "forwarding/policy_switches.hpp"
+#include "forwarding/upstream_pool.hpp"
+#include "records/turn_ledger.hpp"
+#include "routing/eligibility.hpp"
+#include "routing/instance_directory.hpp"
+#include "routing/residency.hpp"
+#include "routing/route_table.hpp"
+#include "routing/topology.hpp"
+#include "routing/zone_drains.hpp"
+#include "wire/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heathtrestle::forwarding {
+
+struct selector_options {
+  routing::topology places;
+  policy_switches policies;
+  balance::engine_choice_options engine_choice;
+  balance::plain_choice_options plain_choice;
+  /// How long a replica that could not be reached is avoided.
+  duration_ms avoid_for{1000};
+};
+
+/// The replica that a request goes to, and what was known of it then.
+struct placement {
+  /// Null when no replica fits.
+  routing::instance_ptr target;
+  /// Tokens of the prompt that it was taken to lack.
+  std::uint64_t missing_tokens = 0;
+  /// Requests that were taken to run there.
+  double running = 0;
+  /// Without a target: what keeps the request from every replica that is up, so
+  /// that waiting for one is in vain; `none` where one may become free.
+  routing::exclusion barred_by = routing::exclusion::none;
+};
+
+class replica_selector {
+public:
+  /// @param pool whose idle connections are preferred; outlives the selector.
+  replica_selector(selector_options options, upstream_pool &pool)
+      : options_(std::move(options)), pool_(pool) {}
+
+  /// Takes in a configuration.
+  void apply(std::shared_ptr<const routing::route_table> routes);
+
+  void put(routing::instance_record record);
+  void remove(const routing::instance_id &id);
+  void replace_all(std::vector<routing::instance_record> records);
+  [[nodiscard]] const routing::instance_directory &directory() const {
+    return directory_;
+  }
+  /// The zones that get nothing new.
+  [[nodiscard]] routing::zone_drains &drains() { return drains_; }
+  [[nodiscard]] const routing::topology &places() const {
+    return options_.places;
+  }
+
+  /// Chooses a replica of `service` that fits the step.
+  /// @param home the regions that the request is bound to.
+  [[nodiscard]] placement choose(const routing::service_id &service,
+                                 const send_step &step,
+                                 const client_request &request,
+                                 const routing::residency &home);
+  /// Asked again in the instant before a request is sent to a replica that was
+  /// chosen earlier.
+  [[nodiscard]] routing::exclusion
+  exclusion_of(const routing::instance &target,
+               const routing::residency &home) const;
+
+  /// An engine of `service` keeps the beginning of a prompt, as the record of
+  /// an earlier turn tells.
+  void learn_place(const records::turn_place &place,
+                   const routing::service_id &service,
+                   const std::vector<balance::prompt_part> &prompt);
+
+  /// This gateway's requests at engines, to be told to the others.
+  [[nodiscard]] wire::ReplicaLoads engine_loads() const;
+  /// What the other gateways have reported of theirs.
+  void take_shared_loads(const wire::SharedLoads &shared);
+
+  /// The replica could not be reached or broke off.
+  void on_failed(routing::instance &failed, std::string_view reason);
+  /// An answer that is no stream.
+  void on_answered(routing::instance &answered, const std::string &route,
+                   double elapsed_ms);
+  /// A stream that an engine has ended whole.
+  /// @param from_start false when it only went on from an earlier engine's.
+  void on_turn_answered(routing::instance &answered,
+                        const balance::turn_observation &turn, bool from_start);
+
+  /// What turns cost at the engines of each service, as learnt so far.
+  [[nodiscard]] const std::map<routing::service_id, balance::engine_cost_model>
+      &engine_models() const {
+    return engine_models_;
+  }
+
+private:
+  /// A replica as the policies see it.
+  [[nodiscard]] balance::candidate candidate_of(const routing::instance &each,
+                                                const client_request &request,
+                                                timestamp now) const;
+  /// Adds what the other gateways have at engines, and how those answer.
+  void add_engine_loads(std::vector<balance::candidate> &candidates,
+                        const std::vector<routing::instance_ptr> &engines,
+                        double turn_ms, timestamp now) const;
+  void set_engine_memory(const routing::service_id &service);
+
+  selector_options options_;
+  upstream_pool &pool_;
+  std::shared_ptr<const routing::route_table> routes_;
+  routing::instance_directory directory_;
+  routing::zone_drains drains_;
+  std::map<routing::service_id, balance::engine_cost_model> engine_models_;
+  /// Smoothed time of an answer, by route, in milliseconds.
+  std::map<std::string, double> answer_ms_;
+  std::mt19937_64 random_{std::random_device{}()};
+};
+
+} // namespace heathtrestle::forwarding
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -263,7 +263,8 @@
   }
   if (verdict == records::turn_verdict::granted) {
     body_.insert(0, turn_->history());
-    gateway_.learn_place(turn_->previous_place(), service_, request_.prompt);
+    gateway_.replicas().learn_place(turn_->previous_place(), service_,
+                                    request_.prompt);
     co_return true;
   }
   turn_->log_refusal();
@@ -314,11 +315,13 @@
                       final->retry_after, final->reason);
     } else {
       const auto &send = std::get<send_step>(step);
-      placement_ = gateway_.choose(service_, send, request_);
+      placement_ = gateway_.replicas().choose(service_, send, request_, home());
       if (const auto cause = gateway_.objection(request_, *route_)) {
         co_await withdraw(*cause);
       } else if (placement_.target) {
         co_await attempt(placement_.target);
+      } else if (placement_.barred_by != routing::exclusion::none) {
+        plan_->on_barred(name_of(placement_.barred_by));
       } else {
         forget_ended(send);
         plan_->on_no_candidate();
@@ -329,7 +332,7 @@
 
 void request_exchange::forget_ended(const send_step &step) {
   for (const routing::instance_id &id : step.only) {
-    const auto &instances = gateway_.directory().of(service_);
+    const auto &instances = gateway_.replicas().directory().of(service_);
     const bool listed =
         std::any_of(instances.begin(), instances.end(),
                     [&id](const auto &each) { return each->record.id == id; });
@@ -349,20 +352,21 @@
     const bool refused = connection.error() == connect_error::refused;
     const std::string_view reason =
         refused ? "connection refused" : "connection failed";
-    gateway_.on_instance_failed(*target, reason);
+    gateway_.replicas().on_failed(*target, reason);
     log_attempt(*target, attempt_outcome::not_sent, reason);
     plan_->on_attempt(target->record.id, attempt_outcome::not_sent);
     plan_->on_instance_ended(target->record.id);
     co_return;
   }
   active_ = connection.value();
-  attempt_end end = attempt_outcome::lost;
-  const bool too_late = client_gone_ || steady_now() >= deadline_;
-  if (too_late) {
-    end = attempt_outcome::not_sent;
-    gateway_.pool().release(target->record.id, active_, duration_ms{0});
-  } else {
+  attempt_end end = attempt_outcome::not_sent;
+  // While the connection was made, what was true at the choice may have
+  // changed.
+  const auto objection = gateway_.objection(request_, *route_);
+  if (may_send_to(*target) && !objection) {
     end = co_await exchange_with(*target, active_);
+  } else {
+    gateway_.pool().release(target->record.id, active_, duration_ms{0});
   }
   active_.reset();
   --target->in_flight;
@@ -372,13 +376,31 @@
     plan_->on_attempt(target->record.id, *end);
     const bool own_doing = client_gone_ || steady_now() >= deadline_;
     if (*end == attempt_outcome::lost && !own_doing) {
-      gateway_.on_instance_failed(*target, last_failure_);
+      gateway_.replicas().on_failed(*target, last_failure_);
     }
   } else {
     gateway_.metrics().on_attempt("answered");
   }
 }
 
+bool request_exchange::may_send_to(const routing::instance &target) {
+  if (client_gone_ || steady_now() >= deadline_) {
+    last_failure_ = "its time was up before it was sent";
+    return false;
+  }
+  const auto cause = gateway_.replicas().exclusion_of(target, home());
+  if (cause != routing::exclusion::none) {
+    last_failure_ = name_of(cause);
+    return false;
+  }
+  return true;
+}
+
+routing::residency request_exchange::home() const {
+  return {.route_regions = route_->home_regions,
+          .tenant_regions = caller_.home_regions};
+}
+
 asio::awaitable<request_exchange::attempt_end>
 request_exchange::exchange_with(routing::instance &target,
                                 connection_ptr connection) {
@@ -422,7 +444,7 @@
   if (not_executed && another_may_take_it) {
     last_failure_ = "refused by the replica";
     if (status == status_misdirected) {
-      gateway_.on_instance_failed(target, "another replica has its address");
+      gateway_.replicas().on_failed(target, "another replica has its address");
     }
     co_return attempt_outcome::not_executed;
   }
@@ -434,7 +456,8 @@
     last_failure_ = "an answer that cannot be passed on";
     co_return attempt_outcome::lost;
   }
-  gateway_.on_answered(target, route_->name, milliseconds_since(sent_at_));
+  gateway_.replicas().on_answered(target, route_->name,
+                                  milliseconds_since(sent_at_));
   co_await pass_answer(head, std::move(body));
   co_return std::nullopt;
 }
@@ -447,7 +470,7 @@
   const auto span =
       static_cast<double>((relayed_.last_at - relayed_.first_at).count());
   target.prefixes.record(request_.prompt, used_tokens());
-  gateway_.on_turn_answered(
+  gateway_.replicas().on_turn_answered(
       target,
       {.missing_tokens = static_cast<double>(placement_.missing_tokens),
        .running = placement_.running,
@@ -503,7 +526,7 @@
   constexpr std::uint32_t most_urgent = 2;
   constexpr std::uint32_t route_ranks = 3;
   constexpr std::uint32_t late = 6;
-  const policy_switches &policies = gateway_.options().policies;
+  const policy_switches &policies = gateway_.options().selection.policies;
   const bool is_late =
       policies.late_priority && request_.program_deadline &&
       *request_.program_deadline <= steady_now() - request_.arrived;
--- a/src/forwarding/tenant_gate.cpp
+++ b/src/forwarding/tenant_gate.cpp
@@ -51,7 +51,9 @@
   if (!request.program.empty()) {
     programs_.insert(request.program);
   }
-  return admitted{.tenant = tenant->id, .priority = tenant->priority};
+  return admitted{.tenant = tenant->id,
+                  .priority = tenant->priority,
+                  .home_regions = tenant->home_regions};
 }
 
 std::optional<refusal_cause> tenant_gate::objection(
--- a/src/forwarding/tenant_gate.hpp
+++ b/src/forwarding/tenant_gate.hpp
@@ -10,6 +10,7 @@
 #include "tenants/recent_programs.hpp"
 
 #include <memory>
+#include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -28,6 +29,8 @@
   tenant_id tenant;
   /// Set when it goes before the route's.
   std::optional<std::uint32_t> priority;
+  /// The tenant's home regions; empty: any.
+  std::vector<std::string> home_regions;
 };
 
 enum class refusal_cause : std::uint8_t {
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -122,7 +122,7 @@
   constexpr std::uint64_t longest_revocation = 600000;
   schema.text("node.name", settings.name,
               "name of this process, unique among the storage nodes", true);
-  schema.text("node.zone", settings.zone, "zone of this machine");
+  routing::describe_places(schema, settings.places);
   schema.address("listen.rpc", settings.rpc_address,
                  "where gateways and storage nodes reach this one", true);
   schema.address("advertise.rpc", settings.advertised_rpc_address,
@@ -166,6 +166,11 @@
 
 int run_store(asio::io_context &io, const store_settings &settings,
               const store_binding &binding) {
+  const auto places = routing::topology::from_settings(settings.places);
+  if (!places) {
+    logging::write(logging::event::settings_rejected, describe(places.error()));
+    return config::exit_code_bad_settings;
+  }
   const std::size_t partitions =
       partition_count(settings.partitions, settings.tolerated_losses,
                       settings.store_writes_per_second);
@@ -193,7 +198,8 @@
   self.set_address(settings.advertised_rpc_address.empty()
                        ? settings.rpc_address
                        : settings.advertised_rpc_address);
-  self.set_zone(settings.zone);
+  self.set_zone(places.value().zone());
+  self.set_region(places.value().region());
   const record_node_options options{
       .size = group_size::bearing(settings.tolerated_losses, partitions)};
   record_runtime runtime(io, self, std::move(disks).value(), options);
--- a/src/records/store_process.hpp
+++ b/src/records/store_process.hpp
@@ -6,6 +6,7 @@
 #include "config/settings_schema.hpp"
 #include "objects/object_store.hpp"
 #include "records/partitions.hpp"
+#include "routing/topology.hpp"
 #include "runtime/asio.hpp"
 
 #include <functional>
@@ -16,7 +17,7 @@
 
 struct store_settings {
   std::string name;
-  std::string zone;
+  routing::place_settings places;
   std::string rpc_address;
   /// Where others reach `rpc_address`; empty where it is the same.
   std::string advertised_rpc_address;
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -17,7 +17,8 @@
 
 /// A service that routes lead to, by its configured name.
 using service_id = typed_id<std::string, struct service_id_tag>;
-/// One incarnation of a service's replica: every start has another id.
+/// A service's replica. One that starts again may have the same id: `born`, in
+/// its record, tells the two apart.
 using instance_id = typed_id<std::string, struct instance_id_tag>;
 /// The operator's number of a configuration; newer ones are larger.
 using configuration_version =
@@ -57,6 +58,8 @@
   duration_ms retention{0};
   /// Clients need no key for it.
   bool open = false;
+  /// Regions in which its requests may be served and kept; empty: any.
+  std::vector<std::string> home_regions;
 
   /// True when a request that may already have run may be sent again.
   [[nodiscard]] bool repeatable() const {
@@ -75,12 +78,25 @@
   duration_ms pin_limit{0};
 };
 
+/// How replicas of a service begin: slowly, and they fall over under more than
+/// they bear until they are warm.
+struct slow_start_profile {
+  /// How long a replica takes to warm up after a start.
+  duration_ms lasts{0};
+  /// Requests a second that one bears meanwhile.
+  double requests_per_second = 0;
+
+  bool operator==(const slow_start_profile &) const = default;
+};
+
 struct service {
   service_id id;
   std::string health_path;
   /// Connections that one replica accepts from all gateways together.
   std::uint32_t connection_limit = 0;
   std::optional<engine_profile> engine;
+  /// Absent where replicas are as good as ever right after a start.
+  std::optional<slow_start_profile> slow_start;
 };
 
 /// Bounds on what clients send and on how long they may rest.
--- /dev/null
+++ b/src/routing/eligibility.cpp
@@ -0,0 +1,34 @@
+#include "routing/eligibility.hpp"
+
+namespace heathtrestle::routing {
+
+std::string_view name_of(exclusion cause) {
+  switch (cause) {
+  case exclusion::none:
+    return "none";
+  case exclusion::leaving:
+    return "leaving";
+  case exclusion::zone_drained:
+    return "zone_drained";
+  case exclusion::outside_home:
+    return "outside_home";
+  case exclusion::warming_up:
+    return "warming_up";
+  }
+  return "unknown";
+}
+
+exclusion exclusion_of(const instance &target, const residency &home,
+                       const topology &places, const zone_drains &drains) {
+  if (!target.accepts_work()) {
+    return exclusion::leaving;
+  }
+  if (drains.drained(target.record.zone)) {
+    return exclusion::zone_drained;
+  }
+  const bool inside =
+      !home.restricted() || home.allows(places.region_of(target.record.zone));
+  return inside ? exclusion::none : exclusion::outside_home;
+}
+
+} // namespace heathtrestle::routing
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -24,6 +24,11 @@
   std::string zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  /// When this start of it began, in milliseconds of the time of day; 0 where
+  /// it is not told. A later one under the same id is another incarnation.
+  std::uint64_t born_ms = 0;
+  /// For how much longer it was warming up when it said so.
+  duration_ms cold_for{0};
 
   bool operator==(const instance_record &) const = default;
 };
--- a/src/tenants/tenant.hpp
+++ b/src/tenants/tenant.hpp
@@ -30,6 +30,8 @@
   request_quota quota;
   /// Goes before the priority of the route when it is set; 0 is most urgent.
   std::optional<std::uint32_t> priority;
+  /// Regions in which its requests may be served and kept; empty: any.
+  std::vector<std::string> home_regions;
 
   bool operator==(const tenant &) const = default;
 };
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -187,6 +187,9 @@
   CPPUNIT_TEST(without_tenants_nobody_needs_a_key);
   CPPUNIT_TEST(an_unconfirmed_configuration_admits_nobody);
   CPPUNIT_TEST(a_key_taken_away_while_the_request_waits_runs_nothing);
+  CPPUNIT_TEST(a_key_taken_away_while_a_connection_is_made_runs_nothing);
+  CPPUNIT_TEST(a_zone_drained_while_a_connection_is_made_gets_nothing);
+  CPPUNIT_TEST(a_request_that_no_replica_may_serve_is_refused_at_once);
   CPPUNIT_TEST(
       a_gateway_that_loses_its_proof_while_a_request_waits_runs_nothing);
   CPPUNIT_TEST(what_one_tenant_keeps_does_not_exist_for_another);
@@ -217,12 +220,12 @@
 
   void add_replica(const std::string &id, bool draining = false) {
     replicas_.push_back(std::make_unique<scripted_replica>(io_));
-    gateway_->put_instance({.id = routing::instance_id{id},
-                            .service = routing::service_id{"s"},
-                            .address = replicas_.back()->address(),
-                            .zone = "z",
-                            .slots = 4,
-                            .draining = draining});
+    gateway_->replicas().put({.id = routing::instance_id{id},
+                              .service = routing::service_id{"s"},
+                              .address = replicas_.back()->address(),
+                              .zone = "z",
+                              .slots = 4,
+                              .draining = draining});
   }
 
   void apply_routes(std::uint64_t version = 1,
@@ -274,7 +277,7 @@
 public:
   void setUp() override {
     gateway_options options;
-    options.zone = "z";
+    options.selection.places = routing::topology("z");
     options.headers = test_names();
     options.plan.patience = 0.02;
     gateway_ = std::make_unique<gateway>(io_, options, ledger_);
@@ -476,19 +479,21 @@
     ask_turns(1);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[0]->received.size());
     const balance::prompt_part part{.id = 0xa, .tokens = 2000};
-    gateway_->learn_place({.instance = "r1", .tokens = 100},
-                          routing::service_id{"s"}, {part});
-    const auto &known = gateway_->directory().of(routing::service_id{"s"});
+    gateway_->replicas().learn_place({.instance = "r1", .tokens = 100},
+                                     routing::service_id{"s"}, {part});
+    const auto &known =
+        gateway_->replicas().directory().of(routing::service_id{"s"});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
                          known.at(0)->prefixes.missing_tokens({part}));
     gateway_options options = gateway_->options();
-    options.policies.turn_places = false;
+    options.selection.policies.turn_places = false;
     gateway without(io_, options, ledger_);
-    without.put_instance(known.at(0)->record);
-    without.learn_place({.instance = "r1", .tokens = 2000},
-                        routing::service_id{"s"}, {part});
+    without.replicas().put(known.at(0)->record);
+    without.replicas().learn_place({.instance = "r1", .tokens = 2000},
+                                   routing::service_id{"s"}, {part});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2000},
-                         without.directory()
+                         without.replicas()
+                             .directory()
                              .of(routing::service_id{"s"})
                              .at(0)
                              ->prefixes.missing_tokens({part}));
@@ -506,7 +511,7 @@
           static_cast<std::uint32_t>(stable_hash(std::string_view(busy))));
       shared.mutable_others()->add_running(40);
     }
-    gateway_->take_shared_loads(shared);
+    gateway_->replicas().take_shared_loads(shared);
     ask_turns(1);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[2]->received.size());
   }
@@ -615,7 +620,7 @@
   /// A gateway that has to prove how old its configuration is.
   void demand_proof(duration_ms revocation) {
     gateway_options options;
-    options.zone = "z";
+    options.selection.places = routing::topology("z");
     options.headers = test_names();
     options.tenants.key_revocation = revocation;
     // What the first one has begun to accept ends with the test.
@@ -717,6 +722,98 @@
     CPPUNIT_ASSERT(replicas_[0]->received.empty());
   }
 
+  /// A replica of whose queue of new connections nothing is taken until
+  /// `release`, so that the next connection to it is under way for a second.
+  class busy_listener {
+  public:
+    explicit busy_listener(asio::io_context &io)
+        : acceptor_(io, {asio::ip::address_v4::loopback(), 0}) {
+      acceptor_.listen(0);
+      tcp::socket filler(io);
+      filler.connect(acceptor_.local_endpoint());
+      fillers_.push_back(std::move(filler));
+    }
+    std::string address() {
+      return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    void release(std::vector<tcp::socket> &accepted) {
+      while (accepted.size() < 2) {
+        accepted.push_back(acceptor_.accept());
+      }
+    }
+
+  private:
+    tcp::acceptor acceptor_;
+    std::vector<tcp::socket> fillers_;
+  };
+
+  /// Asks while the only replica's connection is slow to come up.
+  /// @param meanwhile runs before it does.
+  /// @return the answer, and whether the replica got a byte.
+  std::pair<std::uint32_t, bool>
+  ask_over_slow_connection(const std::map<std::string, std::string> &fields,
+                           const std::function<void()> &meanwhile) {
+    gateway_options options = gateway_->options();
+    options.pool.connect_timeout = duration_ms{4000};
+    first_gateway_ = std::move(gateway_);
+    first_clients_ = std::move(clients_);
+    gateway_ = std::make_unique<gateway>(io_, options, ledger_);
+    clients_ = std::make_unique<tcp::acceptor>(
+        std::move(http::listen(io_, "127.0.0.1:0")).value());
+    asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
+    apply_tenants();
+    busy_listener replica(io_);
+    gateway_->replicas().put({.id = routing::instance_id{"slow"},
+                              .service = routing::service_id{"s"},
+                              .address = replica.address(),
+                              .zone = "z",
+                              .slots = 4});
+    std::vector<tcp::socket> accepted;
+    asio::steady_timer timer(io_, duration_ms{200});
+    timer.async_wait([&](boost::system::error_code) {
+      meanwhile();
+      replica.release(accepted);
+    });
+    const auto answer = ask("/call/x", fields);
+    const bool sent = accepted.size() == 2 && accepted.back().available() > 0;
+    return {answer ? answer->result_int() : 0, sent};
+  }
+
+  void a_key_taken_away_while_a_connection_is_made_runs_nothing() {
+    const auto [status, sent] = ask_over_slow_connection(
+        {{"Credential", "Key ka"}, {"Deadline", "3000"}},
+        [this] { apply_routes(3, {holder("b", "kb")}); });
+    CPPUNIT_ASSERT(!sent);
+    CPPUNIT_ASSERT_EQUAL(401U, status);
+  }
+
+  void a_zone_drained_while_a_connection_is_made_gets_nothing() {
+    const auto [status, sent] = ask_over_slow_connection(
+        {{"Credential", "Key ka"}, {"Deadline", "3000"}},
+        [this] { gateway_->replicas().drains().put("z"); });
+    CPPUNIT_ASSERT(!sent);
+    CPPUNIT_ASSERT_EQUAL(503U, status);
+  }
+
+  void a_request_that_no_replica_may_serve_is_refused_at_once() {
+    add_replica("r2");
+    gateway_->replicas().drains().put("z");
+    const auto began = steady_now();
+    const auto answer = ask("/get/x", {{"Deadline", "10000"}});
+    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    CPPUNIT_ASSERT(!field_of(*answer, "Retry-After").empty());
+    // Without the cause it waits 0.02 of ten seconds for a place.
+    CPPUNIT_ASSERT(steady_now() - began < duration_ms{150});
+    for (const auto &replica : replicas_) {
+      CPPUNIT_ASSERT(replica->received.empty());
+    }
+    gateway_->replicas().drains().remove("z");
+    for (const auto &replica : replicas_) {
+      replica->script.push_back({plain("hello")});
+    }
+    CPPUNIT_ASSERT_EQUAL(200U, ask("/get/x")->result_int());
+  }
+
   void a_gateway_that_loses_its_proof_while_a_request_waits_runs_nothing() {
     constexpr duration_ms left{50};
     demand_proof(tenants::revocation_margin + left);
