--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -1,10 +1,10 @@
 #include "records/ledger_client.hpp"
 
+#include "base/random.hpp"
 #include "logging/log.hpp"
 #include "records/record_node.hpp"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -66,12 +66,6 @@
   return change;
 }
 
-std::uint64_t draw_first_id() {
-  std::random_device device;
-  constexpr unsigned half = 32;
-  return (static_cast<std::uint64_t>(device()) << half) | device();
-}
-
 turn_verdict verdict_of(wire::RecordVerdict verdict) {
   switch (verdict) {
   case wire::RECORD_GRANTED:
@@ -90,7 +84,7 @@
 ledger_client::ledger_client(asio::io_context &io, ledger_options options,
                              sender send)
     : io_(io), options_(std::move(options)), send_(std::move(send)),
-      next_id_(draw_first_id()),
+      next_id_(draw_system_random()),
       patience_(options_.answer_timeout, options_.longest_answer_timeout) {}
 
 asio::awaitable<turn_grant> ledger_client::begin(turn_request request,
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -1,5 +1,6 @@
 #include "records/store_process.hpp"
 
+#include "base/random.hpp"
 #include "http/status_server.hpp"
 #include "logging/log.hpp"
 #include "objects/object_relay.hpp"
@@ -11,7 +12,6 @@
 
 #include <cstdlib>
 #include <memory>
-#include <random>
 #include <set>
 #include <utility>
 
@@ -107,12 +107,6 @@
   objects::object_watch watch_;
 };
 
-std::uint64_t draw_identity() {
-  std::random_device device;
-  constexpr unsigned half = 32;
-  return (static_cast<std::uint64_t>(device()) << half) | device();
-}
-
 } // namespace
 
 void describe_settings(config::settings_schema &schema,
@@ -174,8 +168,8 @@
   const std::size_t partitions =
       partition_count(settings.partitions, settings.tolerated_losses,
                       settings.store_writes_per_second);
-  auto disks =
-      open_partitions(settings.data_directory, partitions, draw_identity());
+  auto disks = open_partitions(settings.data_directory, partitions,
+                               draw_system_random());
   if (!disks) {
     logging::write(logging::event::record_storage_failed,
                    describe(disks.error()));
--- a/src/tenants/key_ring.cpp
+++ b/src/tenants/key_ring.cpp
@@ -1,25 +1,19 @@
 #include "tenants/key_ring.hpp"
 
+#include "base/random.hpp"
+
 #include <algorithm>
-#include <cctype>
 #include <cmath>
-#include <random>
 #include <set>
 #include <utility>
 
+#include <boost/beast/core/string.hpp>
 #include <xxhash.h>
 
 namespace heathtrestle::tenants {
 
 namespace {
 
-constexpr unsigned bits_of_half = 32;
-
-std::uint64_t draw_seed() {
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << bits_of_half) | device();
-}
-
 bool is_quantity(double number) { return std::isfinite(number) && number >= 0; }
 
 auto refused(const tenant &of, const std::string &reason) {
@@ -27,13 +21,6 @@
               "tenant \"" + of.id.value() + "\": " + reason, "check tenants");
 }
 
-bool same_ignoring_case(std::string_view left, std::string_view right) {
-  return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                    [](unsigned char one, unsigned char other) {
-                      return std::tolower(one) == std::tolower(other);
-                    });
-}
-
 } // namespace
 
 result<void> check_tenants(const std::vector<tenant> &tenants) {
@@ -63,7 +50,7 @@
 }
 
 key_ring::key_ring(std::vector<tenant> tenants)
-    : tenants_(std::move(tenants)), seed_(draw_seed()) {
+    : tenants_(std::move(tenants)), seed_(draw_system_random()) {
   for (std::size_t place = 0; place < tenants_.size(); ++place) {
     for (const api_key &key : tenants_[place].keys) {
       by_digest_.emplace(digest_of(key.value()), place);
@@ -78,6 +65,9 @@
 }
 
 const tenant *key_ring::find(std::string_view key) const {
+  if (by_digest_.empty()) {
+    return nullptr; // clients need no keys here
+  }
   const auto found = by_digest_.find(digest_of(key));
   return found == by_digest_.end() ? nullptr : &tenants_[found->second];
 }
@@ -85,7 +75,7 @@
 std::string_view key_in(std::string_view field, std::string_view scheme) {
   const bool has_scheme =
       field.size() > scheme.size() && field[scheme.size()] == ' ' &&
-      same_ignoring_case(field.substr(0, scheme.size()), scheme);
+      boost::beast::iequals(field.substr(0, scheme.size()), scheme);
   if (!has_scheme) {
     return {};
   }
