A voter leaves the record group only when its place is taken

Cause: a retiring voter was taken out whatever the number of voters, and the machine counted as emptied as soon as those that remained held the log. So a group that is to bear two losses had four voters, or three that could vote, when two disks were lost, and the partition stopped for good.

Change: a voter in touch that holds the log leaves once as many others do as the group is to have; dead and long silent voters go first, the retiring leader last. Where nobody can take the place it leaves if all that remain are in touch; a candidate counts as gone only after the silence after which voters are replaced. A removal that the remaining voters could not commit is no longer proposed. A machine counts as emptied once the group bears its losses without it.

--- a/src/records/group_plan.cpp
+++ b/src/records/group_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 namespace heathtrestle::records {
 
@@ -18,12 +19,6 @@
   return found == nodes.end() ? nullptr : &*found;
 }
 
-const node_view *first_where(const std::vector<node_view> &nodes,
-                             bool (*fits)(const node_view &)) {
-  const auto found = std::find_if(nodes.begin(), nodes.end(), fits);
-  return found == nodes.end() ? nullptr : &*found;
-}
-
 bool contains(const std::vector<replica_id> &replicas, const replica_id &id) {
   return std::find(replicas.begin(), replicas.end(), id) != replicas.end();
 }
@@ -62,6 +57,16 @@
                     [](const node_view &each) { return each.votes; }));
 }
 
+/// A voter whose copy of the log counts when machines are lost.
+bool holds_log(const node_view &each) {
+  return each.votes && each.alive && !each.dead && !each.lagging;
+}
+
+std::size_t count_holders(const std::vector<node_view> &nodes) {
+  return static_cast<std::size_t>(
+      std::count_if(nodes.begin(), nodes.end(), holds_log));
+}
+
 /// A voter that is there, or may be back before it is worth replacing.
 bool is_sound_voter(const node_view &each) {
   return each.votes && !each.long_silent && !each.retiring && !each.dead;
@@ -131,13 +136,63 @@
   return found == nodes.end() ? nullptr : &*found;
 }
 
-/// Any voter that the group can do without.
-const node_view *last_other(const std::vector<node_view> &nodes) {
-  const auto found =
-      std::find_if(nodes.rbegin(), nodes.rend(), [](const auto &each) {
-        return each.votes && !each.is_self;
+/// A node that may yet take a voter's place. One that is silent for a moment is
+/// not gone: only a silence as long as that of a voter that is replaced counts.
+bool may_take_place(const node_view &each) {
+  return !each.votes && !each.long_silent && !each.retiring && !each.dead;
+}
+
+/// Of the voters that fit the one that the group gives up first: who counts
+/// least when machines are lost, then who is to leave anyway, and the leader
+/// last, since it has to hand over before.
+template <typename Fits>
+const node_view *least_needed(const std::vector<node_view> &nodes, Fits fits) {
+  const auto rank = [](const node_view &each) {
+    const bool lost = each.dead || each.long_silent;
+    return std::tuple(!lost, !each.retiring, each.is_self);
+  };
+  const node_view *least = nullptr;
+  for (const node_view &each : nodes) {
+    if (!each.votes || !fits(each)) {
+      continue;
+    }
+    // Of equals the retiring one that comes first, else the last one.
+    const bool less = least == nullptr || rank(each) < rank(*least) ||
+                      (!each.retiring && rank(each) == rank(*least));
+    least = less ? &each : least;
+  }
+  return least;
+}
+
+/// A voter that is to be taken out now, or none while the others would bear
+/// less without it.
+const node_view *next_leaving(const std::vector<node_view> &nodes,
+                              const group_size &size, bool recruit_spares) {
+  const std::size_t voters = count_voters(nodes);
+  if (voters <= 1) {
+    return nullptr;
+  }
+  if (voters > size.voters) {
+    const node_view *least = least_needed(nodes, [](const node_view &each) {
+      return !each.is_self || each.retiring;
+    });
+    const bool enough = count_holders(nodes) > size.voters;
+    return least != nullptr && holds_log(*least) && !enough ? nullptr : least;
+  }
+  const node_view *leaving =
+      least_needed(nodes, [](const node_view &each) { return each.retiring; });
+  if (leaving == nullptr || leaving->dead) {
+    return leaving; // a dead one is no loss to anybody
+  }
+  if (!recruit_spares) {
+    return nullptr;
+  }
+  const bool goes =
+      std::ranges::all_of(nodes, [leaving](const node_view &each) {
+        const bool stays_in_touch = !each.votes || holds_log(each);
+        return &each == leaving || (stays_in_touch && !may_take_place(each));
       });
-  return found == nodes.rend() ? nullptr : &*found;
+  return goes ? leaving : nullptr;
 }
 
 } // namespace
@@ -176,14 +231,8 @@
   if (spare != nullptr && wanted && voters <= size.voters) {
     return add_voter{spare->replica};
   }
-  const bool too_many = voters > size.voters;
-  const node_view *retiring = first_where(
-      nodes, [](const node_view &each) { return each.votes && each.retiring; });
-  const node_view *surplus = leaving != nullptr ? leaving : last_other(nodes);
-  const node_view *removed = retiring != nullptr ? retiring
-                             : too_many          ? surplus
-                                                 : nullptr;
-  if (removed == nullptr || voters <= 1) {
+  const node_view *removed = next_leaving(nodes, size, recruit_spares);
+  if (removed == nullptr) {
     const node_view *released = surplus_learner(nodes, learners, size);
     return released == nullptr ? std::nullopt
                                : std::optional<group_change>(
@@ -195,4 +244,13 @@
   return remove_voter{removed->replica};
 }
 
+bool bears_losses(const std::vector<node_view> &nodes, const group_size &size) {
+  if (count_holders(nodes) >= size.voters) {
+    return true;
+  }
+  return std::ranges::none_of(nodes, [](const node_view &each) {
+    return may_take_place(each) || (each.votes && !holds_log(each));
+  });
+}
+
 } // namespace heathtrestle::records
--- a/src/records/group_plan.hpp
+++ b/src/records/group_plan.hpp
@@ -30,6 +30,8 @@
   bool dead = false;
   /// It is a learner that holds nearly the whole log.
   bool caught_up = false;
+  /// It is a voter that lacks entries which were committed a while ago.
+  bool lagging = false;
   /// The operator wants its machine emptied.
   bool retiring = false;
 };
@@ -73,11 +75,21 @@
   static group_size bearing(std::size_t losses, std::size_t partitions = 1);
 };
 
+/// True when the group bears the losses that it is made for: its full number of
+/// voters, or one on every node that there is, is in touch and holds the log.
+bool bears_losses(const std::vector<node_view> &nodes, const group_size &size);
+
 /// Voters and spares are spread over the zones, as far as there are nodes.
 /// @param learners nodes that already receive the log without a vote.
 /// @param recruit_spares false while a new leader cannot know yet which nodes
 /// are there: then a full set of voters takes in nobody but the successors of
-/// dead ones, since whoever follows anew has to be sent the whole state.
+/// dead ones, since whoever follows anew has to be sent the whole state, and
+/// nobody leaves without a successor.
+///
+/// A voter in touch that holds the log leaves only once as many others do as
+/// the group has voters: an operator who empties machines must not use up the
+/// losses that the group is to bear. Where no node can take its place it leaves
+/// all the same, as long as all that remain are in touch.
 std::optional<group_change> next_change(const std::vector<node_view> &nodes,
                                         const std::vector<replica_id> &learners,
                                         const group_size &size,
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -550,6 +550,7 @@
          .long_silent = !is_self && now >= since + options_.replace_after,
          .dead = log_->is_dead(id),
          .caught_up = log_->is_learner(id) && log_->caught_up(id),
+         .lagging = !is_self && log_->is_voter(id) && !log_->caught_up(id),
          .retiring = retiring_.contains(known.record.name())});
   }
   for (const replica_id &voter : log_->voters()) {
@@ -740,23 +741,24 @@
   }
 }
 
-std::set<std::string> record_node::emptied() const {
+std::set<std::string> record_node::emptied(timestamp now) const {
   std::set<std::string> names;
   if (!log_->is_leader() || log_->change_in_progress()) {
     return names;
   }
+  const bool knows_nodes = now >= leading_since_ + options_.recruit_after;
+  const bool whole = log_->established() && knows_nodes &&
+                     bears_losses(view(now), options_.size);
+  if (!whole) {
+    return names;
+  }
   const std::vector<replica_id> &voters = log_->voters();
-  const bool all_hold_everything =
-      std::all_of(voters.begin(), voters.end(), [this](const auto &voter) {
-        return voter == self_id_ ||
-               log_->match_index(voter) >= log_->commit_index().value();
-      });
   for (const std::string &name : retiring_) {
     const node_id node = make_node_id(name);
     const bool votes =
         std::any_of(voters.begin(), voters.end(),
                     [node](const auto &voter) { return voter.node == node; });
-    if (!votes && all_hold_everything && log_->established()) {
+    if (!votes) {
       names.insert(name);
     }
   }
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -140,8 +140,9 @@
   /// When questions that wait to be joined are to be proposed by a step.
   [[nodiscard]] std::optional<timestamp> joined_due() const;
 
-  /// Retiring nodes that hold nothing any more which the others lack.
-  [[nodiscard]] std::set<std::string> emptied() const;
+  /// Retiring nodes without which the group bears all that it promises to bear;
+  /// known to its leader alone.
+  [[nodiscard]] std::set<std::string> emptied(timestamp now) const;
   [[nodiscard]] bool is_leader() const {
     return log_.has_value() && log_->is_leader();
   }
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -178,7 +178,7 @@
   for (const partition &each : partitions_) {
     const bool leads = each.node->is_leader();
     const bool fresh = steady_now() < each.told_at + told_for;
-    const std::set<std::string> names = leads   ? each.node->emptied()
+    const std::set<std::string> names = leads ? each.node->emptied(steady_now())
                                         : fresh ? each.told_emptied
                                                 : std::set<std::string>();
     for (const std::string &name : names) {
@@ -272,7 +272,7 @@
   // The first partition's leader reports for all; the others tell it.
   for (std::size_t number = 1; number < partitions_.size(); ++number) {
     const record_node &node = *partitions_[number].node;
-    const std::set<std::string> names = node.emptied();
+    const std::set<std::string> names = node.emptied(steady_now());
     if (names.empty()) {
       continue;
     }
--- a/tests/records/group_plan_test.cpp
+++ b/tests/records/group_plan_test.cpp
@@ -27,6 +27,15 @@
   CPPUNIT_TEST(a_silent_voter_is_replaced_by_a_spare_and_only_then_removed);
   CPPUNIT_TEST(a_silent_voter_stays_without_a_spare);
   CPPUNIT_TEST(a_retiring_voter_leaves_even_without_a_spare);
+  CPPUNIT_TEST(a_retiring_voter_stays_until_its_successor_votes);
+  CPPUNIT_TEST(a_successor_that_dies_while_it_learns_is_followed_by_another);
+  CPPUNIT_TEST(a_candidate_that_is_silent_for_a_moment_is_waited_for);
+  CPPUNIT_TEST(a_retiring_voter_stays_while_another_is_out_of_touch);
+  CPPUNIT_TEST(a_successor_holds_the_log_before_a_voter_leaves);
+  CPPUNIT_TEST(a_lost_voter_is_removed_before_a_retiring_one);
+  CPPUNIT_TEST(of_several_retiring_the_leader_leaves_last);
+  CPPUNIT_TEST(a_new_leader_does_not_shrink_the_group);
+  CPPUNIT_TEST(a_surplus_voter_stays_while_another_is_silent);
   CPPUNIT_TEST(the_last_voter_stays);
   CPPUNIT_TEST(a_leader_that_is_to_leave_hands_over);
   CPPUNIT_TEST(the_size_follows_the_losses_to_be_borne);
@@ -104,6 +113,97 @@
     CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(2));
   }
 
+  void a_retiring_voter_stays_until_its_successor_votes() {
+    nodes_[1].retiring = true;
+    nodes_.push_back(spare(4));
+    nodes_.back().caught_up = false;
+    CPPUNIT_ASSERT(std::get<add_learner>(*next()).replica == id(4));
+    learners_ = {id(4)};
+    CPPUNIT_ASSERT(!next());
+    nodes_.back().caught_up = true;
+    CPPUNIT_ASSERT(std::get<add_voter>(*next()).replica == id(4));
+    nodes_.back().votes = true;
+    CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(2));
+  }
+
+  void a_successor_that_dies_while_it_learns_is_followed_by_another() {
+    size_.spares = 0;
+    nodes_[1].retiring = true;
+    nodes_.push_back(spare(4));
+    nodes_.back().caught_up = false;
+    nodes_.push_back(spare(5));
+    nodes_.back().caught_up = false;
+    learners_ = {id(4)};
+    CPPUNIT_ASSERT(!next());
+    nodes_[3].alive = false;
+    CPPUNIT_ASSERT(std::get<add_learner>(*next()).replica == id(5));
+    learners_ = {id(4), id(5)};
+    CPPUNIT_ASSERT(!next());
+  }
+
+  void a_candidate_that_is_silent_for_a_moment_is_waited_for() {
+    nodes_[1].retiring = true;
+    nodes_.push_back(spare(4));
+    nodes_.back().alive = false;
+    CPPUNIT_ASSERT(!next());
+    nodes_.back().long_silent = true;
+    CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(2));
+  }
+
+  void a_retiring_voter_stays_while_another_is_out_of_touch() {
+    // Of three voters one is silent: without the retiring one nobody is left to
+    // commit its removal.
+    nodes_[1].retiring = true;
+    nodes_[2].alive = false;
+    CPPUNIT_ASSERT(!next());
+    nodes_[2].long_silent = true;
+    CPPUNIT_ASSERT(!next());
+    nodes_[2] = voter(3);
+    CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(2));
+  }
+
+  void a_successor_holds_the_log_before_a_voter_leaves() {
+    nodes_[1].retiring = true;
+    nodes_.push_back(voter(4));
+    nodes_.back().lagging = true;
+    CPPUNIT_ASSERT(!next());
+    nodes_.back().lagging = false;
+    CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(2));
+  }
+
+  void a_lost_voter_is_removed_before_a_retiring_one() {
+    nodes_[1].retiring = true;
+    nodes_[2].alive = false;
+    nodes_[2].long_silent = true;
+    nodes_.push_back(voter(4));
+    CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(3));
+  }
+
+  void of_several_retiring_the_leader_leaves_last() {
+    nodes_[0].retiring = true;
+    nodes_[1].retiring = true;
+    nodes_.push_back(voter(4));
+    CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(2));
+    nodes_[1] = voter(5);
+    CPPUNIT_ASSERT(std::holds_alternative<hand_over>(*next()));
+  }
+
+  void a_new_leader_does_not_shrink_the_group() {
+    nodes_[1].retiring = true;
+    recruits_ = false;
+    CPPUNIT_ASSERT(!next());
+    nodes_.push_back(voter(4));
+    CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(2));
+  }
+
+  void a_surplus_voter_stays_while_another_is_silent() {
+    nodes_.push_back(voter(4));
+    nodes_[1].alive = false;
+    CPPUNIT_ASSERT(!next());
+    nodes_[1].alive = true;
+    CPPUNIT_ASSERT(std::holds_alternative<remove_voter>(*next()));
+  }
+
   void the_last_voter_stays() {
     nodes_.resize(1);
     nodes_[0].retiring = true;
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(a_node_lost_for_good_gives_way_to_a_spare);
   CPPUNIT_TEST(a_retired_node_is_emptied);
   CPPUNIT_TEST(a_retired_leader_hands_over);
+  CPPUNIT_TEST(a_group_keeps_its_voters_while_machines_are_emptied);
+  CPPUNIT_TEST(two_disks_are_lost_as_soon_as_a_machine_is_emptied);
   CPPUNIT_TEST(a_cut_leader_acknowledges_nothing);
   CPPUNIT_TEST(a_frozen_leader_wakes_as_follower);
   CPPUNIT_TEST(nothing_piles_up_for_a_node_that_is_cut_off);
@@ -204,7 +206,8 @@
     const std::string retired = lead == "c" ? "b" : "c";
     group.retire(retired);
     group.run(1000ms);
-    CPPUNIT_ASSERT(group.at(group.leader()).emptied().contains(retired));
+    CPPUNIT_ASSERT(
+        group.at(group.leader()).emptied(group.now()).contains(retired));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, group.voters().size());
     group.wipe(retired);
     const std::string other = group.leader() == "a" ? "b" : "a";
@@ -225,11 +228,87 @@
     group.run(3000ms);
     CPPUNIT_ASSERT(group.leader() != retired);
     CPPUNIT_ASSERT(!group.voters().contains(retired));
-    CPPUNIT_ASSERT(group.at(group.leader()).emptied().contains(retired));
+    CPPUNIT_ASSERT(
+        group.at(group.leader()).emptied(group.now()).contains(retired));
     group.kill(retired);
     check_kept(group, "t", 10);
   }
 
+  static constexpr std::size_t five_voters = 5;
+
+  /// Five voters on eight nodes, no spares.
+  static void found_five(record_group &group) {
+    found_with(group, {"a", "b", "c", "d", "e", "f", "g", "h"});
+    group.run(4000ms);
+    CPPUNIT_ASSERT_EQUAL(five_voters, group.voters().size());
+    keep(group, "t", 10, 500ms);
+  }
+
+  /// Runs until the leader says that the node is emptied; the group never has
+  /// fewer voters than it is to have.
+  static void run_until_emptied(record_group &group, const std::string &name) {
+    for (int step = 0; step < 400; ++step) {
+      group.run(20ms);
+      const std::string lead = group.leader();
+      if (lead.empty()) {
+        continue;
+      }
+      CPPUNIT_ASSERT(group.voters().size() >= five_voters);
+      if (group.at(lead).emptied(group.now()).contains(name)) {
+        return;
+      }
+    }
+    CPPUNIT_FAIL("never emptied");
+  }
+
+  void a_group_keeps_its_voters_while_machines_are_emptied() {
+    for (std::uint64_t seed = 80; seed < 84; ++seed) {
+      record_group group(seed, group_size::bearing(2, 4), 0, 4);
+      found_five(group);
+      // The leader too, and another one meanwhile.
+      const std::string lead = group.leader();
+      const std::set<std::string> voters = group.voters();
+      const std::string other =
+          *voters.begin() == lead ? *voters.rbegin() : *voters.begin();
+      group.retire(lead);
+      group.retire(other);
+      run_until_emptied(group, lead);
+      run_until_emptied(group, other);
+      group.kill(lead);
+      group.kill(other);
+      CPPUNIT_ASSERT_EQUAL(five_voters, group.voters().size());
+      check_kept(group, "t", 10);
+    }
+  }
+
+  void two_disks_are_lost_as_soon_as_a_machine_is_emptied() {
+    for (std::uint64_t seed = 90; seed < 94; ++seed) {
+      record_group group(seed, group_size::bearing(2, 4), 0, 4);
+      found_five(group);
+      const std::set<std::string> before = group.voters();
+      const std::string retired = *std::next(before.begin());
+      group.retire(retired);
+      run_until_emptied(group, retired);
+      group.wipe(retired); // its machine is gone with its disk
+      std::vector<std::string> wiped;
+      for (const std::string &each : before) {
+        if (each != retired && wiped.size() < 2) {
+          wiped.push_back(each);
+          group.wipe(each);
+        }
+      }
+      group.run(1000ms);
+      keep(group, "u", 5, 3000ms);
+      for (const std::string &each : wiped) {
+        group.start(each);
+      }
+      group.run(4000ms);
+      check_kept(group, "t", 10);
+      check_kept(group, "u", 5);
+      CPPUNIT_ASSERT_EQUAL(five_voters, group.voters().size());
+    }
+  }
+
   void a_cut_leader_acknowledges_nothing() {
     record_group group(10);
     found_with(group, {"a", "b", "c"});
