The end of a retirement is reported once and never taken back

Cause: the report followed what the leaders told at each moment, so that it went back and forth, a call to the store each time, and a new reporter wrote progress over an end that was recorded.

Change: what is to be written is decided by records/retirement_reports, a module without clock or calls; the watch has a module of its own.

--- /dev/null
+++ b/src/records/retirement_watch.cpp
@@ -0,0 +1,109 @@
+#include "records/retirement_watch.hpp"
+
+#include "logging/log.hpp"
+
+#include <set>
+#include <string>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace heathtrestle::records {
+
+namespace {
+
+/// How often it is looked whether a machine has been emptied: the operator
+/// waits for it.
+constexpr duration_ms check_interval{200};
+
+} // namespace
+
+retirement_watch::retirement_watch(asio::io_context &io,
+                                   const store_binding &binding,
+                                   record_runtime &runtime)
+    : io_(io), binding_(binding), runtime_(runtime),
+      watch_(
+          io, *binding.store, {}, cache_,
+          // Only leaders act on them.
+          {.kind = binding.retirement_kind,
+           .wanted = [this] { return runtime_.leads_any(); }},
+          {.on_listing =
+               [this](const objects::listing &listed) { on_listing(listed); },
+           .on_change =
+               [this](const objects::change &changed) {
+                 on_change(changed);
+               }}) {}
+
+void retirement_watch::start() {
+  asio::co_spawn(io_, watch_.run(), asio::detached);
+  asio::co_spawn(io_, report(), asio::detached);
+}
+
+void retirement_watch::take_in(const objects::object &request) {
+  reports_.on_request(request.name, request.revision,
+                      binding_.retirement_completed(request.status));
+}
+
+void retirement_watch::on_listing(const objects::listing &listed) {
+  std::set<std::string> names;
+  for (const objects::object &each : listed.items) {
+    names.insert(each.name);
+    take_in(each);
+  }
+  reports_.keep_only(names);
+  runtime_.set_retiring(reports_.requested());
+}
+
+void retirement_watch::on_change(const objects::change &changed) {
+  if (changed.deleted) {
+    reports_.on_withdrawn(changed.changed.name);
+  } else {
+    take_in(changed.changed);
+  }
+  runtime_.set_retiring(reports_.requested());
+}
+
+asio::awaitable<void> retirement_watch::report() {
+  asio::steady_timer timer(io_);
+  while (true) {
+    timer.expires_after(check_interval);
+    co_await timer.async_wait(as_result);
+    if (!runtime_.reports()) {
+      continue;
+    }
+    reports_.on_emptied(runtime_.emptied());
+    for (retirement_report &due : reports_.take_due(steady_now())) {
+      co_await report_one(std::move(due));
+    }
+  }
+}
+
+asio::awaitable<void> retirement_watch::report_one(retirement_report due) {
+  if (!due.completed) {
+    // The copy of a node that led nothing for a while is old: another leader
+    // may have told the end already.
+    const auto present =
+        co_await binding_.store->get(binding_.retirement_kind, due.node);
+    if (!present) {
+      co_return; // tried again after a pause
+    }
+    take_in(present.value());
+  }
+  if (!reports_.is_wanted(due)) {
+    co_return;
+  }
+  const auto written = co_await binding_.store->put_status(
+      binding_.retirement_kind, due.node,
+      binding_.retirement_status(due.completed));
+  if (!written) {
+    co_return; // tried again after a pause
+  }
+  reports_.on_request(due.node, written.value().revision, due.completed);
+  logging::line(logging::event::retirement_progress)
+      .field("node", due.node)
+      .field("completed", due.completed)
+      .write();
+}
+
+} // namespace heathtrestle::records
--- /dev/null
+++ b/src/records/retirement_watch.hpp
@@ -0,0 +1,38 @@
+// Follows the operator's requests to empty machines, tells the record group of
+// them, and writes back how far each has come.
+#pragma once
+
+#include "objects/object_cache.hpp"
+#include "objects/object_watch.hpp"
+#include "records/record_runtime.hpp"
+#include "records/retirement_reports.hpp"
+#include "records/store_process.hpp"
+#include "runtime/asio.hpp"
+
+namespace heathtrestle::records {
+
+class retirement_watch {
+public:
+  /// All references outlive the watch.
+  retirement_watch(asio::io_context &io, const store_binding &binding,
+                   record_runtime &runtime);
+
+  /// Starts both; they run until the process ends.
+  void start();
+
+private:
+  void take_in(const objects::object &request);
+  void on_listing(const objects::listing &listed);
+  void on_change(const objects::change &changed);
+  asio::awaitable<void> report();
+  asio::awaitable<void> report_one(retirement_report due);
+
+  asio::io_context &io_;
+  const store_binding &binding_;
+  record_runtime &runtime_;
+  objects::object_cache cache_;
+  retirement_reports reports_;
+  objects::object_watch watch_;
+};
+
+} // namespace heathtrestle::records
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -8,11 +8,11 @@
 #include "objects/peer_listing.hpp"
 #include "records/group_directory.hpp"
 #include "records/record_runtime.hpp"
+#include "records/retirement_watch.hpp"
 #include "runtime/process_signals.hpp"
 
 #include <cstdlib>
 #include <memory>
-#include <set>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,90 +23,11 @@
 
 namespace {
 
-constexpr duration_ms retirement_check{200};
 constexpr std::uint32_t status_not_found = 404;
 /// One watching call of a relay waits this long: with it ends the time in which
 /// a store that holds the call without ever answering goes unnoticed.
 constexpr duration_ms relay_wait{8000};
 
-/// Follows the operator's requests to empty machines and reports on them.
-class retirement_watch {
-public:
-  retirement_watch(asio::io_context &io, const store_binding &binding,
-                   record_runtime &runtime)
-      : io_(io), binding_(binding), runtime_(runtime),
-        watch_(io, *binding.store, {}, cache_,
-               // Only leaders act on them.
-               {.kind = binding.retirement_kind,
-                .wanted = [this] { return runtime_.leads_any(); }},
-               {.on_listing =
-                    [this](const objects::listing &listed) {
-                      requested_.clear();
-                      for (const objects::object &each : listed.items) {
-                        requested_.insert(each.name);
-                      }
-                      tell();
-                    },
-                .on_change =
-                    [this](const objects::change &changed) {
-                      if (changed.deleted) {
-                        requested_.erase(changed.changed.name);
-                      } else {
-                        requested_.insert(changed.changed.name);
-                      }
-                      tell();
-                    }}) {}
-
-  void start() {
-    asio::co_spawn(io_, watch_.run(), asio::detached);
-    asio::co_spawn(io_, report(), asio::detached);
-  }
-
-private:
-  void tell() { runtime_.set_retiring(requested_); }
-
-  asio::awaitable<void> report() {
-    asio::steady_timer timer(io_);
-    while (true) {
-      timer.expires_after(retirement_check);
-      co_await timer.async_wait(as_result);
-      if (!runtime_.reports()) {
-        reported_.clear();
-        continue;
-      }
-      const std::set<std::string> emptied = runtime_.emptied();
-      for (const std::string &name : requested_) {
-        co_await report_one(name, emptied.contains(name));
-      }
-    }
-  }
-
-  asio::awaitable<void> report_one(std::string name, bool completed) {
-    const auto known = reported_.find(name);
-    if (known != reported_.end() && known->second == completed) {
-      co_return;
-    }
-    const auto written = co_await binding_.store->put_status(
-        binding_.retirement_kind, name, binding_.retirement_status(completed));
-    if (!written) {
-      co_return;
-    }
-    reported_[name] = completed;
-    logging::line(logging::event::retirement_progress)
-        .field("node", name)
-        .field("completed", completed)
-        .write();
-  }
-
-  asio::io_context &io_;
-  const store_binding &binding_;
-  record_runtime &runtime_;
-  objects::object_cache cache_;
-  std::set<std::string> requested_;
-  std::map<std::string, bool> reported_;
-  objects::object_watch watch_;
-};
-
 } // namespace
 
 void describe_settings(config::settings_schema &schema,
--- a/src/records/store_process.hpp
+++ b/src/records/store_process.hpp
@@ -10,6 +10,7 @@
 #include "runtime/asio.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,9 @@
   std::string instance_kind;
   /// The status that tells how far such a request has come.
   std::function<boost::json::value(bool completed)> retirement_status;
+  /// What such a status says; nothing when it says neither.
+  std::function<std::optional<bool>(const boost::json::value &)>
+      retirement_completed;
 };
 
 /// Runs until a signal ends the process.
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -155,6 +155,10 @@
                    json::parse(R"({"state":"completed"})"));
     CPPUNIT_ASSERT(retirement_status(false) ==
                    json::parse(R"({"state":"in_progress"})"));
+    CPPUNIT_ASSERT(retirement_completed(retirement_status(true)) == true);
+    CPPUNIT_ASSERT(retirement_completed(retirement_status(false)) == false);
+    CPPUNIT_ASSERT(!retirement_completed(json::value()));
+    CPPUNIT_ASSERT(!retirement_completed(json::parse(R"({"state":"new"})")));
   }
 
   void forged_fields_of_the_gateway_are_known() {
