A store that is down for all is asked by the relays, seldom by each gateway

Each of 62 gateways found no relay that was current, and asked the store itself: two watches with a pause of a second at the most, and twice a second for proof of the configuration's age.

Change: while relays answer and those that were tried ask in vain too, a gateway asks every 4 s and leaves the proof to the relays, which notice the store's return within a second. A gateway whose relays don't answer asks as before.

Test: object_watch_test, ten gateways, 400 ms: at most 20 calls where others ask, over 200 where nobody does (the former way).

--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -152,11 +152,13 @@
   gateway_.set_unconfirmed_everywhere(
       [this] { return follower_.nobody_is_current(); });
   const auto not_relayed = [this] { return !follower_.is_current(); };
+  const auto relays_in_vain = [this] { return follower_.nobody_is_current(); };
   configuration_watch_.emplace(
       io, *binding.store, sources_, cache_,
       objects::watch_options{
           .kind = binding.configuration_kind,
           .wanted = not_relayed,
+          .others_ask_in_vain = relays_in_vain,
           .confirm_interval =
               2 * objects::confirm_interval(settings_.key_revocation)},
       configuration_handlers());
@@ -165,7 +167,8 @@
       objects::watch_options{
           .kind = binding.instance_kind,
           .least_interval = objects::instance_interval(settings_.drain_notice),
-          .wanted = not_relayed},
+          .wanted = not_relayed,
+          .others_ask_in_vain = relays_in_vain},
       instance_handlers());
   follower_.add(binding.configuration_kind, *configuration_watch_);
   follower_.add(binding.instance_kind, *instance_watch_);
--- a/src/objects/object_watch.cpp
+++ b/src/objects/object_watch.cpp
@@ -131,7 +131,8 @@
     co_await timer.async_wait(as_result);
     const bool confirmed_lately =
         steady_now() < confirmed_at_ + options_.confirm_interval;
-    const bool due = wanted() && known_ && !confirmed_lately;
+    const bool due =
+        wanted() && known_ && !confirmed_lately && !leaves_it_to_others();
     if (due && confirming_ < most_unanswered) {
       asio::co_spawn(io_, confirm_once(), asio::detached);
     }
@@ -266,10 +267,12 @@
 }
 
 asio::awaitable<void> object_watch::pause() {
+  const duration_ms usual =
+      leaves_it_to_others() ? options_.pause_while_others_ask : pause_;
   // Spread, so that the gateways do not all come back at once.
   const auto spread = static_cast<std::int64_t>(
-      random_() % static_cast<std::uint64_t>(pause_.count()));
-  asio::steady_timer timer(io_, pause_ / 2 + duration_ms{spread});
+      random_() % static_cast<std::uint64_t>(usual.count()));
+  asio::steady_timer timer(io_, usual / 2 + duration_ms{spread});
   co_await timer.async_wait(as_result);
   pause_ = std::min(2 * pause_, options_.longest_pause);
 }
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -36,6 +36,12 @@
   /// is not, the copy is kept by what a relay sends.
   std::function<bool()> wanted;
   duration_ms wanted_check{50};
+  /// True while others whose copies would do for this process ask the store in
+  /// vain as well; empty for never. It is then asked seldom: they notice its
+  /// return within a second and tell, and a whole fleet that asks a store which
+  /// is down pays for each call and delays its return.
+  std::function<bool()> others_ask_in_vain;
+  duration_ms pause_while_others_ask{4000};
   /// The store is asked this often whether the copy is still current, and the
   /// copy counts as current only while it says so; zero for never. A watch that
   /// is silent proves nothing: the store may be silent to this process only.
@@ -122,6 +128,10 @@
     return !options_.wanted || options_.wanted();
   }
   bool take_in(const listing &listed);
+  /// The store's next answer is likely to come to others first.
+  [[nodiscard]] bool leaves_it_to_others() const {
+    return options_.others_ask_in_vain && options_.others_ask_in_vain();
+  }
   /// True when the copy has every change that the listing has.
   [[nodiscard]] bool has_all_of(const listing &listed) const;
   asio::awaitable<void> pause();
--- a/tests/objects/object_watch_test.cpp
+++ b/tests/objects/object_watch_test.cpp
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <deque>
+#include <memory>
 
 namespace heathtrestle::objects {
 namespace {
@@ -25,11 +26,13 @@
 
   std::deque<store_result<listing>> listings;
   std::deque<store_result<change_list>> watches;
+  std::size_t refused_listings = 0;
   std::vector<std::uint64_t> watched_from;
   std::vector<duration_ms> waits;
 
   asio::awaitable<store_result<listing>> list(std::string) override {
     if (listings.empty()) {
+      ++refused_listings;
       co_return store_error::unavailable;
     }
     auto next = listings.front();
@@ -66,6 +69,8 @@
   CPPUNIT_TEST(a_watch_that_stays_behind_a_hint_lists_anew);
   CPPUNIT_TEST(a_hint_of_what_is_known_changes_nothing);
   CPPUNIT_TEST(a_hint_between_two_calls_waits_for_the_next);
+  CPPUNIT_TEST(a_store_that_is_down_for_all_is_asked_seldom);
+  CPPUNIT_TEST(a_store_that_is_down_for_this_process_alone_is_asked_often);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -221,6 +226,41 @@
     CPPUNIT_ASSERT(seen_ == std::vector<std::string>{"listed 1"});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store_.watched_from.size());
   }
+
+  /// Calls to a store that is down, by ten gateways in 400 ms.
+  std::size_t calls_in_vain(bool others_ask) {
+    std::vector<std::unique_ptr<object_cache>> caches;
+    std::vector<std::unique_ptr<object_watch>> watches;
+    for (int gateway = 0; gateway < 10; ++gateway) {
+      caches.push_back(std::make_unique<object_cache>());
+      watches.push_back(std::make_unique<object_watch>(
+          io_, store_, std::vector<listing_source *>{}, *caches.back(),
+          watch_options{
+              .kind = "things",
+              .first_pause = duration_ms{5},
+              .longest_pause = duration_ms{20},
+              .others_ask_in_vain = [others_ask] { return others_ask; },
+              .pause_while_others_ask = duration_ms{400},
+              .confirm_interval = duration_ms{20}},
+          object_watch::handlers{.on_listing = [](const listing &) {},
+                                 .on_change = [](const change &) {},
+                                 .on_confirmed = {}}));
+      watches.back()->take_listing({{named("a", 3)}, 5});
+      asio::co_spawn(io_, watches.back()->run(), asio::detached);
+      asio::co_spawn(io_, watches.back()->confirm(), asio::detached);
+    }
+    io_.run_for(duration_ms{400});
+    return store_.refused_listings;
+  }
+
+  void a_store_that_is_down_for_all_is_asked_seldom() {
+    // One call each at once, and hardly a second one.
+    CPPUNIT_ASSERT(calls_in_vain(true) <= 20);
+  }
+
+  void a_store_that_is_down_for_this_process_alone_is_asked_often() {
+    CPPUNIT_ASSERT(calls_in_vain(false) >= 200);
+  }
 };
 
 class object_cache_test : public CppUnit::TestFixture {
