Tell the starts of a replica apart

A replica may start again under its id, and what a gateway had learnt of the earlier start then stayed with the later one: prompts, speed, failures, idle connections, loads told by others, the place kept with a turn.

An instance is now (id, start). A later start is a new instance; an entry of an earlier one that comes late, also after a removal, is ignored. Attempts of a request are counted by start, so that what must not run twice is not sent to the new one. Where the new start has the address of the old one, requests under way there end at once instead of at their deadline. Where no start is told, nothing changes, and names in messages and records are the bare ids.

Entries that no replica wrote can be rejected by id: told once, counted, and the replica of that id goes out of use.

--- a/src/forwarding/attempt_plan.cpp
+++ b/src/forwarding/attempt_plan.cpp
@@ -11,7 +11,7 @@
       arrived_(arrived), deadline_(deadline), limits_(limits),
       pause_(limits.first_pause) {}
 
-void attempt_plan::on_attempt(const routing::instance_id &instance,
+void attempt_plan::on_attempt(const routing::incarnation &instance,
                               attempt_outcome outcome) {
   if (outcome == attempt_outcome::lost) {
     may_have_run_ = true;
@@ -22,7 +22,7 @@
   refused_by_.insert(instance);
 }
 
-void attempt_plan::on_instance_ended(const routing::instance_id &instance) {
+void attempt_plan::on_instance_ended(const routing::incarnation &instance) {
   ran_at_.erase(instance);
 }
 
--- a/src/forwarding/attempt_plan.hpp
+++ b/src/forwarding/attempt_plan.hpp
@@ -4,11 +4,13 @@
 //
 // It keeps two promises. A request that may have run is sent again only when
 // its route allows that, and to no more replicas than the route allows. And
-// "not run" (503) is answered only when no attempt may have run.
+// "not run" (503) is answered only when no attempt may have run. A replica that
+// starts again under its id is another one: the start that was sent to has
+// ended.
 #pragma once
 
 #include "base/time.hpp"
-#include "routing/configuration.hpp"
+#include "routing/incarnation.hpp"
 
 #include <cstdint>
 #include <set>
@@ -28,9 +30,9 @@
 /// Send to a replica that is in neither set, or only to one that may have run
 /// the request already.
 struct send_step {
-  std::set<routing::instance_id> excluded;
+  std::set<routing::incarnation> excluded;
   /// When not empty, only these may get it.
-  std::set<routing::instance_id> only;
+  std::set<routing::incarnation> only;
 };
 
 /// Ask again after a pause: no replica takes the request now.
@@ -65,11 +67,11 @@
                timestamp deadline, plan_limits limits = {});
 
   /// @param instance the replica of the attempt.
-  void on_attempt(const routing::instance_id &instance,
+  void on_attempt(const routing::incarnation &instance,
                   attempt_outcome outcome);
   /// The replica has ended: it no longer counts among those that may have run
   /// the request, for no answer of it can come any more.
-  void on_instance_ended(const routing::instance_id &instance);
+  void on_instance_ended(const routing::incarnation &instance);
   /// No replica fits the last `send_step`.
   void on_no_candidate();
   /// Something that lasts keeps the request from every replica: it is answered
@@ -93,9 +95,9 @@
 
   bool may_have_run_ = false;
   /// Replicas, still there, that may have run it.
-  std::set<routing::instance_id> ran_at_;
+  std::set<routing::incarnation> ran_at_;
   /// Replicas that turned it down since the last pause.
-  std::set<routing::instance_id> refused_by_;
+  std::set<routing::incarnation> refused_by_;
   std::uint32_t losses_ = 0;
   bool exhausted_ = false;
   std::string_view barred_; // empty: not barred
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -101,6 +101,8 @@
   const auto age = tenants_.freshness().age(steady_now());
   metrics_.set_configuration_age(
       age ? std::chrono::duration<double>(*age).count() : -1);
+  metrics_.set_rejected_entries(
+      static_cast<double>(replicas_.rejected_entries()));
   for (const auto &[service, model] : replicas_.engine_models()) {
     metrics_.set_engine_costs(service.value(), model.costs());
   }
--- a/src/forwarding/gateway_metrics.cpp
+++ b/src/forwarding/gateway_metrics.cpp
@@ -60,6 +60,12 @@
                             .Help("Gateways that tell each other their load")
                             .Register(*registry_)
                             .Add({})),
+      rejected_entries_(prometheus::BuildGauge()
+                            .Name("heathtrestle_gateway_rejected_entries")
+                            .Help("Entries of the replicas' directory that no "
+                                  "replica can have written")
+                            .Register(*registry_)
+                            .Add({})),
       engine_costs_(prometheus::BuildGauge()
                         .Name("heathtrestle_gateway_engine_cost_ms")
                         .Help("Learnt cost of a token to read, of a running "
@@ -106,6 +112,10 @@
   sharing_gateways_.Set(count);
 }
 
+void gateway_metrics::set_rejected_entries(double count) {
+  rejected_entries_.Set(count);
+}
+
 void gateway_metrics::set_engine_costs(const std::string &service,
                                        const balance::engine_costs &costs) {
   const auto set = [this, &service](const char *of, double value) {
--- a/src/forwarding/gateway_metrics.hpp
+++ b/src/forwarding/gateway_metrics.hpp
@@ -34,6 +34,8 @@
   void set_configuration_version(double version);
   /// Gateways that tell their load, this one included.
   void set_sharing_gateways(double count);
+  /// Entries of the replicas' directory that are rejected at present.
+  void set_rejected_entries(double count);
   /// What turns at a service's engines are taken to cost.
   void set_engine_costs(const std::string &service,
                         const balance::engine_costs &costs);
@@ -53,6 +55,7 @@
   prometheus::Gauge &open_requests_;
   prometheus::Gauge &configuration_version_;
   prometheus::Gauge &sharing_gateways_;
+  prometheus::Gauge &rejected_entries_;
   prometheus::Family<prometheus::Gauge> &engine_costs_;
 };
 
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -14,8 +14,10 @@
 /// Times are measured in whole milliseconds; none is taken for zero.
 constexpr double shortest_answer_ms = 0.5;
 
-std::uint32_t load_key(const routing::instance_id &id) {
-  return static_cast<std::uint32_t>(stable_hash(id.value()));
+/// Loads are told by incarnation: what ran on an earlier start of a replica
+/// does not load the later one.
+std::uint32_t load_key(const routing::instance &each) {
+  return static_cast<std::uint32_t>(stable_hash(name_of(each.record.start())));
 }
 
 void note_sound(routing::instance &answered) {
@@ -65,41 +67,123 @@
 }
 
 void replica_selector::put(routing::instance_record record) {
-  const std::string id = record.id.value();
-  const std::string service = record.service.value();
-  const routing::service_id service_id = record.service;
-  const bool draining = record.draining;
-  if (directory_.put(std::move(record))) {
-    set_engine_memory(service_id);
+  const routing::instance_record told = record;
+  const routing::instance_ptr before = directory_.find(record.id);
+  const routing::put_outcome outcome = directory_.put(std::move(record));
+  switch (outcome) {
+  case routing::put_outcome::unchanged:
+    break;
+  case routing::put_outcome::outdated:
+    if (rejected_.note(told.id.value(), "of an earlier start")) {
+      log_outdated(told);
+    }
+    return;
+  case routing::put_outcome::without_start:
+    pool_.drop(before->record.start());
+    reject(told.id, "tells no start although it did before");
+    return;
+  case routing::put_outcome::started_again:
+    if (before != nullptr) {
+      on_started_again(*before, told);
+    }
+    [[fallthrough]];
+  case routing::put_outcome::added:
+  case routing::put_outcome::changed:
+    set_engine_memory(told.service);
     logging::line(logging::event::instances_changed)
-        .field("instance", id)
-        .field("service", service)
-        .field("state", draining ? "draining" : "ready")
+        .field("instance", told.id.value())
+        .field("service", told.service.value())
+        .field("born_ms", told.born_ms)
+        .field("state", told.draining ? "draining" : "ready")
         .write();
+    break;
   }
+  rejected_.forget(told.id.value());
 }
 
-void replica_selector::remove(const routing::instance_id &id) {
-  if (directory_.remove(id)) {
-    pool_.drop(id);
-    logging::line(logging::event::instances_changed)
+void replica_selector::on_started_again(const routing::instance &before,
+                                        const routing::instance_record &now) {
+  const routing::incarnation ended = before.record.start();
+  // Two processes cannot listen on one address: there the earlier one has ended
+  // for certain. Elsewhere it may still be finishing what it has.
+  const bool same_address = before.record.address == now.address;
+  if (same_address && ended.born_ms != 0) {
+    pool_.cut_off(ended);
+  } else {
+    pool_.drop(ended);
+  }
+  logging::line(logging::event::instance_started_again)
+      .field("instance", now.id.value())
+      .field("born_before_ms", ended.born_ms)
+      .field("born_ms", now.born_ms)
+      .field("same_address", same_address)
+      .field("in_flight", before.in_flight)
+      .write();
+}
+
+void replica_selector::log_outdated(
+    const routing::instance_record &told) const {
+  const routing::instance_ptr listed = directory_.find(told.id);
+  logging::line(logging::event::instance_entry_outdated)
+      .field("instance", told.id.value())
+      .field("born_ms", told.born_ms)
+      .field("listed_born_ms", listed ? listed->record.born_ms : 0)
+      .write();
+}
+
+void replica_selector::reject(const routing::instance_id &id,
+                              const std::string &reason) {
+  const bool is_news = rejected_.note(id.value(), reason);
+  const bool was_listed = unlist(id);
+  if (is_news) {
+    logging::line(logging::event::instance_entry_rejected)
         .field("instance", id.value())
-        .field("state", "gone")
+        .field("reason", reason)
+        .field("was_listed", was_listed)
         .write();
   }
 }
 
+void replica_selector::remove(const routing::instance_id &id) {
+  rejected_.forget(id.value());
+  unlist(id);
+}
+
+bool replica_selector::unlist(const routing::instance_id &id) {
+  const routing::instance_ptr known = directory_.find(id);
+  if (known == nullptr) {
+    return false;
+  }
+  directory_.remove(id);
+  pool_.drop(known->record.start());
+  logging::line(logging::event::instances_changed)
+      .field("instance", id.value())
+      .field("state", "gone")
+      .write();
+  return true;
+}
+
 void replica_selector::replace_all(
-    std::vector<routing::instance_record> records) {
+    std::vector<routing::instance_record> records,
+    const std::vector<routing::rejected_entry> &rejected) {
   std::set<routing::instance_id> kept;
+  std::set<std::string> named;
   for (const routing::instance_record &record : records) {
     kept.insert(record.id);
+    named.insert(record.id.value());
+  }
+  for (const routing::rejected_entry &each : rejected) {
+    named.insert(each.name);
   }
   for (const routing::instance_record &known : directory_.records()) {
     if (!kept.contains(known.id)) {
-      remove(known.id);
+      unlist(known.id);
     }
   }
+  rejected_.keep_only(named);
+  for (const routing::rejected_entry &each : rejected) {
+    reject(routing::instance_id{each.name}, each.reason);
+  }
   for (routing::instance_record &record : records) {
     put(std::move(record));
   }
@@ -120,7 +204,7 @@
     view.slowdown = each.speed.slowdown();
   }
   view.connected =
-      policies.connection_reuse && pool_.has_idle(each.record.id, now);
+      policies.connection_reuse && pool_.has_idle(each.record.start(), now);
   if (policies.prefix_view) {
     view.missing_tokens = each.prefixes.missing_tokens(request.prompt);
   }
@@ -168,11 +252,11 @@
   std::vector<balance::candidate> candidates;
   std::vector<routing::exclusion> exclusions;
   for (const routing::instance_ptr &each : directory_.of(service)) {
-    const routing::instance_id &id = each->record.id;
+    const routing::incarnation start = each->record.start();
     exclusions.push_back(exclusion_of(*each, home));
     const bool eligible = exclusions.back() == routing::exclusion::none;
-    const bool wanted = step.only.empty() || step.only.contains(id);
-    if (!eligible || !wanted || step.excluded.contains(id)) {
+    const bool wanted = step.only.empty() || step.only.contains(start);
+    if (!eligible || !wanted || step.excluded.contains(start)) {
       continue;
     }
     fitting.push_back(each);
@@ -208,7 +292,10 @@
   const auto &instances = directory_.of(service);
   const auto found =
       std::find_if(instances.begin(), instances.end(), [&](const auto &each) {
-        return each->record.id.value() == place.instance;
+        // Records of gateways that knew no starts name the bare id; it is
+        // believed, for a wrong guess costs time only.
+        return place.instance == name_of(each->record.start()) ||
+               place.instance == each->record.id.value();
       });
   if (found != instances.end()) {
     (*found)->prefixes.record(balance::beginning_of(prompt, place.tokens));
@@ -220,7 +307,7 @@
   for (const auto &[service, model] : engine_models_) {
     for (const routing::instance_ptr &each : directory_.of(service)) {
       if (each->in_flight > 0) {
-        loads.add_replicas(load_key(each->record.id));
+        loads.add_replicas(load_key(*each));
         loads.add_running(each->in_flight);
       }
     }
@@ -240,7 +327,7 @@
     running[others.replicas(place)] = others.running(place);
   }
   for (const auto &[id, each] : directory_.all()) {
-    const auto found = running.find(load_key(id));
+    const auto found = running.find(load_key(*each));
     const std::uint32_t reported = found != running.end() ? found->second : 0;
     each->others = {.running = static_cast<double>(reported), .at = at};
   }
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -11,6 +11,7 @@
 #include "records/turn_ledger.hpp"
 #include "routing/eligibility.hpp"
 #include "routing/instance_directory.hpp"
+#include "routing/rejected_entries.hpp"
 #include "routing/residency.hpp"
 #include "routing/route_table.hpp"
 #include "routing/topology.hpp"
@@ -59,8 +60,18 @@
   void apply(std::shared_ptr<const routing::route_table> routes);
 
   void put(routing::instance_record record);
+  /// The entry under this id cannot be one that a replica wrote: nothing is
+  /// sent there until a sound one comes.
+  void reject(const routing::instance_id &id, const std::string &reason);
   void remove(const routing::instance_id &id);
-  void replace_all(std::vector<routing::instance_record> records);
+  /// Takes in a listing.
+  /// @param rejected the entries of it that no replica can have written.
+  void replace_all(std::vector<routing::instance_record> records,
+                   const std::vector<routing::rejected_entry> &rejected = {});
+  /// Entries that are rejected at present.
+  [[nodiscard]] std::size_t rejected_entries() const {
+    return rejected_.size();
+  }
   [[nodiscard]] const routing::instance_directory &directory() const {
     return directory_;
   }
@@ -119,11 +130,18 @@
                         const std::vector<routing::instance_ptr> &engines,
                         double turn_ms, timestamp now) const;
   void set_engine_memory(const routing::service_id &service);
+  /// Forgets what belongs to the earlier start.
+  void on_started_again(const routing::instance &before,
+                        const routing::instance_record &now);
+  void log_outdated(const routing::instance_record &told) const;
+  /// @return false when it was not listed.
+  bool unlist(const routing::instance_id &id);
 
   selector_options options_;
   upstream_pool &pool_;
   std::shared_ptr<const routing::route_table> routes_;
   routing::instance_directory directory_;
+  routing::rejected_entries rejected_;
   routing::zone_drains drains_;
   std::map<routing::service_id, balance::engine_cost_model> engine_models_;
   /// Smoothed time of an answer, by route, in milliseconds.
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -331,20 +331,17 @@
 }
 
 void request_exchange::forget_ended(const send_step &step) {
-  for (const routing::instance_id &id : step.only) {
-    const auto &instances = gateway_.replicas().directory().of(service_);
-    const bool listed =
-        std::any_of(instances.begin(), instances.end(),
-                    [&id](const auto &each) { return each->record.id == id; });
-    if (!listed) {
-      plan_->on_instance_ended(id);
+  for (const routing::incarnation &start : step.only) {
+    if (!gateway_.replicas().directory().lists(start)) {
+      plan_->on_instance_ended(start);
     }
   }
 }
 
 asio::awaitable<void> request_exchange::attempt(routing::instance_ptr target) {
   ++attempts_;
-  last_instance_ = target->record.id.value();
+  const routing::incarnation started = target->record.start();
+  last_start_ = started;
   ++target->in_flight;
   const auto connection = co_await gateway_.pool().acquire(target->record);
   if (!connection) {
@@ -354,8 +351,8 @@
         refused ? "connection refused" : "connection failed";
     gateway_.replicas().on_failed(*target, reason);
     log_attempt(*target, attempt_outcome::not_sent, reason);
-    plan_->on_attempt(target->record.id, attempt_outcome::not_sent);
-    plan_->on_instance_ended(target->record.id);
+    plan_->on_attempt(started, attempt_outcome::not_sent);
+    plan_->on_instance_ended(started);
     co_return;
   }
   active_ = connection.value();
@@ -366,14 +363,14 @@
   if (may_send_to(*target) && !objection) {
     end = co_await exchange_with(*target, active_);
   } else {
-    gateway_.pool().release(target->record.id, active_, duration_ms{0});
+    gateway_.pool().release(started, active_, duration_ms{0});
   }
   active_.reset();
   --target->in_flight;
   if (end) {
     gateway_.metrics().on_attempt(std::string(name_of(*end)));
     log_attempt(*target, *end, last_failure_);
-    plan_->on_attempt(target->record.id, *end);
+    plan_->on_attempt(started, *end);
     const bool own_doing = client_gone_ || steady_now() >= deadline_;
     if (*end == attempt_outcome::lost && !own_doing) {
       gateway_.replicas().on_failed(*target, last_failure_);
@@ -608,7 +605,7 @@
   if (attempts_ > 1 && last_event_id_) {
     logging::line(logging::event::stream_resumed)
         .field("id", request_.attempt_id)
-        .field("instance", last_instance_)
+        .field("instance", last_start_.id.value())
         .field("after", *last_event_id_)
         .write();
   }
@@ -683,7 +680,7 @@
                                const response_head &head, bool keep_alive) {
   const bool surplus = connection->buffer.size() > 0;
   if (keep_alive && !surplus && connection->socket.is_open()) {
-    gateway_.pool().release(target.record.id, std::move(connection),
+    gateway_.pool().release(target.record.start(), std::move(connection),
                             keep_alive_of(head));
   }
 }
@@ -772,7 +769,7 @@
   for (const balance::prompt_part &part : request_.prompt) {
     tokens += part.tokens;
   }
-  return {.instance = last_instance_, .tokens = tokens};
+  return {.instance = name_of(last_start_), .tokens = tokens};
 }
 
 asio::awaitable<bool> request_exchange::finish_stream() {
@@ -823,7 +820,7 @@
       .field("tenant", caller_.tenant.value())
       .field("route", route)
       .field("version", routes_ ? routes_->version().value() : 0)
-      .field("instance", last_instance_)
+      .field("instance", last_start_.id.value())
       .field("attempts", attempts_)
       .field(
           "client_resumes_after",
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -149,7 +149,7 @@
   std::uint64_t events_passed_ = 0;
   std::uint32_t status_ = 0;
   std::string_view reason_;
-  std::string last_instance_;
+  routing::incarnation last_start_;
   std::string last_failure_;
   std::uint32_t attempts_ = 0;
 
--- a/src/forwarding/upstream_pool.cpp
+++ b/src/forwarding/upstream_pool.cpp
@@ -8,8 +8,8 @@
 
 namespace heathtrestle::forwarding {
 
-connection_ptr upstream_pool::take_idle(const routing::instance_id &id) {
-  const auto found = idle_.find(id);
+connection_ptr upstream_pool::take_idle(const routing::incarnation &start) {
+  const auto found = idle_.find(start);
   if (found == idle_.end()) {
     return nullptr;
   }
@@ -30,8 +30,9 @@
 
 asio::awaitable<result_or<connection_ptr, connect_error>>
 upstream_pool::acquire(const routing::instance_record &target) {
-  if (connection_ptr idle = take_idle(target.id)) {
-    co_return idle;
+  const routing::incarnation start = target.start();
+  if (connection_ptr idle = take_idle(start)) {
+    co_return track(start, std::move(idle));
   }
   const auto address = http::parse_address(target.address);
   if (!address) {
@@ -64,26 +65,58 @@
         : connect_error::failed;
   }
   make_live(connection->socket, options_.liveness);
-  co_return connection;
+  co_return track(start, std::move(connection));
 }
 
-bool upstream_pool::has_idle(const routing::instance_id &id,
+connection_ptr upstream_pool::track(const routing::incarnation &start,
+                                    connection_ptr connection) {
+  auto &handed_out = in_use_[start];
+  std::erase_if(handed_out, [](const auto &each) { return each.expired(); });
+  handed_out.push_back(connection);
+  return connection;
+}
+
+void upstream_pool::cut_off(const routing::incarnation &start) {
+  drop(start);
+  const auto found = in_use_.find(start);
+  if (found == in_use_.end()) {
+    return;
+  }
+  for (const auto &each : found->second) {
+    if (const connection_ptr connection = each.lock()) {
+      boost::system::error_code ignored; // it is gone either way
+      connection->socket.close(ignored);
+    }
+  }
+  in_use_.erase(found);
+}
+
+bool upstream_pool::has_idle(const routing::incarnation &start,
                              timestamp now) const {
-  const auto found = idle_.find(id);
+  const auto found = idle_.find(start);
   return found != idle_.end() && !found->second.empty() &&
          now < found->second.back()->usable_until;
 }
 
-void upstream_pool::release(const routing::instance_id &id,
+void upstream_pool::release(const routing::incarnation &start,
                             connection_ptr connection, duration_ms keep_alive) {
   const duration_ms kept =
       keep_alive.count() > 0 ? keep_alive : options_.idle_limit;
   connection->usable_until = steady_now() + kept - options_.idle_margin;
-  idle_[id].push_back(std::move(connection));
+  auto &handed_out = in_use_[start];
+  std::erase_if(handed_out, [&connection](const auto &each) {
+    return each.expired() || each.lock() == connection;
+  });
+  idle_[start].push_back(std::move(connection));
 }
 
 void upstream_pool::close_expired(timestamp now) {
-  for (auto &[id, connections] : idle_) {
+  for (auto &[start, handed_out] : in_use_) {
+    std::erase_if(handed_out, [](const auto &each) { return each.expired(); });
+  }
+  std::erase_if(in_use_,
+                [](const auto &entry) { return entry.second.empty(); });
+  for (auto &[start, connections] : idle_) {
     std::erase_if(connections, [now](const connection_ptr &connection) {
       return now >= connection->usable_until;
     });
--- a/src/forwarding/upstream_pool.hpp
+++ b/src/forwarding/upstream_pool.hpp
@@ -57,16 +57,20 @@
   acquire(const routing::instance_record &target);
 
   /// True when a connection to the instance waits to be used again.
-  [[nodiscard]] bool has_idle(const routing::instance_id &id,
+  [[nodiscard]] bool has_idle(const routing::incarnation &start,
                               timestamp now) const;
 
   /// Keeps a connection whose last answer was read whole.
   /// @param keep_alive how long the replica keeps it idle; zero when unsaid.
-  void release(const routing::instance_id &id, connection_ptr connection,
+  void release(const routing::incarnation &start, connection_ptr connection,
                duration_ms keep_alive);
 
   /// Closes the idle connections to an instance that has gone.
-  void drop(const routing::instance_id &id) { idle_.erase(id); }
+  void drop(const routing::incarnation &start) { idle_.erase(start); }
+  /// Closes all connections to an instance whose process has ended for certain:
+  /// requests on them learn at once what they would else learn only when the
+  /// liveness check or their deadline tells.
+  void cut_off(const routing::incarnation &start);
 
   /// Closes idle connections whose time is up.
   void close_expired(timestamp now);
@@ -75,11 +79,17 @@
   [[nodiscard]] std::uint64_t opened() const { return opened_; }
 
 private:
-  connection_ptr take_idle(const routing::instance_id &id);
+  connection_ptr take_idle(const routing::incarnation &start);
+  connection_ptr track(const routing::incarnation &start,
+                       connection_ptr connection);
 
   asio::io_context &io_;
   pool_options options_;
-  std::map<routing::instance_id, std::vector<connection_ptr>> idle_;
+  std::map<routing::incarnation, std::vector<connection_ptr>> idle_;
+  /// Connections that were handed out, and may have been closed since.
+  std::map<routing::incarnation,
+           std::vector<std::weak_ptr<upstream_connection>>>
+      in_use_;
   std::uint64_t opened_ = 0;
 };
 
--- a/src/routing/instance_directory.cpp
+++ b/src/routing/instance_directory.cpp
@@ -6,22 +6,41 @@
 
 namespace heathtrestle::routing {
 
-bool instance_directory::put(instance_record record) {
+put_outcome instance_directory::put(instance_record record) {
   const auto known = by_id_.find(record.id);
-  if (known != by_id_.end() &&
-      known->second->record.service == record.service) {
-    const bool changed = !(known->second->record == record);
-    known->second->record = std::move(record);
-    return changed;
+  if (known == by_id_.end()) {
+    return record.born_ms < ended_.newest(record.id)
+               ? put_outcome::outdated
+               : add(std::move(record), put_outcome::added);
+  }
+  instance_record &present = known->second->record;
+  if (record.born_ms == 0 && present.born_ms != 0) {
+    remove(record.id);
+    return put_outcome::without_start;
+  }
+  if (record.born_ms < present.born_ms) {
+    return put_outcome::outdated;
   }
-  if (known != by_id_.end()) {
+  if (record.born_ms > present.born_ms) {
     remove(record.id);
+    return add(std::move(record), put_outcome::started_again);
   }
+  if (record.service != present.service) {
+    remove(record.id);
+    return add(std::move(record), put_outcome::changed);
+  }
+  const bool same = present == record;
+  present = std::move(record);
+  return same ? put_outcome::unchanged : put_outcome::changed;
+}
+
+put_outcome instance_directory::add(instance_record record,
+                                    put_outcome outcome) {
   auto added = std::make_shared<instance>();
   added->record = std::move(record);
   by_service_[added->record.service].push_back(added);
   by_id_.emplace(added->record.id, std::move(added));
-  return true;
+  return outcome;
 }
 
 bool instance_directory::remove(const instance_id &id) {
@@ -32,6 +51,7 @@
   const instance_ptr removed = known->second;
   by_id_.erase(known);
   removed->listed = false;
+  ended_.note(removed->record.start());
   std::erase(by_service_[removed->record.service], removed);
   return true;
 }
@@ -55,6 +75,16 @@
   }
 }
 
+instance_ptr instance_directory::find(const instance_id &id) const {
+  const auto known = by_id_.find(id);
+  return known == by_id_.end() ? nullptr : known->second;
+}
+
+bool instance_directory::lists(const incarnation &start) const {
+  const instance_ptr known = find(start.id);
+  return known != nullptr && known->record.start() == start;
+}
+
 const std::vector<instance_ptr> &
 instance_directory::of(const service_id &service) const {
   static const std::vector<instance_ptr> none;
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -7,6 +7,7 @@
 #include "balance/replica_speed.hpp"
 #include "base/time.hpp"
 #include "routing/configuration.hpp"
+#include "routing/incarnation.hpp"
 
 #include <cstdint>
 #include <map>
@@ -30,9 +31,18 @@
   /// For how much longer it was warming up when it said so.
   duration_ms cold_for{0};
 
+  [[nodiscard]] incarnation start() const {
+    return {.id = id, .born_ms = born_ms};
+  }
+
   bool operator==(const instance_record &) const = default;
 };
 
+/// Ids whose last start is remembered after they have left: a few times the
+/// replicas of a large fleet, all of which may be replaced within the time that
+/// a late entry can be on its way.
+inline constexpr std::size_t most_ended_starts = 4096;
+
 /// Tokens that an engine is taken to keep whose configuration does not tell:
 /// a few long conversations, so that a wrong guess is cheap.
 inline constexpr std::uint64_t unknown_engine_memory = 100000;
@@ -61,16 +71,33 @@
 
 using instance_ptr = std::shared_ptr<instance>;
 
+/// What became of a record that was handed to the directory.
+enum class put_outcome : std::uint8_t {
+  unchanged,
+  added,
+  changed,
+  /// The id has a later start: what was seen of the earlier one is forgotten.
+  started_again,
+  /// Of an earlier start than one that was seen: not taken in.
+  outdated,
+  /// Tells no start although the listed one did, so the replica did not write
+  /// it: that one is in use no longer.
+  without_start,
+};
+
 class instance_directory {
 public:
   /// Takes in a record that is new or has changed.
-  /// @return true when something that matters here changed.
-  bool put(instance_record record);
+  put_outcome put(instance_record record);
   /// @return false when the instance was not known.
   bool remove(const instance_id &id);
   /// Replaces the whole directory by a listing.
   void replace_all(std::vector<instance_record> records);
 
+  /// @return null when no instance of that id is listed.
+  [[nodiscard]] instance_ptr find(const instance_id &id) const;
+  /// True while this very start is listed.
+  [[nodiscard]] bool lists(const incarnation &start) const;
   /// The replicas of a service, those that drain included.
   [[nodiscard]] const std::vector<instance_ptr> &
   of(const service_id &service) const;
@@ -82,6 +109,9 @@
   [[nodiscard]] std::vector<instance_record> records() const;
 
 private:
+  put_outcome add(instance_record record, put_outcome outcome);
+
+  ended_starts ended_{most_ended_starts};
   std::map<instance_id, instance_ptr> by_id_;
   std::map<service_id, std::vector<instance_ptr>> by_service_;
 };
--- a/tests/forwarding/attempt_plan_test.cpp
+++ b/tests/forwarding/attempt_plan_test.cpp
@@ -5,9 +5,14 @@
 namespace heathtrestle::forwarding {
 namespace {
 
-const routing::instance_id first{"i-1"};
-const routing::instance_id second{"i-2"};
-const routing::instance_id third{"i-3"};
+routing::incarnation start_of(const std::string &id, std::uint64_t born_ms) {
+  return {.id = routing::instance_id{id}, .born_ms = born_ms};
+}
+
+const routing::incarnation first = start_of("i-1", 100);
+const routing::incarnation second = start_of("i-2", 100);
+const routing::incarnation third = start_of("i-3", 100);
+const routing::incarnation first_again = start_of("i-1", 200);
 const timestamp start = timestamp_from(10000);
 const timestamp deadline = start + duration_ms{1000};
 
@@ -30,6 +35,8 @@
   CPPUNIT_TEST(a_repeat_goes_to_no_more_replicas_than_allowed);
   CPPUNIT_TEST(without_another_replica_the_same_is_asked_again);
   CPPUNIT_TEST(a_replica_that_ended_does_not_count);
+  CPPUNIT_TEST(a_new_start_under_the_id_is_another_replica);
+  CPPUNIT_TEST(what_must_not_repeat_is_not_sent_to_a_new_start);
   CPPUNIT_TEST(losses_are_bounded);
   CPPUNIT_TEST(after_the_deadline_nothing_is_sent);
   CPPUNIT_TEST(giving_up_tells_when_to_come_back);
@@ -107,6 +114,24 @@
     CPPUNIT_ASSERT(std::get<send_step>(plan.next(start)).only.empty());
   }
 
+  void a_new_start_under_the_id_is_another_replica() {
+    auto plan = plan_for(true, 1);
+    plan.on_attempt(first, attempt_outcome::lost);
+    CPPUNIT_ASSERT(
+        !std::get<send_step>(plan.next(start)).only.contains(first_again));
+    plan.on_instance_ended(first);
+    const auto step = std::get<send_step>(plan.next(start));
+    CPPUNIT_ASSERT(step.only.empty());
+    CPPUNIT_ASSERT(!step.excluded.contains(first_again));
+  }
+
+  void what_must_not_repeat_is_not_sent_to_a_new_start() {
+    auto plan = plan_for(false, 2);
+    plan.on_attempt(first, attempt_outcome::lost);
+    plan.on_instance_ended(first);
+    CPPUNIT_ASSERT_EQUAL(502U, status_of(plan.next(start)));
+  }
+
   void losses_are_bounded() {
     auto plan = plan_for(true, 10);
     for (int loss = 0; loss < 4; ++loss) {
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -172,6 +172,13 @@
   CPPUNIT_TEST(a_turn_goes_on_where_its_conversation_is_kept);
   CPPUNIT_TEST(the_record_of_a_turn_tells_where_it_was_answered);
   CPPUNIT_TEST(a_place_that_is_gone_or_switched_off_binds_nothing);
+  CPPUNIT_TEST(a_place_on_an_earlier_start_binds_nothing);
+  CPPUNIT_TEST(loads_are_told_by_start);
+  CPPUNIT_TEST(a_call_on_an_ended_start_is_not_sent_to_the_new_one);
+  CPPUNIT_TEST(a_repeatable_request_on_an_ended_start_goes_to_the_new_one);
+  CPPUNIT_TEST(an_idle_connection_to_an_ended_start_is_not_used_again);
+  CPPUNIT_TEST(a_rejected_entry_takes_its_replica_out_of_use);
+  CPPUNIT_TEST(a_rejected_entry_is_counted_until_it_is_sound);
   CPPUNIT_TEST(a_busy_engine_is_left_to_others);
   CPPUNIT_TEST(a_gateway_that_is_cut_off_sends_turns_elsewhere);
   CPPUNIT_TEST(urgent_routes_go_first_and_late_programs_last);
@@ -202,6 +209,7 @@
   std::unique_ptr<gateway> gateway_;
   std::unique_ptr<tcp::acceptor> clients_;
   std::vector<std::unique_ptr<scripted_replica>> replicas_;
+  std::uint64_t born_ms_ = 100;
   std::unique_ptr<gateway> first_gateway_;
   std::unique_ptr<tcp::acceptor> first_clients_;
 
@@ -228,6 +236,17 @@
                               .draining = draining});
   }
 
+  [[nodiscard]] routing::instance_ptr listed(const std::string &id) const {
+    return gateway_->replicas().directory().find(routing::instance_id{id});
+  }
+
+  /// The replica's process ends and another one starts under its id.
+  void start_again(const std::string &id, std::uint64_t born_ms) {
+    routing::instance_record record = listed(id)->record;
+    record.born_ms = born_ms;
+    gateway_->replicas().put(record);
+  }
+
   void apply_routes(std::uint64_t version = 1,
                     std::vector<tenants::tenant> tenants = {}) {
     routing::configuration settings;
@@ -499,6 +518,107 @@
                              ->prefixes.missing_tokens({part}));
   }
 
+  void a_place_on_an_earlier_start_binds_nothing() {
+    const balance::prompt_part part{.id = 0xa, .tokens = 2000};
+    const auto missing_after = [&](const std::string &place) {
+      start_again("r1", ++born_ms_);
+      gateway_->replicas().learn_place({.instance = place, .tokens = 2000},
+                                       routing::service_id{"s"}, {part});
+      return listed("r1")->prefixes.missing_tokens({part});
+    };
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2000}, missing_after("r1@100"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, missing_after("r1@102"));
+    // Of a gateway that did not tell starts apart.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, missing_after("r1"));
+    script_turns(1);
+    ask_turns(1);
+    CPPUNIT_ASSERT_EQUAL(std::string("r1@103"),
+                         ledger_.ends.at(0).kept.place.instance);
+  }
+
+  void loads_are_told_by_start() {
+    start_again("r1", 100);
+    script_turns(1);
+    ask_turns(1); // now it is known for an engine
+    listed("r1")->in_flight = 3;
+    wire::SharedLoads shared;
+    *shared.mutable_others() = gateway_->replicas().engine_loads();
+    gateway_->replicas().take_shared_loads(shared);
+    CPPUNIT_ASSERT_EQUAL(3.0, listed("r1")->others.running);
+    start_again("r1", 200);
+    gateway_->replicas().take_shared_loads(shared);
+    CPPUNIT_ASSERT_EQUAL(0.0, listed("r1")->others.running);
+  }
+
+  /// Lets r1 start again while it has a request.
+  void start_again_during_the_request() {
+    asio::co_spawn(
+        io_,
+        [this]() -> asio::awaitable<void> {
+          asio::steady_timer timer(io_);
+          while (replicas_[0]->received.empty()) {
+            timer.expires_after(duration_ms{1});
+            co_await timer.async_wait(as_result);
+          }
+          start_again("r1", 200);
+        },
+        asio::detached);
+  }
+
+  void a_call_on_an_ended_start_is_not_sent_to_the_new_one() {
+    // The replica's machine went silently: nothing but the entry of its new
+    // start tells that the call will not be answered.
+    start_again("r1", 100);
+    replicas_[0]->script.push_back({.bytes = ""});
+    start_again_during_the_request();
+    const timestamp asked = steady_now();
+    CPPUNIT_ASSERT_EQUAL(502U, ask("/call/x")->result_int());
+    CPPUNIT_ASSERT(steady_now() - asked < duration_ms{2500});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[0]->received.size());
+  }
+
+  void a_repeatable_request_on_an_ended_start_goes_to_the_new_one() {
+    start_again("r1", 100);
+    replicas_[0]->script.push_back({.bytes = ""});
+    replicas_[0]->script.push_back({plain("hello")});
+    start_again_during_the_request();
+    CPPUNIT_ASSERT_EQUAL(std::string("hello"), ask("/get/x")->body());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replicas_[0]->received.size());
+  }
+
+  void an_idle_connection_to_an_ended_start_is_not_used_again() {
+    start_again("r1", 100);
+    replicas_[0]->script.push_back({plain("hello")});
+    ask("/call/x");
+    CPPUNIT_ASSERT(
+        gateway_->pool().has_idle(listed("r1")->record.start(), steady_now()));
+    start_again("r1", 200);
+    replicas_[0]->script.push_back({plain("hello")});
+    ask("/call/x");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, gateway_->pool().opened());
+  }
+
+  void a_rejected_entry_takes_its_replica_out_of_use() {
+    add_replica("r2");
+    gateway_->replicas().reject(routing::instance_id{"r1"}, "no zone");
+    replicas_[1]->script.push_back({plain("hello")});
+    CPPUNIT_ASSERT_EQUAL(std::string("hello"), ask("/call/x")->body());
+    CPPUNIT_ASSERT(listed("r1") == nullptr);
+  }
+
+  void a_rejected_entry_is_counted_until_it_is_sound() {
+    const auto sound = listed("r1")->record;
+    const std::vector<routing::rejected_entry> odd{{"x", "no zone"}};
+    gateway_->replicas().replace_all({sound}, odd);
+    gateway_->replicas().replace_all({sound}, odd);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         gateway_->replicas().rejected_entries());
+    CPPUNIT_ASSERT(listed("r1") != nullptr);
+    gateway_->replicas().replace_all({sound});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         gateway_->replicas().rejected_entries());
+  }
+
   void a_busy_engine_is_left_to_others() {
     // Other gateways tell of many requests at two of three engines.
     add_replica("r2");
