Read entries of the directory one by one

One entry with a missing field, or bytes that are no JSON, made a whole listing, list of changes, relayed copy or peer's copy unreadable, and an entry that lacked a field left its replica in use as it was known before.

A page that is no JSON is cut into its entries, and each is parsed by itself. An entry that cannot be read keeps its name where that can be read; as a replica it is rejected. Entries of replicas are read strictly: every field that a replica writes, its type and its range. Changes told again that are older than the copy of their object are passed over.

Existing tests: read_changes returns a page, so changes_are_read looks into it. text_that_is_no_listing_is_malformed held a listing with one empty item for malformed; one item may not cost the others any more, so that case moved to an_unreadable_item_leaves_the_others, and two others stand in its place.

--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -57,8 +57,6 @@
   void send(const std::string &address, const wire::Envelope &envelope);
   records::ledger_options make_ledger_options();
   void take_configuration(const objects::object &object);
-  std::optional<routing::instance_record>
-  read_instance(const objects::object &object);
   objects::object_watch::handlers configuration_handlers();
   objects::object_watch::handlers instance_handlers();
   http::page peer_page(std::string_view target);
@@ -240,20 +238,32 @@
   return {.on_listing =
               [this](const objects::listing &listed) {
                 std::vector<routing::instance_record> records;
+                std::vector<routing::rejected_entry> rejected;
                 for (const objects::object &each : listed.items) {
-                  if (auto record = read_instance(each)) {
-                    records.push_back(std::move(*record));
+                  auto read =
+                      binding_.read_instance(each.name, each.specification);
+                  if (read) {
+                    records.push_back(std::move(read).value());
+                  } else {
+                    rejected.push_back(
+                        {.name = each.name, .reason = describe(read.error())});
                   }
                 }
-                gateway_.replicas().replace_all(std::move(records));
+                gateway_.replicas().replace_all(std::move(records), rejected);
               },
           .on_change =
               [this](const objects::change &changed) {
+                const routing::instance_id id{changed.changed.name};
                 if (changed.deleted) {
-                  gateway_.replicas().remove(
-                      routing::instance_id{changed.changed.name});
-                } else if (auto record = read_instance(changed.changed)) {
-                  gateway_.replicas().put(std::move(*record));
+                  gateway_.replicas().remove(id);
+                  return;
+                }
+                auto read = binding_.read_instance(
+                    id.value(), changed.changed.specification);
+                if (read) {
+                  gateway_.replicas().put(std::move(read).value());
+                } else {
+                  gateway_.replicas().reject(id, describe(read.error()));
                 }
               }};
 }
@@ -274,20 +284,6 @@
   gateway_.apply_routes(std::move(read).value());
 }
 
-std::optional<routing::instance_record>
-gateway_process::read_instance(const objects::object &object) {
-  auto read = binding_.read_instance(object.name, object.specification);
-  if (!read) {
-    logging::line(logging::event::routes_rejected)
-        .field("object", object.name)
-        .field("revision", object.revision)
-        .field("reason", describe(read.error()))
-        .write();
-    return std::nullopt;
-  }
-  return std::move(read).value();
-}
-
 http::page gateway_process::peer_page(std::string_view target) {
   if (target == peer_contact_path) {
     return ledger_.contact().heard_lately(steady_now())
--- a/src/objects/object_cache.cpp
+++ b/src/objects/object_cache.cpp
@@ -39,6 +39,16 @@
   return true;
 }
 
+bool object_cache::is_older(const std::string &kind, const object &told) const {
+  const auto copy = kinds_.find(kind);
+  if (copy == kinds_.end()) {
+    return false;
+  }
+  const auto known = copy->second.by_name.find(told.name);
+  return known != copy->second.by_name.end() && told.revision != 0 &&
+         told.revision < known->second.revision;
+}
+
 std::optional<listing> object_cache::find(const std::string &kind) const {
   const auto found = kinds_.find(kind);
   if (found == kinds_.end()) {
@@ -63,23 +73,58 @@
                                       {"items", std::move(items)}});
 }
 
+namespace {
+
+/// @return nothing when not even the name can be read.
+std::optional<object> decode_item(const json::value &item) {
+  const json::object *fields = item.if_object();
+  const json::value *name =
+      fields != nullptr ? fields->if_contains("name") : nullptr;
+  if (name == nullptr || !name->is_string() || name->get_string().empty()) {
+    return std::nullopt;
+  }
+  object read{.name = json::value_to<std::string>(*name)};
+  const json::value *revision = fields->if_contains("revision");
+  const json::value *specification = fields->if_contains("specification");
+  boost::system::error_code ec;
+  const auto number =
+      revision != nullptr ? revision->to_number<std::uint64_t>(ec) : 0;
+  if (revision != nullptr && specification != nullptr && !ec) {
+    read.revision = number;
+    read.specification = *specification;
+  }
+  return read;
+}
+
+} // namespace
+
 store_result<listing> decode_listing(const std::string &text) {
-  try {
-    const json::value parsed = json::parse(text);
-    listing objects;
-    objects.revision = parsed.at("revision").to_number<std::uint64_t>();
-    for (const json::value &each : parsed.at("items").as_array()) {
-      objects.items.push_back(
-          {.name = json::value_to<std::string>(each.at("name")),
-           .revision = each.at("revision").to_number<std::uint64_t>(),
-           .specification = each.at("specification"),
-           .status = {},
-           .is_deleting = false});
-    }
-    return objects;
-  } catch (const std::exception &) {
+  // Some levels more than the store's reader allows for a page of its own, so
+  // that no entry that passed there makes this text unreadable.
+  constexpr std::size_t deepest = 64;
+  json::parse_options options;
+  options.max_depth = deepest;
+  boost::system::error_code ec;
+  const json::value parsed = json::parse(text, ec, {}, options);
+  const json::object *fields = ec ? nullptr : parsed.if_object();
+  const json::value *items =
+      fields != nullptr ? fields->if_contains("items") : nullptr;
+  const json::value *revision =
+      fields != nullptr ? fields->if_contains("revision") : nullptr;
+  if (items == nullptr || !items->is_array() || revision == nullptr) {
     return store_error::malformed;
   }
+  listing objects;
+  objects.revision = revision->to_number<std::uint64_t>(ec);
+  if (ec) {
+    return store_error::malformed;
+  }
+  for (const json::value &each : items->get_array()) {
+    if (auto read = decode_item(each)) {
+      objects.items.push_back(std::move(*read));
+    }
+  }
+  return objects;
 }
 
 } // namespace heathtrestle::objects
--- a/src/objects/object_cache.hpp
+++ b/src/objects/object_cache.hpp
@@ -20,6 +20,10 @@
   /// @return false when the copy is as new as they are.
   bool apply(const std::string &kind, const change_list &changes);
 
+  /// True when the copy has this object with a later revision. An object whose
+  /// revision could not be read is never older.
+  [[nodiscard]] bool is_older(const std::string &kind,
+                              const object &told) const;
   /// @return nothing when the kind was never listed.
   [[nodiscard]] std::optional<listing> find(const std::string &kind) const;
 
@@ -33,6 +37,7 @@
 
 /// A listing as this product's processes exchange it.
 std::string encode_listing(const listing &objects);
+/// An item that cannot be read is given by its name alone, or left out.
 /// @return `malformed` when the text is no such listing.
 store_result<listing> decode_listing(const std::string &text);
 
--- a/src/objects/object_follower.cpp
+++ b/src/objects/object_follower.cpp
@@ -133,7 +133,9 @@
           .field("object", each.name())
           .field("relay", relay_)
           .write();
-      return;
+      // Of this one object nothing is known any more; the others hold.
+      read =
+          change{.changed = {.name = each.name(), .revision = each.revision()}};
     }
     if (copied.whole()) {
       listed.items.push_back(std::move(read.value().changed));
--- a/src/objects/object_watch.cpp
+++ b/src/objects/object_watch.cpp
@@ -3,6 +3,7 @@
 #include "logging/log.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -191,8 +192,14 @@
   }
 }
 
-void object_watch::take(const change_list &changes) {
-  if (changes.changes.empty()) {
+void object_watch::take(const change_list &told) {
+  // A relay tells again what lies behind the revision that it last heard of.
+  change_list changes{.changes = {}, .revision = told.revision};
+  std::copy_if(told.changes.begin(), told.changes.end(),
+               std::back_inserter(changes.changes), [this](const change &each) {
+                 return !cache_.is_older(options_.kind, each.changed);
+               });
+  if (told.changes.empty()) {
     // The store's counter may be ahead of what its watch has heard of. From the
     // old revision on, what was missed is told, or that it is forgotten.
     return;
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -125,7 +125,7 @@
   /// True when the copy has every change that the listing has.
   [[nodiscard]] bool has_all_of(const listing &listed) const;
   asio::awaitable<void> pause();
-  void take(const change_list &changes);
+  void take(const change_list &told);
   void on_answer();
   void on_failure(store_error error);
 
--- a/tests/objects/object_watch_test.cpp
+++ b/tests/objects/object_watch_test.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(a_watch_that_stays_behind_a_hint_lists_anew);
   CPPUNIT_TEST(a_hint_of_what_is_known_changes_nothing);
   CPPUNIT_TEST(a_hint_between_two_calls_waits_for_the_next);
+  CPPUNIT_TEST(changes_told_again_turn_nothing_back);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -211,6 +212,25 @@
     CPPUNIT_ASSERT(seen_ == std::vector<std::string>{"listed 1"});
   }
 
+  void changes_told_again_turn_nothing_back() {
+    // A relay tells everything since the revision that it last heard of.
+    object_watch watch(io_, store_, {}, cache_, {.kind = "things"},
+                       {.on_listing = [](const listing &) {},
+                        .on_change =
+                            [this](const change &changed) {
+                              seen_.push_back((changed.deleted ? "-" : "+") +
+                                              changed.changed.name);
+                            }});
+    watch.take_listing({{named("a", 9)}, 9});
+    watch.take_changes({{{named("a", 6), false},
+                         {named("a", 7), true},
+                         {named("b", 10), false}},
+                        10},
+                       5);
+    CPPUNIT_ASSERT(seen_ == std::vector<std::string>{"+b"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cache_.find("things")->items.size());
+  }
+
   void a_hint_between_two_calls_waits_for_the_next() {
     // The call has been answered and the next one is not due yet: a listing
     // would only bring sooner, and dearer, what that call brings.
@@ -227,6 +247,8 @@
   CPPUNIT_TEST_SUITE(object_cache_test);
   CPPUNIT_TEST(a_listing_survives_its_encoding);
   CPPUNIT_TEST(text_that_is_no_listing_is_malformed);
+  CPPUNIT_TEST(an_unreadable_item_leaves_the_others);
+  CPPUNIT_TEST(a_specification_may_be_nested_deeply);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -241,11 +263,36 @@
   }
 
   void text_that_is_no_listing_is_malformed() {
-    for (const char *text : {"", "{", "[]", "{\"revision\":1}",
-                             "{\"revision\":1,\"items\":[{}]}"}) {
+    for (const char *text :
+         {"", "{", "[]", "{\"revision\":1}", "{\"revision\":1,\"items\":{}}",
+          "{\"revision\":\"x\",\"items\":[]}"}) {
       CPPUNIT_ASSERT(decode_listing(text).error() == store_error::malformed);
     }
   }
+
+  void an_unreadable_item_leaves_the_others() {
+    const auto read = decode_listing(
+        R"({"revision":9,"items":[{},{"name":7,"revision":1},{"name":"a"},
+            {"name":"b","revision":4,"specification":"b"}]})");
+    CPPUNIT_ASSERT(read);
+    const auto &items = read.value().items;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, items.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), items[0].name);
+    CPPUNIT_ASSERT(items[0].specification.is_null());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, items[1].revision);
+  }
+
+  void a_specification_may_be_nested_deeply() {
+    // What the store's reader has taken is read from a peer, too.
+    object deep = named("deep", 3);
+    for (int level = 0; level < 31; ++level) {
+      deep.specification = boost::json::array{deep.specification};
+    }
+    const auto read =
+        decode_listing(encode_listing({{deep, named("b", 4)}, 5}));
+    CPPUNIT_ASSERT(read);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.value().items.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(object_watch_test);
--- a/tests/objects/shared_copies_test.cpp
+++ b/tests/objects/shared_copies_test.cpp
@@ -195,6 +195,7 @@
   CPPUNIT_TEST(a_relay_that_is_cut_from_the_store_is_left);
   CPPUNIT_TEST(without_relays_the_gateway_watches_the_store);
   CPPUNIT_TEST(a_relay_that_lags_turns_nothing_back);
+  CPPUNIT_TEST(a_copy_that_cannot_be_read_leaves_the_others);
   CPPUNIT_TEST(a_relay_watches_only_while_it_is_followed);
   CPPUNIT_TEST(relays_next_to_each_other_lie_in_different_zones);
   CPPUNIT_TEST(a_relay_tells_how_old_its_copy_can_be);
@@ -434,6 +435,25 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, watch_->revision());
   }
 
+  void a_copy_that_cannot_be_read_leaves_the_others() {
+    start(both());
+    wait_for({"one"});
+    wire::ObjectCopies copies;
+    copies.set_from(follower_->relay());
+    wire::CopiedKind &kind = *copies.add_kinds();
+    kind.set_kind(things);
+    kind.set_since(watch_->revision());
+    kind.set_revision(watch_->revision() + 2);
+    wire::CopiedObject &damaged = *kind.add_objects();
+    damaged = to_wire(named("one", watch_->revision() + 1), false);
+    damaged.set_specification("{");
+    *kind.add_objects() = to_wire(named("two", watch_->revision() + 2), false);
+    follower_->on_copies(copies);
+    CPPUNIT_ASSERT((seen_ == std::set<std::string>{"one", "two"}));
+    const auto copy = cache_.find(things);
+    CPPUNIT_ASSERT(copy->items.at(0).specification.is_null());
+  }
+
   void a_relay_watches_only_while_it_is_followed() {
     const auto order = both();
     start({order.front()});
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -4,7 +4,14 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <random>
+#include <string_view>
+#include <utility>
+#include <vector>
+
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 
 namespace heathtrestle::platform {
 namespace {
@@ -31,6 +38,14 @@
   CPPUNIT_TEST(a_replica_is_read);
   CPPUNIT_TEST(a_listing_and_its_pages_are_read);
   CPPUNIT_TEST(changes_are_read);
+  CPPUNIT_TEST(a_replica_tells_its_start_and_how_long_it_warms_up);
+  CPPUNIT_TEST(an_entry_of_another_writer_is_no_replica);
+  CPPUNIT_TEST(an_unreadable_entry_of_a_listing_leaves_the_others);
+  CPPUNIT_TEST(an_unreadable_change_leaves_the_others);
+  CPPUNIT_TEST(bytes_that_are_no_text_leave_the_other_entries);
+  CPPUNIT_TEST(a_page_without_its_frame_is_malformed);
+  CPPUNIT_TEST(mutations_of_one_entry_leave_the_others);
+  CPPUNIT_TEST(mutations_of_one_change_leave_the_others);
   CPPUNIT_TEST(what_is_written_has_the_platforms_shape);
   CPPUNIT_TEST(forged_fields_of_the_gateway_are_known);
   CPPUNIT_TEST_SUITE_END();
@@ -41,6 +56,84 @@
     return document;
   }
 
+  /// The replica's entry with other values.
+  template <typename... Rest>
+  static json::value replica_with(const char *name, json::value value,
+                                  Rest &&...rest) {
+    json::value document;
+    if constexpr (sizeof...(rest) > 0) {
+      document = replica_with(std::forward<Rest>(rest)...);
+    } else {
+      document = json::parse(replica_document);
+    }
+    document.as_object()[name] = std::move(value);
+    return document;
+  }
+
+  static std::string entry(const std::string &name) {
+    return R"({"metadata":{"name":")" + name +
+           R"(","revision":5,"created":1,"finalizers":[],"is-deleting":false},"specification":)" +
+           replica_document + R"(,"status":null})";
+  }
+  static std::string change(const std::string &name) {
+    return R"({"deleted":false,"object":)" + entry(name) + "}";
+  }
+  static std::string joined(const std::vector<std::string> &parts) {
+    std::string all;
+    for (const std::string &each : parts) {
+      all += (all.empty() ? "" : ",") + each;
+    }
+    return all;
+  }
+  static std::string listing_of(const std::vector<std::string> &entries) {
+    return R"({"items":[)" + joined(entries) +
+           R"(],"has-more":false,"timestamp":530})";
+  }
+  static std::string changes_of(const std::vector<std::string> &changes) {
+    return R"({"events":[)" + joined(changes) + R"(],"timestamp":533})";
+  }
+
+  /// True when the page has this entry as it was written.
+  static bool holds(const listing_page &page, const std::string &name) {
+    const auto &items = page.objects.items;
+    return std::any_of(items.begin(), items.end(), [&](const auto &each) {
+      return each.name == name && each.revision == 5 &&
+             each.specification == json::parse(replica_document);
+    });
+  }
+
+  /// Some bytes changed, added, or cut off.
+  static std::string mutated(std::string text, std::minstd_rand &random) {
+    constexpr std::string_view telling = "{}[]\",:\\\xff 1e";
+    const std::size_t count = 1 + random() % 4;
+    for (std::size_t n = 0; n < count && !text.empty(); ++n) {
+      const std::size_t at = random() % text.size();
+      const char byte = random() % 2 == 0 ? telling[random() % telling.size()]
+                                          : static_cast<char>(random() % 256);
+      switch (random() % 4) {
+      case 0:
+        text[at] = byte;
+        break;
+      case 1:
+        text.insert(at, 1, byte);
+        break;
+      case 2:
+        text.erase(at, 1 + random() % 8);
+        break;
+      default:
+        text.resize(at);
+        break;
+      }
+    }
+    return text;
+  }
+
+  /// Too unlike for a mutation to turn one into another.
+  inline static const std::vector<std::string> names{"amber", "birch", "cedar",
+                                                     "doves", "elder"};
+  static constexpr int mutations = 4000;
+  static constexpr std::uint32_t mutation_seed = 20;
+
 public:
   void tenants_are_read() {
     const auto read = read_configuration(with_tenants(
@@ -139,11 +232,187 @@
     const auto changes = read_changes(json::parse(
         R"({"events":[{"deleted":true,"object":{"metadata":{"name":"i-1","revision":6},"specification":null,"status":null}}],"timestamp":533})"));
     CPPUNIT_ASSERT(changes);
-    CPPUNIT_ASSERT(changes.value().changes.at(0).deleted);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{533}, changes.value().revision);
+    CPPUNIT_ASSERT(changes.value().changes.changes.at(0).deleted);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{533}, changes.value().changes.revision);
     CPPUNIT_ASSERT(!read_changes(json::parse(R"({"events":[]})")));
   }
 
+  void a_replica_tells_its_start_and_how_long_it_warms_up() {
+    const auto read = read_instance(
+        "i", replica_with("born", 1764720000123, "cold-remaining-ms", 2500.5));
+    CPPUNIT_ASSERT(read);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1764720000123}, read.value().born_ms);
+    CPPUNIT_ASSERT(read.value().cold_for == duration_ms{2501});
+    const auto untold = read_instance("i", json::parse(replica_document));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, untold.value().born_ms);
+  }
+
+  void an_entry_of_another_writer_is_no_replica() {
+    for (const char *name : {"service", "address", "zone", "version", "slots",
+                             "state", "cold-remaining-ms", "sequence"}) {
+      json::value lacking = json::parse(replica_document);
+      lacking.as_object().erase(name);
+      CPPUNIT_ASSERT_MESSAGE(name, !read_instance("i", lacking));
+      for (const char *other : {"null", "[]", "{}", "true", "-1", "\"\""}) {
+        CPPUNIT_ASSERT_MESSAGE(
+            std::string(name) + other,
+            !read_instance("i", replica_with(name, json::parse(other))));
+      }
+    }
+    const std::vector<std::pair<const char *, json::value>> odd{
+        {"state", "sleeping"},
+        {"address", "10.0.0.9"},
+        {"address", "host:80"},
+        {"address", "10.0.0.9:0"},
+        {"slots", 0},
+        {"slots", 1e12},
+        {"slots", 2.5},
+        {"cold-remaining-ms", 1e300},
+        {"born", 17.5},
+        {"born", "1764720000123"},
+        {"born", 0},
+        {"born", -5},
+        {"born", 1e18},
+        {"born", nullptr}};
+    for (const auto &[name, value] : odd) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(name) + json::serialize(value),
+                             !read_instance("i", replica_with(name, value)));
+    }
+    for (const char *whole : {"null", "3", "\"text\"", "[]", "{}"}) {
+      CPPUNIT_ASSERT(!read_instance("i", json::parse(whole)));
+    }
+    CPPUNIT_ASSERT(read_instance("i", replica_with("service", "unheard-of")));
+  }
+
+  void an_unreadable_entry_of_a_listing_leaves_the_others() {
+    for (const char *odd :
+         {"7", "null", "[]", "{}", R"({"metadata":3})",
+          R"({"metadata":{"revision":9}})", R"({"metadata":{"name":7}})"}) {
+      const auto page = parse_listing(listing_of({entry("ash"), odd}));
+      CPPUNIT_ASSERT_MESSAGE(odd, page);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page.value().objects.items.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page.value().unnamed);
+    }
+    for (const char *odd :
+         {R"({"metadata":{"name":"oak"}})",
+          R"({"metadata":{"name":"oak","revision":"x"},"specification":1})",
+          R"({"metadata":{"name":"oak","revision":2.5},"specification":1})",
+          R"({"metadata":{"name":"oak","revision":-2},"specification":1})"}) {
+      const auto page = parse_listing(listing_of({odd, entry("ash")}));
+      CPPUNIT_ASSERT_MESSAGE(odd, page);
+      const auto &items = page.value().objects.items;
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, items.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("oak"), items[0].name);
+      CPPUNIT_ASSERT(items[0].specification.is_null());
+      CPPUNIT_ASSERT(!items[1].specification.is_null());
+    }
+  }
+
+  void an_unreadable_change_leaves_the_others() {
+    for (const char *odd : {"7", "{}", R"({"deleted":true})",
+                            R"({"object":{"metadata":{"revision":9}}})"}) {
+      const auto read = parse_changes(changes_of({odd, change("ash")}));
+      CPPUNIT_ASSERT_MESSAGE(odd, read);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read.value().changes.changes.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read.value().unnamed);
+    }
+    const auto named = parse_changes(
+        changes_of({R"({"deleted":false,"object":{"metadata":{"name":"oak"}}})",
+                    change("ash")}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, named.value().unnamed);
+    CPPUNIT_ASSERT_EQUAL(std::string("oak"),
+                         named.value().changes.changes.at(0).changed.name);
+  }
+
+  void bytes_that_are_no_text_leave_the_other_entries() {
+    const std::string deep = std::string(60, '[') + std::string(60, ']');
+    const std::string fields = R"({"metadata":{"name":"oak","revision":5},)";
+    const std::vector<std::string> named{
+        fields + "\"specification\":\"\xff\xfe\"}",
+        fields + "\"specification\":{\"\xc3\":1}}",
+        fields + "\"specification\":" + deep + "}"};
+    for (const std::string &odd : named) {
+      const auto page =
+          parse_listing(listing_of({entry("ash"), odd, entry("elm")}));
+      CPPUNIT_ASSERT_MESSAGE(odd, page);
+      const auto &items = page.value().objects.items;
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, items.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("oak"), items[1].name);
+      CPPUNIT_ASSERT(items[1].specification.is_null());
+      CPPUNIT_ASSERT(!items[2].specification.is_null());
+    }
+    const std::vector<std::string> unnamed{
+        fields + R"("specification":{"service":"a)", // broken off
+        fields + R"("specification":{"a":1})",
+        fields,
+        "{",
+        "\"",
+        fields + "\"specification\":\x01}",
+        fields + R"("specification":1}})",
+        "{\"metadata\":{\"name\":\"\xff\",\"revision\":5}}"};
+    for (const std::string &odd : unnamed) {
+      const auto page =
+          parse_listing(listing_of({entry("ash"), odd, entry("elm")}));
+      CPPUNIT_ASSERT_MESSAGE(odd, page);
+      CPPUNIT_ASSERT_MESSAGE(odd, holds(page.value(), "ash"));
+      CPPUNIT_ASSERT_MESSAGE(odd, holds(page.value(), "elm"));
+      CPPUNIT_ASSERT_MESSAGE(odd, page.value().unnamed > 0);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{530}, page.value().objects.revision);
+    }
+  }
+
+  void a_page_without_its_frame_is_malformed() {
+    for (const char *text :
+         {"", "{", "[]", "{\"items\":[}", "{\"items\":[],\"timestamp\":",
+          "{\"items\":{},\"timestamp\":4}", "\xff"}) {
+      CPPUNIT_ASSERT_MESSAGE(text, !parse_listing(text));
+      CPPUNIT_ASSERT_MESSAGE(text, !parse_changes(text));
+    }
+  }
+
+  void mutations_of_one_entry_leave_the_others() {
+    std::vector<std::string> entries;
+    for (const std::string &name : names) {
+      entries.push_back(entry(name));
+    }
+    std::minstd_rand random(mutation_seed);
+    for (int round = 0; round < mutations; ++round) {
+      const std::size_t victim = random() % entries.size();
+      std::vector<std::string> damaged = entries;
+      damaged[victim] = mutated(damaged[victim], random);
+      const auto page = parse_listing(listing_of(damaged));
+      CPPUNIT_ASSERT_MESSAGE(damaged[victim], page);
+      for (const std::string &name : names) {
+        CPPUNIT_ASSERT_MESSAGE(name + " beside " + damaged[victim],
+                               name == names[victim] ||
+                                   holds(page.value(), name));
+      }
+    }
+  }
+
+  void mutations_of_one_change_leave_the_others() {
+    std::vector<std::string> changes;
+    for (const std::string &name : names) {
+      changes.push_back(change(name));
+    }
+    std::minstd_rand random(mutation_seed);
+    for (int round = 0; round < mutations; ++round) {
+      const std::size_t victim = random() % changes.size();
+      std::vector<std::string> damaged = changes;
+      damaged[victim] = mutated(damaged[victim], random);
+      const auto read = parse_changes(changes_of(damaged));
+      CPPUNIT_ASSERT_MESSAGE(damaged[victim], read);
+      listing_page page;
+      for (const objects::change &each : read.value().changes.changes) {
+        page.objects.items.push_back(each.changed);
+      }
+      for (const std::string &name : names) {
+        CPPUNIT_ASSERT_MESSAGE(name + " beside " + damaged[victim],
+                               name == names[victim] || holds(page, name));
+      }
+    }
+  }
+
   void what_is_written_has_the_platforms_shape() {
     const json::value written =
         write_object("leader", 412, json::value("mine"), json::value());
