--- a/src/forwarding/upstream_pool.cpp
+++ b/src/forwarding/upstream_pool.cpp
@@ -32,7 +32,7 @@
 upstream_pool::acquire(const routing::instance_record &target) {
   const routing::incarnation start = target.start();
   if (connection_ptr idle = take_idle(start)) {
-    co_return track(start, std::move(idle));
+    co_return track(start, idle);
   }
   const auto address = http::parse_address(target.address);
   if (!address) {
