Zones that the operator drains get nothing more

Relays watch the requests beside the configuration and the replicas and confirm their list six times within the limit; gateways follow, with hints by the record group's answers, only where timing.zone_drain_ms is set. Each request is checked at the choice and in the instant before it is sent. A gateway that has just started is not ready and sends nothing until it has heard the list; one that is cut off goes by what it heard last. Turns of programs leave a drained zone one program after the other, timed from when the zone was last certainly not drained; all else leaves at once. What no zone may serve is refused with Retry-After 0.5 s.

--- a/src/forwarding/attempt_plan.cpp
+++ b/src/forwarding/attempt_plan.cpp
@@ -80,7 +80,8 @@
     return {.status = bad_gateway, .retry_after = {}, .reason = reason};
   }
   return {.status = unavailable,
-          .retry_after = limits_.come_back_after,
+          .retry_after =
+              barred_.empty() ? limits_.come_back_after : limits_.barred_retry,
           .reason = reason};
 }
 
--- a/src/forwarding/attempt_plan.hpp
+++ b/src/forwarding/attempt_plan.hpp
@@ -56,6 +56,10 @@
   duration_ms first_pause{4};
   duration_ms longest_pause{50};
   duration_ms come_back_after{150};
+  /// When to come back with a request that no replica may serve: what bars it
+  /// lasts for seconds at the least, and clients pass over a time that is much
+  /// of what they have left.
+  duration_ms barred_retry{500};
 };
 
 class attempt_plan {
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -85,12 +85,13 @@
   /// What they asked of the others.
   void take_tenant_usage(const wire::TenantUsage &others);
 
-  /// True once routes and replicas are known, until the drain begins, and while
+  /// True once routes, replicas and the zones that are drained are known, until
+  /// this gateway's own drain begins, and while
   /// this gateway is not the only one that cannot serve turns.
   [[nodiscard]] bool ready() const {
     return !draining_ && routes_ != nullptr &&
-           replicas_.directory().size() > 0 && !ledger_.cut_off() &&
-           keys_hold();
+           replicas_.directory().size() > 0 && replicas_.drains().known() &&
+           !ledger_.cut_off() && keys_hold();
   }
   /// False while the configuration is too old to tell whose a key is.
   [[nodiscard]] bool keys_hold() const {
--- a/src/forwarding/gateway_metrics.cpp
+++ b/src/forwarding/gateway_metrics.cpp
@@ -44,6 +44,24 @@
               .Help("Time since the configuration was current for certain")
               .Register(*registry_)
               .Add({})),
+      drained_zones_(prometheus::BuildGauge()
+                         .Name("heathtrestle_gateway_drained_zones")
+                         .Help("Zones whose replicas get nothing new")
+                         .Register(*registry_)
+                         .Add({})),
+      drained_zone_requests_(
+          prometheus::BuildGauge()
+              .Name("heathtrestle_gateway_drained_zone_requests")
+              .Help("Requests still at the replicas of drained zones")
+              .Register(*registry_)
+              .Add({})),
+      zone_drains_age_(
+          prometheus::BuildGauge()
+              .Name("heathtrestle_gateway_zone_drains_age_seconds")
+              .Help("Time since the list of drained zones was current for "
+                    "certain")
+              .Register(*registry_)
+              .Add({})),
       open_requests_(prometheus::BuildGauge()
                          .Name("heathtrestle_gateway_open_requests")
                          .Help("Requests being served")
@@ -94,6 +112,13 @@
   configuration_age_.Set(seconds);
 }
 
+void gateway_metrics::set_zone_drains(std::size_t zones, std::uint32_t requests,
+                                      double age_seconds) {
+  drained_zones_.Set(static_cast<double>(zones));
+  drained_zone_requests_.Set(requests);
+  zone_drains_age_.Set(age_seconds);
+}
+
 void gateway_metrics::set_open_requests(double count) {
   open_requests_.Set(count);
 }
--- a/src/forwarding/gateway_metrics.hpp
+++ b/src/forwarding/gateway_metrics.hpp
@@ -30,6 +30,11 @@
   void on_refused(const std::string &cause);
   /// Seconds since the configuration was current for certain; -1 for never.
   void set_configuration_age(double seconds);
+  /// @param requests at the replicas of the drained zones.
+  /// @param age_seconds how old the list of drained zones can be; -1 for
+  /// unknown.
+  void set_zone_drains(std::size_t zones, std::uint32_t requests,
+                       double age_seconds);
   void set_open_requests(double count);
   void set_configuration_version(double version);
   /// Gateways that tell their load, this one included.
@@ -50,6 +55,9 @@
   prometheus::Family<prometheus::Histogram> &verdicts_;
   prometheus::Family<prometheus::Counter> &refused_;
   prometheus::Gauge &configuration_age_;
+  prometheus::Gauge &drained_zones_;
+  prometheus::Gauge &drained_zone_requests_;
+  prometheus::Gauge &zone_drains_age_;
   prometheus::Gauge &open_requests_;
   prometheus::Gauge &configuration_version_;
   prometheus::Gauge &sharing_gateways_;
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/gateway_process.hpp"
 
 #include "forwarding/client_session.hpp"
+#include "forwarding/drain_monitor.hpp"
 #include "forwarding/gateway.hpp"
 #include "forwarding/peer_contacts.hpp"
 #include "http/status_server.hpp"
@@ -85,8 +86,11 @@
   std::unique_ptr<rpc::transport> transport_;
   records::partitioned_ledger ledger_;
   gateway gateway_;
+  drain_monitor drain_monitor_;
   std::optional<objects::object_watch> configuration_watch_;
   std::optional<objects::object_watch> instance_watch_;
+  /// Only where zones are drained.
+  std::optional<objects::object_watch> drain_watch_;
   objects::object_follower follower_;
   std::optional<tcp::acceptor> acceptor_;
   std::optional<runtime::process_signals> signals_;
@@ -112,8 +116,8 @@
   options.name = settings.name;
   options.headers = binding.headers;
   options.selection = {.places = places,
-                       .policies =
-                           policies_without(settings.disabled_policies)};
+                       .policies = policies_without(settings.disabled_policies),
+                       .zone_drain = settings.zone_drain};
   const auto window = std::chrono::duration_cast<duration_ms>(
       std::chrono::duration<double>(settings.quota_window_seconds));
   options.tenants = {
@@ -137,6 +141,7 @@
             send(address, envelope);
           }),
       gateway_(io, options_from(settings_, places, binding), ledger_),
+      drain_monitor_(gateway_.replicas(), gateway_.metrics()),
       follower_(
           io,
           {.address = advertised_rpc(settings_),
@@ -169,6 +174,17 @@
       instance_handlers());
   follower_.add(binding.configuration_kind, *configuration_watch_);
   follower_.add(binding.instance_kind, *instance_watch_);
+  if (settings_.zone_drain.count() > 0) {
+    drain_watch_.emplace(
+        io, *binding.store, sources_, cache_,
+        objects::watch_options{
+            .kind = binding.zone_drain_kind,
+            .wanted = not_relayed,
+            .confirm_interval =
+                2 * objects::drain_confirm_interval(settings_.zone_drain)},
+        drain_monitor_.handlers());
+    follower_.add(binding.zone_drain_kind, *drain_watch_);
+  }
 }
 
 std::vector<objects::relay_address> gateway_process::relays() const {
@@ -200,6 +216,9 @@
     wire::SeenRevisions seen;
     seen.set_configuration(configuration_watch_->newest_change());
     seen.set_instances(instance_watch_->newest_change());
+    if (drain_watch_) {
+      seen.set_zone_drains(drain_watch_->newest_change());
+    }
     return seen;
   };
   options.loads = [this] { return gateway_.replicas().engine_loads(); };
@@ -214,6 +233,9 @@
   options.on_seen = [this](const wire::SeenRevisions &seen) {
     configuration_watch_->hint(seen.configuration());
     instance_watch_->hint(seen.instances());
+    if (drain_watch_) {
+      drain_watch_->hint(seen.zone_drains());
+    }
   };
   return options;
 }
@@ -338,6 +360,7 @@
   BOOST_OUTCOME_TRY(http::serve_pages(
       io_, settings_.metrics_address, [this](std::string_view target) {
         gateway_.refresh_metrics();
+        drain_monitor_.refresh_metrics(steady_now());
         return target == "/metrics"
                    ? http::page{.body = gateway_.metrics().text()}
                    : http::page{.status = status_not_found, .body = {}};
@@ -348,6 +371,11 @@
     asio::co_spawn(io_, watch->follow_hints(), asio::detached);
   }
   asio::co_spawn(io_, configuration_watch_->confirm(), asio::detached);
+  if (drain_watch_) {
+    asio::co_spawn(io_, drain_watch_->run(), asio::detached);
+    asio::co_spawn(io_, drain_watch_->follow_hints(), asio::detached);
+    asio::co_spawn(io_, drain_watch_->confirm(), asio::detached);
+  }
   asio::co_spawn(io_, follower_.run(), asio::detached);
   asio::co_spawn(io_, find_record_group(), asio::detached);
   asio::co_spawn(io_, watch_contact(), asio::detached);
@@ -366,6 +394,7 @@
     timer.expires_after(housekeeping_interval);
     co_await timer.async_wait(as_result);
     gateway_.pool().close_expired(steady_now());
+    drain_monitor_.check(steady_now());
   }
 }
 
--- a/src/forwarding/gateway_process.hpp
+++ b/src/forwarding/gateway_process.hpp
@@ -27,6 +27,8 @@
   std::string configuration_name;
   /// Kind of the objects by which replicas register.
   std::string instance_kind;
+  /// Kind of the operator's requests to drain a zone, named after the zone.
+  std::string zone_drain_kind;
   std::function<result<routing::configuration>(const boost::json::value &)>
       read_configuration;
   std::function<result<routing::instance_record>(const std::string &name,
--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -9,6 +9,7 @@
                        gateway_settings &settings) {
   constexpr double longest_grace = 600;
   constexpr std::uint64_t longest_drain_notice = 60000;
+  constexpr std::uint64_t longest_zone_drain = 600000;
   constexpr std::uint64_t most_lines = 100000;
   constexpr std::uint64_t longest_revocation = 600000;
   constexpr double shortest_window = 0.1;
@@ -46,6 +47,11 @@
                       longest_drain_notice,
                       "milliseconds for which a replica may get new work after "
                       "its leaving was recorded");
+  schema.milliseconds("timing.zone_drain_ms", settings.zone_drain, 0,
+                      longest_zone_drain,
+                      "milliseconds from the operator's request to drain a "
+                      "zone until its replicas get nothing more; 0 where "
+                      "zones are not drained");
   schema.milliseconds("tenants.key_revocation_ms", settings.key_revocation, 0,
                       longest_revocation,
                       "milliseconds within which a key that was taken away "
--- a/src/forwarding/gateway_settings.hpp
+++ b/src/forwarding/gateway_settings.hpp
@@ -30,6 +30,9 @@
   double grace_seconds = 8;
   /// For so long after a replica's leaving was recorded it may get new work.
   std::chrono::milliseconds drain_notice{1500};
+  /// Time from the operator's request to drain a zone until its replicas get
+  /// nothing more; zero where zones are not drained.
+  std::chrono::milliseconds zone_drain{0};
   /// Time within which a key that was taken away must stop working everywhere;
   /// zero when that is not promised.
   std::chrono::milliseconds key_revocation{0};
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -41,6 +41,17 @@
   return common;
 }
 
+/// Turns of a program leave a drained zone together, so that its prompt is read
+/// again once. Requests without a prompt leave nothing behind there, and go
+/// elsewhere at once.
+routing::traffic_place place_of(const client_request &request, timestamp now) {
+  const bool leaves_prompt =
+      !request.prompt.empty() && !request.program.empty();
+  return {.draw = leaves_prompt ? std::optional(stable_hash(request.program))
+                                : std::nullopt,
+          .now = now};
+}
+
 } // namespace
 
 void replica_selector::apply(
@@ -167,9 +178,13 @@
   std::vector<routing::instance_ptr> fitting;
   std::vector<balance::candidate> candidates;
   std::vector<routing::exclusion> exclusions;
+  const bool first_attempt = step.only.empty() && step.excluded.empty();
+  const routing::traffic_place place =
+      first_attempt ? place_of(request, now) : routing::traffic_place{};
   for (const routing::instance_ptr &each : directory_.of(service)) {
     const routing::instance_id &id = each->record.id;
-    exclusions.push_back(exclusion_of(*each, home));
+    exclusions.push_back(
+        routing::exclusion_of(*each, home, options_.places, drains_, place));
     const bool eligible = exclusions.back() == routing::exclusion::none;
     const bool wanted = step.only.empty() || step.only.contains(id);
     if (!eligible || !wanted || step.excluded.contains(id)) {
@@ -195,8 +210,18 @@
 
 routing::exclusion
 replica_selector::exclusion_of(const routing::instance &target,
+                               const client_request &request,
                                const routing::residency &home) const {
-  return routing::exclusion_of(target, home, options_.places, drains_);
+  return routing::exclusion_of(target, home, options_.places, drains_,
+                               place_of(request, steady_now()));
+}
+
+std::uint32_t replica_selector::running_in(const std::string &zone) const {
+  std::uint32_t running = 0;
+  for (const auto &[id, each] : directory_.all()) {
+    running += each->record.zone == zone ? each->in_flight : 0;
+  }
+  return running;
 }
 
 void replica_selector::learn_place(
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -34,6 +34,9 @@
   balance::plain_choice_options plain_choice;
   /// How long a replica that could not be reached is avoided.
   duration_ms avoid_for{1000};
+  /// Time from the operator's request to drain a zone until its replicas get
+  /// nothing more; zero where zones are not drained.
+  duration_ms zone_drain{0};
 };
 
 /// The replica that a request goes to, and what was known of it then.
@@ -53,7 +56,8 @@
 public:
   /// @param pool whose idle connections are preferred; outlives the selector.
   replica_selector(selector_options options, upstream_pool &pool)
-      : options_(std::move(options)), pool_(pool) {}
+      : options_(std::move(options)), pool_(pool),
+        drains_(options_.zone_drain) {}
 
   /// Takes in a configuration.
   void apply(std::shared_ptr<const routing::route_table> routes);
@@ -66,6 +70,9 @@
   }
   /// The zones that get nothing new.
   [[nodiscard]] routing::zone_drains &drains() { return drains_; }
+  [[nodiscard]] const routing::zone_drains &drains() const { return drains_; }
+  /// Requests of this gateway at the replicas of a zone.
+  [[nodiscard]] std::uint32_t running_in(const std::string &zone) const;
   [[nodiscard]] const routing::topology &places() const {
     return options_.places;
   }
@@ -79,7 +86,7 @@
   /// Asked again in the instant before a request is sent to a replica that was
   /// chosen earlier.
   [[nodiscard]] routing::exclusion
-  exclusion_of(const routing::instance &target,
+  exclusion_of(const routing::instance &target, const client_request &request,
                const routing::residency &home) const;
 
   /// An engine of `service` keeps the beginning of a prompt, as the record of
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -388,7 +388,7 @@
     last_failure_ = "its time was up before it was sent";
     return false;
   }
-  const auto cause = gateway_.replicas().exclusion_of(target, home());
+  const auto cause = gateway_.replicas().exclusion_of(target, request_, home());
   if (cause != routing::exclusion::none) {
     last_failure_ = name_of(cause);
     return false;
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -60,6 +60,15 @@
   return key_revocation / answers_in_revocation;
 }
 
+/// How often the list of drained zones is confirmed. A relay that cannot is
+/// left after three intervals, and another relay or the store itself is asked
+/// then: with 1.5 s for that, a drain is known in time where the store says
+/// nothing to one relay but answers the others.
+constexpr duration_ms drain_confirm_interval(duration_ms zone_drain) {
+  constexpr std::int64_t answers_in_drain = 6;
+  return zone_drain / answers_in_drain;
+}
+
 class object_watch {
 public:
   /// Both are called after the cache has taken the objects in.
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -247,6 +247,7 @@
   seen_.set_configuration(
       std::max(seen_.configuration(), told.configuration()));
   seen_.set_instances(std::max(seen_.instances(), told.instances()));
+  seen_.set_zone_drains(std::max(seen_.zone_drains(), told.zone_drains()));
   if (!log_->is_leader()) {
     refuse(request, now);
     return;
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -107,12 +107,32 @@
   objects::object_watch watch_;
 };
 
+/// What is watched for the gateways that follow this node.
+std::vector<objects::watch_options>
+relayed_kinds(const store_settings &settings, const store_binding &binding) {
+  std::vector<objects::watch_options> watches{
+      {.kind = binding.configuration_kind,
+       .wait = relay_wait,
+       .confirm_interval = objects::confirm_interval(settings.key_revocation)},
+      {.kind = binding.instance_kind,
+       .wait = relay_wait,
+       .least_interval = objects::instance_interval(settings.drain_notice)}};
+  if (settings.zone_drain.count() > 0) {
+    watches.push_back({.kind = binding.zone_drain_kind,
+                       .wait = relay_wait,
+                       .confirm_interval = objects::drain_confirm_interval(
+                           settings.zone_drain)});
+  }
+  return watches;
+}
+
 } // namespace
 
 void describe_settings(config::settings_schema &schema,
                        store_settings &settings) {
   constexpr std::uint64_t most_lines = 100000;
   constexpr std::uint64_t longest_drain_notice = 60000;
+  constexpr std::uint64_t longest_zone_drain = 600000;
   constexpr std::uint64_t longest_revocation = 600000;
   schema.text("node.name", settings.name,
               "name of this process, unique among the storage nodes", true);
@@ -144,6 +164,12 @@
                       longest_drain_notice,
                       "milliseconds for which a replica may get new work after "
                       "its leaving was recorded");
+  schema.milliseconds("timing.zone_drain_ms", settings.zone_drain, 0,
+                      longest_zone_drain,
+                      "milliseconds from the operator's request to drain a "
+                      "zone until its replicas get nothing more; the zones "
+                      "that are drained are watched for gateways; 0 for not "
+                      "at all");
   schema.milliseconds("tenants.key_revocation_ms", settings.key_revocation, 0,
                       longest_revocation,
                       "milliseconds within which a key that was taken away "
@@ -214,12 +240,7 @@
   asio::co_spawn(io, directory.run(), asio::detached);
   objects::object_relay relay(
       io, *binding.store, runtime.self().address(),
-      {{.kind = binding.configuration_kind,
-        .wait = relay_wait,
-        .confirm_interval = objects::confirm_interval(settings.key_revocation)},
-       {.kind = binding.instance_kind,
-        .wait = relay_wait,
-        .least_interval = objects::instance_interval(settings.drain_notice)}},
+      relayed_kinds(settings, binding),
       [&runtime](const std::string &address, const wire::Envelope &envelope) {
         runtime.send_to(address, envelope);
       });
--- a/src/records/store_process.hpp
+++ b/src/records/store_process.hpp
@@ -32,6 +32,9 @@
   std::uint64_t store_writes_per_second = 0;
   /// How long a replica may get new work after its leaving was recorded.
   duration_ms drain_notice{1500};
+  /// Time from the operator's request to drain a zone until its replicas get
+  /// nothing more; zero where zones are not drained.
+  duration_ms zone_drain{0};
   /// Time within which a key that was taken away must stop working everywhere;
   /// zero when that is not promised.
   duration_ms key_revocation{0};
@@ -48,9 +51,10 @@
   /// Kind of the operator's requests to empty a machine, named after its node.
   std::string retirement_kind;
   /// Kinds of the objects that gateways follow through this node: the
-  /// operator's configuration, and the replicas.
+  /// operator's configuration, the replicas, and the zones that are drained.
   std::string configuration_kind;
   std::string instance_kind;
+  std::string zone_drain_kind;
   /// The status that tells how far such a request has come.
   std::function<boost::json::value(bool completed)> retirement_status;
 };
--- a/src/routing/eligibility.cpp
+++ b/src/routing/eligibility.cpp
@@ -10,6 +10,8 @@
     return "leaving";
   case exclusion::zone_drained:
     return "zone_drained";
+  case exclusion::drains_unknown:
+    return "drains_unknown";
   case exclusion::outside_home:
     return "outside_home";
   case exclusion::warming_up:
@@ -19,11 +21,15 @@
 }
 
 exclusion exclusion_of(const instance &target, const residency &home,
-                       const topology &places, const zone_drains &drains) {
+                       const topology &places, const zone_drains &drains,
+                       const traffic_place &place) {
   if (!target.accepts_work()) {
     return exclusion::leaving;
   }
-  if (drains.drained(target.record.zone)) {
+  if (!drains.known()) {
+    return exclusion::drains_unknown;
+  }
+  if (drains.bars(target.record.zone, place)) {
     return exclusion::zone_drained;
   }
   const bool inside =
--- a/src/routing/eligibility.hpp
+++ b/src/routing/eligibility.hpp
@@ -21,6 +21,8 @@
   leaving,
   /// Its zone is drained.
   zone_drained,
+  /// This process has not heard yet which zones are drained.
+  drains_unknown,
   /// It lies outside the home regions of the request.
   outside_home,
   /// It has just started and has had all that it bears for now.
@@ -31,7 +33,10 @@
 
 /// @return the first cause against it that lasts; `warming_up` passes by itself
 /// and is decided elsewhere (`balance::slow_start`).
+/// @param place of the request in the traffic of a zone that is being drained;
+/// by default it has none, and a drained zone is closed to it.
 exclusion exclusion_of(const instance &target, const residency &home,
-                       const topology &places, const zone_drains &drains);
+                       const topology &places, const zone_drains &drains,
+                       const traffic_place &place = {});
 
 } // namespace heathtrestle::routing
