Gateways ask for no proof of drains themselves; places in traffic only where zones are drained

While it is away no relay is current, and each gateway asked it for the list several times a second only to prove its age: taken to be the cause, not traced, and not measured after this change. Relays go on proving; a gateway on its own notices a lost answer by half of the time limit. A request's place in the traffic is worked out only while a zone is drained.

--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -179,9 +179,10 @@
         io, *binding.store, sources_, cache_,
         objects::watch_options{
             .kind = binding.zone_drain_kind,
-            .wanted = not_relayed,
-            .confirm_interval =
-                2 * objects::drain_confirm_interval(settings_.zone_drain)},
+            // An answer that is lost is noticed within the limit. More proof
+            // is not asked for: while the store is away every gateway would.
+            .wait = settings_.zone_drain / 2,
+            .wanted = not_relayed},
         drain_monitor_.handlers());
     follower_.add(binding.zone_drain_kind, *drain_watch_);
   }
@@ -374,7 +375,6 @@
   if (drain_watch_) {
     asio::co_spawn(io_, drain_watch_->run(), asio::detached);
     asio::co_spawn(io_, drain_watch_->follow_hints(), asio::detached);
-    asio::co_spawn(io_, drain_watch_->confirm(), asio::detached);
   }
   asio::co_spawn(io_, follower_.run(), asio::detached);
   asio::co_spawn(io_, find_record_group(), asio::detached);
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -44,9 +44,11 @@
 /// Turns of a program leave a drained zone together, so that its prompt is read
 /// again once. Requests without a prompt leave nothing behind there, and go
 /// elsewhere at once.
-routing::traffic_place place_of(const client_request &request, timestamp now) {
-  const bool leaves_prompt =
-      !request.prompt.empty() && !request.program.empty();
+routing::traffic_place place_of(const client_request &request,
+                                const routing::zone_drains &drains,
+                                timestamp now) {
+  const bool leaves_prompt = !drains.all().empty() && !request.prompt.empty() &&
+                             !request.program.empty();
   return {.draw = leaves_prompt ? std::optional(stable_hash(request.program))
                                 : std::nullopt,
           .now = now};
@@ -179,8 +181,9 @@
   std::vector<balance::candidate> candidates;
   std::vector<routing::exclusion> exclusions;
   const bool first_attempt = step.only.empty() && step.excluded.empty();
-  const routing::traffic_place place =
-      first_attempt ? place_of(request, now) : routing::traffic_place{};
+  const routing::traffic_place place = first_attempt
+                                           ? place_of(request, drains_, now)
+                                           : routing::traffic_place{};
   for (const routing::instance_ptr &each : directory_.of(service)) {
     const routing::instance_id &id = each->record.id;
     exclusions.push_back(
@@ -213,7 +216,7 @@
                                const client_request &request,
                                const routing::residency &home) const {
   return routing::exclusion_of(target, home, options_.places, drains_,
-                               place_of(request, steady_now()));
+                               place_of(request, drains_, steady_now()));
 }
 
 std::uint32_t replica_selector::running_in(const std::string &zone) const {
--- a/src/routing/zone_drains.cpp
+++ b/src/routing/zone_drains.cpp
@@ -14,6 +14,7 @@
   const bool again =
       returned != taken_back_.end() && now < returned->second + limit_;
   const std::optional<timestamp> undrained = again ? std::nullopt : confirmed_;
+  taken_back_.erase(zone);
   drains_[zone] = {.heard = now, .shift = plan_shift(undrained, now, limit_)};
   return true;
 }
