Callers of a partition that serves nobody are refused at once

Cause: a gateway knew one state of contact for all partitions. While one of them had no majority, each of its callers was held until its patience ended, and came back after 0.3 s.

Change: a gateway counts a partition as unserved once no leader has answered for 1.5 s (partition_contact, a module without clock or calls): those who wait and those who come are refused at once, with a Retry-After as long as the outage has lasted, 0.5 to 2 s. A probe each 250 ms finds the return; a node that is named as leader is asked next. A leader out of touch with its majority no longer answers probes as a leader. Events 1111 and 1112.

Tests: partition_contact_test; two cases of ledger_client_test, seen failing with the check switched off (held to the end, no Retry-After). The storage nodes don't say yet that a majority is gone.

--- a/src/forwarding/program_turn.hpp
+++ b/src/forwarding/program_turn.hpp
@@ -29,6 +29,10 @@
   /// tries whose end is not recorded yet, may still give back what they hold.
   [[nodiscard]] bool budget_is_tied_up() const;
 
+  /// When a turn that the record group does not serve had better come back;
+  /// zero where nothing is known.
+  [[nodiscard]] duration_ms retry_after() const { return grant_.retry_after; }
+
   [[nodiscard]] bool granted() const { return granted_; }
   /// The epoch before the grant.
   [[nodiscard]] timestamp granted_at() const { return granted_at_; }
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -280,7 +280,8 @@
     co_await answer(status_unavailable, elsewhere_retry,
                     "this gateway is cut off from the record group");
   } else {
-    co_await answer(status_unavailable, ledger_retry,
+    co_await answer(status_unavailable,
+                    std::max(ledger_retry, turn_->retry_after()),
                     "record group unavailable");
   }
   co_return false;
--- a/src/logging/event_catalogue.hpp
+++ b/src/logging/event_catalogue.hpp
@@ -77,6 +77,8 @@
   record_storage_failed = 1108,
   retirement_progress = 1109,
   record_turns_missing = 1110,
+  partition_unserved = 1111,
+  partition_served = 1112,
 };
 
 struct event_row {
@@ -178,6 +180,9 @@
               severity::info},
     event_row{event::record_turns_missing, "record_turns_missing",
               severity::error},
+    event_row{event::partition_unserved, "partition_unserved",
+              severity::warning},
+    event_row{event::partition_served, "partition_served", severity::info},
 };
 
 /// The catalogue's row of an event.
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -85,10 +85,14 @@
                              sender send)
     : io_(io), options_(std::move(options)), send_(std::move(send)),
       next_id_(draw_system_random()),
-      patience_(options_.answer_timeout, options_.longest_answer_timeout) {}
+      patience_(options_.answer_timeout, options_.longest_answer_timeout),
+      contact_(options_.unserved_after) {}
 
 asio::awaitable<turn_grant> ledger_client::begin(turn_request request,
                                                  timestamp deadline) {
+  if (!contact_.is_served()) {
+    co_return refusal();
+  }
   turn_end cancelled{.program = request.program,
                      .attempt = request.attempt,
                      .used = 0,
@@ -100,11 +104,15 @@
     // The grant may come to pass unseen. It must not count for ever.
     settle(std::move(cancelled));
   }
-  co_return to_grant(*entry);
+  co_return entry->answered || contact_.is_served() ? to_grant(*entry)
+                                                    : refusal();
 }
 
 asio::awaitable<turn_grant> ledger_client::read(std::string last,
                                                 timestamp deadline) {
+  if (!contact_.is_served()) {
+    co_return refusal();
+  }
   wire::RecordChange change;
   change.mutable_read()->set_last(std::move(last));
   const pending_ptr entry = co_await ask(std::move(change), deadline);
@@ -124,6 +132,12 @@
   co_return entry->answered && entry->reply.verdict() == wire::RECORD_DONE;
 }
 
+turn_grant ledger_client::refusal() const {
+  turn_grant refused;
+  refused.retry_after = contact_.retry_after(steady_now());
+  return refused;
+}
+
 turn_grant ledger_client::to_grant(const pending &entry) {
   turn_grant grant;
   if (!entry.answered) {
@@ -269,6 +283,11 @@
     first_unanswered_ = {};
     leader_ = reply.leader_address();
     leader_answered_ = last_answer_;
+    if (contact_.on_served()) {
+      logging::line(logging::event::partition_served)
+          .field("partition", options_.partition)
+          .write();
+    }
     take_items(reply);
   }
 }
@@ -299,6 +318,7 @@
 void ledger_client::take_refusal(const wire::RecordReply &reply) {
   const bool names_another =
       !reply.leader_address().empty() && reply.leader_address() != leader_;
+  leader_is_named_ = names_another;
   if (names_another) {
     leader_ = reply.leader_address();
   } else {
@@ -365,6 +385,10 @@
 
 void ledger_client::probe() {
   try_next_member();
+  probe_leader();
+}
+
+void ledger_client::probe_leader() {
   if (leader_.empty()) {
     return;
   }
@@ -384,8 +408,28 @@
   }
 }
 
+void ledger_client::check_served(timestamp now) {
+  if (contact_.check(first_unanswered_, now)) {
+    logging::line(logging::event::partition_unserved)
+        .field("partition", options_.partition)
+        .field("silent_ms", (now - first_unanswered_).count())
+        .field("held", pending_.size())
+        .write();
+    give_up_grants();
+  }
+  if (!contact_.take_probe(now)) {
+    return;
+  }
+  if (std::exchange(leader_is_named_, false)) {
+    probe_leader();
+  } else {
+    probe();
+  }
+}
+
 void ledger_client::tick() {
   const timestamp now = steady_now();
+  check_served(now);
   bool timed_out = false;
   bool leader_silent = false;
   bool unsent = false;
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "records/answer_patience.hpp"
+#include "records/partition_contact.hpp"
 #include "records/turn_ledger.hpp"
 #include "rpc/transport.hpp"
 #include "runtime/asio.hpp"
@@ -46,6 +47,9 @@
   std::function<wire::TenantUsage()> usage;
   /// Gets what they have asked of the others, with the answer.
   std::function<void(const wire::TenantUsage &)> on_usage;
+  /// How long callers are held while no leader answers: longer than an election
+  /// after the loss of a leader, which takes about a second.
+  duration_ms unserved_after{1500};
   /// Silence of all nodes after which their addresses are looked up again.
   duration_ms lookup_after{1000};
 };
@@ -110,6 +114,12 @@
   };
   using pending_ptr = std::shared_ptr<pending>;
 
+  /// Refuses at once.
+  [[nodiscard]] turn_grant refusal() const;
+  /// Asks the node at `leader_` whether it is there.
+  void probe_leader();
+  /// Notices that no leader answers any more, and asks whether one is back.
+  void check_served(timestamp now);
   /// Asks for a change and waits for its answer.
   asio::awaitable<pending_ptr> ask(wire::RecordChange change,
                                    timestamp deadline);
@@ -137,6 +147,9 @@
   std::string leader_;
   std::size_t next_member_ = 0;
   answer_patience patience_;
+  partition_contact contact_;
+  /// A node has named `leader_`, and it was not asked since.
+  bool leader_is_named_ = false;
   timestamp last_answer_{};
   timestamp leader_answered_{};
   timestamp first_unanswered_{};
--- /dev/null
+++ b/src/records/partition_contact.cpp
@@ -0,0 +1,47 @@
+#include "records/partition_contact.hpp"
+
+#include <algorithm>
+
+namespace heathtrestle::records {
+
+namespace {
+
+/// A caller that comes back sooner is refused again, by another gateway at
+/// best.
+constexpr duration_ms least_retry{500};
+/// One that comes back later waits although the partition may long be back.
+constexpr duration_ms longest_retry{2000};
+/// How long callers are refused at the most once the partition is back. Each
+/// gateway asks one storage node, as often as it would ask one question again.
+constexpr duration_ms probe_interval{250};
+
+} // namespace
+
+bool partition_contact::on_served() {
+  const bool was_unserved = !is_served();
+  since_ = {};
+  return was_unserved;
+}
+
+bool partition_contact::check(timestamp unserved_since, timestamp now) {
+  const bool lost = is_served() && unserved_since != timestamp{} &&
+                    now >= unserved_since + patience_;
+  if (lost) {
+    since_ = unserved_since;
+  }
+  return lost;
+}
+
+duration_ms partition_contact::retry_after(timestamp now) const {
+  return std::clamp(now - since_, least_retry, longest_retry);
+}
+
+bool partition_contact::take_probe(timestamp now) {
+  const bool due = !is_served() && now >= next_probe_;
+  if (due) {
+    next_probe_ = now + probe_interval;
+  }
+  return due;
+}
+
+} // namespace heathtrestle::records
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -258,8 +258,10 @@
     }
     owed_loads_.insert(request.reply_to());
   }
-  if (request.items().empty()) {
+  if (request.items().empty() && log_->in_contact(now)) {
     answer_probe(request);
+  } else if (request.items().empty()) {
+    refuse(request, now); // nothing can be recorded without a majority
   }
   for (const wire::RecordRequestItem &item : request.items()) {
     if (!take_up(request.reply_to(), item.id())) {
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -57,6 +57,8 @@
 
 struct turn_grant {
   turn_verdict verdict = turn_verdict::unavailable;
+  /// Of an unavailable one: when to come back; zero where nothing is known.
+  duration_ms retry_after{0};
   /// Oldest first, when it was asked for.
   std::vector<retained_turn> history;
   std::uint64_t spent = 0;    // tokens settled
--- a/tests/records/ledger_client_test.cpp
+++ b/tests/records/ledger_client_test.cpp
@@ -86,6 +86,8 @@
   CPPUNIT_TEST(late_questions_do_not_lead_away_from_a_leader);
   CPPUNIT_TEST(questions_at_one_moment_travel_together);
   CPPUNIT_TEST(an_answer_to_an_earlier_process_is_not_taken);
+  CPPUNIT_TEST(a_partition_without_a_leader_refuses_at_once_until_it_is_back);
+  CPPUNIT_TEST(a_partition_that_says_that_nobody_leads_refuses_at_once);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -283,6 +285,54 @@
     CPPUNIT_ASSERT_EQUAL(before + 1, group_.asked.size());
   }
 
+  /// No node leads; callers have more patience than the test may take.
+  void check_refused_until_back() {
+    static constexpr duration_ms patience{5000};
+    ledger_client client(
+        io_,
+        {.address = "gateway:1",
+         .answer_timeout = duration_ms{40},
+         .unserved_after = duration_ms{100}},
+        [this](const std::string &address, const wire::Envelope &envelope) {
+          group_.receive(address, envelope);
+        });
+    group_.client = &client;
+    client.learn_members(members_at({"other:1", "leader:1", "third:1"}));
+    asio::co_spawn(io_, test_support::tick_forever(io_, client),
+                   asio::detached);
+    const auto begin = [this, &client](const std::string &attempt) {
+      return await_result(io_,
+                          client.begin(turn(attempt), steady_now() + patience));
+    };
+    group_.leader = "nobody:1";
+    group_.names_leader = false;
+    const turn_grant held = begin("held");
+    CPPUNIT_ASSERT(held.verdict == turn_verdict::unavailable);
+    CPPUNIT_ASSERT(held.retry_after > duration_ms{0});
+    const turn_grant next = begin("next");
+    CPPUNIT_ASSERT(next.verdict == turn_verdict::unavailable);
+    CPPUNIT_ASSERT(next.retry_after > duration_ms{0});
+    group_.leader = "leader:1";
+    // Without a question of anybody, a probe finds it.
+    turn_grant back = begin("back");
+    const timestamp give_up = steady_now() + patience;
+    while (back.verdict != turn_verdict::granted && steady_now() < give_up) {
+      io_.restart();
+      io_.run_for(duration_ms{20});
+      back = begin("back");
+    }
+    CPPUNIT_ASSERT(back.verdict == turn_verdict::granted);
+  }
+
+  void a_partition_without_a_leader_refuses_at_once_until_it_is_back() {
+    group_.others_are_silent = true;
+    check_refused_until_back();
+  }
+
+  void a_partition_that_says_that_nobody_leads_refuses_at_once() {
+    check_refused_until_back();
+  }
+
   void an_answer_to_an_earlier_process_is_not_taken() {
     // A gateway was killed and is back at its address; what the group answers
     // to the one before must not pass for an answer to this one.
