--- /dev/null
+++ b/src/records/gateway_ring.cpp
@@ -0,0 +1,56 @@
+#include "records/gateway_ring.hpp"
+
+#include "base/ids.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
+namespace heathtrestle::records {
+
+namespace {
+
+/// A gateway keeps its arc for so long without telling anything: one that few
+/// clients use tells rarely, and each change of an arc leaves a part of it to
+/// nobody for some seconds.
+constexpr duration_ms kept_for{4000};
+/// Looking through all members at each question would cost as many steps as
+/// there are gateways; once in this time is exact enough.
+constexpr duration_ms look_interval{100};
+
+std::uint32_t point_of(const std::string &gateway) {
+  return static_cast<std::uint32_t>(stable_hash(gateway));
+}
+
+} // namespace
+
+void gateway_ring::tell(const std::string &gateway, timestamp now) {
+  members_[point_of(gateway)] = {.gateway = gateway, .told = now};
+}
+
+ring_arc gateway_ring::arc_of(const std::string &gateway, timestamp now) {
+  forget_old(now);
+  const auto own = members_.find(point_of(gateway));
+  if (own == members_.end() || own->second.gateway != gateway) {
+    return {};
+  }
+  if (members_.size() == 1) {
+    return {.end = own->first,
+            .length = std::numeric_limits<std::uint32_t>::max()};
+  }
+  const auto before =
+      own == members_.begin() ? std::prev(members_.end()) : std::prev(own);
+  return {.end = own->first, .length = own->first - before->first};
+}
+
+void gateway_ring::forget_old(timestamp now) {
+  if (now < looked_through_ + look_interval) {
+    return;
+  }
+  looked_through_ = now;
+  std::erase_if(members_, [now](const auto &each) {
+    return now >= each.second.told + kept_for;
+  });
+}
+
+} // namespace heathtrestle::records
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -234,6 +234,7 @@
                          now >= loads_told_ + options_.loads_interval;
   if (options_.loads && loads_due) {
     *request.mutable_loads() = options_.loads();
+    request.mutable_loads()->set_told_ms(milliseconds_of(now));
     if (options_.usage) {
       *request.mutable_usage() = options_.usage();
     }
--- a/src/records/load_board.cpp
+++ b/src/records/load_board.cpp
@@ -28,6 +28,7 @@
                       const wire::ReplicaLoads &loads, timestamp now) {
   withdraw(gateway);
   forget_old(now);
+  ring_.tell(gateway, now);
   by_gateway_[gateway] = {.loads = loads, .at = now};
   by_age_.push_back({.gateway = gateway, .at = now});
   for_each_load(loads, [&](std::uint32_t replica, std::uint32_t running) {
@@ -79,6 +80,11 @@
                   });
   }
   wire::SharedLoads shared;
+  const ring_arc arc = ring_.arc_of(gateway, now);
+  shared.set_arc_end(arc.end);
+  shared.set_arc_length(arc.length);
+  shared.set_told_ms(own != by_gateway_.end() ? own->second.loads.told_ms()
+                                              : 0);
   shared.set_gateways(static_cast<std::uint32_t>(by_gateway_.size()));
   for (const auto &[replica, sum] : sums_) {
     const auto counted = own_running.find(replica);
--- a/src/records/load_board.hpp
+++ b/src/records/load_board.hpp
@@ -4,10 +4,12 @@
 // logged: a new leader has heard from everybody within a second.
 //
 // Sums are kept up to date as gateways tell, so that an answer costs the number
-// of replicas, however many gateways there are.
+// of replicas, however many gateways there are. Each is also told its part of
+// what all share (`gateway_ring`).
 #pragma once
 
 #include "base/time.hpp"
+#include "records/gateway_ring.hpp"
 #include "wire/messages.hpp"
 
 #include <cstdint>
@@ -41,6 +43,7 @@
   void forget_old(timestamp now);
 
   std::map<std::string, report> by_gateway_;
+  gateway_ring ring_;
   /// Running requests by replica, of all reports together.
   std::map<std::uint32_t, std::uint32_t> sums_;
   /// Reports in the order of their age; those since replaced are passed over.
--- a/tests/records/load_board_test.cpp
+++ b/tests/records/load_board_test.cpp
@@ -2,7 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
+#include <string>
+#include <vector>
 
 namespace heathtrestle::records {
 namespace {
@@ -39,6 +42,9 @@
   CPPUNIT_TEST(what_was_told_before_is_void);
   CPPUNIT_TEST(a_gateway_that_falls_silent_is_forgotten);
   CPPUNIT_TEST(lists_of_unequal_length_do_no_harm);
+  CPPUNIT_TEST(the_arcs_of_all_make_up_the_ring);
+  CPPUNIT_TEST(one_that_leaves_changes_one_arc);
+  CPPUNIT_TEST(the_time_of_telling_comes_back);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -77,6 +83,54 @@
     board.tell("a", broken, start);
     CPPUNIT_ASSERT(others(board, "b", start) == (sums{{engine_one, 3}}));
   }
+
+  void the_arcs_of_all_make_up_the_ring() {
+    load_board board;
+    const std::vector<ring_arc> arcs = arcs_of(board, {"a", "b", "c"}, start);
+    for (const std::uint32_t point : {0U, 1U << 30U, 1U << 31U, ~0U}) {
+      CPPUNIT_ASSERT_EQUAL(
+          std::ptrdiff_t{1},
+          std::count_if(arcs.begin(), arcs.end(), [&](const ring_arc &each) {
+            return each.contains(point);
+          }));
+    }
+    CPPUNIT_ASSERT_EQUAL(0U, board.others("d", start).arc_length());
+  }
+
+  void one_that_leaves_changes_one_arc() {
+    load_board board;
+    const auto before = arcs_of(board, {"a", "b", "c", "d"}, start);
+    const timestamp later = start + duration_ms{6000};
+    const auto after = arcs_of(board, {"a", "b", "c"}, later);
+    int changed = 0;
+    for (std::size_t place = 0; place < after.size(); ++place) {
+      changed += after[place] == before[place] ? 0 : 1;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, changed);
+  }
+
+  void the_time_of_telling_comes_back() {
+    load_board board;
+    wire::ReplicaLoads told;
+    told.set_told_ms(17);
+    board.tell("a", told, start);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{17}, board.others("a", start).told_ms());
+  }
+
+private:
+  static std::vector<ring_arc> arcs_of(load_board &board,
+                                       const std::vector<std::string> &gateways,
+                                       timestamp now) {
+    for (const std::string &each : gateways) {
+      board.tell(each, loads({}), now);
+    }
+    std::vector<ring_arc> arcs;
+    for (const std::string &each : gateways) {
+      const wire::SharedLoads shared = board.others(each, now);
+      arcs.push_back({.end = shared.arc_end(), .length = shared.arc_length()});
+    }
+    return arcs;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(load_board_test);
