Hold cold replicas to their admissions when choosing and when sending

Cause: the choice took a cold replica for an idle one, and what waited for its connection was sent whatever had been sent meanwhile.

Change: a replica is cold from when its entry tells so. The choice leaves it out while this gateway has no admission free, and the question in the instant before sending counts it. Where only cold ones are left a request waits for the next admission or until one is warm, and is refused at once where that comes too late. Settings slow_start.overshoot and slow_start.slack; without the first nothing is held back.

Seen red: with the choice and the question passing cold ones, three of the new tests of request_exchange_test fail; without the refusal at once, one of these and one of attempt_plan_test. With the change 64 of 64 tests of request_exchange_test, attempt_plan_test and load_board_test pass; the rest was not run on this commit.

--- a/src/forwarding/attempt_plan.cpp
+++ b/src/forwarding/attempt_plan.cpp
@@ -41,6 +41,9 @@
   if (!barred_.empty()) {
     return give_up(barred_);
   }
+  if (warming_until_) {
+    return wait_for_warm_up(now);
+  }
   const bool places_used_up = ran_at_.size() >= max_attempts_;
   if (exhausted_) {
     exhausted_ = false;
@@ -54,9 +57,7 @@
     if (places_used_up && refused_by_.empty()) {
       return give_up("the replicas that may have run it are gone");
     }
-    const auto patience = std::chrono::duration_cast<duration_ms>(
-        limits_.patience * (deadline_ - arrived_));
-    if (now + pause_ >= arrived_ + patience) {
+    if (now + pause_ >= patience_ends()) {
       return give_up("no replica took it in time");
     }
     refused_by_.clear();
@@ -73,6 +74,23 @@
   return step;
 }
 
+timestamp attempt_plan::patience_ends() const {
+  return arrived_ + std::chrono::duration_cast<duration_ms>(
+                        limits_.patience * (deadline_ - arrived_));
+}
+
+next_step attempt_plan::wait_for_warm_up(timestamp now) {
+  const timestamp free_at = *warming_until_;
+  warming_until_.reset();
+  if (free_at >= patience_ends()) {
+    return give_up("all replicas are warming up");
+  }
+  refused_by_.clear();
+  // Another one may come or become warm meanwhile.
+  const duration_ms pause = std::max(free_at - now, limits_.first_pause);
+  return wait_step{std::min(pause, limits_.longest_pause)};
+}
+
 answer_step attempt_plan::give_up(std::string_view reason) const {
   constexpr std::uint32_t bad_gateway = 502;
   constexpr std::uint32_t unavailable = 503;
--- a/src/forwarding/attempt_plan.hpp
+++ b/src/forwarding/attempt_plan.hpp
@@ -11,6 +11,7 @@
 #include "routing/configuration.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <variant>
@@ -77,6 +78,11 @@
   /// @param reason outlives the plan.
   void on_barred(std::string_view reason) { barred_ = reason; }
 
+  /// All replicas that fit are warming up, and one may be sent the request at
+  /// `free_at`. It waits until then, or is answered at once where that is later
+  /// than it would wait for a place.
+  void on_warming_up(timestamp free_at) { warming_until_ = free_at; }
+
   [[nodiscard]] next_step next(timestamp now);
 
   /// True when a replica may have run the request.
@@ -84,6 +90,9 @@
 
 private:
   [[nodiscard]] answer_step give_up(std::string_view reason) const;
+  [[nodiscard]] next_step wait_for_warm_up(timestamp now);
+  /// Until when it waits for a place.
+  [[nodiscard]] timestamp patience_ends() const;
 
   bool repeatable_;
   std::uint32_t max_attempts_;
@@ -99,6 +108,7 @@
   std::uint32_t losses_ = 0;
   bool exhausted_ = false;
   std::string_view barred_; // empty: not barred
+  std::optional<timestamp> warming_until_;
   /// Set while the step is for those that may have run it, for want of others.
   bool asks_again_ = false;
   duration_ms pause_;
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -101,6 +101,8 @@
   const auto age = tenants_.freshness().age(steady_now());
   metrics_.set_configuration_age(
       age ? std::chrono::duration<double>(*age).count() : -1);
+  const auto slow_starts = replicas_.slow_starts();
+  metrics_.set_slow_starts(slow_starts.cold, slow_starts.own_admissions);
   for (const auto &[service, model] : replicas_.engine_models()) {
     metrics_.set_engine_costs(service.value(), model.costs());
   }
--- a/src/forwarding/gateway_metrics.cpp
+++ b/src/forwarding/gateway_metrics.cpp
@@ -60,6 +60,25 @@
                             .Help("Gateways that tell each other their load")
                             .Register(*registry_)
                             .Add({})),
+      slow_start_waits_(
+          prometheus::BuildCounter()
+              .Name("heathtrestle_gateway_slow_start_waits_total")
+              .Help("Times that a request found only replicas that warm up "
+                    "and take no more for now")
+              .Register(*registry_)
+              .Add({})),
+      cold_replicas_(prometheus::BuildGauge()
+                         .Name("heathtrestle_gateway_cold_replicas")
+                         .Help("Replicas that warm up")
+                         .Register(*registry_)
+                         .Add({})),
+      slow_start_admissions_(
+          prometheus::BuildGauge()
+              .Name("heathtrestle_gateway_slow_start_admissions")
+              .Help("Requests a second that this gateway may send to replicas "
+                    "that warm up")
+              .Register(*registry_)
+              .Add({})),
       engine_costs_(prometheus::BuildGauge()
                         .Name("heathtrestle_gateway_engine_cost_ms")
                         .Help("Learnt cost of a token to read, of a running "
@@ -106,6 +125,13 @@
   sharing_gateways_.Set(count);
 }
 
+void gateway_metrics::on_slow_start_wait() { slow_start_waits_.Increment(); }
+
+void gateway_metrics::set_slow_starts(double cold, double own) {
+  cold_replicas_.Set(cold);
+  slow_start_admissions_.Set(own);
+}
+
 void gateway_metrics::set_engine_costs(const std::string &service,
                                        const balance::engine_costs &costs) {
   const auto set = [this, &service](const char *of, double value) {
--- a/src/forwarding/gateway_metrics.hpp
+++ b/src/forwarding/gateway_metrics.hpp
@@ -34,6 +34,10 @@
   void set_configuration_version(double version);
   /// Gateways that tell their load, this one included.
   void set_sharing_gateways(double count);
+  /// A request found only replicas that warm up and take no more for now.
+  void on_slow_start_wait();
+  /// @param own admissions a second at the cold ones that are this gateway's.
+  void set_slow_starts(double cold, double own);
   /// What turns at a service's engines are taken to cost.
   void set_engine_costs(const std::string &service,
                         const balance::engine_costs &costs);
@@ -53,6 +57,9 @@
   prometheus::Gauge &open_requests_;
   prometheus::Gauge &configuration_version_;
   prometheus::Gauge &sharing_gateways_;
+  prometheus::Counter &slow_start_waits_;
+  prometheus::Gauge &cold_replicas_;
+  prometheus::Gauge &slow_start_admissions_;
   prometheus::Family<prometheus::Gauge> &engine_costs_;
 };
 
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -111,9 +111,11 @@
   gateway_options options;
   options.name = settings.name;
   options.headers = binding.headers;
-  options.selection = {.places = places,
-                       .policies =
-                           policies_without(settings.disabled_policies)};
+  options.selection = {
+      .places = places,
+      .policies = policies_without(settings.disabled_policies),
+      .slow_start = {.overshoot = settings.slow_start_overshoot,
+                     .slack = settings.slow_start_slack}};
   const auto window = std::chrono::duration_cast<duration_ms>(
       std::chrono::duration<double>(settings.quota_window_seconds));
   options.tenants = {
@@ -366,6 +368,7 @@
     timer.expires_after(housekeeping_interval);
     co_await timer.async_wait(as_result);
     gateway_.pool().close_expired(steady_now());
+    gateway_.replicas().end_slow_starts();
   }
 }
 
--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -13,6 +13,8 @@
   constexpr std::uint64_t longest_revocation = 600000;
   constexpr double shortest_window = 0.1;
   constexpr double longest_window = 600;
+  constexpr double most_overshoot = 100;
+  constexpr double most_slack = 10000;
   schema.text("node.name", settings.name,
               "name of this process, unique among the gateways", true);
   routing::describe_places(schema, settings.places);
@@ -55,6 +57,12 @@
               shortest_window, longest_window,
               "seconds within which a tenant's requests are counted against "
               "its quota");
+  schema.real("slow_start.overshoot", settings.slow_start_overshoot, 0,
+              most_overshoot,
+              "times the rate that a replica bears while it warms up that all "
+              "gateways together may send it in any second; 0 for no limit");
+  schema.real("slow_start.slack", settings.slow_start_slack, 0, most_slack,
+              "requests more than that in any second");
   schema.choices("policy.disabled", settings.disabled_policies, policy_names(),
                  "mechanisms of choice that are switched off, to measure what "
                  "they are worth");
--- a/src/forwarding/gateway_settings.hpp
+++ b/src/forwarding/gateway_settings.hpp
@@ -35,6 +35,10 @@
   std::chrono::milliseconds key_revocation{0};
   /// Window within which a tenant's requests are counted against its quota.
   double quota_window_seconds = 5;
+  /// What a replica may get in any second while it warms up: so many times the
+  /// rate that it bears, and so many requests more; 0 where no limit is kept.
+  double slow_start_overshoot = 0;
+  double slow_start_slack = 0;
   /// Mechanisms of choice that are switched off, by name.
   std::vector<std::string> disabled_policies;
   std::string log_level = "info";
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -33,10 +33,10 @@
     if (cause == exclusion::leaving) {
       continue; // says nothing: others take its place
     }
-    if (!lasts) {
+    if (!lasts && cause != exclusion::warming_up) {
       return exclusion::none;
     }
-    common = cause;
+    common = common == exclusion::warming_up ? common : cause;
   }
   return common;
 }
@@ -48,6 +48,23 @@
   routes_ = std::move(routes);
   for (const routing::instance_record &each : directory_.records()) {
     set_engine_memory(each.service);
+    set_admissions(each.service);
+  }
+}
+
+void replica_selector::set_admissions(const routing::service_id &service) {
+  if (!options_.slow_start.enforced()) {
+    return;
+  }
+  const routing::service *known =
+      routes_ != nullptr ? routes_->find_service(service) : nullptr;
+  const bool slow = known != nullptr && known->slow_start.has_value();
+  const std::uint32_t admissions =
+      slow ? balance::admissions_per_second(
+                 known->slow_start->requests_per_second, options_.slow_start)
+           : 0;
+  for (const routing::instance_ptr &each : directory_.of(service)) {
+    each->slow_start.set_admissions(admissions);
   }
 }
 
@@ -65,20 +82,90 @@
 }
 
 void replica_selector::put(routing::instance_record record) {
+  take_in(std::move(record), true);
+}
+
+void replica_selector::take_in(routing::instance_record record,
+                               bool written_again) {
+  const routing::instance_id instance = record.id;
   const std::string id = record.id.value();
   const std::string service = record.service.value();
   const routing::service_id service_id = record.service;
   const bool draining = record.draining;
   if (directory_.put(std::move(record))) {
     set_engine_memory(service_id);
+    set_admissions(service_id);
     logging::line(logging::event::instances_changed)
         .field("instance", id)
         .field("service", service)
         .field("state", draining ? "draining" : "ready")
         .write();
+    written_again = true;
+  }
+  if (written_again) {
+    follow_slow_start(*directory_.all().at(instance));
   }
 }
 
+// An entry tells how long its replica stays cold from when it was written. How
+// long it was on its way is not known, so the time counts from now: it may look
+// cold for too long, never for too short.
+void replica_selector::follow_slow_start(routing::instance &told) {
+  if (told.record.cold_for <= duration_ms{0}) {
+    end_slow_start(told);
+    return;
+  }
+  const timestamp now = steady_now();
+  told.slow_start.begin(now + told.record.cold_for);
+  if (!told.slow_start.cold(now)) {
+    return;
+  }
+  logging::line(logging::event::replica_turned_cold)
+      .field("instance", told.record.id.value())
+      .field("service", told.record.service.value())
+      .field("started_ms", told.record.born_ms)
+      .field("for_ms", told.record.cold_for.count())
+      .field("admissions_per_second", told.slow_start.admissions())
+      .field("own", told.slow_start.own(share_, now))
+      .write();
+}
+
+void replica_selector::end_slow_start(routing::instance &warm) {
+  if (!warm.slow_start.begun()) {
+    return;
+  }
+  warm.slow_start.end();
+  if (warm.slow_start.admissions() > 0) {
+    logging::line(logging::event::replica_turned_warm)
+        .field("instance", warm.record.id.value())
+        .field("service", warm.record.service.value())
+        .field("sent", warm.slow_start.sent())
+        .field("own", warm.slow_start.own(share_, steady_now()))
+        .write();
+  }
+}
+
+void replica_selector::end_slow_starts() {
+  const timestamp now = steady_now();
+  for (const auto &[id, each] : directory_.all()) {
+    if (now >= each->slow_start.cold_until()) {
+      end_slow_start(*each);
+    }
+  }
+}
+
+replica_selector::slow_start_figures replica_selector::slow_starts() const {
+  const timestamp now = steady_now();
+  slow_start_figures figures;
+  for (const auto &[id, each] : directory_.all()) {
+    if (each->slow_start.cold(now)) {
+      ++figures.cold;
+      figures.own_admissions += each->slow_start.own(share_, now);
+    }
+  }
+  return figures;
+}
+
 void replica_selector::remove(const routing::instance_id &id) {
   if (directory_.remove(id)) {
     pool_.drop(id);
@@ -101,7 +188,7 @@
     }
   }
   for (routing::instance_record &record : records) {
-    put(std::move(record));
+    take_in(std::move(record), false);
   }
 }
 
@@ -167,9 +254,13 @@
   std::vector<routing::instance_ptr> fitting;
   std::vector<balance::candidate> candidates;
   std::vector<routing::exclusion> exclusions;
+  timestamp free_at = timestamp::max();
   for (const routing::instance_ptr &each : directory_.of(service)) {
     const routing::instance_id &id = each->record.id;
-    exclusions.push_back(exclusion_of(*each, home));
+    exclusions.push_back(exclusion_of(*each, home, now));
+    if (exclusions.back() == routing::exclusion::warming_up) {
+      free_at = std::min(free_at, next_send(*each, now));
+    }
     const bool eligible = exclusions.back() == routing::exclusion::none;
     const bool wanted = step.only.empty() || step.only.contains(id);
     if (!eligible || !wanted || step.excluded.contains(id)) {
@@ -186,7 +277,7 @@
           ? balance::choose_engine(candidates, random_(), engine_choice)
           : balance::choose_plain(candidates, random_(), options_.plain_choice);
   if (!chosen) {
-    return {.barred_by = common_bar(exclusions)};
+    return {.barred_by = common_bar(exclusions), .free_at = free_at};
   }
   return {.target = fitting[*chosen],
           .missing_tokens = candidates[*chosen].missing_tokens,
@@ -195,8 +286,31 @@
 
 routing::exclusion
 replica_selector::exclusion_of(const routing::instance &target,
-                               const routing::residency &home) const {
-  return routing::exclusion_of(target, home, options_.places, drains_);
+                               const routing::residency &home,
+                               timestamp now) const {
+  const routing::exclusion lasting =
+      routing::exclusion_of(target, home, options_.places, drains_);
+  if (lasting != routing::exclusion::none || !target.slow_start.cold(now)) {
+    return lasting;
+  }
+  return next_send(target, now) > now ? routing::exclusion::warming_up
+                                      : routing::exclusion::none;
+}
+
+timestamp replica_selector::next_send(const routing::instance &cold,
+                                      timestamp now) const {
+  const timestamp warm = cold.slow_start.cold_until();
+  return std::min(cold.slow_start.next(share_, now).value_or(warm), warm);
+}
+
+routing::exclusion replica_selector::admit(routing::instance &target,
+                                           const routing::residency &home) {
+  const timestamp now = steady_now();
+  const routing::exclusion cause = exclusion_of(target, home, now);
+  if (cause == routing::exclusion::none) {
+    target.slow_start.note_sent(now);
+  }
+  return cause;
 }
 
 void replica_selector::learn_place(
@@ -229,6 +343,8 @@
 }
 
 void replica_selector::take_shared_loads(const wire::SharedLoads &shared) {
+  share_.take({.end = shared.arc_end(), .length = shared.arc_length()},
+              timestamp_from(shared.told_ms()), steady_now());
   if (!options_.policies.shared_loads) {
     return;
   }
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -3,7 +3,9 @@
 // keep, and what other gateways have told. Decides only; no I/O.
 #pragma once
 
+#include "balance/admission_share.hpp"
 #include "balance/instance_choice.hpp"
+#include "balance/slow_start.hpp"
 #include "forwarding/attempt_plan.hpp"
 #include "forwarding/client_request.hpp"
 #include "forwarding/policy_switches.hpp"
@@ -34,6 +36,8 @@
   balance::plain_choice_options plain_choice;
   /// How long a replica that could not be reached is avoided.
   duration_ms avoid_for{1000};
+  /// What replicas may get while they warm up.
+  balance::slow_start_limits slow_start;
 };
 
 /// The replica that a request goes to, and what was known of it then.
@@ -47,6 +51,8 @@
   /// Without a target: what keeps the request from every replica that is up, so
   /// that waiting for one is in vain; `none` where one may become free.
   routing::exclusion barred_by = routing::exclusion::none;
+  /// Where all that fit are warming up: when one may be sent the request.
+  timestamp free_at{};
 };
 
 class replica_selector {
@@ -58,6 +64,7 @@
   /// Takes in a configuration.
   void apply(std::shared_ptr<const routing::route_table> routes);
 
+  /// An entry that is new or was written again.
   void put(routing::instance_record record);
   void remove(const routing::instance_id &id);
   void replace_all(std::vector<routing::instance_record> records);
@@ -77,10 +84,18 @@
                                  const client_request &request,
                                  const routing::residency &home);
   /// Asked again in the instant before a request is sent to a replica that was
-  /// chosen earlier.
-  [[nodiscard]] routing::exclusion
-  exclusion_of(const routing::instance &target,
-               const routing::residency &home) const;
+  /// chosen earlier. Where nothing is against it the request counts as sent.
+  [[nodiscard]] routing::exclusion admit(routing::instance &target,
+                                         const routing::residency &home);
+  /// Takes note of replicas that have become warm; now and then.
+  void end_slow_starts();
+  /// Replicas that warm up, and admissions a second at them that are this
+  /// gateway's.
+  struct slow_start_figures {
+    std::uint32_t cold = 0;
+    std::uint32_t own_admissions = 0;
+  };
+  [[nodiscard]] slow_start_figures slow_starts() const;
 
   /// An engine of `service` keeps the beginning of a prompt, as the record of
   /// an earlier turn tells.
@@ -110,6 +125,16 @@
   }
 
 private:
+  [[nodiscard]] routing::exclusion exclusion_of(const routing::instance &target,
+                                                const routing::residency &home,
+                                                timestamp now) const;
+  /// When this gateway may send something to a replica that warms up.
+  [[nodiscard]] timestamp next_send(const routing::instance &cold,
+                                    timestamp now) const;
+  void take_in(routing::instance_record record, bool written_again);
+  void follow_slow_start(routing::instance &told);
+  void end_slow_start(routing::instance &warm);
+  void set_admissions(const routing::service_id &service);
   /// A replica as the policies see it.
   [[nodiscard]] balance::candidate candidate_of(const routing::instance &each,
                                                 const client_request &request,
@@ -125,6 +150,8 @@
   std::shared_ptr<const routing::route_table> routes_;
   routing::instance_directory directory_;
   routing::zone_drains drains_;
+  /// Of the admissions of all replicas.
+  balance::admission_share share_;
   std::map<routing::service_id, balance::engine_cost_model> engine_models_;
   /// Smoothed time of an answer, by route, in milliseconds.
   std::map<std::string, double> answer_ms_;
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -320,6 +320,9 @@
         co_await withdraw(*cause);
       } else if (placement_.target) {
         co_await attempt(placement_.target);
+      } else if (placement_.barred_by == routing::exclusion::warming_up) {
+        gateway_.metrics().on_slow_start_wait();
+        plan_->on_warming_up(placement_.free_at);
       } else if (placement_.barred_by != routing::exclusion::none) {
         plan_->on_barred(name_of(placement_.barred_by));
       } else {
@@ -363,7 +366,7 @@
   // While the connection was made, what was true at the choice may have
   // changed.
   const auto objection = gateway_.objection(request_, *route_);
-  if (may_send_to(*target) && !objection) {
+  if (!objection && may_send_to(*target)) {
     end = co_await exchange_with(*target, active_);
   } else {
     gateway_.pool().release(target->record.id, active_, duration_ms{0});
@@ -383,12 +386,12 @@
   }
 }
 
-bool request_exchange::may_send_to(const routing::instance &target) {
+bool request_exchange::may_send_to(routing::instance &target) {
   if (client_gone_ || steady_now() >= deadline_) {
     last_failure_ = "its time was up before it was sent";
     return false;
   }
-  const auto cause = gateway_.replicas().exclusion_of(target, home());
+  const auto cause = gateway_.replicas().admit(target, home());
   if (cause != routing::exclusion::none) {
     last_failure_ = name_of(cause);
     return false;
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -79,8 +79,9 @@
   // Attempts.
   asio::awaitable<void> drive();
   asio::awaitable<void> attempt(routing::instance_ptr target);
-  /// Asked in the instant before the request is sent to a replica.
-  bool may_send_to(const routing::instance &target);
+  /// Asked in the instant before the request is sent to a replica. True only
+  /// where it is sent then.
+  bool may_send_to(routing::instance &target);
   /// Where the request may be served.
   [[nodiscard]] routing::residency home() const;
   asio::awaitable<attempt_end> exchange_with(routing::instance &target,
--- a/src/routing/instance_directory.cpp
+++ b/src/routing/instance_directory.cpp
@@ -19,6 +19,8 @@
   }
   auto added = std::make_shared<instance>();
   added->record = std::move(record);
+  added->slow_start =
+      balance::slow_start(stable_hash(added->record.id.value()));
   by_service_[added->record.service].push_back(added);
   by_id_.emplace(added->record.id, std::move(added));
   return true;
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -5,6 +5,7 @@
 #include "balance/load_estimate.hpp"
 #include "balance/prefix_view.hpp"
 #include "balance/replica_speed.hpp"
+#include "balance/slow_start.hpp"
 #include "base/time.hpp"
 #include "routing/configuration.hpp"
 
@@ -53,6 +54,8 @@
   timestamp avoid_until{};
   /// How it answers in comparison with the others.
   balance::replica_speed speed;
+  /// Whether it warms up, and what this gateway sends it meanwhile.
+  balance::slow_start slow_start;
   /// What it probably keeps of prompts.
   balance::prefix_view prefixes{unknown_engine_memory};
 
--- a/tests/forwarding/attempt_plan_test.cpp
+++ b/tests/forwarding/attempt_plan_test.cpp
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(losses_are_bounded);
   CPPUNIT_TEST(after_the_deadline_nothing_is_sent);
   CPPUNIT_TEST(giving_up_tells_when_to_come_back);
+  CPPUNIT_TEST(it_waits_for_a_replica_that_warms_up);
+  CPPUNIT_TEST(a_wait_for_a_warm_up_that_is_too_long_is_not_begun);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,6 +129,24 @@
     CPPUNIT_ASSERT_EQUAL(503U, status_of(step));
     CPPUNIT_ASSERT(std::get<answer_step>(step).retry_after.count() > 0);
   }
+
+  void it_waits_for_a_replica_that_warms_up() {
+    auto plan = plan_for(false, 1);
+    plan.on_attempt(first, attempt_outcome::not_executed);
+    plan.on_warming_up(start + duration_ms{20});
+    const auto wait = std::get<wait_step>(plan.next(start));
+    CPPUNIT_ASSERT(wait.pause == duration_ms{20});
+    const auto again = std::get<send_step>(plan.next(start + duration_ms{20}));
+    CPPUNIT_ASSERT(again.excluded.empty());
+  }
+
+  void a_wait_for_a_warm_up_that_is_too_long_is_not_begun() {
+    auto plan = plan_for(false, 1);
+    plan.on_warming_up(start + duration_ms{600});
+    const auto step = plan.next(start);
+    CPPUNIT_ASSERT_EQUAL(503U, status_of(step));
+    CPPUNIT_ASSERT(std::get<answer_step>(step).retry_after.count() > 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(attempt_plan_test);
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -190,6 +190,10 @@
   CPPUNIT_TEST(a_key_taken_away_while_a_connection_is_made_runs_nothing);
   CPPUNIT_TEST(a_zone_drained_while_a_connection_is_made_gets_nothing);
   CPPUNIT_TEST(a_request_that_no_replica_may_serve_is_refused_at_once);
+  CPPUNIT_TEST(a_cold_replica_gets_nothing_without_an_admission);
+  CPPUNIT_TEST(with_cold_replicas_only_a_request_is_refused_at_once);
+  CPPUNIT_TEST(a_replica_that_turns_cold_while_a_connection_is_made);
+  CPPUNIT_TEST(without_limits_a_cold_replica_is_one_like_others);
   CPPUNIT_TEST(
       a_gateway_that_loses_its_proof_while_a_request_waits_runs_nothing);
   CPPUNIT_TEST(what_one_tenant_keeps_does_not_exist_for_another);
@@ -197,6 +201,9 @@
   CPPUNIT_TEST(the_priority_of_a_tenant_goes_first);
   CPPUNIT_TEST_SUITE_END();
 
+  static constexpr balance::slow_start_limits slow_start_limits{
+      .overshoot = 1.5, .slack = 5};
+
   asio::io_context io_;
   open_ledger ledger_;
   std::unique_ptr<gateway> gateway_;
@@ -218,6 +225,21 @@
     return made;
   }
 
+  void start_gateway(const balance::slow_start_limits &limits) {
+    gateway_options options;
+    options.selection.places = routing::topology("z");
+    options.selection.slow_start = limits;
+    options.headers = test_names();
+    options.plan.patience = 0.02;
+    first_gateway_ = std::move(gateway_);
+    first_clients_ = std::move(clients_);
+    gateway_ = std::make_unique<gateway>(io_, options, ledger_);
+    clients_ = std::make_unique<tcp::acceptor>(
+        std::move(http::listen(io_, "127.0.0.1:0")).value());
+    asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
+    apply_routes();
+  }
+
   void add_replica(const std::string &id, bool draining = false) {
     replicas_.push_back(std::make_unique<scripted_replica>(io_));
     gateway_->replicas().put({.id = routing::instance_id{id},
@@ -228,6 +250,15 @@
                               .draining = draining});
   }
 
+  /// Its entry is written again and tells that it is cold for so long.
+  void turn_cold(const std::string &id, duration_ms span) {
+    const routing::instance_id which{id};
+    routing::instance_record record =
+        gateway_->replicas().directory().all().at(which)->record;
+    record.cold_for = span;
+    gateway_->replicas().put(std::move(record));
+  }
+
   void apply_routes(std::uint64_t version = 1,
                     std::vector<tenants::tenant> tenants = {}) {
     routing::configuration settings;
@@ -248,6 +279,8 @@
     routing::service service;
     service.id = routing::service_id{"s"};
     service.engine = routing::engine_profile{.slots = 4, .tokens_per_event = 5};
+    service.slow_start = routing::slow_start_profile{.lasts = duration_ms{3000},
+                                                     .requests_per_second = 4};
     settings.services = {service};
     gateway_->apply_routes(settings);
   }
@@ -276,15 +309,7 @@
 
 public:
   void setUp() override {
-    gateway_options options;
-    options.selection.places = routing::topology("z");
-    options.headers = test_names();
-    options.plan.patience = 0.02;
-    gateway_ = std::make_unique<gateway>(io_, options, ledger_);
-    clients_ = std::make_unique<tcp::acceptor>(
-        std::move(http::listen(io_, "127.0.0.1:0")).value());
-    asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
-    apply_routes();
+    start_gateway(slow_start_limits);
     add_replica("r1");
   }
   void tearDown() override { io_.stop(); }
@@ -814,6 +839,47 @@
     CPPUNIT_ASSERT_EQUAL(200U, ask("/get/x")->result_int());
   }
 
+  void a_cold_replica_gets_nothing_without_an_admission() {
+    add_replica("r2");
+    turn_cold("r1", duration_ms{10000});
+    for (int asked = 0; asked < 4; ++asked) {
+      replicas_[0]->script.push_back({plain("hello")});
+      replicas_[1]->script.push_back({plain("hello")});
+      CPPUNIT_ASSERT_EQUAL(200U, ask("/get/x")->result_int());
+    }
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+  }
+
+  void with_cold_replicas_only_a_request_is_refused_at_once() {
+    turn_cold("r1", duration_ms{10000});
+    const auto began = steady_now();
+    const auto answer = ask("/get/x", {{"Deadline", "10000"}});
+    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    CPPUNIT_ASSERT(!field_of(*answer, "Retry-After").empty());
+    // Without the cause it waits 0.02 of ten seconds for a place.
+    CPPUNIT_ASSERT(steady_now() - began < duration_ms{150});
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+    turn_cold("r1", duration_ms{0});
+    replicas_[0]->script.push_back({plain("hello")});
+    CPPUNIT_ASSERT_EQUAL(200U, ask("/get/x")->result_int());
+  }
+
+  void a_replica_that_turns_cold_while_a_connection_is_made() {
+    const auto [status, sent] = ask_over_slow_connection(
+        {{"Credential", "Key ka"}, {"Deadline", "3000"}},
+        [this] { turn_cold("slow", duration_ms{10000}); });
+    CPPUNIT_ASSERT(!sent);
+    CPPUNIT_ASSERT_EQUAL(503U, status);
+  }
+
+  void without_limits_a_cold_replica_is_one_like_others() {
+    start_gateway({});
+    add_replica("r2");
+    turn_cold("r2", duration_ms{10000});
+    replicas_[1]->script.push_back({plain("hello")});
+    CPPUNIT_ASSERT_EQUAL(200U, ask("/get/x")->result_int());
+  }
+
   void a_gateway_that_loses_its_proof_while_a_request_waits_runs_nothing() {
     constexpr duration_ms left{50};
     demand_proof(tenants::revocation_margin + left);
