Name the section of the limits on slow starts warmup

Cause: every_setting_is_described fails: the documents' check knows names of sections without an underscore only. Change: the settings are warmup.overshoot and warmup.slack.

--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -57,11 +57,11 @@
               shortest_window, longest_window,
               "seconds within which a tenant's requests are counted against "
               "its quota");
-  schema.real("slow_start.overshoot", settings.slow_start_overshoot, 0,
+  schema.real("warmup.overshoot", settings.slow_start_overshoot, 0,
               most_overshoot,
               "times the rate that a replica bears while it warms up that all "
               "gateways together may send it in any second; 0 for no limit");
-  schema.real("slow_start.slack", settings.slow_start_slack, 0, most_slack,
+  schema.real("warmup.slack", settings.slow_start_slack, 0, most_slack,
               "requests more than that in any second");
   schema.choices("policy.disabled", settings.disabled_policies, policy_names(),
                  "mechanisms of choice that are switched off, to measure what "
