--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -103,6 +103,8 @@
       age ? std::chrono::duration<double>(*age).count() : -1);
   metrics_.set_rejected_entries(
       static_cast<double>(replicas_.rejected_entries()));
+  const auto slow_starts = replicas_.slow_starts();
+  metrics_.set_slow_starts(slow_starts.cold, slow_starts.own_admissions);
   for (const auto &[service, model] : replicas_.engine_models()) {
     metrics_.set_engine_costs(service.value(), model.costs());
   }
--- a/src/forwarding/gateway_metrics.hpp
+++ b/src/forwarding/gateway_metrics.hpp
@@ -41,6 +41,10 @@
   void set_sharing_gateways(double count);
   /// Entries of the replicas' directory that are rejected at present.
   void set_rejected_entries(double count);
+  /// A request found only replicas that warm up and take no more for now.
+  void on_slow_start_wait();
+  /// @param own admissions a second at the cold ones that are this gateway's.
+  void set_slow_starts(double cold, double own);
   /// What turns at a service's engines are taken to cost.
   void set_engine_costs(const std::string &service,
                         const balance::engine_costs &costs);
@@ -64,6 +68,9 @@
   prometheus::Gauge &configuration_version_;
   prometheus::Gauge &sharing_gateways_;
   prometheus::Gauge &rejected_entries_;
+  prometheus::Counter &slow_start_waits_;
+  prometheus::Gauge &cold_replicas_;
+  prometheus::Gauge &slow_start_admissions_;
   prometheus::Family<prometheus::Gauge> &engine_costs_;
 };
 
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -113,9 +113,12 @@
   gateway_options options;
   options.name = settings.name;
   options.headers = binding.headers;
-  options.selection = {.places = places,
-                       .policies = policies_without(settings.disabled_policies),
-                       .zone_drain = settings.zone_drain};
+  options.selection = {
+      .places = places,
+      .policies = policies_without(settings.disabled_policies),
+      .zone_drain = settings.zone_drain,
+      .slow_start = {.overshoot = settings.slow_start_overshoot,
+                     .slack = settings.slow_start_slack}};
   const auto window = std::chrono::duration_cast<duration_ms>(
       std::chrono::duration<double>(settings.quota_window_seconds));
   options.tenants = {
@@ -394,6 +397,7 @@
     co_await timer.async_wait(as_result);
     gateway_.pool().close_expired(steady_now());
     drain_monitor_.check(steady_now());
+    gateway_.replicas().end_slow_starts();
   }
 }
 
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -35,10 +35,10 @@
     if (cause == exclusion::leaving) {
       continue; // says nothing: others take its place
     }
-    if (!lasts) {
+    if (!lasts && cause != exclusion::warming_up) {
       return exclusion::none;
     }
-    common = cause;
+    common = common == exclusion::warming_up ? common : cause;
   }
   return common;
 }
@@ -63,6 +63,23 @@
   routes_ = std::move(routes);
   for (const routing::instance_record &each : directory_.records()) {
     set_engine_memory(each.service);
+    set_admissions(each.service);
+  }
+}
+
+void replica_selector::set_admissions(const routing::service_id &service) {
+  if (!options_.slow_start.enforced()) {
+    return;
+  }
+  const routing::service *known =
+      routes_ != nullptr ? routes_->find_service(service) : nullptr;
+  const bool slow = known != nullptr && known->slow_start.has_value();
+  const std::uint32_t admissions =
+      slow ? balance::admissions_per_second(
+                 known->slow_start->requests_per_second, options_.slow_start)
+           : 0;
+  for (const routing::instance_ptr &each : directory_.of(service)) {
+    each->slow_start.set_admissions(admissions);
   }
 }
 
@@ -80,6 +97,11 @@
 }
 
 void replica_selector::put(routing::instance_record record) {
+  take_in(std::move(record), true);
+}
+
+void replica_selector::take_in(routing::instance_record record,
+                               bool written_again) {
   const routing::instance_record told = record;
   const routing::instance_ptr before = directory_.find(record.id);
   const routing::put_outcome outcome = directory_.put(std::move(record));
@@ -103,15 +125,20 @@
   case routing::put_outcome::added:
   case routing::put_outcome::changed:
     set_engine_memory(told.service);
+    set_admissions(told.service);
     logging::line(logging::event::instances_changed)
         .field("instance", told.id.value())
         .field("service", told.service.value())
         .field("born_ms", told.born_ms)
         .field("state", told.draining ? "draining" : "ready")
         .write();
+    written_again = true;
     break;
   }
   rejected_.forget(told.id.value());
+  if (written_again) {
+    follow_slow_start(*directory_.find(told.id));
+  }
 }
 
 void replica_selector::on_started_again(const routing::instance &before,
@@ -157,6 +184,65 @@
   }
 }
 
+// An entry tells how long its replica stays cold from when it was written. How
+// long it was on its way is not known, so the time counts from now: it may look
+// cold for too long, never for too short.
+void replica_selector::follow_slow_start(routing::instance &told) {
+  if (told.record.cold_for <= duration_ms{0}) {
+    end_slow_start(told);
+    return;
+  }
+  const timestamp now = steady_now();
+  told.slow_start.begin(now + told.record.cold_for);
+  if (!told.slow_start.cold(now)) {
+    return;
+  }
+  logging::line(logging::event::replica_turned_cold)
+      .field("instance", told.record.id.value())
+      .field("service", told.record.service.value())
+      .field("started_ms", told.record.born_ms)
+      .field("for_ms", told.record.cold_for.count())
+      .field("admissions_per_second", told.slow_start.admissions())
+      .field("own", told.slow_start.own(share_, now))
+      .write();
+}
+
+void replica_selector::end_slow_start(routing::instance &warm) {
+  if (!warm.slow_start.begun()) {
+    return;
+  }
+  warm.slow_start.end();
+  if (warm.slow_start.admissions() > 0) {
+    logging::line(logging::event::replica_turned_warm)
+        .field("instance", warm.record.id.value())
+        .field("service", warm.record.service.value())
+        .field("sent", warm.slow_start.sent())
+        .field("own", warm.slow_start.own(share_, steady_now()))
+        .write();
+  }
+}
+
+void replica_selector::end_slow_starts() {
+  const timestamp now = steady_now();
+  for (const auto &[id, each] : directory_.all()) {
+    if (now >= each->slow_start.cold_until()) {
+      end_slow_start(*each);
+    }
+  }
+}
+
+replica_selector::slow_start_figures replica_selector::slow_starts() const {
+  const timestamp now = steady_now();
+  slow_start_figures figures;
+  for (const auto &[id, each] : directory_.all()) {
+    if (each->slow_start.cold(now)) {
+      ++figures.cold;
+      figures.own_admissions += each->slow_start.own(share_, now);
+    }
+  }
+  return figures;
+}
+
 void replica_selector::remove(const routing::instance_id &id) {
   rejected_.forget(id.value());
   unlist(id);
@@ -198,7 +284,7 @@
     reject(routing::instance_id{each.name}, each.reason);
   }
   for (routing::instance_record &record : records) {
-    put(std::move(record));
+    take_in(std::move(record), false);
   }
 }
 
@@ -268,10 +354,13 @@
   const routing::traffic_place place = first_attempt
                                            ? place_of(request, drains_, now)
                                            : routing::traffic_place{};
+  timestamp free_at = timestamp::max();
   for (const routing::instance_ptr &each : directory_.of(service)) {
     const routing::incarnation start = each->record.start();
-    exclusions.push_back(
-        routing::exclusion_of(*each, home, options_.places, drains_, place));
+    exclusions.push_back(exclusion_of(*each, home, place, now));
+    if (exclusions.back() == routing::exclusion::warming_up) {
+      free_at = std::min(free_at, next_send(*each, now));
+    }
     const bool eligible = exclusions.back() == routing::exclusion::none;
     const bool wanted = step.only.empty() || step.only.contains(start);
     if (!eligible || !wanted || step.excluded.contains(start)) {
@@ -288,19 +377,41 @@
           ? balance::choose_engine(candidates, random_(), engine_choice)
           : balance::choose_plain(candidates, random_(), options_.plain_choice);
   if (!chosen) {
-    return {.barred_by = common_bar(exclusions)};
+    return {.barred_by = common_bar(exclusions), .free_at = free_at};
   }
   return {.target = fitting[*chosen],
           .missing_tokens = candidates[*chosen].missing_tokens,
           .running = candidates[*chosen].running};
 }
 
-routing::exclusion
-replica_selector::exclusion_of(const routing::instance &target,
-                               const client_request &request,
-                               const routing::residency &home) const {
-  return routing::exclusion_of(target, home, options_.places, drains_,
-                               place_of(request, drains_, steady_now()));
+routing::exclusion replica_selector::exclusion_of(
+    const routing::instance &target, const routing::residency &home,
+    const routing::traffic_place &place, timestamp now) const {
+  const routing::exclusion lasting =
+      routing::exclusion_of(target, home, options_.places, drains_, place);
+  if (lasting != routing::exclusion::none || !target.slow_start.cold(now)) {
+    return lasting;
+  }
+  return next_send(target, now) > now ? routing::exclusion::warming_up
+                                      : routing::exclusion::none;
+}
+
+timestamp replica_selector::next_send(const routing::instance &cold,
+                                      timestamp now) const {
+  const timestamp warm = cold.slow_start.cold_until();
+  return std::min(cold.slow_start.next(share_, now).value_or(warm), warm);
+}
+
+routing::exclusion replica_selector::admit(routing::instance &target,
+                                           const client_request &request,
+                                           const routing::residency &home) {
+  const timestamp now = steady_now();
+  const routing::exclusion cause =
+      exclusion_of(target, home, place_of(request, drains_, now), now);
+  if (cause == routing::exclusion::none) {
+    target.slow_start.note_sent(now);
+  }
+  return cause;
 }
 
 std::uint32_t replica_selector::running_in(const std::string &zone) const {
@@ -344,6 +455,8 @@
 }
 
 void replica_selector::take_shared_loads(const wire::SharedLoads &shared) {
+  share_.take({.end = shared.arc_end(), .length = shared.arc_length()},
+              timestamp_from(shared.told_ms()), steady_now());
   if (!options_.policies.shared_loads) {
     return;
   }
--- a/src/routing/instance_directory.cpp
+++ b/src/routing/instance_directory.cpp
@@ -38,6 +38,8 @@
                                     put_outcome outcome) {
   auto added = std::make_shared<instance>();
   added->record = std::move(record);
+  added->slow_start =
+      balance::slow_start(stable_hash(added->record.id.value()));
   by_service_[added->record.service].push_back(added);
   by_id_.emplace(added->record.id, std::move(added));
   return outcome;
