Tests of the gateway share their replica and their record group

What request_exchange_test had for itself moves to tests/support, so that other tests of whole exchanges can use it.

--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -75,6 +75,15 @@
   duration_ms keep{0};
 };
 
+/// Where a node of the record group lies.
+struct storage_place {
+  std::string node;
+  std::string zone;
+  std::string region; // empty when the node doesn't tell
+
+  bool operator==(const storage_place &) const = default;
+};
+
 class turn_ledger {
 public:
   turn_ledger() = default;
@@ -99,6 +108,11 @@
   /// True while this process cannot reach the record group and others can: it
   /// had better send its clients to them.
   [[nodiscard]] virtual bool cut_off() const { return false; }
+
+  /// The nodes known to this process; what is recorded may get to each of them.
+  [[nodiscard]] virtual std::vector<storage_place> storage_places() const {
+    return {};
+  }
 };
 
 } // namespace heathtrestle::records
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -3,155 +3,33 @@
 #include "forwarding/client_session.hpp"
 #include "forwarding/gateway.hpp"
 #include "http/call_client.hpp"
-#include "http/status_server.hpp"
 #include "support/coroutines.hpp"
 #include "support/header_names.hpp"
+#include "support/open_ledger.hpp"
+#include "support/scripted_replica.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <thread>
 
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
 namespace heathtrestle::forwarding {
 namespace {
 
 using test_support::await_result;
+using test_support::chunk;
+using test_support::event;
+using test_support::open_ledger;
+using test_support::plain;
+using test_support::refusal;
+using test_support::scripted_replica;
+using test_support::stream_end;
+using test_support::stream_head;
 using test_support::test_names;
 
-/// Grants everything, and remembers what was settled and kept.
-class open_ledger : public records::turn_ledger {
-public:
-  records::turn_verdict verdict = records::turn_verdict::granted;
-  std::vector<records::turn_end> ends;
-  std::vector<records::turn_request> requests;
-  /// Called before a grant is given.
-  std::function<void()> before_grant;
-  bool records_ends = true;
-  /// So many first questions are refused since others hold the budget.
-  int refused_for_reservations = 0;
-  std::uint64_t spent = 0;
-  int asked = 0;
-  records::turn_place previous_place;
-  bool is_cut_off = false;
-
-  [[nodiscard]] bool cut_off() const override { return is_cut_off; }
-
-  asio::awaitable<records::turn_grant> begin(records::turn_request request,
-                                             timestamp) override {
-    requests.push_back(std::move(request));
-    if (before_grant) {
-      before_grant();
-    }
-    ++asked;
-    const bool refused = asked <= refused_for_reservations;
-    co_return records::turn_grant{
-        .verdict = refused ? records::turn_verdict::budget_spent : verdict,
-        .history = {},
-        .spent = spent,
-        .reserved = refused ? std::uint64_t{1} : std::uint64_t{0},
-        .previous_place = previous_place};
-  }
-  asio::awaitable<bool> finish(records::turn_end end, timestamp) override {
-    ends.push_back(std::move(end));
-    co_return records_ends;
-  }
-  void settle(records::turn_end end) override {
-    ends.push_back(std::move(end));
-  }
-};
-
-/// What a replica does with one request.
-struct scripted {
-  std::string bytes; // sent as they are; {id} stands for the attempt's id
-  bool close = false;
-  bool reset = false;
-};
-
-class scripted_replica {
-public:
-  explicit scripted_replica(asio::io_context &io)
-      : io_(io), acceptor_(std::move(http::listen(io, "127.0.0.1:0")).value()) {
-    asio::co_spawn(io, accept(), asio::detached);
-  }
-
-  std::deque<scripted> script;
-  std::vector<beast_http::request<beast_http::string_body>> received;
-
-  [[nodiscard]] std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-  }
-
-private:
-  asio::awaitable<void> accept() {
-    while (true) {
-      tcp::socket socket(io_);
-      const auto [failure] = co_await acceptor_.async_accept(socket, as_result);
-      if (failure) {
-        co_return;
-      }
-      asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
-    }
-  }
-
-  asio::awaitable<void> serve(tcp::socket socket) {
-    boost::beast::flat_buffer buffer;
-    while (true) {
-      beast_http::request<beast_http::string_body> request;
-      const auto [failure, bytes] =
-          co_await beast_http::async_read(socket, buffer, request, as_result);
-      if (failure || script.empty()) {
-        co_return;
-      }
-      const auto id = request["Attempt"];
-      scripted next = script.front();
-      script.pop_front();
-      for (std::size_t at = next.bytes.find("{id}"); at != std::string::npos;
-           at = next.bytes.find("{id}")) {
-        next.bytes.replace(at, 4, std::string(id.data(), id.size()));
-      }
-      received.push_back(std::move(request));
-      // A client that has left by then is part of some of the scripts.
-      static_cast<void>(co_await asio::async_write(
-          socket, asio::buffer(next.bytes), as_result));
-      if (next.reset) {
-        socket.set_option(asio::socket_base::linger(true, 0));
-      }
-      if (next.close || next.reset) {
-        socket.close();
-        co_return;
-      }
-    }
-  }
-
-  asio::io_context &io_;
-  tcp::acceptor acceptor_;
-};
-
-std::string plain(const std::string &body, const std::string &id = "{id}") {
-  return "HTTP/1.1 200 OK\r\nAttempt: " + id + "\r\nSignature: s\r\n" +
-         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-std::string chunk(const std::string &data) {
-  return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
-}
-
-std::string event(int id) {
-  return fmt::format("id: {}\ndata: d{}\n\n", id, id);
-}
-
-const std::string stream_head =
-    "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nSignature: s\r\n"
-    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-const std::string stream_end = "0\r\n\r\n";
-const std::string refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
-                            "Content-Length: 0\r\n\r\n";
-
 class request_exchange_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(request_exchange_test);
   CPPUNIT_TEST(an_answer_is_passed_on_unchanged);
--- /dev/null
+++ b/tests/support/open_ledger.hpp
@@ -0,0 +1,64 @@
+// A record group for tests of the gateway: it grants at once.
+#pragma once
+
+#include "records/turn_ledger.hpp"
+#include "runtime/asio.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace heathtrestle::test_support {
+
+/// Grants everything, and remembers what was settled and kept.
+class open_ledger : public records::turn_ledger {
+public:
+  records::turn_verdict verdict = records::turn_verdict::granted;
+  std::vector<records::turn_end> ends;
+  std::vector<records::turn_request> requests;
+  /// Called before a grant is given.
+  std::function<void()> before_grant;
+  bool records_ends = true;
+  /// So many first questions are refused since others hold the budget.
+  int refused_for_reservations = 0;
+  std::uint64_t spent = 0;
+  int asked = 0;
+  records::turn_place previous_place;
+  bool is_cut_off = false;
+
+  [[nodiscard]] bool cut_off() const override { return is_cut_off; }
+
+  /// Where its nodes lie.
+  std::vector<records::storage_place> places;
+
+  [[nodiscard]] std::vector<records::storage_place>
+  storage_places() const override {
+    return places;
+  }
+
+  asio::awaitable<records::turn_grant> begin(records::turn_request request,
+                                             timestamp) override {
+    requests.push_back(std::move(request));
+    if (before_grant) {
+      before_grant();
+    }
+    ++asked;
+    const bool refused = asked <= refused_for_reservations;
+    co_return records::turn_grant{
+        .verdict = refused ? records::turn_verdict::budget_spent : verdict,
+        .history = {},
+        .spent = spent,
+        .reserved = refused ? std::uint64_t{1} : std::uint64_t{0},
+        .previous_place = previous_place};
+  }
+  asio::awaitable<bool> finish(records::turn_end end, timestamp) override {
+    ends.push_back(std::move(end));
+    co_return records_ends;
+  }
+  void settle(records::turn_end end) override {
+    ends.push_back(std::move(end));
+  }
+};
+
+} // namespace heathtrestle::test_support
--- /dev/null
+++ b/tests/support/scripted_replica.hpp
@@ -0,0 +1,119 @@
+// A replica for tests of the gateway: it answers with scripted bytes over a
+// loopback socket.
+#pragma once
+
+#include "http/status_server.hpp"
+#include "runtime/asio.hpp"
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <fmt/format.h>
+
+namespace heathtrestle::test_support {
+
+namespace beast_http = boost::beast::http;
+
+/// What a replica does with one request.
+struct scripted {
+  std::string bytes; // sent as they are; {id} stands for the attempt's id
+  bool close = false;
+  bool reset = false;
+};
+
+class scripted_replica {
+public:
+  explicit scripted_replica(asio::io_context &io)
+      : io_(io), acceptor_(std::move(http::listen(io, "127.0.0.1:0")).value()) {
+    asio::co_spawn(io, accept(), asio::detached);
+  }
+
+  std::deque<scripted> script;
+  /// Called when a request is there, before its answer.
+  std::function<void()> before_answer;
+  std::vector<beast_http::request<beast_http::string_body>> received;
+
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+private:
+  asio::awaitable<void> accept() {
+    while (true) {
+      tcp::socket socket(io_);
+      const auto [failure] = co_await acceptor_.async_accept(socket, as_result);
+      if (failure) {
+        co_return;
+      }
+      asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> serve(tcp::socket socket) {
+    boost::beast::flat_buffer buffer;
+    while (true) {
+      beast_http::request<beast_http::string_body> request;
+      const auto [failure, bytes] =
+          co_await beast_http::async_read(socket, buffer, request, as_result);
+      if (failure || script.empty()) {
+        co_return;
+      }
+      const auto id = request["Attempt"];
+      scripted next = script.front();
+      script.pop_front();
+      for (std::size_t at = next.bytes.find("{id}"); at != std::string::npos;
+           at = next.bytes.find("{id}")) {
+        next.bytes.replace(at, 4, std::string(id.data(), id.size()));
+      }
+      received.push_back(std::move(request));
+      if (before_answer) {
+        before_answer();
+      }
+      // A client that has left by then is part of some of the scripts.
+      static_cast<void>(co_await asio::async_write(
+          socket, asio::buffer(next.bytes), as_result));
+      if (next.reset) {
+        socket.set_option(asio::socket_base::linger(true, 0));
+      }
+      if (next.close || next.reset) {
+        socket.close();
+        co_return;
+      }
+    }
+  }
+
+  asio::io_context &io_;
+  tcp::acceptor acceptor_;
+};
+
+inline std::string plain(const std::string &body,
+                         const std::string &id = "{id}") {
+  return "HTTP/1.1 200 OK\r\nAttempt: " + id + "\r\nSignature: s\r\n" +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string chunk(const std::string &data) {
+  return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+
+inline std::string event(int id) {
+  return fmt::format("id: {}\ndata: d{}\n\n", id, id);
+}
+
+inline const std::string stream_head =
+    "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nSignature: s\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+inline const std::string stream_end = "0\r\n\r\n";
+inline const std::string refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+                                   "Content-Length: 0\r\n\r\n";
+
+} // namespace heathtrestle::test_support
