Home regions bind what is kept of a request, and how it is refused

Which replica may serve a request was bound by the homes of its route and tenant already; where the record of a retained turn goes was not. A record group that spans regions got the turn's input and output, and a gateway outside the homes cached them.

- A retained turn with homes is refused, not run, while a node of the record group lies outside them: asked before the grant, after it, and before the end is recorded.
A node that comes while the turn runs cuts its stream.
- Gateways outside the homes cache no turn; a change of homes empties the cache.
- Without a replica at home a request is told to come back after a second, not after 0.15 s: replicas come back by starting, which takes seconds.
- 1020 outside_home_refused with what bound the request, 1021 home_region_unknown, requests sent by locality and refusals by cause in the metrics, the locality of the last replica in 1000 and 1001.

Seen failing before the change: 9 of the 13 tests of forwarding home_regions_test. The other four held already: a refusal, a broken stream, a turn kept at home, a turn that keeps nothing. After: 13 passed; routing home_regions_test 2, partitioned_ ledger_test 8 passed. The two of routing and the new one of partitioned_ledger_test came with their functions and were not seen failing.

--- a/src/forwarding/attempt_plan.hpp
+++ b/src/forwarding/attempt_plan.hpp
@@ -11,6 +11,7 @@
 #include "routing/configuration.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <variant>
@@ -75,7 +76,13 @@
   /// Something that lasts keeps the request from every replica: it is answered
   /// at once instead of waiting in vain.
   /// @param reason outlives the plan.
-  void on_barred(std::string_view reason) { barred_ = reason; }
+  /// @param come_back_after when that may have passed; nothing: as after other
+  /// refusals.
+  void on_barred(std::string_view reason,
+                 std::optional<duration_ms> come_back_after = std::nullopt) {
+    barred_ = reason;
+    limits_.come_back_after = come_back_after.value_or(limits_.come_back_after);
+  }
 
   [[nodiscard]] next_step next(timestamp now);
 
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -2,10 +2,13 @@
 
 #include "forwarding/client_session.hpp"
 #include "logging/log.hpp"
+#include "routing/home_regions.hpp"
 
 #include <algorithm>
 #include <utility>
 
+#include <fmt/ranges.h>
+
 namespace heathtrestle::forwarding {
 
 gateway::gateway(asio::io_context &io, gateway_options options,
@@ -33,6 +36,7 @@
       .field("before", routes_ ? routes_->version().value() : 0)
       .field("routes", settings.routes.size())
       .write();
+  note_homes(settings);
   metrics_.set_configuration_version(
       static_cast<double>(settings.version.value()));
   routes_ = std::make_shared<const routing::route_table>(std::move(settings));
@@ -40,6 +44,22 @@
   replicas_.apply(routes_);
 }
 
+void gateway::note_homes(const routing::configuration &settings) {
+  const bool moved =
+      routes_ != nullptr && !routing::same_homes(routes_->settings(), settings);
+  if (moved) {
+    turns_.clear(); // copies only: what may still be read here is asked for
+  }
+  auto unknown = routing::unknown_homes(settings, replicas_.places());
+  if (unknown != unknown_homes_ && !unknown.empty()) {
+    logging::line(logging::event::home_region_unknown)
+        .field("version", settings.version.value())
+        .field("regions", fmt::format("{}", fmt::join(unknown, ",")))
+        .write();
+  }
+  unknown_homes_ = std::move(unknown);
+}
+
 admission gateway::admit(const client_request &request,
                          const routing::route &route,
                          const routing::route_table &routes) {
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -130,10 +130,16 @@
   [[nodiscard]] gateway_metrics &metrics() { return metrics_; }
 
 private:
+  /// Drops copies that may lie here no longer, and tells of home regions that
+  /// nobody knows.
+  void note_homes(const routing::configuration &settings);
+
   asio::io_context &io_;
   gateway_options options_;
   records::turn_ledger &ledger_;
   std::shared_ptr<const routing::route_table> routes_;
+  /// Home regions of the configuration in which no zone lies.
+  std::set<std::string> unknown_homes_;
   routing::split_rotation rotation_;
   tenant_gate tenants_;
   std::function<bool()> unconfirmed_everywhere_ = [] { return false; };
--- a/src/forwarding/gateway_metrics.cpp
+++ b/src/forwarding/gateway_metrics.cpp
@@ -32,11 +32,15 @@
                     .Name("heathtrestle_gateway_attempts_total")
                     .Help("Attempts at replicas by outcome")
                     .Register(*registry_)),
+      sent_(prometheus::BuildCounter()
+                .Name("heathtrestle_gateway_sent_total")
+                .Help("Requests sent to replicas by how far those are away")
+                .Register(*registry_)),
       verdicts_(histogram(*registry_, "heathtrestle_gateway_turn_grant_seconds",
                           "Time until the record group answered a turn")),
       refused_(prometheus::BuildCounter()
                    .Name("heathtrestle_gateway_refused_total")
-                   .Help("Requests refused for their key or quota, by cause")
+                   .Help("Requests refused for key, quota or home, by cause")
                    .Register(*registry_)),
       configuration_age_(
           prometheus::BuildGauge()
@@ -81,6 +85,10 @@
   attempts_.Add({{"outcome", outcome}}).Increment();
 }
 
+void gateway_metrics::on_sent(const std::string &locality) {
+  sent_.Add({{"locality", locality}}).Increment();
+}
+
 void gateway_metrics::on_turn_verdict(const std::string &verdict,
                                       double seconds) {
   verdicts_.Add({{"verdict", verdict}}, latency_buckets).Observe(seconds);
--- a/src/forwarding/gateway_metrics.hpp
+++ b/src/forwarding/gateway_metrics.hpp
@@ -25,6 +25,9 @@
                    double seconds);
   void on_first_event(const std::string &route, double seconds);
   void on_attempt(const std::string &outcome);
+  /// A request is sent to a replica.
+  /// @param locality how far away it is.
+  void on_sent(const std::string &locality);
   void on_turn_verdict(const std::string &verdict, double seconds);
   /// A request was refused before anything was asked for it.
   void on_refused(const std::string &cause);
@@ -47,6 +50,7 @@
   prometheus::Family<prometheus::Histogram> &latency_;
   prometheus::Family<prometheus::Histogram> &first_event_;
   prometheus::Family<prometheus::Counter> &attempts_;
+  prometheus::Family<prometheus::Counter> &sent_;
   prometheus::Family<prometheus::Histogram> &verdicts_;
   prometheus::Family<prometheus::Counter> &refused_;
   prometheus::Gauge &configuration_age_;
--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/program_turn.hpp"
 
+#include "forwarding/storage_residency.hpp"
 #include "logging/log.hpp"
 
 #include <algorithm>
@@ -53,9 +54,10 @@
 }
 
 program_turn::program_turn(gateway &shared, const client_request &request,
-                           const routing::route &route, const tenant_id &tenant,
-                           timestamp deadline)
-    : gateway_(shared), request_(request), route_(route), deadline_(deadline),
+                           const routing::route &route, routing::residency home,
+                           const tenant_id &tenant, timestamp deadline)
+    : gateway_(shared), request_(request), route_(route),
+      home_(std::move(home)), deadline_(deadline),
       patience_ends_(request.arrived +
                      std::chrono::duration_cast<duration_ms>(
                          grant_patience * (deadline - request.arrived))),
@@ -75,6 +77,20 @@
   }
 }
 
+std::optional<records::storage_place>
+program_turn::storage_outside_home() const {
+  if (!route_.retained || !home_.restricted()) {
+    return std::nullopt;
+  }
+  return storage_outside(gateway_.ledger().storage_places(), home_,
+                         gateway_.replicas().places());
+}
+
+bool program_turn::may_cache() const {
+  return !home_.restricted() ||
+         home_.allows(gateway_.replicas().places().region());
+}
+
 records::turn_request program_turn::wanted() const {
   return {.program = turn_.program,
           .attempt = attempt_,
@@ -110,7 +126,9 @@
   for (const records::retained_turn &each : turns) {
     history_ += each.input;
     history_ += each.output;
-    gateway_.turns().put(each);
+    if (may_cache()) {
+      gateway_.turns().put(each);
+    }
   }
 }
 
@@ -136,7 +154,7 @@
   granted_ = false; // settled by this, now or later
   const bool kept =
       co_await gateway_.ledger().finish(std::move(end), deadline_);
-  if (kept) {
+  if (kept && may_cache()) {
     gateway_.turns().put(std::move(copy));
   }
   co_return kept;
--- a/src/forwarding/program_turn.hpp
+++ b/src/forwarding/program_turn.hpp
@@ -8,17 +8,24 @@
 #include "runtime/asio.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace heathtrestle::forwarding {
 
 class program_turn {
 public:
+  /// @param home the regions that the request is bound to.
   /// @param tenant whose program it is; empty where there are no tenants.
   /// @param deadline until when the client waits for its answer.
   program_turn(gateway &shared, const client_request &request,
-               const routing::route &route, const tenant_id &tenant,
-               timestamp deadline);
+               const routing::route &route, routing::residency home,
+               const tenant_id &tenant, timestamp deadline);
+
+  /// A node of the record group that what is to be kept of the turn must not
+  /// get to. While there is one the turn cannot be kept.
+  [[nodiscard]] std::optional<records::storage_place>
+  storage_outside_home() const;
 
   /// Asks the record group once, for as long as a turn may wait for its grant.
   /// A turn that was refused may ask again.
@@ -54,11 +61,14 @@
 
 private:
   [[nodiscard]] records::turn_request wanted() const;
+  /// Whether this process may hold copies of the program's turns.
+  [[nodiscard]] bool may_cache() const;
   void take_history(const std::vector<records::retained_turn> &turns);
 
   gateway &gateway_;
   const client_request &request_;
   const routing::route &route_;
+  routing::residency home_;
   timestamp deadline_;
   timestamp patience_ends_;
   /// Its names carry the tenant's, as do those that the record group gets: what
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -14,6 +15,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <fmt/ranges.h>
 
 namespace heathtrestle::forwarding {
 
@@ -40,6 +42,11 @@
 constexpr duration_ms elsewhere_retry{20};
 /// A turn whose budget is held by others asks again after this long.
 constexpr duration_ms budget_pause{100};
+/// Replicas and storage nodes at home are back when one has started there,
+/// which takes seconds: a client that asks sooner only spends its tries.
+constexpr duration_ms home_retry{1000};
+constexpr std::string_view record_outside_reason =
+    "its record would leave its home regions";
 constexpr std::string_view answered_reason = "answered";
 
 std::string_view to_view(boost::beast::string_view text) {
@@ -253,7 +260,10 @@
 }
 
 asio::awaitable<bool> request_exchange::begin_turn() {
-  turn_.emplace(gateway_, request_, *route_, caller_.tenant, deadline_);
+  turn_.emplace(gateway_, request_, *route_, home(), caller_.tenant, deadline_);
+  if (!co_await record_stays_home()) {
+    co_return false;
+  }
   records::turn_verdict verdict = co_await turn_->begin();
   while (turn_->budget_is_tied_up() && !client_gone_ &&
          steady_now() + budget_pause < turn_->patience_ends()) {
@@ -262,6 +272,10 @@
     verdict = co_await turn_->begin();
   }
   if (verdict == records::turn_verdict::granted) {
+    // The grant may have brought news of further storage nodes.
+    if (!co_await record_stays_home()) {
+      co_return false;
+    }
     body_.insert(0, turn_->history());
     gateway_.replicas().learn_place(turn_->previous_place(), service_,
                                     request_.prompt);
@@ -286,6 +300,15 @@
   co_return false;
 }
 
+asio::awaitable<bool> request_exchange::record_stays_home() {
+  const auto outside = turn_->storage_outside_home();
+  if (outside) {
+    note_home_refusal("storage_outside_home", outside->node, outside->region);
+    co_await answer(status_unavailable, home_retry, record_outside_reason);
+  }
+  co_return !outside;
+}
+
 std::uint64_t request_exchange::used_tokens() const {
   const routing::service *target = routes_->find_service(service_);
   const std::uint64_t tokens_per_event = target != nullptr && target->engine
@@ -320,6 +343,9 @@
         co_await withdraw(*cause);
       } else if (placement_.target) {
         co_await attempt(placement_.target);
+      } else if (placement_.barred_by == routing::exclusion::outside_home) {
+        note_home_refusal(name_of(placement_.barred_by), {}, {});
+        plan_->on_barred(name_of(placement_.barred_by), home_retry);
       } else if (placement_.barred_by != routing::exclusion::none) {
         plan_->on_barred(name_of(placement_.barred_by));
       } else {
@@ -401,9 +427,32 @@
           .tenant_regions = caller_.home_regions};
 }
 
+void request_exchange::note_home_refusal(std::string_view cause,
+                                         std::string_view node,
+                                         std::string_view region) const {
+  gateway_.metrics().on_refused(std::string(cause));
+  logging::line(logging::event::outside_home_refused)
+      .field("id", request_.attempt_id)
+      .field("tenant", caller_.tenant.value())
+      .field("route", route_->name)
+      .field("cause", cause)
+      .field("route_regions",
+             fmt::format("{}", fmt::join(route_->home_regions, ",")))
+      .field("tenant_regions",
+             fmt::format("{}", fmt::join(caller_.home_regions, ",")))
+      .field("node", node)
+      .field("region", region)
+      .field("own_region", gateway_.replicas().places().region())
+      .field("attempts", attempts_)
+      .write();
+}
+
 asio::awaitable<request_exchange::attempt_end>
 request_exchange::exchange_with(routing::instance &target,
                                 connection_ptr connection) {
+  last_locality_ =
+      name_of(gateway_.replicas().places().locality_of(target.record.zone));
+  gateway_.metrics().on_sent(std::string(last_locality_));
   sent_at_ = steady_now();
   if (!co_await send(target, *connection)) {
     last_failure_ = "broke off while the request was sent";
@@ -777,6 +826,12 @@
 
 asio::awaitable<bool> request_exchange::finish_stream() {
   const bool keeps = route_->retained && turn_ && turn_->granted();
+  const auto outside = keeps ? turn_->storage_outside_home() : std::nullopt;
+  if (outside) {
+    note_home_refusal("storage_outside_home", outside->node, outside->region);
+    reason_ = record_outside_reason;
+    co_return false;
+  }
   if (keeps && !co_await turn_->keep(used_tokens(), place_of_memory())) {
     reason_ = "the turn could not be recorded in time";
     co_return false;
@@ -824,6 +879,7 @@
       .field("route", route)
       .field("version", routes_ ? routes_->version().value() : 0)
       .field("instance", last_instance_)
+      .field("locality", last_locality_)
       .field("attempts", attempts_)
       .field(
           "client_resumes_after",
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -74,6 +74,9 @@
   [[nodiscard]] bool needs_grant() const;
   /// @return true when the request may run; else it has its answer.
   asio::awaitable<bool> begin_turn();
+  /// @return false when what is to be kept of it would leave its home regions:
+  /// then it has its answer.
+  asio::awaitable<bool> record_stays_home();
   [[nodiscard]] std::uint64_t used_tokens() const;
 
   // Attempts.
@@ -83,6 +86,11 @@
   bool may_send_to(const routing::instance &target);
   /// Where the request may be served.
   [[nodiscard]] routing::residency home() const;
+  /// Tells the log and the metrics that its home regions keep it from being
+  /// served.
+  /// @param region the one outside; empty when there are several.
+  void note_home_refusal(std::string_view cause, std::string_view node,
+                         std::string_view region) const;
   asio::awaitable<attempt_end> exchange_with(routing::instance &target,
                                              connection_ptr connection);
   asio::awaitable<bool> send(const routing::instance &target,
@@ -150,6 +158,7 @@
   std::uint32_t status_ = 0;
   std::string_view reason_;
   std::string last_instance_;
+  std::string_view last_locality_ = "none";
   std::string last_failure_;
   std::uint32_t attempts_ = 0;
 
--- a/src/records/partitioned_ledger.cpp
+++ b/src/records/partitioned_ledger.cpp
@@ -156,6 +156,17 @@
   return clients_.front()->members();
 }
 
+std::vector<storage_place> partitioned_ledger::storage_places() const {
+  std::vector<storage_place> places;
+  for (const auto &client : clients_) {
+    for (const wire::RecordMember &each : client->members().members()) {
+      places.push_back(
+          {.node = each.name(), .zone = each.zone(), .region = each.region()});
+    }
+  }
+  return places;
+}
+
 bool partitioned_ledger::is_lost() const {
   return std::any_of(clients_.begin(), clients_.end(),
                      [](const auto &client) { return client->is_lost(); });
--- a/src/records/partitioned_ledger.hpp
+++ b/src/records/partitioned_ledger.hpp
@@ -29,6 +29,7 @@
   void settle(turn_end end) override;
 
   [[nodiscard]] bool cut_off() const override { return contact_.cut_off(); }
+  [[nodiscard]] std::vector<storage_place> storage_places() const override;
   /// Notices silence of the whole group, and its end. To be called often.
   void check_contact();
   /// What other gateways say while this one hears nothing.
--- a/src/records/turn_cache.cpp
+++ b/src/records/turn_cache.cpp
@@ -27,6 +27,12 @@
   }
 }
 
+void turn_cache::clear() {
+  recent_.clear();
+  by_id_.clear();
+  bytes_ = 0;
+}
+
 std::optional<std::vector<const retained_turn *>>
 turn_cache::chain(const std::string &last) {
   std::vector<const retained_turn *> turns;
--- a/src/records/turn_cache.hpp
+++ b/src/records/turn_cache.hpp
@@ -25,6 +25,8 @@
   std::optional<std::vector<const retained_turn *>>
   chain(const std::string &last);
 
+  void clear();
+
   [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
 private:
--- a/src/routing/topology.cpp
+++ b/src/routing/topology.cpp
@@ -1,5 +1,6 @@
 #include "routing/topology.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace heathtrestle::routing {
@@ -72,6 +73,12 @@
   return found == region_by_zone_.end() ? zone : found->second;
 }
 
+bool topology::has_region(const std::string &region) const {
+  return region == region_ ||
+         std::any_of(region_by_zone_.begin(), region_by_zone_.end(),
+                     [&](const auto &zone) { return zone.second == region; });
+}
+
 locality topology::locality_of(const std::string &zone) const {
   if (zone == zone_) {
     return locality::same_zone;
--- a/src/routing/topology.hpp
+++ b/src/routing/topology.hpp
@@ -51,6 +51,8 @@
   /// The region of a zone; of one that isn't listed, its own name, so that it
   /// is never taken for a part of a region that somebody relies on.
   [[nodiscard]] std::string region_of(const std::string &zone) const;
+  /// True for a region that some zone lies in, and for the own one.
+  [[nodiscard]] bool has_region(const std::string &region) const;
   [[nodiscard]] locality locality_of(const std::string &zone) const;
   /// True when no zone was listed: then all zones count as one region.
   [[nodiscard]] bool has_one_region() const { return region_by_zone_.empty(); }
--- a/tests/records/partitioned_ledger_test.cpp
+++ b/tests/records/partitioned_ledger_test.cpp
@@ -7,6 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -69,6 +70,7 @@
   CPPUNIT_TEST(a_silent_partition_may_know_the_turn);
   CPPUNIT_TEST(a_gateway_that_is_cut_off_grants_nothing_until_it_is_back);
   CPPUNIT_TEST(a_group_that_is_down_for_all_is_waited_for);
+  CPPUNIT_TEST(it_tells_where_the_storage_nodes_lie);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -228,6 +230,21 @@
       group_.silent.clear();
     }
   }
+
+  void it_tells_where_the_storage_nodes_lie() {
+    wire::RecordMembers members;
+    wire::RecordMember &far = *members.add_members();
+    far.mutable_replica()->set_node(7);
+    far.set_name("s7");
+    far.set_address("far:1");
+    far.set_zone("b1");
+    far.set_region("b");
+    ledger_->learn_members(members);
+    const auto places = ledger_->storage_places();
+    const storage_place wanted{.node = "s7", .zone = "b1", .region = "b"};
+    CPPUNIT_ASSERT(std::find(places.begin(), places.end(), wanted) !=
+                   places.end());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(partitioned_ledger_test);
--- /dev/null
+++ b/tests/routing/home_regions_test.cpp
@@ -0,0 +1,51 @@
+#include "routing/home_regions.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace heathtrestle::routing {
+namespace {
+
+class home_regions_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(home_regions_test);
+  CPPUNIT_TEST(a_home_in_which_no_zone_lies_is_unknown);
+  CPPUNIT_TEST(only_a_change_of_homes_is_a_move);
+  CPPUNIT_TEST_SUITE_END();
+
+  const topology places_ =
+      topology::from_settings({.zone = "a1", .zones = {"a1=a", "b1=b"}})
+          .value();
+
+  static configuration with_homes(std::vector<std::string> of_route,
+                                  std::vector<std::string> of_tenant) {
+    configuration made;
+    made.routes.emplace_back();
+    made.routes.back().home_regions = std::move(of_route);
+    made.tenants.emplace_back();
+    made.tenants.back().home_regions = std::move(of_tenant);
+    return made;
+  }
+
+public:
+  void a_home_in_which_no_zone_lies_is_unknown() {
+    CPPUNIT_ASSERT(unknown_homes(with_homes({"a"}, {"b"}), places_).empty());
+    const std::set<std::string> both{"c", "d"};
+    CPPUNIT_ASSERT(unknown_homes(with_homes({"a", "c"}, {"d"}), places_) ==
+                   both);
+    // A process that was told of no regions knows none by name.
+    CPPUNIT_ASSERT(
+        !unknown_homes(with_homes({"a"}, {}), topology("a1")).empty());
+  }
+
+  void only_a_change_of_homes_is_a_move() {
+    configuration changed = with_homes({"a"}, {"b"});
+    changed.routes.back().timeout = duration_ms{1};
+    CPPUNIT_ASSERT(same_homes(with_homes({"a"}, {"b"}), changed));
+    CPPUNIT_ASSERT(!same_homes(with_homes({"b"}, {"b"}), changed));
+    CPPUNIT_ASSERT(!same_homes(with_homes({"a"}, {}), changed));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(home_regions_test);
+
+} // namespace
+} // namespace heathtrestle::routing
