--- a/src/forwarding/attempt_plan.hpp
+++ b/src/forwarding/attempt_plan.hpp
@@ -59,10 +59,6 @@
   duration_ms first_pause{4};
   duration_ms longest_pause{50};
   duration_ms come_back_after{150};
-  /// When to come back with a request that no replica may serve: what bars it
-  /// lasts for seconds at the least, and clients pass over a time that is much
-  /// of what they have left.
-  duration_ms barred_retry{500};
 };
 
 class attempt_plan {
@@ -82,7 +78,11 @@
   /// Something that lasts keeps the request from every replica: it is answered
   /// at once instead of waiting in vain.
   /// @param reason outlives the plan.
-  void on_barred(std::string_view reason) { barred_ = reason; }
+  /// @param come_back_after when that may have passed.
+  void on_barred(std::string_view reason, duration_ms come_back_after) {
+    barred_ = reason;
+    limits_.come_back_after = come_back_after;
+  }
 
   /// All replicas that fit are warming up, and one may be sent the request at
   /// `free_at`. It waits until then, or is answered at once where that is later
