Findings of a reading of the whole change, mended

- A request to empty a machine that was withdrawn and made anew under the same name begins anew; the earlier end is not told for it.
- A zone that isn't listed lies in no region, so that no home is met by its name.
- Where one replica alone may take a request, the others don't say whether waiting helps: it is refused at once when that one's zone is drained.
- Requests at replicas that have left the directory count for their zone, so that a drained zone isn't called quiet while they run.
- An entry that hides its start is logged as one that was in use.
- The list of drained zones is asked for seldom, too, while the store is down; it is confirmed every 100 ms at the most.
- Reads that were waiting when a partition turned unserved get its time to return.

--- a/src/balance/slow_start.cpp
+++ b/src/balance/slow_start.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-/// The second in which requests count, and what one that was admitted may be
-/// late on its way out behind the one before it.
-constexpr duration_ms window{1050};
+/// What a request that was admitted may be late on its way out behind the one
+/// before it.
+constexpr duration_ms send_jitter{50};
+/// Requests count for a second.
+constexpr duration_ms window = duration_ms{1000} + send_jitter;
 /// Part of the bound that is dealt out at most. Should two sets of gateways
 /// hold each other for gone, both deal out everything, and replicas still get
 /// no more than the bound.
--- a/src/balance/slow_start.hpp
+++ b/src/balance/slow_start.hpp
@@ -31,7 +31,9 @@
   [[nodiscard]] bool enforced() const { return overshoot > 0; }
 };
 
-/// Requests that are dealt out for each second.
+/// Requests that are dealt out for each second: at most half of the bound, but
+/// one at the least, for a replica that gets nothing would idle until it is
+/// warm.
 /// @param rate what the replica bears, in requests a second.
 std::uint32_t admissions_per_second(double rate,
                                     const slow_start_limits &limits);
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -186,7 +186,8 @@
             // An answer that is lost is noticed within the limit. More proof
             // is not asked for: while the store is away every gateway would.
             .wait = settings_.zone_drain / 2,
-            .wanted = not_relayed},
+            .wanted = not_relayed,
+            .others_ask_in_vain = relays_in_vain},
         drain_monitor_.handlers());
     follower_.add(binding.zone_drain_kind, *drain_watch_);
   }
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -44,8 +44,7 @@
 }
 
 /// Turns of a program leave a drained zone together, so that its prompt is read
-/// again once. Requests without a prompt leave nothing behind there, and go
-/// elsewhere at once.
+/// again once. All else goes elsewhere at once: it has no conversation there.
 routing::traffic_place place_of(const client_request &request,
                                 const routing::zone_drains &drains,
                                 timestamp now) {
@@ -114,11 +113,12 @@
     }
     return;
   case routing::put_outcome::without_start:
-    pool_.drop(before->record.start());
-    reject(told.id, "tells no start although it did before");
+    note_unlisted(before);
+    note_rejected(told.id, "tells no start although it did before", true);
     return;
   case routing::put_outcome::started_again:
     if (before != nullptr) {
+      finishing_.push_back(before);
       on_started_again(*before, told);
     }
     [[fallthrough]];
@@ -173,9 +173,13 @@
 
 void replica_selector::reject(const routing::instance_id &id,
                               const std::string &reason) {
-  const bool is_news = rejected_.note(id.value(), reason);
-  const bool was_listed = unlist(id);
-  if (is_news) {
+  note_rejected(id, reason, unlist(id));
+}
+
+void replica_selector::note_rejected(const routing::instance_id &id,
+                                     const std::string &reason,
+                                     bool was_listed) {
+  if (rejected_.note(id.value(), reason)) {
     logging::line(logging::event::instance_entry_rejected)
         .field("instance", id.value())
         .field("reason", reason)
@@ -200,7 +204,7 @@
   logging::line(logging::event::replica_turned_cold)
       .field("instance", told.record.id.value())
       .field("service", told.record.service.value())
-      .field("started_ms", told.record.born_ms)
+      .field("born_ms", told.record.born_ms)
       .field("for_ms", told.record.cold_for.count())
       .field("admissions_per_second", told.slow_start.admissions())
       .field("own", told.slow_start.own(share_, now))
@@ -254,12 +258,17 @@
     return false;
   }
   directory_.remove(id);
-  pool_.drop(known->record.start());
+  note_unlisted(known);
+  return true;
+}
+
+void replica_selector::note_unlisted(const routing::instance_ptr &gone) {
+  finishing_.push_back(gone);
+  pool_.drop(gone->record.start());
   logging::line(logging::event::instances_changed)
-      .field("instance", id.value())
+      .field("instance", gone->record.id.value())
       .field("state", "gone")
       .write();
-  return true;
 }
 
 void replica_selector::replace_all(
@@ -357,13 +366,16 @@
   timestamp free_at = timestamp::max();
   for (const routing::instance_ptr &each : directory_.of(service)) {
     const routing::incarnation start = each->record.start();
+    const bool wanted = step.only.empty() || step.only.contains(start);
+    if (!wanted) {
+      continue;
+    }
     exclusions.push_back(exclusion_of(*each, home, place, now));
     if (exclusions.back() == routing::exclusion::warming_up) {
       free_at = std::min(free_at, next_send(*each, now));
     }
     const bool eligible = exclusions.back() == routing::exclusion::none;
-    const bool wanted = step.only.empty() || step.only.contains(start);
-    if (!eligible || !wanted || step.excluded.contains(start)) {
+    if (!eligible || step.excluded.contains(start)) {
       continue;
     }
     fitting.push_back(each);
@@ -402,9 +414,10 @@
   return std::min(cold.slow_start.next(share_, now).value_or(warm), warm);
 }
 
-routing::exclusion replica_selector::admit(routing::instance &target,
-                                           const client_request &request,
-                                           const routing::residency &home) {
+routing::exclusion
+replica_selector::claim_send(routing::instance &target,
+                             const client_request &request,
+                             const routing::residency &home) {
   const timestamp now = steady_now();
   const routing::exclusion cause =
       exclusion_of(target, home, place_of(request, drains_, now), now);
@@ -414,8 +427,14 @@
   return cause;
 }
 
-std::uint32_t replica_selector::running_in(const std::string &zone) const {
+std::uint32_t replica_selector::running_in(const std::string &zone) {
   std::uint32_t running = 0;
+  std::erase_if(finishing_, [](const routing::instance_ptr &each) {
+    return each->in_flight == 0;
+  });
+  for (const routing::instance_ptr &each : finishing_) {
+    running += each->record.zone == zone ? each->in_flight : 0;
+  }
   for (const auto &[id, each] : directory_.all()) {
     running += each->record.zone == zone ? each->in_flight : 0;
   }
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -1,11 +1,13 @@
 // Which replica of a service a request goes to, and what this gateway knows of
 // the replicas for that: the directory, how they answered, what they probably
-// keep, and what other gateways have told. Decides only; no I/O.
+// keep, and what other gateways have told. Sends nothing itself; closes the
+// connections to replicas that have ended.
 #pragma once
 
 #include "balance/admission_share.hpp"
 #include "balance/instance_choice.hpp"
 #include "balance/slow_start.hpp"
+#include "base/random.hpp"
 #include "forwarding/attempt_plan.hpp"
 #include "forwarding/client_request.hpp"
 #include "forwarding/policy_switches.hpp"
@@ -90,7 +92,7 @@
   [[nodiscard]] routing::zone_drains &drains() { return drains_; }
   [[nodiscard]] const routing::zone_drains &drains() const { return drains_; }
   /// Requests of this gateway at the replicas of a zone.
-  [[nodiscard]] std::uint32_t running_in(const std::string &zone) const;
+  [[nodiscard]] std::uint32_t running_in(const std::string &zone);
   [[nodiscard]] const routing::topology &places() const {
     return options_.places;
   }
@@ -103,9 +105,9 @@
                                  const routing::residency &home);
   /// Asked again in the instant before a request is sent to a replica that was
   /// chosen earlier. Where nothing is against it the request counts as sent.
-  [[nodiscard]] routing::exclusion admit(routing::instance &target,
-                                         const client_request &request,
-                                         const routing::residency &home);
+  [[nodiscard]] routing::exclusion claim_send(routing::instance &target,
+                                              const client_request &request,
+                                              const routing::residency &home);
   /// Takes note of replicas that have become warm; now and then.
   void end_slow_starts();
   /// Replicas that warm up, and admissions a second at them that are this
@@ -150,6 +152,10 @@
   /// When this gateway may send something to a replica that warms up.
   [[nodiscard]] timestamp next_send(const routing::instance &cold,
                                     timestamp now) const;
+  void note_rejected(const routing::instance_id &id, const std::string &reason,
+                     bool was_listed);
+  /// A replica has just been taken out of the directory.
+  void note_unlisted(const routing::instance_ptr &gone);
   void take_in(routing::instance_record record, bool written_again);
   void follow_slow_start(routing::instance &told);
   void end_slow_start(routing::instance &warm);
@@ -175,13 +181,15 @@
   std::shared_ptr<const routing::route_table> routes_;
   routing::instance_directory directory_;
   routing::rejected_entries rejected_;
+  /// No longer listed; requests of this gateway may still run there.
+  std::vector<routing::instance_ptr> finishing_;
   routing::zone_drains drains_;
   /// Of the admissions of all replicas.
   balance::admission_share share_;
   std::map<routing::service_id, balance::engine_cost_model> engine_models_;
   /// Smoothed time of an answer, by route, in milliseconds.
   std::map<std::string, double> answer_ms_;
-  std::mt19937_64 random_{std::random_device{}()};
+  std::mt19937_64 random_{draw_system_random()};
 };
 
 } // namespace heathtrestle::forwarding
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -393,7 +393,7 @@
   // While the connection was made, what was true at the choice may have
   // changed.
   const auto objection = gateway_.objection(request_, *route_);
-  if (!objection && may_send_to(*target)) {
+  if (!objection && claim_send_to(*target)) {
     end = co_await exchange_with(*target, active_);
   } else {
     gateway_.pool().release(started, active_, duration_ms{0});
@@ -413,12 +413,12 @@
   }
 }
 
-bool request_exchange::may_send_to(routing::instance &target) {
+bool request_exchange::claim_send_to(routing::instance &target) {
   if (client_gone_ || steady_now() >= deadline_) {
     last_failure_ = "its time was up before it was sent";
     return false;
   }
-  const auto cause = gateway_.replicas().admit(target, request_, home());
+  const auto cause = gateway_.replicas().claim_send(target, request_, home());
   if (cause != routing::exclusion::none) {
     last_failure_ = name_of(cause);
     return false;
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -84,7 +84,7 @@
   asio::awaitable<void> attempt(routing::instance_ptr target);
   /// Asked in the instant before the request is sent to a replica. True only
   /// where it is sent then.
-  bool may_send_to(routing::instance &target);
+  bool claim_send_to(routing::instance &target);
   /// Where the request may be served.
   [[nodiscard]] routing::residency home() const;
   /// Tells the log and the metrics that its home regions keep it from being
--- a/src/objects/object_watch.cpp
+++ b/src/objects/object_watch.cpp
@@ -132,8 +132,7 @@
     co_await timer.async_wait(as_result);
     const bool confirmed_lately =
         steady_now() < confirmed_at_ + options_.confirm_interval;
-    const bool due =
-        wanted() && known_ && !confirmed_lately && !leaves_it_to_others();
+    const bool due = wanted() && known_ && !confirmed_lately && !asks_seldom();
     if (due && confirming_ < most_unanswered) {
       asio::co_spawn(io_, confirm_once(), asio::detached);
     }
@@ -275,7 +274,7 @@
 
 asio::awaitable<void> object_watch::pause() {
   const duration_ms usual =
-      leaves_it_to_others() ? options_.pause_while_others_ask : pause_;
+      asks_seldom() ? options_.pause_while_others_ask : pause_;
   // Spread, so that the gateways do not all come back at once.
   const auto spread = static_cast<std::int64_t>(
       random_() % static_cast<std::uint64_t>(usual.count()));
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -8,6 +8,7 @@
 #include "objects/object_store.hpp"
 #include "runtime/asio.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <random>
@@ -41,6 +42,7 @@
   /// return within a second and tell, and a whole fleet that asks a store which
   /// is down pays for each call and delays its return.
   std::function<bool()> others_ask_in_vain;
+  /// One question in vain within the time in which changes have to take effect.
   duration_ms pause_while_others_ask{4000};
   /// The store is asked this often whether the copy is still current, and the
   /// copy counts as current only while it says so; zero for never. A watch that
@@ -67,12 +69,14 @@
 }
 
 /// How often the list of drained zones is confirmed. A relay that cannot is
-/// left after three intervals, and another relay or the store itself is asked
-/// then: with 1.5 s for that, a drain is known in time where the store says
-/// nothing to one relay but answers the others.
+/// left after three intervals, half of the limit; the other half is for asking
+/// another relay, so that a drain is known in time where the store says nothing
+/// to one relay but answers the others.
 constexpr duration_ms drain_confirm_interval(duration_ms zone_drain) {
   constexpr std::int64_t answers_in_drain = 6;
-  return zone_drain / answers_in_drain;
+  /// More often would only cost the store: no drain is due sooner.
+  constexpr duration_ms shortest{100};
+  return std::max(zone_drain / answers_in_drain, shortest);
 }
 
 class object_watch {
@@ -137,8 +141,8 @@
     return !options_.wanted || options_.wanted();
   }
   bool take_in(const listing &listed);
-  /// The store's next answer is likely to come to others first.
-  [[nodiscard]] bool leaves_it_to_others() const {
+  /// True while the store is asked seldom, because others ask it in vain.
+  [[nodiscard]] bool asks_seldom() const {
     return options_.others_ask_in_vain && options_.others_ask_in_vain();
   }
   /// True when the copy has every change that the listing has.
--- a/src/records/group_plan.cpp
+++ b/src/records/group_plan.cpp
@@ -164,8 +164,8 @@
   return least;
 }
 
-/// A voter that is to be taken out now, or none while the others would bear
-/// less without it.
+/// The voter to take out now: a surplus or lost one, or a retiring one that
+/// nobody can succeed while all others hold the log.
 const node_view *next_leaving(const std::vector<node_view> &nodes,
                               const group_size &size, bool recruit_spares) {
   const std::size_t voters = count_voters(nodes);
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -104,8 +104,7 @@
     // The grant may come to pass unseen. It must not count for ever.
     settle(std::move(cancelled));
   }
-  co_return entry->answered || contact_.is_served() ? to_grant(*entry)
-                                                    : refusal();
+  co_return outcome_of(*entry);
 }
 
 asio::awaitable<turn_grant> ledger_client::read(std::string last,
@@ -116,7 +115,11 @@
   wire::RecordChange change;
   change.mutable_read()->set_last(std::move(last));
   const pending_ptr entry = co_await ask(std::move(change), deadline);
-  co_return to_grant(*entry);
+  co_return outcome_of(*entry);
+}
+
+turn_grant ledger_client::outcome_of(const pending &entry) const {
+  return entry.answered || contact_.is_served() ? to_grant(entry) : refusal();
 }
 
 asio::awaitable<bool> ledger_client::keep(std::vector<retained_turn> turns,
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -124,6 +124,9 @@
   asio::awaitable<pending_ptr> ask(wire::RecordChange change,
                                    timestamp deadline);
   static turn_grant to_grant(const pending &entry);
+  /// The answer, or a refusal where the partition has turned unserved
+  /// meanwhile.
+  [[nodiscard]] turn_grant outcome_of(const pending &entry) const;
   std::uint64_t add(pending_ptr entry);
   asio::awaitable<void> wait_for(pending_ptr entry, std::uint64_t id);
   void flush_soon();
--- a/src/records/retirement_reports.cpp
+++ b/src/records/retirement_reports.cpp
@@ -17,6 +17,9 @@
   if (revision < known.revision) {
     return;
   }
+  if (known.recorded && !recorded) {
+    known = {}; // withdrawn and made anew under the same name
+  }
   known.revision = revision;
   known.recorded = recorded;
   known.emptied = known.emptied || recorded.value_or(false);
--- a/src/records/retirement_watch.hpp
+++ b/src/records/retirement_watch.hpp
@@ -17,7 +17,8 @@
   retirement_watch(asio::io_context &io, const store_binding &binding,
                    record_runtime &runtime);
 
-  /// Starts both; they run until the process ends.
+  /// Starts following the requests and reporting on them, until the process
+  /// ends.
   void start();
 
 private:
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -17,8 +17,8 @@
 
 /// A service that routes lead to, by its configured name.
 using service_id = typed_id<std::string, struct service_id_tag>;
-/// A service's replica. One that starts again may have the same id: `born`, in
-/// its record, tells the two apart.
+/// A service's replica. One that starts again may have the same id: `born_ms`,
+/// in its record, tells the two apart.
 using instance_id = typed_id<std::string, struct instance_id_tag>;
 /// The operator's number of a configuration; newer ones are larger.
 using configuration_version =
--- a/src/routing/topology.cpp
+++ b/src/routing/topology.cpp
@@ -47,7 +47,7 @@
     }
     const std::string name = each.substr(0, sign);
     if (!built.region_by_zone_.emplace(name, each.substr(sign + 1)).second) {
-      return invalid("the zone \"" + name + "\" stands twice");
+      return invalid("the zone \"" + name + "\" is listed twice");
     }
   }
   if (settings.zones.empty()) {
@@ -55,11 +55,11 @@
   }
   const auto own = built.region_by_zone_.find(built.zone_);
   if (own == built.region_by_zone_.end()) {
-    return invalid("the own zone \"" + built.zone_ + "\" is not listed");
+    return invalid("node.zone \"" + built.zone_ + "\" is not in cluster.zones");
   }
   if (!built.region_.empty() && built.region_ != own->second) {
-    return invalid("the own zone lies in \"" + own->second +
-                   "\", the own region is \"" + built.region_ + "\"");
+    return invalid("node.zone lies in \"" + own->second +
+                   "\", node.region is \"" + built.region_ + "\"");
   }
   built.region_ = own->second;
   return built;
@@ -70,7 +70,7 @@
     return region_;
   }
   const auto found = region_by_zone_.find(zone);
-  return found == region_by_zone_.end() ? zone : found->second;
+  return found == region_by_zone_.end() ? std::string() : found->second;
 }
 
 bool topology::has_region(const std::string &region) const {
--- a/src/routing/topology.hpp
+++ b/src/routing/topology.hpp
@@ -48,8 +48,8 @@
 
   [[nodiscard]] const std::string &zone() const { return zone_; }
   [[nodiscard]] const std::string &region() const { return region_; }
-  /// The region of a zone; of one that isn't listed, its own name, so that it
-  /// is never taken for a part of a region that somebody relies on.
+  /// The region of a zone; empty for one that isn't listed, which is part of no
+  /// region that anybody could name as a home.
   [[nodiscard]] std::string region_of(const std::string &zone) const;
   /// True for a region that some zone lies in, and for the own one.
   [[nodiscard]] bool has_region(const std::string &region) const;
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -75,6 +75,8 @@
   CPPUNIT_TEST(a_key_taken_away_while_a_connection_is_made_runs_nothing);
   CPPUNIT_TEST(a_zone_drained_while_a_connection_is_made_gets_nothing);
   CPPUNIT_TEST(a_request_that_no_replica_may_serve_is_refused_at_once);
+  CPPUNIT_TEST(others_do_not_count_where_one_replica_alone_may_serve);
+  CPPUNIT_TEST(requests_at_a_replica_that_left_count_for_its_zone);
   CPPUNIT_TEST(a_gateway_that_does_not_know_the_drains_sends_nothing);
   CPPUNIT_TEST(a_stream_that_breaks_off_does_not_go_on_in_a_drained_zone);
   CPPUNIT_TEST(a_cold_replica_gets_nothing_without_an_admission);
@@ -820,6 +822,32 @@
     CPPUNIT_ASSERT_EQUAL(503U, status);
   }
 
+  void others_do_not_count_where_one_replica_alone_may_serve() {
+    routing::instance_record elsewhere = listed("r1")->record;
+    elsewhere.id = routing::instance_id{"r2"};
+    elsewhere.zone = "y";
+    gateway_->replicas().put(elsewhere);
+    gateway_->replicas().drains().put("z", steady_now());
+    const client_request request;
+    const placement any =
+        gateway_->replicas().choose(routing::service_id{"s"}, {}, request, {});
+    CPPUNIT_ASSERT_EQUAL(std::string("r2"), any.target->record.id.value());
+    const placement only = gateway_->replicas().choose(
+        routing::service_id{"s"}, {.only = {listed("r1")->record.start()}},
+        request, {});
+    CPPUNIT_ASSERT(only.target == nullptr);
+    CPPUNIT_ASSERT(only.barred_by == routing::exclusion::zone_drained);
+  }
+
+  void requests_at_a_replica_that_left_count_for_its_zone() {
+    const routing::instance_ptr left = listed("r1");
+    left->in_flight = 2;
+    gateway_->replicas().remove(left->record.id);
+    CPPUNIT_ASSERT_EQUAL(2U, gateway_->replicas().running_in("z"));
+    left->in_flight = 0;
+    CPPUNIT_ASSERT_EQUAL(0U, gateway_->replicas().running_in("z"));
+  }
+
   void a_request_that_no_replica_may_serve_is_refused_at_once() {
     add_replica("r2");
     gateway_->replicas().drains().put("z", steady_now());
--- a/tests/records/retirement_reports_test.cpp
+++ b/tests/records/retirement_reports_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(progress_that_arrives_late_is_corrected);
   CPPUNIT_TEST(an_older_status_changes_nothing);
   CPPUNIT_TEST(a_request_that_was_withdrawn_is_forgotten);
+  CPPUNIT_TEST(a_request_made_anew_begins_anew);
   CPPUNIT_TEST_SUITE_END();
 
   retirement_reports reports_;
@@ -54,6 +55,15 @@
     CPPUNIT_ASSERT(due().empty());
   }
 
+  void a_request_made_anew_begins_anew() {
+    reports_.on_request("a", 1, std::nullopt);
+    reports_.on_emptied({"a"});
+    reports_.on_request("a", 2, true);
+    // Withdrawn and made anew while nobody here listened.
+    reports_.on_request("a", 9, std::nullopt);
+    CPPUNIT_ASSERT(due() == one(false));
+  }
+
   void a_new_reporter_goes_by_what_is_recorded() {
     reports_.on_request("a", 7, true);
     reports_.on_emptied({});
--- a/tests/routing/eligibility_test.cpp
+++ b/tests/routing/eligibility_test.cpp
@@ -45,6 +45,9 @@
     const residency apart{.route_regions = {"a"}, .tenant_regions = {"b"}};
     CPPUNIT_ASSERT(cause("a1", apart) == exclusion::outside_home);
     CPPUNIT_ASSERT(cause("b1", apart) == exclusion::outside_home);
+    // A zone that nobody listed is at home nowhere, not even by its name.
+    const residency same_name{.route_regions = {"elsewhere"}};
+    CPPUNIT_ASSERT(cause("elsewhere", same_name) == exclusion::outside_home);
     // A region that nobody knows binds as written.
     const residency unknown{.route_regions = {"nowhere"}};
     CPPUNIT_ASSERT(cause("a1", unknown) == exclusion::outside_home);
