A request keeps its home regions; choosing a replica makes no list of causes

Cause: at each choice and again before each send the exchange copied the home regions of route and tenant, and each choice made a list of what keeps the request from every replica only to fold it. Both lie on the way of every request.

Change: the regions are set once when the request is admitted, from the same route and tenant as before; the common cause is folded while the replicas are gone through. request_exchange_test starts its further gateways in one place.

No time was measured.

--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -25,23 +25,28 @@
   answered.avoid_until = {};
 }
 
-/// What keeps the request from all of them alike; `none` while one may serve.
-routing::exclusion common_bar(const std::vector<routing::exclusion> &causes) {
-  using routing::exclusion;
-  exclusion common = exclusion::none;
-  for (const exclusion cause : causes) {
-    const bool lasts =
-        cause == exclusion::zone_drained || cause == exclusion::outside_home;
+/// What keeps a request from all replicas alike.
+class common_bar {
+public:
+  /// One replica more, and what keeps the request from it.
+  void add(routing::exclusion cause) {
+    using routing::exclusion;
     if (cause == exclusion::leaving) {
-      continue; // says nothing: others take its place
+      return; // says nothing: others take its place
     }
-    if (!lasts && cause != exclusion::warming_up) {
-      return exclusion::none;
-    }
-    common = common == exclusion::warming_up ? common : cause;
+    open_ = open_ || cause == exclusion::none;
+    cause_ = cause_ == exclusion::warming_up ? cause_ : cause;
   }
-  return common;
-}
+
+  /// `none` while one may serve.
+  [[nodiscard]] routing::exclusion cause() const {
+    return open_ ? routing::exclusion::none : cause_;
+  }
+
+private:
+  bool open_ = false;
+  routing::exclusion cause_ = routing::exclusion::none;
+};
 
 /// Turns of a program leave a drained zone together, so that its prompt is read
 /// again once. All else goes elsewhere at once: it has no conversation there.
@@ -358,7 +363,7 @@
   }
   std::vector<routing::instance_ptr> fitting;
   std::vector<balance::candidate> candidates;
-  std::vector<routing::exclusion> exclusions;
+  common_bar bar;
   const bool first_attempt = step.only.empty() && step.excluded.empty();
   const routing::traffic_place place = first_attempt
                                            ? place_of(request, drains_, now)
@@ -370,12 +375,12 @@
     if (!wanted) {
       continue;
     }
-    exclusions.push_back(exclusion_of(*each, home, place, now));
-    if (exclusions.back() == routing::exclusion::warming_up) {
+    const routing::exclusion cause = exclusion_of(*each, home, place, now);
+    bar.add(cause);
+    if (cause == routing::exclusion::warming_up) {
       free_at = std::min(free_at, next_send(*each, now));
     }
-    const bool eligible = exclusions.back() == routing::exclusion::none;
-    if (!eligible || step.excluded.contains(start)) {
+    if (cause != routing::exclusion::none || step.excluded.contains(start)) {
       continue;
     }
     fitting.push_back(each);
@@ -389,7 +394,7 @@
           ? balance::choose_engine(candidates, random_(), engine_choice)
           : balance::choose_plain(candidates, random_(), options_.plain_choice);
   if (!chosen) {
-    return {.barred_by = common_bar(exclusions), .free_at = free_at};
+    return {.barred_by = bar.cause(), .free_at = free_at};
   }
   return {.target = fitting[*chosen],
           .missing_tokens = candidates[*chosen].missing_tokens,
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -212,6 +212,8 @@
     co_return false;
   }
   caller_ = std::get<admitted>(decided);
+  home_ = {.route_regions = route_->home_regions,
+           .tenant_regions = caller_.home_regions};
   co_return true;
 }
 
@@ -263,7 +265,7 @@
 }
 
 asio::awaitable<bool> request_exchange::begin_turn() {
-  turn_.emplace(gateway_, request_, *route_, home(), caller_.tenant, deadline_);
+  turn_.emplace(gateway_, request_, *route_, home_, caller_.tenant, deadline_);
   if (!co_await record_stays_home()) {
     co_return false;
   }
@@ -342,7 +344,7 @@
                       final->retry_after, final->reason);
     } else {
       const auto &send = std::get<send_step>(step);
-      placement_ = gateway_.replicas().choose(service_, send, request_, home());
+      placement_ = gateway_.replicas().choose(service_, send, request_, home_);
       if (const auto cause = gateway_.objection(request_, *route_)) {
         co_await withdraw(*cause);
       } else if (placement_.target) {
@@ -418,7 +420,7 @@
     last_failure_ = "its time was up before it was sent";
     return false;
   }
-  const auto cause = gateway_.replicas().claim_send(target, request_, home());
+  const auto cause = gateway_.replicas().claim_send(target, request_, home_);
   if (cause != routing::exclusion::none) {
     last_failure_ = name_of(cause);
     return false;
@@ -426,11 +428,6 @@
   return true;
 }
 
-routing::residency request_exchange::home() const {
-  return {.route_regions = route_->home_regions,
-          .tenant_regions = caller_.home_regions};
-}
-
 void request_exchange::note_home_refusal(std::string_view cause,
                                          std::string_view node,
                                          std::string_view region) const {
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -85,8 +85,6 @@
   /// Asked in the instant before the request is sent to a replica. True only
   /// where it is sent then.
   bool claim_send_to(routing::instance &target);
-  /// Where the request may be served.
-  [[nodiscard]] routing::residency home() const;
   /// Tells the log and the metrics that its home regions keep it from being
   /// served.
   /// @param region the one outside; empty when there are several.
@@ -138,6 +136,8 @@
   const routing::route *route_ = nullptr;
   routing::service_id service_;
   admitted caller_;
+  /// Where the request may be served; set when it is admitted.
+  routing::residency home_;
   std::optional<attempt_plan> plan_;
 
   timestamp deadline_{};
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -115,18 +115,24 @@
     return made;
   }
 
-  void start_gateway(const balance::slow_start_limits &limits) {
-    gateway_options options;
-    options.selection.places = routing::topology("z");
-    options.selection.slow_start = limits;
-    options.headers = test_names();
-    options.plan.patience = 0.02;
+  /// Clients reach another gateway from now on; what the one before has begun
+  /// to accept ends with the test.
+  void serve_with(const gateway_options &options) {
     first_gateway_ = std::move(gateway_);
     first_clients_ = std::move(clients_);
     gateway_ = std::make_unique<gateway>(io_, options, ledger_);
     clients_ = std::make_unique<tcp::acceptor>(
         std::move(http::listen(io_, "127.0.0.1:0")).value());
     asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
+  }
+
+  void start_gateway(const balance::slow_start_limits &limits) {
+    gateway_options options;
+    options.selection.places = routing::topology("z");
+    options.selection.slow_start = limits;
+    options.headers = test_names();
+    options.plan.patience = 0.02;
+    serve_with(options);
     apply_routes();
   }
 
@@ -650,13 +656,7 @@
     options.selection.places = routing::topology("z");
     options.headers = test_names();
     options.tenants.key_revocation = revocation;
-    // What the first one has begun to accept ends with the test.
-    first_gateway_ = std::move(gateway_);
-    first_clients_ = std::move(clients_);
-    gateway_ = std::make_unique<gateway>(io_, options, ledger_);
-    clients_ = std::make_unique<tcp::acceptor>(
-        std::move(http::listen(io_, "127.0.0.1:0")).value());
-    asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
+    serve_with(options);
     replicas_.clear();
     add_replica("r1");
     apply_tenants();
@@ -782,12 +782,7 @@
                            const std::function<void()> &meanwhile) {
     gateway_options options = gateway_->options();
     options.pool.connect_timeout = duration_ms{4000};
-    first_gateway_ = std::move(gateway_);
-    first_clients_ = std::move(clients_);
-    gateway_ = std::make_unique<gateway>(io_, options, ledger_);
-    clients_ = std::make_unique<tcp::acceptor>(
-        std::move(http::listen(io_, "127.0.0.1:0")).value());
-    asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
+    serve_with(options);
     apply_tenants();
     busy_listener replica(io_);
     gateway_->replicas().put({.id = routing::instance_id{"slow"},
@@ -872,12 +867,7 @@
     gateway_options options = gateway_->options();
     // Long enough that no conversation leaves by itself during a test.
     options.selection.zone_drain = duration_ms{600000};
-    first_gateway_ = std::move(gateway_);
-    first_clients_ = std::move(clients_);
-    gateway_ = std::make_unique<gateway>(io_, options, ledger_);
-    clients_ = std::make_unique<tcp::acceptor>(
-        std::move(http::listen(io_, "127.0.0.1:0")).value());
-    asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
+    serve_with(options);
     apply_routes();
     replicas_.clear();
     add_replica("r1");
