--- a/tests/forwarding/home_regions_test.cpp
+++ b/tests/forwarding/home_regions_test.cpp
@@ -3,7 +3,7 @@
 #include "forwarding/client_session.hpp"
 #include "forwarding/gateway.hpp"
 #include "http/call_client.hpp"
-#include "support/coroutines.hpp"
+#include "support/gateway_client.hpp"
 #include "support/header_names.hpp"
 #include "support/open_ledger.hpp"
 #include "support/scripted_replica.hpp"
@@ -17,7 +17,6 @@
 namespace heathtrestle::forwarding {
 namespace {
 
-using test_support::await_result;
 using test_support::chunk;
 using test_support::event;
 using test_support::open_ledger;
@@ -121,17 +120,7 @@
   std::optional<http::call_response>
   ask(const std::string &target,
       const std::map<std::string, std::string> &fields = {}) {
-    const std::string address =
-        "127.0.0.1:" + std::to_string(clients_->local_endpoint().port());
-    http::call_client client(io_, address, duration_ms{5000});
-    http::call_request request(beast_http::verb::post, target, 11);
-    request.set(beast_http::field::host, "h");
-    request.set("Attempt", "t1");
-    for (const auto &[name, value] : fields) {
-      request.set(name, value);
-    }
-    request.body() = "question";
-    return await_result(io_, client.call(request, duration_ms{20000}));
+    return test_support::ask_gateway(io_, *clients_, target, "t1", fields);
   }
 
   std::optional<http::call_response> ask_turn(const std::string &target) {
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -3,7 +3,7 @@
 #include "forwarding/client_session.hpp"
 #include "forwarding/gateway.hpp"
 #include "http/call_client.hpp"
-#include "support/coroutines.hpp"
+#include "support/gateway_client.hpp"
 #include "support/header_names.hpp"
 #include "support/open_ledger.hpp"
 #include "support/scripted_replica.hpp"
@@ -19,7 +19,6 @@
 namespace heathtrestle::forwarding {
 namespace {
 
-using test_support::await_result;
 using test_support::chunk;
 using test_support::event;
 using test_support::open_ledger;
@@ -195,17 +194,7 @@
   std::optional<http::call_response>
   ask(const std::string &target,
       const std::map<std::string, std::string> &fields = {}) {
-    const std::string address =
-        "127.0.0.1:" + std::to_string(clients_->local_endpoint().port());
-    http::call_client client(io_, address, duration_ms{5000});
-    http::call_request request(beast_http::verb::post, target, 11);
-    request.set(beast_http::field::host, "h");
-    request.set("Attempt", "a1");
-    for (const auto &[name, value] : fields) {
-      request.set(name, value);
-    }
-    request.body() = "question";
-    return await_result(io_, client.call(request, duration_ms{20000}));
+    return test_support::ask_gateway(io_, *clients_, target, "a1", fields);
   }
 
   static std::string field_of(const http::call_response &answer,
