Tell the log by what a tenant's quota was decided

Cause: from a run's logs nobody can tell why a tenant got more than its limit: what the gateway believed isn't logged. Change: event 1022 gives, for tenants asked for more than half of their limit, what was asked here and elsewhere, how old that news is, the part and the limit. No decision is changed.

--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -66,10 +66,41 @@
   admission decided = tenants_.admit(request, route, routes, steady_now());
   if (const auto *against = std::get_if<refused>(&decided)) {
     metrics_.on_refused(std::string(name_of(against->cause)));
+    note_quota(request, route, routes, name_of(against->cause));
+  } else {
+    note_quota(request, route, routes, "admitted");
   }
   return decided;
 }
 
+void gateway::note_quota(const client_request &request,
+                         const routing::route &route,
+                         const routing::route_table &routes,
+                         std::string_view decision) {
+  constexpr double noted_share = 0.5;
+  const tenants::tenant *tenant = routes.keys().find(request.key.value());
+  if (tenant == nullptr || !tenant->quota.limited()) {
+    return;
+  }
+  const tenants::quota_view view =
+      tenants_.quotas().view(*tenant, steady_now());
+  if (view.asked + view.others_asked < view.limit * noted_share) {
+    return;
+  }
+  logging::line(logging::event::tenant_quota_decided)
+      .field("id", request.attempt_id)
+      .field("tenant", tenant->id.value())
+      .field("route", route.name)
+      .field("decision", decision)
+      .field("limit", view.limit)
+      .field("part", view.part)
+      .field("asked", view.asked)
+      .field("others_asked", view.others_asked)
+      .field("others_age_ms", view.others_age ? view.others_age->count() : -1)
+      .field("admitted", view.admitted)
+      .write();
+}
+
 std::optional<refusal_cause>
 gateway::objection(const client_request &request,
                    const routing::route &route) const {
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -131,6 +131,11 @@
   [[nodiscard]] gateway_metrics &metrics() { return metrics_; }
 
 private:
+  /// Tells the log by what a request was decided on whose tenant is asked for
+  /// much of its quota.
+  void note_quota(const client_request &request, const routing::route &route,
+                  const routing::route_table &routes,
+                  std::string_view decision);
   /// Drops copies that may lie here no longer, and tells of home regions that
   /// nobody knows.
   void note_homes(const routing::configuration &settings);
--- a/src/tenants/quota_book.cpp
+++ b/src/tenants/quota_book.cpp
@@ -91,6 +91,20 @@
   return std::nullopt;
 }
 
+quota_view quota_book::view(const tenant &of, timestamp now) {
+  account &own = account_of(of.id);
+  const double limit = limit_of(of, own, now);
+  const std::uint32_t asked = own.requests.sum(now);
+  const std::uint32_t others = expected_others(own, now).requests;
+  return {.limit = limit,
+          .part = part(limit, asked, others),
+          .asked = asked,
+          .others_asked = others,
+          .admitted = own.admitted.sum(now),
+          .others_age = own.others ? std::optional(now - own.others_told)
+                                   : std::nullopt};
+}
+
 void quota_book::note_admitted(request_stage stage) {
   requests_passed_ += 1;
   programs_passed_ += stage == request_stage::begins_program ? 1 : 0;
@@ -205,6 +219,7 @@
     const auto told = by_key.find(usage_key(id));
     if (told != by_key.end()) {
       own.others = told->second;
+      own.others_told = now;
       own.requests_then = own.requests.sum(now);
     }
   }
--- a/src/tenants/quota_book.hpp
+++ b/src/tenants/quota_book.hpp
@@ -58,6 +58,17 @@
   duration_ms retry_after{0};
 };
 
+/// What one gateway believes of a tenant's use when it decides.
+struct quota_view {
+  double limit = 0; // of all gateways, within the window
+  double part = 0;  // of it, this gateway's
+  std::uint32_t asked = 0;
+  std::uint32_t others_asked = 0; // as it is expected to have grown since
+  std::uint32_t admitted = 0;
+  /// How long ago the others' use was told; nothing when it never was.
+  std::optional<duration_ms> others_age;
+};
+
 struct quota_options {
   /// Length of the window in which requests are counted.
   duration_ms window{5000};
@@ -86,6 +97,9 @@
   std::optional<quota_refusal> refuse(const tenant &of, request_stage stage,
                                       timestamp now);
 
+  /// By what the last request of a tenant was decided on.
+  [[nodiscard]] quota_view view(const tenant &of, timestamp now);
+
   /// What this gateway was asked; for the others.
   [[nodiscard]] std::vector<tenant_usage> own_usage(timestamp now);
   /// How far back that reaches.
@@ -112,6 +126,7 @@
     pacer pace;             // of programs
     /// Nothing until the others were heard of.
     std::optional<usage> others;
+    timestamp others_told{};
     /// Own requests in the window when the others' were told.
     std::uint32_t requests_then = 0;
   };
