--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -86,6 +86,7 @@
       a_gateway_that_loses_its_proof_while_a_request_waits_runs_nothing);
   CPPUNIT_TEST(what_one_tenant_keeps_does_not_exist_for_another);
   CPPUNIT_TEST(a_tenant_over_its_quota_is_told_when_to_come_back);
+  CPPUNIT_TEST(each_attempt_counts_against_the_quota);
   CPPUNIT_TEST(the_priority_of_a_tenant_goes_first);
   CPPUNIT_TEST_SUITE_END();
 
@@ -203,6 +204,16 @@
     return {value.data(), value.size()};
   }
 
+  /// Requests that count against the quotas of tenants.
+  std::size_t counted_requests() {
+    std::size_t counted = 0;
+    const wire::TenantUsage usage = gateway_->tenant_usage();
+    for (const std::uint32_t requests : usage.requests()) {
+      counted += requests;
+    }
+    return counted;
+  }
+
 public:
   void setUp() override {
     start_gateway(slow_start_limits);
@@ -989,6 +1000,24 @@
         200U, ask("/call/x", {{"Credential", "Key kb"}})->result_int());
   }
 
+  /// A request was counted once, when it came: of one that broke off at one
+  /// replica and was sent to another, the second attempt counted for nobody.
+  void each_attempt_counts_against_the_quota() {
+    add_replica("r2");
+    tenants::tenant small = holder("a", "ka");
+    small.quota = {.rate_per_second = 100, .burst = 100};
+    apply_routes(2, {small});
+    for (const auto &replica : replicas_) {
+      replica->script.push_back({.bytes = "HTTP/1.1 20", .close = true});
+      replica->script.push_back({plain("hello")});
+    }
+    ask("/get/x", {{"Credential", "Key ka"}});
+    const std::size_t sent =
+        replicas_[0]->received.size() + replicas_[1]->received.size();
+    CPPUNIT_ASSERT(sent > 1);
+    CPPUNIT_ASSERT_EQUAL(sent, counted_requests());
+  }
+
   void the_priority_of_a_tenant_goes_first() {
     tenants::tenant urgent = holder("a", "ka");
     urgent.priority = 0;
