--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -14,7 +14,7 @@
 gateway::gateway(asio::io_context &io, gateway_options options,
                  records::turn_ledger &ledger)
     : io_(io), options_(std::move(options)), ledger_(ledger),
-      tenants_(options_.tenants, steady_now()), pool_(io, options_.pool),
+      tenants_(options_.tenants), pool_(io, options_.pool),
       replicas_(options_.selection, pool_), turns_(options_.turn_cache_bytes) {
   if (!options_.selection.policies.patience) {
     options_.plan.patience = 0;
@@ -40,7 +40,6 @@
   metrics_.set_configuration_version(
       static_cast<double>(settings.version.value()));
   routes_ = std::make_shared<const routing::route_table>(std::move(settings));
-  tenants_.apply(*routes_, steady_now());
   replicas_.apply(routes_);
 }
 
@@ -66,38 +65,32 @@
   admission decided = tenants_.admit(request, route, routes, steady_now());
   if (const auto *against = std::get_if<refused>(&decided)) {
     metrics_.on_refused(std::string(name_of(against->cause)));
-    note_quota(request, route, routes, name_of(against->cause));
-  } else {
-    note_quota(request, route, routes, "admitted");
   }
   return decided;
 }
 
-void gateway::note_quota(const client_request &request,
-                         const routing::route &route,
-                         const routing::route_table &routes,
-                         std::string_view decision) {
-  constexpr double noted_share = 0.5;
-  const tenants::tenant *tenant = routes.keys().find(request.key.value());
-  if (tenant == nullptr || !tenant->quota.limited()) {
-    return;
+void gateway::note_permit(const client_request &request,
+                          const records::permit_request &wanted,
+                          const records::permit_answer &answer) {
+  const bool granted = answer.verdict == records::permit_verdict::granted;
+  metrics_.on_permit(std::string(name_of(answer.verdict)));
+  if (granted) {
+    tenants_.note_begun(request);
   }
-  const tenants::quota_view view =
-      tenants_.quotas().view(*tenant, steady_now());
-  if (view.asked + view.others_asked < view.limit * noted_share) {
+  constexpr std::uint64_t noted_share = 2; // of the limit, a half
+  if (granted && answer.counted * noted_share < answer.limit) {
     return;
   }
   logging::line(logging::event::tenant_quota_decided)
       .field("id", request.attempt_id)
-      .field("tenant", tenant->id.value())
-      .field("route", route.name)
-      .field("decision", decision)
-      .field("limit", view.limit)
-      .field("part", view.part)
-      .field("asked", view.asked)
-      .field("others_asked", view.others_asked)
-      .field("others_age_ms", view.others_age ? view.others_age->count() : -1)
-      .field("admitted", view.admitted)
+      .field("tenant", wanted.tenant.value())
+      .field("begins_program", wanted.begins_program)
+      .field("version", wanted.terms.version)
+      .field("decision", name_of(answer.verdict))
+      .field("counted", answer.counted)
+      .field("most", answer.most)
+      .field("limit", answer.limit)
+      .field("retry_after_ms", answer.retry_after.count())
       .write();
 }
 
@@ -120,33 +113,6 @@
   return store_away + duration_ms{spread};
 }
 
-wire::TenantUsage gateway::tenant_usage() {
-  wire::TenantUsage told;
-  told.set_covered_ms(static_cast<std::uint32_t>(
-      tenants_.quotas().covered(steady_now()).count()));
-  for (const tenants::tenant_usage &each :
-       tenants_.quotas().own_usage(steady_now())) {
-    told.add_tenants(each.tenant);
-    told.add_requests(each.asked.requests);
-    told.add_programs(each.asked.programs);
-  }
-  return told;
-}
-
-void gateway::take_tenant_usage(const wire::TenantUsage &others) {
-  const int listed = std::min(
-      {others.tenants_size(), others.requests_size(), others.programs_size()});
-  std::vector<tenants::tenant_usage> usage;
-  usage.reserve(static_cast<std::size_t>(listed));
-  for (int place = 0; place < listed; ++place) {
-    usage.push_back({.tenant = others.tenants(place),
-                     .asked = {.requests = others.requests(place),
-                               .programs = others.programs(place)}});
-  }
-  tenants_.quotas().take_others(usage, duration_ms{others.covered_ms()},
-                                steady_now());
-}
-
 void gateway::refresh_metrics() {
   metrics_.set_open_requests(static_cast<double>(open_requests_));
   const auto age = tenants_.freshness().age(steady_now());
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -13,7 +13,6 @@
 #include "records/turn_ledger.hpp"
 #include "routing/route_table.hpp"
 #include "runtime/asio.hpp"
-#include "wire/messages.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -80,10 +79,10 @@
   /// When to come back with a key that cannot be relied on at the moment: soon
   /// where another gateway can serve, else when the store may be back.
   [[nodiscard]] duration_ms unconfirmed_retry();
-  /// What tenants asked of this gateway, to be told to the others.
-  [[nodiscard]] wire::TenantUsage tenant_usage();
-  /// What they asked of the others.
-  void take_tenant_usage(const wire::TenantUsage &others);
+  /// Tells the log and the metrics how a request for a permit was answered.
+  void note_permit(const client_request &request,
+                   const records::permit_request &wanted,
+                   const records::permit_answer &answer);
 
   /// True once routes, replicas and the zones that are drained are known, until
   /// this gateway's own drain begins, and while
@@ -131,11 +130,6 @@
   [[nodiscard]] gateway_metrics &metrics() { return metrics_; }
 
 private:
-  /// Tells the log by what a request was decided on whose tenant is asked for
-  /// much of its quota.
-  void note_quota(const client_request &request, const routing::route &route,
-                  const routing::route_table &routes,
-                  std::string_view decision);
   /// Drops copies that may lie here no longer, and tells of home regions that
   /// nobody knows.
   void note_homes(const routing::configuration &settings);
--- a/src/forwarding/gateway_metrics.cpp
+++ b/src/forwarding/gateway_metrics.cpp
@@ -42,6 +42,17 @@
                    .Name("heathtrestle_gateway_refused_total")
                    .Help("Requests refused for key, quota or home, by cause")
                    .Register(*registry_)),
+      permits_(prometheus::BuildCounter()
+                   .Name("heathtrestle_gateway_permits_total")
+                   .Help("Permits that requests of tenants with a quota asked "
+                         "for, by verdict")
+                   .Register(*registry_)),
+      void_permits_(prometheus::BuildCounter()
+                        .Name("heathtrestle_gateway_void_permits_total")
+                        .Help("Permits that were void when their requests "
+                              "could be sent")
+                        .Register(*registry_)
+                        .Add({})),
       configuration_age_(
           prometheus::BuildGauge()
               .Name("heathtrestle_gateway_configuration_age_seconds")
@@ -137,6 +148,12 @@
   verdicts_.Add({{"verdict", verdict}}, latency_buckets).Observe(seconds);
 }
 
+void gateway_metrics::on_permit(const std::string &verdict) {
+  permits_.Add({{"verdict", verdict}}).Increment();
+}
+
+void gateway_metrics::on_void_permit() { void_permits_.Increment(); }
+
 void gateway_metrics::on_refused(const std::string &cause) {
   refused_.Add({{"cause", cause}}).Increment();
 }
--- a/src/forwarding/gateway_metrics.hpp
+++ b/src/forwarding/gateway_metrics.hpp
@@ -31,6 +31,10 @@
   void on_turn_verdict(const std::string &verdict, double seconds);
   /// A request was refused before anything was asked for it.
   void on_refused(const std::string &cause);
+  /// A request asked for a permit of its tenant.
+  void on_permit(const std::string &verdict);
+  /// A permit was void when its request could be sent; it asked again.
+  void on_void_permit();
   /// Seconds since the configuration was current for certain; -1 for never.
   void set_configuration_age(double seconds);
   /// @param requests at the replicas of the drained zones.
@@ -64,6 +68,8 @@
   prometheus::Family<prometheus::Counter> &sent_;
   prometheus::Family<prometheus::Histogram> &verdicts_;
   prometheus::Family<prometheus::Counter> &refused_;
+  prometheus::Family<prometheus::Counter> &permits_;
+  prometheus::Counter &void_permits_;
   prometheus::Gauge &configuration_age_;
   prometheus::Gauge &drained_zones_;
   prometheus::Gauge &drained_zone_requests_;
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -121,9 +121,10 @@
                      .slack = settings.slow_start_slack}};
   const auto window = std::chrono::duration_cast<duration_ms>(
       std::chrono::duration<double>(settings.quota_window_seconds));
-  options.tenants = {
-      .key_revocation = settings.key_revocation,
-      .quota = {.window = window, .salt = stable_hash(settings.name)}};
+  options.tenants = {.key_revocation = settings.key_revocation,
+                     .quota = {.window = window,
+                               .overshoot = settings.quota_overshoot,
+                               .slack = settings.quota_slack}};
   return options;
 }
 
@@ -232,10 +233,6 @@
     gateway_.metrics().set_sharing_gateways(shared.gateways());
     gateway_.replicas().take_shared_loads(shared);
   };
-  options.usage = [this] { return gateway_.tenant_usage(); };
-  options.on_usage = [this](const wire::TenantUsage &others) {
-    gateway_.take_tenant_usage(others);
-  };
   options.on_seen = [this](const wire::SeenRevisions &seen) {
     configuration_watch_->hint(seen.configuration());
     instance_watch_->hint(seen.instances());
--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -63,6 +63,12 @@
               shortest_window, longest_window,
               "seconds within which a tenant's requests are counted against "
               "its quota");
+  schema.real("tenants.quota_overshoot", settings.quota_overshoot, 0,
+              most_overshoot,
+              "share of a window's limit that may be sent beyond it, so that "
+              "programs under way can end");
+  schema.real("tenants.quota_slack", settings.quota_slack, 0, most_slack,
+              "requests more than that in any window");
   schema.real("warmup.overshoot", settings.slow_start_overshoot, 0,
               most_overshoot,
               "times the rate that a replica bears while it warms up that all "
--- a/src/forwarding/gateway_settings.hpp
+++ b/src/forwarding/gateway_settings.hpp
@@ -38,6 +38,10 @@
   std::chrono::milliseconds key_revocation{0};
   /// Window within which a tenant's requests are counted against its quota.
   double quota_window_seconds = 5;
+  /// What may be sent beyond the limit of a window: a share of it, and so many
+  /// requests more.
+  double quota_overshoot = 0;
+  double quota_slack = 0;
   /// What a replica may get in any second while it warms up: so many times the
   /// rate that it bears, and so many requests more; 0 where no limit is kept.
   double slow_start_overshoot = 0;
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -123,8 +123,7 @@
     service_ = *part;
   }
   body_ = request_.message.body();
-  const bool allowed = !needs_grant() || co_await begin_turn();
-  if (allowed) {
+  if (co_await get_leave()) {
     co_await drive();
   }
   if (turn_) {
@@ -217,6 +216,45 @@
   co_return true;
 }
 
+asio::awaitable<bool> request_exchange::get_leave() {
+  if (caller_.permit) {
+    permit_.emplace(gateway_, request_, *caller_.permit, deadline_);
+    permit_->ask();
+  }
+  // First turns are what is refused most: they ask for a grant only once they
+  // have a permit. Later ones wait for both at a time.
+  const bool one_by_one = caller_.permit && caller_.permit->begins_program;
+  if (one_by_one && !co_await has_permit()) {
+    co_return false;
+  }
+  if (needs_grant() && !co_await begin_turn()) {
+    co_return false;
+  }
+  co_return co_await has_permit();
+}
+
+asio::awaitable<bool> request_exchange::has_permit() {
+  if (!permit_) {
+    co_return true;
+  }
+  const bool granted = co_await permit_->wait();
+  if (!granted) {
+    co_await refuse_for_quota();
+  }
+  co_return granted;
+}
+
+asio::awaitable<void> request_exchange::refuse_for_quota() {
+  const refused refusal = permit_->refusal();
+  gateway_.metrics().on_refused(std::string(name_of(refusal.cause)));
+  if (plan_ && plan_->may_have_run()) {
+    co_await answer(status_bad_gateway, duration_ms{0},
+                    "its quota bears no further attempt, and it may have run");
+  } else {
+    co_await refuse(refusal);
+  }
+}
+
 asio::awaitable<void> request_exchange::refuse(const refused &refusal) {
   switch (refusal.cause) {
   case refusal_cause::unknown_key:
@@ -235,6 +273,16 @@
     co_await answer(status_too_many, refusal.retry_after,
                     "the tenant's quota bears no further program yet");
     break;
+  case refusal_cause::unknown_quota:
+    if (gateway_.ledger().cut_off()) {
+      keep_open_ = false; // the next connection leads to another gateway
+    }
+    co_await answer(status_unavailable,
+                    gateway_.ledger().cut_off()
+                        ? elsewhere_retry
+                        : std::max(ledger_retry, refusal.retry_after),
+                    "the tenant's quota cannot be asked for");
+    break;
   }
 }
 
@@ -391,17 +439,29 @@
     co_return;
   }
   active_ = connection.value();
+  if (!co_await has_permit()) {
+    gateway_.pool().release(started, active_, duration_ms{0});
+    active_.reset();
+    --target->in_flight;
+    co_return;
+  }
   attempt_end end = attempt_outcome::not_sent;
   // While the connection was made, what was true at the choice may have
   // changed.
   const auto objection = gateway_.objection(request_, *route_);
   if (!objection && claim_send_to(*target)) {
-    end = co_await exchange_with(*target, active_);
+    const bool sends = !permit_ || permit_->use();
+    if (sends) {
+      end = co_await exchange_with(*target, active_);
+    }
   } else {
     gateway_.pool().release(started, active_, duration_ms{0});
   }
   active_.reset();
   --target->in_flight;
+  if (permit_ && end == attempt_outcome::not_executed) {
+    permit_->give_back();
+  }
   if (end) {
     gateway_.metrics().on_attempt(std::string(name_of(*end)));
     log_attempt(*target, *end, last_failure_);
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -12,6 +12,7 @@
 #include "forwarding/event_stream.hpp"
 #include "forwarding/gateway.hpp"
 #include "forwarding/program_turn.hpp"
+#include "forwarding/send_permit.hpp"
 #include "runtime/asio.hpp"
 
 #include <cstdint>
@@ -65,6 +66,12 @@
   /// @return true when the request may run; else it has its answer.
   asio::awaitable<bool> admit();
   asio::awaitable<void> refuse(const refused &refusal);
+  /// @return true when its tenant's quota lets the request run; else it has its
+  /// answer.
+  asio::awaitable<bool> has_permit();
+  asio::awaitable<void> refuse_for_quota();
+  /// Leave to begin: the permit and, for a turn, its grant.
+  asio::awaitable<bool> get_leave();
   /// Ends a request that may not be sent any more.
   asio::awaitable<void> withdraw(refusal_cause cause);
   /// True for fields of the client that no replica may see.
@@ -148,8 +155,9 @@
   bool client_gone_ = false;
   bool done_ = false;
 
-  std::optional<program_turn> turn_; // of requests that need a grant
-  std::string body_;                 // what the replica gets
+  std::optional<send_permit> permit_; // of tenants with a quota
+  std::optional<program_turn> turn_;  // of requests that need a grant
+  std::string body_;                  // what the replica gets
 
   // The answer.
   bool keep_open_ = true;
--- a/src/forwarding/tenant_gate.cpp
+++ b/src/forwarding/tenant_gate.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/tenant_gate.hpp"
 
+#include <cmath>
+
 namespace heathtrestle::forwarding {
 
 namespace {
@@ -21,6 +23,8 @@
     return "over_quota";
   case refusal_cause::paced_programs:
     return "paced_programs";
+  case refusal_cause::unknown_quota:
+    return "unknown_quota";
   }
   return "unknown";
 }
@@ -28,7 +32,7 @@
 admission tenant_gate::admit(const client_request &request,
                              const routing::route &route,
                              const routing::route_table &routes,
-                             timestamp now) {
+                             timestamp now) const {
   const tenants::tenant *tenant = routes.keys().find(request.key.value());
   if (needs_key(route, routes)) {
     // Whether a key is unknown is no more certain than that it is known.
@@ -42,18 +46,37 @@
   if (tenant == nullptr) {
     return admitted{};
   }
-  const auto over = quotas_.refuse(*tenant, stage_of(request), now);
-  if (over) {
-    return refused{.cause = over->paced ? refusal_cause::paced_programs
-                                        : refusal_cause::over_quota,
-                   .retry_after = over->retry_after};
+  admitted let_in{.tenant = tenant->id,
+                  .priority = tenant->priority,
+                  .home_regions = tenant->home_regions,
+                  .permit = std::nullopt};
+  if (tenant->quota.limited()) {
+    let_in.permit = {.tenant = tenant->id,
+                     .terms = terms_of(tenant->quota, routes),
+                     .begins_program = begins_program(request)};
   }
+  return let_in;
+}
+
+void tenant_gate::note_begun(const client_request &request) {
   if (!request.program.empty()) {
     programs_.insert(request.program);
   }
-  return admitted{.tenant = tenant->id,
-                  .priority = tenant->priority,
-                  .home_regions = tenant->home_regions};
+}
+
+tenants::quota_terms
+tenant_gate::terms_of(const tenants::request_quota &quota,
+                      const routing::route_table &routes) const {
+  constexpr double thousandths = 1000;
+  return {.version = routes.version().value(),
+          .millirequests_per_second = static_cast<std::uint64_t>(
+              std::llround(quota.rate_per_second * thousandths)),
+          .burst_millirequests = static_cast<std::uint64_t>(
+              std::llround(quota.burst * thousandths)),
+          .window = counting_.window,
+          .overshoot_permille = static_cast<std::uint32_t>(
+              std::floor(counting_.overshoot * thousandths)),
+          .slack = static_cast<std::uint32_t>(std::floor(counting_.slack))};
 }
 
 std::optional<refusal_cause> tenant_gate::objection(
@@ -69,13 +92,9 @@
   return held ? std::nullopt : std::optional(refusal_cause::unknown_key);
 }
 
-tenants::request_stage
-tenant_gate::stage_of(const client_request &request) const {
-  const bool begins = request.turn.has_value() &&
-                      request.previous_turn.empty() &&
-                      !programs_.contains(request.program);
-  return begins ? tenants::request_stage::begins_program
-                : tenants::request_stage::under_way;
+bool tenant_gate::begins_program(const client_request &request) const {
+  return request.turn.has_value() && request.previous_turn.empty() &&
+         !programs_.contains(request.program);
 }
 
 } // namespace heathtrestle::forwarding
--- a/src/forwarding/tenant_gate.hpp
+++ b/src/forwarding/tenant_gate.hpp
@@ -1,15 +1,18 @@
 // Which requests may run as far as tenants are concerned: the key has to be
-// known, what is known of keys has to be fresh enough, and the tenant has to be
-// within its quota. Decides only; the caller answers.
+// known, what is known of keys has to be fresh enough, and a tenant with a
+// quota needs a permit for each request. Decides only; the caller asks and
+// answers.
 #pragma once
 
 #include "forwarding/client_request.hpp"
+#include "records/turn_ledger.hpp"
 #include "routing/route_table.hpp"
 #include "tenants/freshness.hpp"
-#include "tenants/quota_book.hpp"
+#include "tenants/permit.hpp"
 #include "tenants/recent_programs.hpp"
 
-#include <memory>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -17,11 +20,21 @@
 
 namespace heathtrestle::forwarding {
 
+/// How the operator counts what tenants send.
+struct quota_counting {
+  /// Length of the sliding window.
+  duration_ms window{5000};
+  /// What is tolerated beyond the limit of a window: a share of it, and so many
+  /// requests.
+  double overshoot = 0;
+  double slack = 0;
+};
+
 struct tenant_gate_options {
   /// Time within which a key that was taken away must stop working everywhere;
   /// zero when there is no such promise.
   duration_ms key_revocation{0};
-  tenants::quota_options quota;
+  quota_counting quota;
 };
 
 /// The request may run, in the name of `tenant`; empty where it needs none.
@@ -31,6 +44,8 @@
   std::optional<std::uint32_t> priority;
   /// The tenant's home regions; empty: any.
   std::vector<std::string> home_regions;
+  /// Set when it needs a permit.
+  std::optional<records::permit_request> permit;
 };
 
 enum class refusal_cause : std::uint8_t {
@@ -43,6 +58,8 @@
   over_quota,
   /// The tenant's programs would need more than its quota if all began at once.
   paced_programs,
+  /// No leader answers that keeps the tenant's account.
+  unknown_quota,
 };
 std::string_view name_of(refusal_cause cause);
 
@@ -55,12 +72,17 @@
 
 class tenant_gate {
 public:
-  tenant_gate(tenant_gate_options options, timestamp started)
-      : freshness_(options.key_revocation), quotas_(options.quota, started) {}
+  explicit tenant_gate(tenant_gate_options options)
+      : freshness_(options.key_revocation), counting_(options.quota) {}
 
-  /// Decides on a request that has just come, and counts it.
-  admission admit(const client_request &request, const routing::route &route,
-                  const routing::route_table &routes, timestamp now);
+  /// Decides on a request that has just come.
+  [[nodiscard]] admission admit(const client_request &request,
+                                const routing::route &route,
+                                const routing::route_table &routes,
+                                timestamp now) const;
+  /// The program of a request has got its first permit: what it asks for later
+  /// goes on with it.
+  void note_begun(const client_request &request);
 
   /// Decides whether a request that was admitted may still be sent, by the
   /// routes that are in force now: while it waited its key may have been taken
@@ -70,10 +92,6 @@
   objection(const client_request &request, const routing::route &route,
             const routing::route_table &routes, timestamp now) const;
 
-  /// Takes in the tenants of a new configuration.
-  void apply(const routing::route_table &routes, timestamp now) {
-    quotas_.apply(routes.keys().tenants(), now);
-  }
   /// The configuration was current at `moment`.
   void confirm(timestamp moment) { freshness_.confirm(moment); }
   /// False while requests with keys cannot be served.
@@ -84,16 +102,17 @@
   [[nodiscard]] const tenants::freshness &freshness() const {
     return freshness_;
   }
-  [[nodiscard]] tenants::quota_book &quotas() { return quotas_; }
 
 private:
   /// A turn of a program that this gateway has not let in before begins one;
   /// calls of tools belong to a program under way.
-  [[nodiscard]] tenants::request_stage
-  stage_of(const client_request &request) const;
+  [[nodiscard]] bool begins_program(const client_request &request) const;
+  [[nodiscard]] tenants::quota_terms
+  terms_of(const tenants::request_quota &quota,
+           const routing::route_table &routes) const;
 
   tenants::freshness freshness_;
-  tenants::quota_book quotas_;
+  quota_counting counting_;
   tenants::recent_programs programs_;
 };
 
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/random.hpp"
 #include "logging/log.hpp"
+#include "records/quota_messages.hpp"
 #include "records/record_node.hpp"
 
 #include <algorithm>
@@ -81,6 +82,20 @@
 
 } // namespace
 
+std::string_view name_of(permit_verdict verdict) {
+  switch (verdict) {
+  case permit_verdict::granted:
+    return "granted";
+  case permit_verdict::used_up:
+    return "used_up";
+  case permit_verdict::paced:
+    return "paced";
+  case permit_verdict::unavailable:
+    return "unavailable";
+  }
+  return "unknown";
+}
+
 ledger_client::ledger_client(asio::io_context &io, ledger_options options,
                              sender send)
     : io_(io), options_(std::move(options)), send_(std::move(send)),
@@ -118,6 +133,42 @@
   co_return outcome_of(*entry);
 }
 
+asio::awaitable<permit_answer>
+ledger_client::take_permit(permit_request request, timestamp deadline) {
+  permit_answer unserved;
+  if (!contact_.is_served()) {
+    unserved.retry_after = contact_.retry_after(steady_now());
+    co_return unserved;
+  }
+  wire::RecordChange change;
+  wire::TakePermit &message = *change.mutable_take_permit();
+  message.set_tenant(request.tenant.value());
+  message.set_begins_program(request.begins_program);
+  *message.mutable_terms() = to_wire(request.terms);
+  const pending_ptr entry = co_await ask(std::move(change), deadline);
+  if (entry->answered && entry->reply.verdict() == wire::RECORD_DONE) {
+    co_return to_permit(*entry);
+  }
+  if (!contact_.is_served()) {
+    unserved.retry_after = contact_.retry_after(steady_now());
+  }
+  co_return unserved;
+}
+
+permit_answer ledger_client::to_permit(const pending &entry) {
+  const wire::PermitAnswer &told = entry.reply.permit();
+  const permit_verdict refusal =
+      told.paced() ? permit_verdict::paced : permit_verdict::used_up;
+  return {.verdict = told.granted() ? permit_verdict::granted : refusal,
+          // It was given after it was first asked for, whichever time it was
+          // asked for that is answered here.
+          .good_until = entry.first_sent + tenants::permit_lifetime,
+          .retry_after = duration_ms{told.retry_after_ms()},
+          .counted = told.counted(),
+          .most = told.most(),
+          .limit = told.limit()};
+}
+
 turn_grant ledger_client::outcome_of(const pending &entry) const {
   return entry.answered || contact_.is_served() ? to_grant(entry) : refusal();
 }
@@ -231,6 +282,7 @@
       continue;
     }
     entry->sent = now;
+    entry->first_sent = entry->asked_times == 0 ? now : entry->first_sent;
     ++entry->asked_times;
     entry->asked = leader_;
     wire::RecordRequestItem &item = *request.add_items();
@@ -252,9 +304,6 @@
   if (options_.loads && loads_due) {
     *request.mutable_loads() = options_.loads();
     request.mutable_loads()->set_told_ms(milliseconds_of(now));
-    if (options_.usage) {
-      *request.mutable_usage() = options_.usage();
-    }
     loads_told_ = now;
   }
   request.set_reply_to(options_.address);
@@ -274,9 +323,6 @@
   if (options_.on_loads && reply.has_loads()) {
     options_.on_loads(reply.loads());
   }
-  if (options_.on_usage && reply.has_usage()) {
-    options_.on_usage(reply.usage());
-  }
   if (reply.has_members()) {
     members_ = reply.members();
     members_hash_ = hash_of(members_);
@@ -406,7 +452,9 @@
 
 void ledger_client::give_up_grants() {
   for (const auto &[id, entry] : pending_) {
-    if (entry->awaited && entry->change.has_begin()) {
+    const bool is_grant =
+        entry->change.has_begin() || entry->change.has_take_permit();
+    if (entry->awaited && is_grant) {
       entry->done.cancel();
     }
   }
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -43,10 +43,6 @@
   duration_ms loads_interval{200};
   /// Gets what the others have told, with the answer to such a question.
   std::function<void(const wire::SharedLoads &)> on_loads;
-  /// What tenants have asked of this process; told whenever loads are.
-  std::function<wire::TenantUsage()> usage;
-  /// Gets what they have asked of the others, with the answer.
-  std::function<void(const wire::TenantUsage &)> on_usage;
   /// How long callers are held while no leader answers: longer than an election
   /// after the loss of a leader, which takes about a second.
   duration_ms unserved_after{1500};
@@ -67,6 +63,8 @@
                                     timestamp deadline) override;
   asio::awaitable<bool> finish(turn_end end, timestamp deadline) override;
   void settle(turn_end end) override;
+  asio::awaitable<permit_answer> take_permit(permit_request request,
+                                             timestamp deadline) override;
 
   /// Asks for the turns that lead to `last`, whichever program kept them.
   asio::awaitable<turn_grant> read(std::string last, timestamp deadline);
@@ -87,7 +85,8 @@
   [[nodiscard]] timestamp unanswered_since() const;
   /// Asks the next node whether it is there; it answers at once.
   void probe();
-  /// Ends the wait for grants that have not come: they are `unavailable`.
+  /// Ends the wait for grants and permits that have not come: they are
+  /// `unavailable`.
   void give_up_grants();
   /// Ends that are not confirmed yet.
   [[nodiscard]] std::size_t unsettled() const { return unsettled_; }
@@ -103,7 +102,8 @@
     wire::RecordChange change;
     timestamp added{};
     timestamp deadline{};
-    timestamp sent{};  // zero: to be sent
+    timestamp sent{}; // zero: to be sent
+    timestamp first_sent{};
     std::string asked; // the node that it was sent to
     std::uint32_t asked_times = 0;
     bool awaited = false;
@@ -124,6 +124,7 @@
   asio::awaitable<pending_ptr> ask(wire::RecordChange change,
                                    timestamp deadline);
   static turn_grant to_grant(const pending &entry);
+  static permit_answer to_permit(const pending &entry);
   /// The answer, or a refusal where the partition has turned unserved
   /// meanwhile.
   [[nodiscard]] turn_grant outcome_of(const pending &entry) const;
--- a/src/records/partitioned_ledger.cpp
+++ b/src/records/partitioned_ledger.cpp
@@ -32,8 +32,8 @@
   }
 }
 
-ledger_client &partitioned_ledger::client_of(const std::string &program) {
-  return *clients_[partition_of(program, clients_.size())];
+ledger_client &partitioned_ledger::client_of(const std::string &key) {
+  return *clients_[partition_of(key, clients_.size())];
 }
 
 asio::awaitable<turn_grant> partitioned_ledger::begin(turn_request request,
@@ -87,6 +87,15 @@
   return client.finish(std::move(end), deadline);
 }
 
+asio::awaitable<permit_answer>
+partitioned_ledger::take_permit(permit_request request, timestamp deadline) {
+  if (contact_.cut_off()) {
+    co_return permit_answer{};
+  }
+  ledger_client &client = client_of(request.tenant.value());
+  co_return co_await client.take_permit(std::move(request), deadline);
+}
+
 void partitioned_ledger::settle(turn_end end) {
   ledger_client &client = client_of(end.program);
   client.settle(std::move(end));
--- a/src/records/partitioned_ledger.hpp
+++ b/src/records/partitioned_ledger.hpp
@@ -27,6 +27,9 @@
                                     timestamp deadline) override;
   asio::awaitable<bool> finish(turn_end end, timestamp deadline) override;
   void settle(turn_end end) override;
+  /// A tenant's account is kept by one partition.
+  asio::awaitable<permit_answer> take_permit(permit_request request,
+                                             timestamp deadline) override;
 
   [[nodiscard]] bool cut_off() const override { return contact_.cut_off(); }
   [[nodiscard]] std::vector<storage_place> storage_places() const override;
@@ -53,7 +56,8 @@
   /// Finds the chain that ends with `last` outside partition `home`.
   asio::awaitable<turn_grant> find_elsewhere(std::string last, std::size_t home,
                                              timestamp deadline);
-  ledger_client &client_of(const std::string &program);
+  /// @param key a program, or a tenant.
+  ledger_client &client_of(const std::string &key);
 
   asio::io_context &io_;
   std::vector<std::unique_ptr<ledger_client>> clients_;
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -61,6 +61,7 @@
   self_id_ = {make_node_id(self_.name()), recovered.identity};
   *self_.mutable_replica() = to_wire(self_id_);
   table_.restore(std::move(recovered.snapshot));
+  quota_clock_.follow(table_.quota_time(), now);
   log_.emplace(the_partition, self_id_, std::move(recovered.replica),
                options_.raft, now, random);
   learn_members(recovered.members);
@@ -123,9 +124,11 @@
   }
   detect_dead(now);
   log_->tick(now, random, out);
+  reserve_quotas(now);
   propose_batch(now, wall_ms, out);
   if (log_->is_leader() && was_leader_) {
     forget_gone(now);
+    desk_.forget_idle(now);
     maintain(now, out);
   }
   say_hello(now);
@@ -152,15 +155,21 @@
            fmt::format("index {} voters {}", entry.index(),
                        entry.replicas().voters_size()));
     }
+    applied_term_ = term_id{entry.term()};
     if (!entry.has_command()) {
       continue;
     }
     const auto outcomes = table_.apply(entry.command().record_batch());
+    const bool own = log_->is_leader() && applied_term_ == log_->term();
+    if (!own) {
+      quota_clock_.follow(table_.quota_time(), now);
+    }
     answer(entry.index(), outcomes, now, effects);
   }
   effects.kept = table_.take_kept();
   effects.dropped = table_.take_dropped();
   follow_leadership(now);
+  send_permits(now, effects);
   members_[self_id_].heard = now;
   effects.messages.insert(effects.messages.end(),
                           std::make_move_iterator(outgoing_.begin()),
@@ -254,9 +263,6 @@
   }
   if (request.has_loads()) {
     loads_.tell(request.reply_to(), request.loads(), now);
-    if (request.has_usage()) {
-      usage_.tell(request.reply_to(), request.usage(), now);
-    }
     owed_loads_.insert(request.reply_to());
   }
   if (request.items().empty() && log_->in_contact(now)) {
@@ -265,9 +271,20 @@
     refuse(request, now); // nothing can be recorded without a majority
   }
   for (const wire::RecordRequestItem &item : request.items()) {
+    if (item.change().has_reserve_quota()) {
+      continue; // for leaders alone to propose
+    }
     if (!take_up(request.reply_to(), item.id())) {
       continue;
     }
+    if (item.change().has_take_permit()) {
+      desk_.ask({.reply_to = request.reply_to(),
+                 .id = item.id(),
+                 .members_hash = request.members_hash(),
+                 .wanted = item.change().take_permit()},
+                quota_clock_.read(now), now);
+      continue;
+    }
     proposals_.emplace_back(asker{.reply_to = request.reply_to(),
                                   .id = item.id(),
                                   .members_hash = request.members_hash()},
@@ -335,6 +352,7 @@
     if (newer) {
       installed_ = receiver_.take();
       table_.restore(*installed_);
+      quota_clock_.follow(table_.quota_time(), now);
       note(logging::event::record_snapshot_installed,
            fmt::format("index {}", part.last_index()));
     }
@@ -394,6 +412,9 @@
   wire::Command command;
   wire::RecordBatch &batch = *command.mutable_record_batch();
   batch.set_time_ms(wall_ms);
+  if (knows_quotas()) {
+    batch.set_quota_time_ms(quota_clock_.read(now));
+  }
   std::vector<asker> who;
   for (auto &[asked_by, change] : proposals_) {
     *batch.add_changes() = std::move(change);
@@ -406,12 +427,64 @@
   }
 }
 
+bool record_node::knows_quotas() const {
+  return log_->is_leader() && applied_term_ == log_->term();
+}
+
+void record_node::reserve_quotas(timestamp now) {
+  if (!knows_quotas()) {
+    return;
+  }
+  for (wire::ReserveQuota &wanted : desk_.due(now)) {
+    wire::RecordChange change;
+    *change.mutable_reserve_quota() = std::move(wanted);
+    proposals_.emplace_back(asker{}, std::move(change));
+  }
+}
+
+void record_node::send_permits(timestamp now, record_effects &effects) {
+  std::map<std::string, std::pair<wire::RecordReply, std::uint64_t>> replies;
+  for (permit_reply &each : desk_.take_replies()) {
+    auto &[reply, known_members] = replies[each.question.reply_to];
+    known_members = each.question.members_hash;
+    wire::RecordReplyItem &item = *reply.add_items();
+    item.set_id(each.question.id);
+    item.set_verdict(wire::RECORD_DONE);
+    *item.mutable_permit() = std::move(each.answer);
+    taken_up_.erase(question_hash(each.question.reply_to, each.question.id));
+  }
+  for (auto &[address, entry] : replies) {
+    complete(entry.first, address, entry.second, now);
+    wire::Envelope envelope;
+    *envelope.mutable_record_reply() = std::move(entry.first);
+    envelope.set_from(self_id_.node.value());
+    envelope.set_from_boot(self_id_.boot.value());
+    effects.messages.push_back({address, std::move(envelope)});
+  }
+}
+
+void record_node::complete(wire::RecordReply &reply, const std::string &address,
+                           std::uint64_t known_members, timestamp now) {
+  reply.set_leader_address(self_.address());
+  *reply.mutable_seen() = seen_;
+  const wire::RecordMembers known = members();
+  if (known_members != hash_of(known)) {
+    *reply.mutable_members() = known;
+  }
+  if (owed_loads_.erase(address) > 0) {
+    *reply.mutable_loads() = loads_.others(address, now);
+  }
+}
+
 void record_node::pass_on_proposals(timestamp now) {
   if (leader_address().empty()) {
     return; // told when there is somebody to ask
   }
   std::map<std::string, wire::RecordRequest> by_asker;
   for (const auto &[asked_by, change] : proposals_) {
+    if (change.has_reserve_quota()) {
+      continue; // this node's own
+    }
     wire::RecordRequest &request = by_asker[asked_by.reply_to];
     request.set_reply_to(asked_by.reply_to);
     request.set_members_hash(asked_by.members_hash);
@@ -440,6 +513,11 @@
   std::map<std::string, std::pair<wire::RecordReply, std::uint64_t>> replies;
   for (std::size_t place = 0; place < found->second.size(); ++place) {
     const asker &who = found->second[place];
+    if (outcomes.at(place).has_reserved_quota()) {
+      desk_.on_reserved(outcomes.at(place).reserved_quota(),
+                        quota_clock_.read(now), now);
+      continue;
+    }
     auto &[reply, known_hash] = replies[who.reply_to];
     known_hash = who.members_hash;
     wire::RecordReplyItem &item = *reply.add_items();
@@ -448,22 +526,9 @@
     taken_up_.erase(question_hash(who.reply_to, who.id));
   }
   askers_.erase(found);
-  const wire::RecordMembers known = members();
-  const std::uint64_t hash = hash_of(known);
   for (auto &[address, entry] : replies) {
     auto &[reply, known_hash] = entry;
-    reply.set_leader_address(self_.address());
-    *reply.mutable_seen() = seen_;
-    if (known_hash != hash) {
-      *reply.mutable_members() = known;
-    }
-    if (owed_loads_.erase(address) > 0) {
-      *reply.mutable_loads() = loads_.others(address, now);
-      wire::TenantUsage usage = usage_.others(address);
-      if (usage.covered_ms() > 0) {
-        *reply.mutable_usage() = std::move(usage);
-      }
-    }
+    complete(reply, address, known_hash, now);
     wire::Envelope envelope;
     *envelope.mutable_record_reply() = std::move(reply);
     envelope.set_from(self_id_.node.value());
@@ -487,6 +552,13 @@
   } else {
     askers_.clear();
     taken_up_.clear();
+    for (const permit_question &each : desk_.clear()) {
+      wire::RecordRequest refused;
+      refused.set_reply_to(each.reply_to);
+      refused.set_members_hash(each.members_hash);
+      refused.add_items()->set_id(each.id);
+      refuse(refused, now);
+    }
     successors_.clear();
     sender_.clear();
     owed_loads_.clear();
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -13,9 +13,10 @@
 #include "raft/consensus.hpp"
 #include "records/group_plan.hpp"
 #include "records/load_board.hpp"
+#include "records/permit_desk.hpp"
+#include "records/quota_clock.hpp"
 #include "records/record_table.hpp"
 #include "records/snapshot_transfer.hpp"
-#include "records/usage_board.hpp"
 #include "storage/log_storage.hpp"
 #include "wire/messages.hpp"
 
@@ -184,6 +185,13 @@
   void note_heard(const replica_id &from, timestamp now);
   void learn(const wire::RecordMember &record, timestamp now);
   void propose_batch(timestamp now, std::uint64_t wall_ms, raft::outbox &out);
+  /// Asks the partition for the permits that the desk wants to give.
+  void reserve_quotas(timestamp now);
+  /// True once this leader has applied every entry of earlier terms: only then
+  /// it knows what is out, and the partition's time.
+  [[nodiscard]] bool knows_quotas() const;
+  /// Sends what the desk has decided.
+  void send_permits(timestamp now, record_effects &effects);
   void refuse(const wire::RecordRequest &request, timestamp now);
   /// Takes in whom another node takes for the leader; empty for nobody.
   void take_told_leader(const std::string &leader, const std::string &told_by,
@@ -211,6 +219,9 @@
   void answer(std::uint64_t index,
               const std::vector<wire::RecordReplyItem> &outcomes, timestamp now,
               record_effects &effects);
+  /// Adds to an answer what every answer to this address carries.
+  void complete(wire::RecordReply &reply, const std::string &address,
+                std::uint64_t known_members, timestamp now);
   void follow_leadership(timestamp now);
   /// Declares identities dead whose node speaks under another one.
   void detect_dead(timestamp now);
@@ -234,7 +245,10 @@
   std::set<std::string> retiring_;
   wire::SeenRevisions seen_;
   load_board loads_;
-  usage_board usage_;
+  permit_desk desk_;
+  quota_clock quota_clock_;
+  /// Of the last entry that was applied.
+  term_id applied_term_{};
   /// Those that have told their loads and are to be told the others'.
   std::set<std::string> owed_loads_;
 
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -1,5 +1,6 @@
 #include "records/record_table.hpp"
 
+#include "records/quota_messages.hpp"
 #include "records/turn_bodies.hpp"
 
 #include <algorithm>
@@ -18,6 +19,7 @@
 std::vector<wire::RecordReplyItem>
 record_table::apply(const wire::RecordBatch &batch) {
   now_ms_ = std::max(now_ms_, batch.time_ms());
+  quota_time_ = std::max(quota_time_, batch.quota_time_ms());
   std::vector<wire::RecordReplyItem> replies;
   replies.reserve(static_cast<std::size_t>(batch.changes_size()));
   for (const wire::RecordChange &change : batch.changes()) {
@@ -40,6 +42,9 @@
     return read(change.read());
   case wire::RecordChange::kKeep:
     return keep(change.keep());
+  case wire::RecordChange::kReserveQuota:
+    return reserve(change.reserve_quota());
+  case wire::RecordChange::kTakePermit: // leaders answer it themselves
   case wire::RecordChange::BODY_NOT_SET:
     break;
   }
@@ -121,6 +126,15 @@
   return reply;
 }
 
+wire::RecordReplyItem record_table::reserve(const wire::ReserveQuota &wanted) {
+  const tenants::reservation made =
+      quotas_[wanted.tenant()].reserve(from_wire(wanted), quota_time_);
+  wire::RecordReplyItem reply;
+  reply.set_verdict(wire::RECORD_GRANTED);
+  *reply.mutable_reserved_quota() = to_wire(made, wanted.tenant());
+  return reply;
+}
+
 record_table::program &record_table::account_of(const std::string &id,
                                                 std::uint64_t keep_ms) {
   program &account = programs_[id];
@@ -182,6 +196,9 @@
 }
 
 void record_table::drop_expired() {
+  std::erase_if(quotas_, [this](const auto &entry) {
+    return entry.second.idle(quota_time_);
+  });
   std::erase_if(programs_, [this](const auto &entry) {
     return now_ms_ >= entry.second.expires_ms;
   });
@@ -230,13 +247,24 @@
   for (const auto &[id, kept] : turns_) {
     turns.push_back(kept);
   }
-  return {now_ms_, std::move(programs), std::move(turns), part_bytes};
+  wire::RecordSnapshot quotas;
+  quotas.set_quota_time_ms(quota_time_);
+  for (const auto &[tenant, account] : quotas_) {
+    *quotas.add_quotas() = to_wire(account, tenant);
+  }
+  return {now_ms_, std::move(quotas), std::move(programs), std::move(turns),
+          part_bytes};
 }
 
 void record_table::restore(wire::RecordSnapshot snapshot) {
   take_bodies(snapshot, kept_);
   now_ms_ = snapshot.time_ms();
   next_sweep_ms_ = now_ms_;
+  quota_time_ = snapshot.quota_time_ms();
+  quotas_.clear();
+  for (const wire::RecordQuota &saved : snapshot.quotas()) {
+    quotas_.emplace(saved.tenant(), from_wire(saved));
+  }
   programs_.clear();
   for (const auto &[id, kept] : turns_) {
     dropped_.push_back(id);
--- a/src/records/record_table.hpp
+++ b/src/records/record_table.hpp
@@ -1,6 +1,7 @@
 // The state machine of the record group: what each program has spent and
-// reserved of its budget, and the turns that are kept. Of a turn it holds what
-// decides; bodies pass through to whoever keeps them (`turn_bodies`).
+// reserved of its budget, the turns that are kept, and the permits of tenants.
+// Of a turn it holds what decides; bodies pass through to whoever keeps them
+// (`turn_bodies`).
 //
 // Deterministic: time comes with each batch and never runs backwards. The same
 // batches in the same order leave the same state on every replica.
@@ -8,6 +9,7 @@
 
 #include "records/snapshot_image.hpp"
 #include "records/turn_ledger.hpp"
+#include "tenants/quota_account.hpp"
 #include "wire/messages.hpp"
 
 #include <cstdint>
@@ -39,6 +41,8 @@
   /// @param snapshot its turns may come with their bodies.
   void restore(wire::RecordSnapshot snapshot);
 
+  /// The partition's time by which permits are counted.
+  [[nodiscard]] tenants::quota_time quota_time() const { return quota_time_; }
   [[nodiscard]] std::size_t programs() const { return programs_.size(); }
   [[nodiscard]] std::size_t turns() const { return turns_.size(); }
   /// Encoded size of the turns with their bodies.
@@ -59,6 +63,7 @@
   [[nodiscard]] wire::RecordReplyItem read(const wire::ReadTurns &wanted) const;
   wire::RecordReplyItem keep(const wire::KeepTurns &copies);
   wire::RecordReplyItem end(const wire::EndTurn &ended);
+  wire::RecordReplyItem reserve(const wire::ReserveQuota &wanted);
   /// The account, without what has expired.
   program &account_of(const std::string &id, std::uint64_t keep_ms);
   /// @return null when it was never kept or has expired. What has expired is
@@ -71,6 +76,8 @@
 
   std::uint64_t now_ms_ = 0;
   std::uint64_t next_sweep_ms_ = 0;
+  tenants::quota_time quota_time_ = 0;
+  std::unordered_map<std::string, tenants::quota_account> quotas_;
   std::unordered_map<std::string, program> programs_;
   std::unordered_map<std::string, retained_entry> turns_;
   std::size_t turn_bytes_ = 0;
--- a/src/records/snapshot_image.cpp
+++ b/src/records/snapshot_image.cpp
@@ -5,11 +5,12 @@
 namespace heathtrestle::records {
 
 snapshot_image::snapshot_image(std::uint64_t time_ms,
+                               wire::RecordSnapshot quotas,
                                std::vector<wire::RecordProgram> programs,
                                std::vector<retained_entry> turns,
                                std::size_t part_bytes)
-    : time_ms_(time_ms), programs_(std::move(programs)),
-      turns_(std::move(turns)) {
+    : time_ms_(time_ms), quotas_(std::move(quotas)),
+      programs_(std::move(programs)), turns_(std::move(turns)) {
   std::size_t bytes = 0;
   for (std::size_t place = 0; place < records(); ++place) {
     bytes += size_of(place);
@@ -30,6 +31,9 @@
 
 wire::RecordSnapshot snapshot_image::part(std::size_t number) const {
   wire::RecordSnapshot part;
+  if (number == 0) {
+    part = quotas_;
+  }
   part.set_time_ms(time_ms_);
   const std::size_t first = number == 0 ? 0 : part_ends_.at(number - 1);
   for (std::size_t place = first; place < part_ends_.at(number); ++place) {
--- a/src/records/snapshot_image.hpp
+++ b/src/records/snapshot_image.hpp
@@ -24,9 +24,10 @@
 
 class snapshot_image {
 public:
+  /// @param quotas accounts of tenants; all in the first part.
   /// @param part_bytes a part ends with the record that brings it to this size;
   /// zero for one part that holds everything.
-  snapshot_image(std::uint64_t time_ms,
+  snapshot_image(std::uint64_t time_ms, wire::RecordSnapshot quotas,
                  std::vector<wire::RecordProgram> programs,
                  std::vector<retained_entry> turns, std::size_t part_bytes);
 
@@ -44,6 +45,8 @@
   [[nodiscard]] std::size_t size_of(std::size_t place) const;
 
   std::uint64_t time_ms_;
+  /// Holds the accounts of tenants alone, with their time.
+  wire::RecordSnapshot quotas_;
   std::vector<wire::RecordProgram> programs_;
   std::vector<retained_entry> turns_;
   /// The place behind the last record of each part.
--- a/src/records/snapshot_transfer.cpp
+++ b/src/records/snapshot_transfer.cpp
@@ -86,6 +86,10 @@
   }
   wire::RecordSnapshot &records = *part.mutable_records();
   collected_.set_time_ms(records.time_ms());
+  if (part.part() == 0) {
+    collected_.set_quota_time_ms(records.quota_time_ms());
+    *collected_.mutable_quotas() = std::move(*records.mutable_quotas());
+  }
   for (wire::RecordProgram &each : *records.mutable_programs()) {
     *collected_.add_programs() = std::move(each);
   }
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -3,10 +3,13 @@
 // the durable record of its end.
 #pragma once
 
+#include "base/ids.hpp"
 #include "base/time.hpp"
+#include "tenants/permit.hpp"
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -77,6 +80,39 @@
   duration_ms keep{0};
 };
 
+/// Asks leave to send one request in a tenant's name.
+struct permit_request {
+  tenant_id tenant;
+  tenants::quota_terms terms;
+  /// The first request of a program.
+  bool begins_program = false;
+};
+
+enum class permit_verdict : std::uint8_t {
+  granted,
+  /// The tenant has used up what it may send for now.
+  used_up,
+  /// Its programs would need more than its quota if all began at once.
+  paced,
+  /// No leader answered in time.
+  unavailable,
+};
+
+std::string_view name_of(permit_verdict verdict);
+
+struct permit_answer {
+  permit_verdict verdict = permit_verdict::unavailable;
+  /// Until when a request may be sent with it.
+  timestamp good_until{};
+  /// Of a refusal: when to come back; zero where nothing is known.
+  duration_ms retry_after{0};
+  /// What the partition decided by: permits in the window, how many there may
+  /// be, and how many of these are the limit.
+  std::uint64_t counted = 0;
+  std::uint64_t most = 0;
+  std::uint64_t limit = 0;
+};
+
 /// Where a node of the record group lies.
 struct storage_place {
   std::string node;
@@ -107,6 +143,11 @@
   /// Records the end of a turn some time soon.
   virtual void settle(turn_end end) = 0;
 
+  /// Returns by `deadline`. Every request that is sent in the name of a tenant
+  /// with a quota needs a permit of its own.
+  virtual boost::asio::awaitable<permit_answer>
+  take_permit(permit_request request, timestamp deadline) = 0;
+
   /// True while this process cannot reach the record group and others can: it
   /// had better send its clients to them.
   [[nodiscard]] virtual bool cut_off() const { return false; }
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -205,13 +205,8 @@
   }
 
   /// Requests that count against the quotas of tenants.
-  std::size_t counted_requests() {
-    std::size_t counted = 0;
-    const wire::TenantUsage usage = gateway_->tenant_usage();
-    for (const std::uint32_t requests : usage.requests()) {
-      counted += requests;
-    }
-    return counted;
+  [[nodiscard]] std::size_t counted_requests() const {
+    return static_cast<std::size_t>(ledger_.permits_asked);
   }
 
 public:
--- /dev/null
+++ b/tests/records/permit_desk_test.cpp
@@ -0,0 +1,210 @@
+// Programs of a tenant at many gateways: which may begin, and which of those
+// are refused in their midst.
+#include "support/quota_fleet.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fmt/format.h>
+
+namespace heathtrestle::records {
+namespace {
+
+using test_support::quota_fleet;
+using test_support::quota_troubles;
+
+/// What the operator grants at the very most in one window.
+double bound(const tenants::request_quota &quota) {
+  constexpr double overshoot = 1.1;
+  constexpr double slack = 20;
+  const double seconds =
+      std::chrono::duration<double>(quota_fleet::window).count();
+  return (quota.rate_per_second * seconds + quota.burst) * overshoot + slack;
+}
+
+constexpr tenants::request_quota large{.rate_per_second = 160, .burst = 160};
+
+class permit_desk_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(permit_desk_test);
+  CPPUNIT_TEST(below_its_limit_a_tenant_is_never_refused);
+  CPPUNIT_TEST(a_hot_tenant_stays_within_the_bound);
+  CPPUNIT_TEST(a_small_hot_tenant_stays_within_the_bound);
+  CPPUNIT_TEST(over_the_limit_whole_programs_are_served);
+  CPPUNIT_TEST(a_lower_limit_holds_within_a_window);
+  CPPUNIT_TEST(a_higher_limit_helps_at_once);
+  CPPUNIT_TEST(gateways_that_reach_nobody_send_nothing);
+  CPPUNIT_TEST(gateways_that_restart_refuse_nobody_below_the_limit);
+  CPPUNIT_TEST(a_fleet_that_restarts_stays_within_the_bound);
+  CPPUNIT_TEST(a_lower_limit_does_not_refuse_everything_at_first);
+  CPPUNIT_TEST(a_refusal_tells_when_to_come_back);
+  CPPUNIT_TEST(most_permits_wait_for_no_commit);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::size_t gateways = 57;
+  static constexpr int length = 12;
+
+public:
+  void below_its_limit_a_tenant_is_never_refused() {
+    quota_fleet all(gateways, large, 11);
+    all.run_programs(duration_ms{20000}, 100, length);
+    CPPUNIT_ASSERT_EQUAL(0, all.refused);
+    CPPUNIT_ASSERT_EQUAL(0, all.failed);
+  }
+
+  void a_hot_tenant_stays_within_the_bound() {
+    quota_fleet all(gateways, large, 11);
+    all.run_programs(duration_ms{8000}, 100, length);
+    all.run_programs(duration_ms{12000}, 750, length);
+    CPPUNIT_ASSERT(static_cast<double>(all.most_in_window()) <= bound(large));
+  }
+
+  void a_small_hot_tenant_stays_within_the_bound() {
+    const tenants::request_quota small{.rate_per_second = 8, .burst = 8};
+    quota_fleet all(gateways, small, 11);
+    all.run_programs(duration_ms{8000}, 5, length);
+    all.run_programs(duration_ms{12000}, 37, length);
+    CPPUNIT_ASSERT(static_cast<double>(all.most_in_window()) <= bound(small));
+  }
+
+  void over_the_limit_whole_programs_are_served() {
+    quota_fleet all(gateways, large, 11);
+    all.run_programs(duration_ms{5000}, 100, length);
+    // What was begun before the demand rose, and at once when it did.
+    all.run_programs(duration_ms{5000}, 500, length);
+    CPPUNIT_ASSERT_MESSAGE(
+        fmt::format("{} begun, {} failed", all.begun, all.failed),
+        all.failed * 2 < all.begun);
+    const int begun = all.begun;
+    const int failed = all.failed;
+    all.run_programs(duration_ms{15000}, 500, length);
+    // A program that fails midway has used its tenant's quota for nothing.
+    CPPUNIT_ASSERT((all.failed - failed) * 10 < all.begun - begun);
+    CPPUNIT_ASSERT(all.refused > 0);
+    // And the quota is not left unused.
+    const double served = all.begun - begun - (all.failed - failed);
+    CPPUNIT_ASSERT(served * length > 160.0 * 15 * 0.8);
+  }
+
+  void a_lower_limit_holds_within_a_window() {
+    const tenants::request_quota lower{.rate_per_second = 30, .burst = 30};
+    quota_fleet all(gateways, large, 11);
+    all.run_programs(duration_ms{10000}, 100, length);
+    all.change_quota(lower);
+    all.tell_configuration();
+    all.run_programs(quota_fleet::window + duration_ms{100}, 100, length);
+    CPPUNIT_ASSERT(all.most_in_window() > 0);
+    const timestamp binds = all.now();
+    all.run_programs(duration_ms{10000}, 100, length);
+    CPPUNIT_ASSERT(static_cast<double>(all.most_in_window(binds)) <=
+                   bound(lower));
+  }
+
+  void a_higher_limit_helps_at_once() {
+    quota_fleet all(gateways, {.rate_per_second = 30, .burst = 30}, 11);
+    all.run_programs(duration_ms{10000}, 100, length);
+    CPPUNIT_ASSERT(all.refused > 0);
+    all.change_quota({.rate_per_second = 300, .burst = 300});
+    all.tell_configuration();
+    all.run_programs(duration_ms{200}, 100, length);
+    const int before = all.refused;
+    all.run_programs(duration_ms{5000}, 100, length);
+    CPPUNIT_ASSERT_EQUAL(before, all.refused);
+  }
+
+  void gateways_that_reach_nobody_send_nothing() {
+    quota_fleet all(gateways, large, 11);
+    all.run_programs(duration_ms{8000}, 300, length);
+    all.cut_off(gateways);
+    all.run_programs(duration_ms{500}, 300, length);
+    const std::size_t before = all.sent();
+    all.run_programs(duration_ms{8000}, 300, length);
+    CPPUNIT_ASSERT_EQUAL(before, all.sent());
+    CPPUNIT_ASSERT(static_cast<double>(all.most_in_window()) <= bound(large));
+  }
+
+  void gateways_that_restart_refuse_nobody_below_the_limit() {
+    quota_fleet all(gateways, large, 11);
+    all.run_programs(duration_ms{8000}, 100, length);
+    for (std::size_t number = 0; number < gateways; ++number) {
+      all.restart(number);
+      all.run_programs(duration_ms{100}, 100, length);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, all.refused + all.failed);
+  }
+
+  void a_fleet_that_restarts_stays_within_the_bound() {
+    quota_fleet all(gateways, large, 11);
+    all.run_programs(duration_ms{10000}, 400, length);
+    for (std::size_t number = 0; number < gateways; ++number) {
+      all.restart(number);
+    }
+    all.change_leader();
+    all.run_programs(duration_ms{10000}, 400, length);
+    CPPUNIT_ASSERT(static_cast<double>(all.most_in_window()) <= bound(large));
+  }
+
+  void a_lower_limit_does_not_refuse_everything_at_first() {
+    quota_fleet all(gateways, large, 11);
+    all.run_programs(duration_ms{10000}, 100, length);
+    all.change_quota({.rate_per_second = 60, .burst = 60});
+    all.tell_configuration();
+    const int before = all.begun;
+    const int failed = all.failed;
+    all.run_programs(quota_fleet::window / 2, 100, length);
+    // Three fifths of the demand may go on.
+    const double usual = 100.0 / length * 2.5;
+    CPPUNIT_ASSERT(all.begun - before > usual * 0.4);
+    CPPUNIT_ASSERT((all.failed - failed) * 4 < all.begun - before);
+  }
+
+  void a_refusal_tells_when_to_come_back() {
+    tenants::quota_account account;
+    const tenants::quota_terms terms{.version = 1,
+                                     .millirequests_per_second = 1000,
+                                     .burst_millirequests = 1000};
+    const tenants::quota_time now = 100000;
+    const tenants::reservation made =
+        account.reserve({.terms = terms, .wanted = 20}, now);
+    CPPUNIT_ASSERT_EQUAL(6U, made.granted);
+    CPPUNIT_ASSERT(made.free_after > duration_ms{0});
+    CPPUNIT_ASSERT(made.free_after <=
+                   terms.window + tenants::permit_lifetime +
+                       duration_ms{2 * tenants::quota_slice_ms});
+    const auto later =
+        now + static_cast<tenants::quota_time>(made.free_after.count());
+    CPPUNIT_ASSERT(
+        account.reserve({.terms = terms, .wanted = 1}, later).granted == 1);
+  }
+
+  /// A tenant in steady use is given permits out of what was reserved ahead.
+  void most_permits_wait_for_no_commit() {
+    permit_desk desk;
+    tenants::quota_account account;
+    timestamp now = timestamp_from(1000);
+    int at_once = 0;
+    constexpr int asked = 500;
+    for (int number = 0; number < asked; ++number) {
+      now += duration_ms{20};
+      const auto time = milliseconds_of(now);
+      permit_question question{.reply_to = "gateway",
+                               .id = static_cast<std::uint64_t>(number)};
+      question.wanted.set_tenant("a");
+      wire::QuotaTerms &terms = *question.wanted.mutable_terms();
+      terms.set_version(1);
+      terms.set_millirequests_per_second(100000);
+      terms.set_window_ms(5000);
+      desk.ask(std::move(question), time, now);
+      at_once += desk.take_replies().empty() ? 0 : 1;
+      for (const wire::ReserveQuota &wanted : desk.due(now)) {
+        const auto made = account.reserve(from_wire(wanted), time);
+        desk.on_reserved(to_wire(made, "a"), time, now);
+      }
+      desk.take_replies();
+    }
+    CPPUNIT_ASSERT(at_once > asked * 9 / 10);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(permit_desk_test);
+
+} // namespace
+} // namespace heathtrestle::records
--- a/tests/records/snapshot_transfer_test.cpp
+++ b/tests/records/snapshot_transfer_test.cpp
@@ -35,7 +35,7 @@
         {.turn = turn, .expires_ms = each, .bytes = turn->ByteSizeLong()});
   }
   constexpr std::uint64_t time_ms = 77;
-  return {time_ms, std::move(programs), std::move(kept), part_limit};
+  return {time_ms, {}, std::move(programs), std::move(kept), part_limit};
 }
 
 snapshot_sender::source make_source(std::size_t) {
@@ -86,7 +86,7 @@
   }
 
   void an_empty_image_has_one_part() {
-    const snapshot_image image(1, {}, {}, part_bytes);
+    const snapshot_image image(1, {}, {}, {}, part_bytes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, image.parts());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, image.part(0).time_ms());
   }
--- a/tests/support/open_ledger.hpp
+++ b/tests/support/open_ledger.hpp
@@ -3,9 +3,12 @@
 
 #include "records/turn_ledger.hpp"
 #include "runtime/asio.hpp"
+#include "tenants/quota_account.hpp"
 
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -59,6 +62,40 @@
   void settle(records::turn_end end) override {
     ends.push_back(std::move(end));
   }
+  asio::awaitable<records::permit_answer>
+  take_permit(records::permit_request request, timestamp) override {
+    const timestamp asked = steady_now();
+    const auto time =
+        static_cast<tenants::quota_time>(asked.time_since_epoch().count());
+    account &of = accounts_[request.tenant.value()];
+    const tenants::reservation made =
+        of.permits.reserve({.terms = request.terms,
+                            .follows = of.number,
+                            .given = std::exchange(of.given, {}),
+                            .wanted = 1},
+                           time);
+    of.number = made.number;
+    ++permits_asked;
+    if (made.granted == 0) {
+      co_return records::permit_answer{.verdict =
+                                           records::permit_verdict::used_up,
+                                       .retry_after = made.free_after};
+    }
+    of.given[tenants::slice_of(time)] = 1;
+    co_return records::permit_answer{.verdict =
+                                         records::permit_verdict::granted,
+                                     .good_until = asked + permits_good_for};
+  }
+  int permits_asked = 0;
+  duration_ms permits_good_for = tenants::permit_lifetime;
+
+private:
+  struct account {
+    tenants::quota_account permits;
+    std::uint64_t number = 0;
+    tenants::permits_by_slice given;
+  };
+  std::map<std::string, account> accounts_;
 };
 
 } // namespace heathtrestle::test_support
--- a/tests/support/quota_fleet.hpp
+++ b/tests/support/quota_fleet.hpp
@@ -1,32 +1,47 @@
-// The requests of one tenant at many gateways, without I/O: which are let
-// through, and how many in the worst window.
+// The requests of one tenant at many gateways, and the partition that keeps its
+// account, without I/O: which requests are sent, and how many in the worst
+// window. Messages may be late or lost, gateways cut off or started anew, and
+// leaders replaced that don't know it yet.
 #pragma once
 
-#include "records/usage_board.hpp"
-#include "tenants/quota_book.hpp"
+#include "records/permit_desk.hpp"
+#include "records/quota_clock.hpp"
+#include "records/quota_messages.hpp"
+#include "tenants/quota_account.hpp"
+#include "tenants/tenant.hpp"
 
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <deque>
+#include <map>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace heathtrestle::test_support {
 
+/// What goes wrong on the way, and how often.
+struct quota_troubles {
+  duration_ms longest_way{3};     // of a message, one way
+  duration_ms longest_commit{20}; // until the leader hears of it
+  duration_ms longest_wait{0};    // of a request that has a permit
+  double lost = 0;                // share of messages
+  double misled = 0;              // share of questions to any node
+};
+
 class quota_fleet {
 public:
-  quota_fleet(std::size_t gateways, tenants::request_quota quota, unsigned seed)
-      : random_(seed), cut_off_(gateways, false) {
-    tenant_.id = tenant_id{"a"};
-    tenant_.quota = quota;
-    for (std::size_t number = 0; number < gateways; ++number) {
-      books_.emplace_back(
-          tenants::quota_options{.window = window,
-                                 .salt = seed * 1000ULL + number},
-          now_ - 4 * window);
-      books_.back().apply({tenant_}, now_);
+  quota_fleet(std::size_t gateways, tenants::request_quota quota, unsigned seed,
+              quota_troubles troubles = {}, std::size_t nodes = 3)
+      : random_(seed), troubles_(troubles), cut_off_(gateways, false),
+        started_(gateways, 0), version_(gateways, 1), nodes_(nodes) {
+    terms_[1] = terms_of(quota, 1);
+    for (node &each : nodes_) {
+      each.clock.follow(0, now_);
     }
+    change_leader();
   }
 
   /// Requests that begin no program, at gateways drawn at random.
@@ -35,80 +50,345 @@
     for (; now_ < end; now_ += step) {
       due_ += per_second * std::chrono::duration<double>(step).count();
       for (; due_ >= 1; due_ -= 1) {
-        ask(random_() % books_.size());
+        begin(random_() % cut_off_.size(), false, {});
+      }
+      pass_time();
+    }
+  }
+
+  /// The same of programs: `length` requests each, a quarter of a second apart,
+  /// half of them at an eighth of the gateways.
+  /// @param per_second requests that the programs begun in a second make.
+  void run_programs(duration_ms span, double per_second, int length) {
+    const timestamp end = now_ + span;
+    for (; now_ < end; now_ += step) {
+      due_ += per_second / length * std::chrono::duration<double>(step).count();
+      for (; due_ >= 1; due_ -= 1) {
+        const std::size_t all = cut_off_.size();
+        const std::size_t among =
+            random_() % 2 == 0 ? std::max<std::size_t>(all / 8, 1) : all;
+        programs_.push_back({.left = length});
+        begin(random_() % among, true, programs_.size() - 1);
       }
-      tell();
+      pass_time();
     }
   }
 
-  /// The first so many gateways hear of nobody, and nobody of them.
+  /// The first so many gateways reach no node.
   void cut_off(std::size_t count) {
     std::fill_n(cut_off_.begin(), count, true);
   }
   void heal() { std::fill(cut_off_.begin(), cut_off_.end(), false); }
+  /// The gateway's process begins anew: what it had asked for is forgotten.
+  void restart(std::size_t gateway) { ++started_[gateway]; }
+  /// All other nodes know of the new leader; the old one does not, and gives
+  /// what it has to those that still ask it.
+  void change_leader() {
+    leader_ = (leader_ + 1) % nodes_.size();
+    ++term_;
+    node &next = nodes_[leader_];
+    next.desk.clear();
+    next.term = term_;
+    // Of what was on its way some was recorded, and its proposer never hears.
+    const std::size_t recorded = random_() % (commits_.size() + 1);
+    for (std::size_t place = 0; place < recorded; ++place) {
+      apply(commits_[place]);
+    }
+    commits_.clear();
+    for (node &each : nodes_) {
+      each.clock.follow(time_, now_);
+    }
+  }
+  /// A configuration with another quota; gateways hear of it one by one.
+  void change_quota(tenants::request_quota quota) {
+    const std::uint64_t version = terms_.rbegin()->first + 1;
+    terms_[version] = terms_of(quota, version);
+  }
+  void tell_configuration(std::size_t gateway) {
+    version_[gateway] = terms_.rbegin()->first;
+  }
+  void tell_configuration() {
+    for (std::size_t gateway = 0; gateway < version_.size(); ++gateway) {
+      tell_configuration(gateway);
+    }
+  }
+  void set_troubles(quota_troubles troubles) { troubles_ = troubles; }
 
-  /// The most requests let through in any window.
+  /// The most requests sent in any window.
   [[nodiscard]] std::size_t most_in_window() const {
+    return most_in_window(timestamp{});
+  }
+  /// The same of those sent from a moment on.
+  [[nodiscard]] std::size_t most_in_window(timestamp from) const {
+    std::vector<timestamp> sent;
+    for (const timestamp each : sent_) {
+      if (each >= from) {
+        sent.push_back(each);
+      }
+    }
+    std::sort(sent.begin(), sent.end());
     std::size_t most = 0;
     std::size_t first = 0;
-    for (std::size_t last = 0; last < passed_.size(); ++last) {
-      while (passed_[first] + window <= passed_[last]) {
+    for (std::size_t last = 0; last < sent.size(); ++last) {
+      while (sent[first] + window <= sent[last]) {
         ++first;
       }
       most = std::max(most, last - first + 1);
     }
     return most;
   }
+  [[nodiscard]] std::size_t sent() const { return sent_.size(); }
+  [[nodiscard]] timestamp now() const { return now_; }
+  std::uint64_t draw() { return random_(); }
+  [[nodiscard]] std::size_t gateways() const { return cut_off_.size(); }
+
+  int refused = 0;
+  int paced = 0;
+  int begun = 0;  // programs
+  int failed = 0; // of these, refused in their midst
 
-private:
   static constexpr duration_ms window{5000};
+  static constexpr std::uint32_t overshoot_permille = 100;
+  static constexpr std::uint32_t slack = 20;
+
+private:
   static constexpr duration_ms step{5};
-  static constexpr duration_ms telling{200};
 
-  void ask(std::size_t gateway) {
-    const auto refusal = books_[gateway].refuse(
-        tenant_, tenants::request_stage::under_way, now_);
-    if (!refusal) {
-      passed_.push_back(now_);
+  struct node {
+    records::permit_desk desk;
+    records::quota_clock clock;
+    std::uint64_t term = 0;
+  };
+  struct program {
+    int left = 0; // requests
+    bool failed = false;
+  };
+  /// One request at a gateway.
+  struct request {
+    std::size_t gateway = 0;
+    std::uint64_t started = 0; // which of its processes
+    bool begins = false;
+    std::size_t program = 0;
+    timestamp asked{};
+  };
+  /// A reservation on its way through the log.
+  struct commit {
+    timestamp due{};
+    std::uint64_t term = 0;
+    std::size_t proposer = 0;
+    tenants::quota_time time = 0;
+    wire::ReserveQuota wanted;
+  };
+  /// Something that happens later.
+  struct event {
+    timestamp due{};
+    std::uint64_t request = 0;
+    enum class kind : std::uint8_t { asked, answered, sent, next } what{};
+    std::size_t node = 0;
+    wire::PermitAnswer answer;
+  };
+
+  static tenants::quota_terms terms_of(tenants::request_quota quota,
+                                       std::uint64_t version) {
+    constexpr double thousandths = 1000;
+    return {.version = version,
+            .millirequests_per_second =
+                static_cast<std::uint64_t>(quota.rate_per_second * thousandths),
+            .burst_millirequests =
+                static_cast<std::uint64_t>(quota.burst * thousandths),
+            .window = window,
+            .overshoot_permille = overshoot_permille,
+            .slack = slack};
+  }
+
+  duration_ms draw(duration_ms longest) {
+    return duration_ms{static_cast<std::int64_t>(
+        random_() % static_cast<std::uint64_t>(longest.count() + 1))};
+  }
+  bool is_lost() {
+    constexpr std::uint64_t parts = 1000;
+    return static_cast<double>(random_() % parts) <
+           troubles_.lost * static_cast<double>(parts);
+  }
+
+  void begin(std::size_t gateway, bool begins, std::size_t program) {
+    const std::uint64_t id = ++last_request_;
+    requests_[id] = {.gateway = gateway,
+                     .started = started_[gateway],
+                     .begins = begins,
+                     .program = program,
+                     .asked = now_};
+    // A gateway may ask a leader of before.
+    const bool knows = random_() % 1000 >= troubles_.misled * 1000;
+    const std::size_t asked = knows ? leader_ : random_() % nodes_.size();
+    if (!cut_off_[gateway] && !is_lost()) {
+      events_.push_back({.due = now_ + draw(troubles_.longest_way),
+                         .request = id,
+                         .what = event::kind::asked,
+                         .node = asked});
     }
   }
 
-  void tell() {
-    const auto count = static_cast<std::int64_t>(books_.size());
-    for (std::size_t number = 0; number < books_.size(); ++number) {
-      const auto shift = static_cast<std::int64_t>(number) * telling / count;
-      const auto phase = (now_.time_since_epoch() + shift) / step;
-      if (phase % (telling / step) != 0 || cut_off_[number]) {
-        continue;
+  void pass_time() {
+    record();
+    while (!later_.empty() && later_.front().first <= now_) {
+      const auto [gateway, number] = later_.front().second;
+      later_.pop_front();
+      begin(gateway, false, number);
+    }
+    std::vector<event> due;
+    std::erase_if(events_, [&](event &each) {
+      const bool happens = each.due <= now_;
+      if (happens) {
+        due.push_back(std::move(each));
       }
-      const std::string name = std::to_string(number);
-      wire::TenantUsage told;
-      told.set_covered_ms(static_cast<std::uint32_t>(window.count()));
-      for (const auto &each : books_[number].own_usage(now_)) {
-        told.add_tenants(each.tenant);
-        told.add_requests(each.asked.requests);
-        told.add_programs(each.asked.programs);
+      return happens;
+    });
+    for (event &each : due) {
+      carry_out(each);
+    }
+    for (std::size_t number = 0; number < nodes_.size(); ++number) {
+      serve(number);
+    }
+  }
+
+  void serve(std::size_t number) {
+    node &serving = nodes_[number];
+    if (serving.term == 0) {
+      return; // never led
+    }
+    const bool leads = serving.term == term_;
+    for (wire::ReserveQuota &each : serving.desk.due(now_)) {
+      if (!leads) {
+        continue; // never recorded
       }
-      board_.tell(name, told, now_);
-      const wire::TenantUsage others = board_.others(name);
-      std::vector<tenants::tenant_usage> usage;
-      for (int place = 0; place < others.tenants_size(); ++place) {
-        usage.push_back({.tenant = others.tenants(place),
-                         .asked = {.requests = others.requests(place),
-                                   .programs = others.programs(place)}});
+      commits_.push_back({.due = now_ + draw(troubles_.longest_commit),
+                          .term = serving.term,
+                          .proposer = number,
+                          .time = serving.clock.read(now_),
+                          .wanted = std::move(each)});
+    }
+    for (records::permit_reply &each : serving.desk.take_replies()) {
+      if (!is_lost()) {
+        events_.push_back({.due = now_ + draw(troubles_.longest_way),
+                           .request = each.question.id,
+                           .what = event::kind::answered,
+                           .node = number,
+                           .answer = std::move(each.answer)});
       }
-      books_[number].take_others(usage, duration_ms{others.covered_ms()}, now_);
     }
   }
 
-  std::mt19937 random_;
+  /// Entries are recorded in the order in which they were proposed; those of a
+  /// leader that was replaced are not.
+  void record() {
+    while (!commits_.empty() && commits_.front().due <= now_) {
+      const commit each = std::move(commits_.front());
+      commits_.pop_front();
+      const tenants::reservation made = apply(each);
+      for (std::size_t number = 0; number < nodes_.size(); ++number) {
+        if (number != each.proposer) {
+          // Applied by the others now or later; a clock that follows later is
+          // only slower.
+          nodes_[number].clock.follow(time_, now_);
+        }
+      }
+      node &proposer = nodes_[each.proposer];
+      proposer.desk.on_reserved(records::to_wire(made, each.wanted.tenant()),
+                                proposer.clock.read(now_), now_);
+    }
+  }
+
+  tenants::reservation apply(const commit &entry) {
+    time_ = std::max(time_, entry.time);
+    return account_.reserve(records::from_wire(entry.wanted), time_);
+  }
+
+  void carry_out(event &each) {
+    const auto found = requests_.find(each.request);
+    if (found == requests_.end()) {
+      return;
+    }
+    request &of = found->second;
+    if (each.what == event::kind::asked) {
+      node &asked = nodes_[each.node];
+      wire::TakePermit wanted;
+      wanted.set_tenant("a");
+      wanted.set_begins_program(of.begins);
+      *wanted.mutable_terms() = records::to_wire(terms_[version_[of.gateway]]);
+      if (asked.term != 0) {
+        asked.desk.ask({.reply_to = std::to_string(of.gateway),
+                        .id = each.request,
+                        .wanted = std::move(wanted)},
+                       asked.clock.read(now_), now_);
+      }
+      return;
+    }
+    const bool gone = of.started != started_[of.gateway];
+    if (gone || (each.what == event::kind::answered && cut_off_[of.gateway])) {
+      requests_.erase(found);
+      return;
+    }
+    if (each.what == event::kind::answered && !each.answer.granted()) {
+      refuse(of, each.answer.paced());
+      requests_.erase(found);
+      return;
+    }
+    if (each.what == event::kind::answered) {
+      events_.push_back({.due = now_ + draw(troubles_.longest_wait),
+                         .request = each.request,
+                         .what = event::kind::sent});
+      return;
+    }
+    if (now_ < of.asked + tenants::permit_lifetime) {
+      sent_.push_back(now_);
+      go_on(of);
+    }
+    requests_.erase(found);
+  }
+
+  void refuse(const request &of, bool was_paced) {
+    ++refused;
+    paced += was_paced ? 1 : 0;
+    if (!programs_.empty() && !of.begins && !programs_[of.program].failed) {
+      programs_[of.program].failed = true;
+      ++failed;
+    }
+  }
+
+  void go_on(const request &of) {
+    if (programs_.empty()) {
+      return;
+    }
+    begun += of.begins ? 1 : 0;
+    program &running = programs_[of.program];
+    if (--running.left > 0 && !running.failed) {
+      later_.push_back({now_ + duration_ms{250}, {of.gateway, of.program}});
+    }
+  }
+
+  std::mt19937_64 random_;
+  quota_troubles troubles_;
   timestamp now_ = timestamp_from(1000000);
-  tenants::tenant tenant_;
-  std::vector<tenants::quota_book> books_;
+  std::map<std::uint64_t, tenants::quota_terms> terms_;
   std::vector<bool> cut_off_;
-  records::usage_board board_;
+  std::vector<std::uint64_t> started_;
+  std::vector<std::uint64_t> version_; // of each gateway's configuration
+
+  std::vector<node> nodes_;
+  std::size_t leader_ = 0;
+  std::uint64_t term_ = 0;
+  tenants::quota_account account_;
+  tenants::quota_time time_ = 0;
+  std::deque<commit> commits_; // in the order of the log
+
+  std::map<std::uint64_t, request> requests_;
+  std::uint64_t last_request_ = 0;
+  std::vector<event> events_;
+  std::vector<program> programs_;
+  std::deque<std::pair<timestamp, std::pair<std::size_t, std::size_t>>> later_;
   double due_ = 0;
-  std::vector<timestamp> passed_;
+  std::vector<timestamp> sent_;
 };
 
 } // namespace heathtrestle::test_support
--- /dev/null
+++ b/tests/tenants/freshness_test.cpp
@@ -0,0 +1,32 @@
+// How long what is known of keys can be relied on.
+#include "tenants/freshness.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace heathtrestle::tenants {
+namespace {
+
+const timestamp start = timestamp_from(1000000);
+
+class freshness_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(freshness_test);
+  CPPUNIT_TEST(keys_hold_as_long_as_they_are_confirmed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void keys_hold_as_long_as_they_are_confirmed() {
+    constexpr duration_ms revocation{5000};
+    freshness known(revocation);
+    CPPUNIT_ASSERT(!known.holds(start));
+    known.confirm(start);
+    known.confirm(start - duration_ms{1000}); // an older answer
+    CPPUNIT_ASSERT(known.holds(start + duration_ms{4600}));
+    CPPUNIT_ASSERT(!known.holds(start + revocation - revocation_margin));
+    CPPUNIT_ASSERT(freshness(duration_ms{0}).holds(start));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(freshness_test);
+
+} // namespace
+} // namespace heathtrestle::tenants
