--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -48,8 +48,43 @@
   CPPUNIT_TEST(all_restart_at_any_step_of_a_removal);
   CPPUNIT_TEST(a_change_that_was_committed_needs_no_old_voter_after_a_restart);
   CPPUNIT_TEST(random_changes_of_voters_and_restarts_lose_nothing);
+  CPPUNIT_TEST(a_tenant_stays_within_its_limit_over_changes_of_leaders);
+  CPPUNIT_TEST(a_leader_that_is_cut_off_gives_no_more_than_it_has);
+  CPPUNIT_TEST(all_restart_and_no_permit_is_forgotten);
+  CPPUNIT_TEST(nobody_but_a_leader_reserves);
   CPPUNIT_TEST_SUITE_END();
 
+  /// What the quota of `ask_permit` allows in 5 s: 60 x 1.1 + 20.
+  static constexpr std::size_t permits_allowed = 86;
+
+  static std::size_t most_in_window(const std::vector<timestamp> &used) {
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < used.size(); ++last) {
+      while (used[first] + 5000ms <= used[last]) {
+        ++first;
+      }
+      most = std::max(most, last - first + 1);
+    }
+    return most;
+  }
+
+  /// Asks all nodes for permits, far more than there are.
+  static void ask_permits(record_group &group, duration_ms span) {
+    for (duration_ms passed{0}; passed < span; passed += 20ms) {
+      for (const std::string &name : group.names()) {
+        group.ask_permit(name);
+      }
+      group.run(20ms);
+    }
+  }
+
+  static void check_limit(const record_group &group, const std::string &what) {
+    const std::size_t most = most_in_window(group.permits_used());
+    CPPUNIT_ASSERT_MESSAGE(fmt::format("{}: {} used", what, most),
+                           most <= permits_allowed);
+  }
+
   static void found_with(record_group &group,
                          const std::vector<std::string> &names) {
     for (const std::string &name : names) {
@@ -868,6 +903,79 @@
     }
     group.run(2500ms);
   }
+
+  void a_tenant_stays_within_its_limit_over_changes_of_leaders() {
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+      record_group group(seed);
+      found_with(group, {"a", "b", "c"});
+      for (int times = 0; times < 12; ++times) {
+        const std::string lead = group.leader();
+        const std::uint64_t trouble = lead.empty() ? 4 : group.draw() % 4;
+        if (trouble == 0) {
+          group.kill(lead);
+        } else if (trouble == 1) {
+          group.isolate(lead);
+        } else if (trouble == 2) {
+          group.freeze(lead);
+        } else if (trouble == 3) {
+          group.wipe(lead);
+        }
+        ask_permits(group, duration_ms{200 + group.draw() % 1800});
+        group.heal();
+        for (const std::string &name : group.names()) {
+          group.thaw(name);
+          if (!group.is_up(name)) {
+            group.start(name);
+          }
+        }
+        ask_permits(group, duration_ms{500 + group.draw() % 2500});
+      }
+      check_limit(group, fmt::format("seed {}", seed));
+      CPPUNIT_ASSERT(group.permits_used().size() > 100);
+    }
+  }
+
+  void a_leader_that_is_cut_off_gives_no_more_than_it_has() {
+    record_group group(41);
+    found_with(group, {"a", "b", "c"});
+    ask_permits(group, 3000ms);
+    const std::string lead = group.leader();
+    for (const std::string &name : group.names()) {
+      if (name != lead) {
+        group.cut(lead, name); // clients reach both sides
+      }
+    }
+    ask_permits(group, 8000ms);
+    check_limit(group, "a cut leader");
+  }
+
+  void all_restart_and_no_permit_is_forgotten() {
+    record_group group(42);
+    found_with(group, {"a", "b", "c"});
+    for (int times = 0; times < 5; ++times) {
+      ask_permits(group, 1500ms);
+      for (const std::string &name : group.names()) {
+        group.kill(name);
+      }
+      for (const std::string &name : group.names()) {
+        group.start(name);
+      }
+    }
+    ask_permits(group, 6000ms);
+    check_limit(group, "restarts");
+    CPPUNIT_ASSERT(group.permits_used().size() > 50);
+  }
+
+  void nobody_but_a_leader_reserves() {
+    record_group group(43);
+    found_with(group, {"a", "b", "c"});
+    wire::RecordChange change;
+    change.mutable_reserve_quota()->set_tenant("tenant");
+    change.mutable_reserve_quota()->set_wanted(1000);
+    const std::uint64_t id = group.ask(change);
+    group.run(1000ms);
+    CPPUNIT_ASSERT(!group.verdict(id).has_value());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(record_group_test);
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -154,6 +154,30 @@
     item.mutable_change()->mutable_begin()->set_program(std::to_string(number));
     letters_.push_back({now_, client_address, lead, std::move(envelope)});
   }
+  /// Asks one node once for a permit of a tenant that may send ten requests a
+  /// second, and ten at once.
+  void ask_permit(const std::string &node) {
+    wire::Envelope envelope;
+    wire::RecordRequest &request = *envelope.mutable_record_request();
+    request.set_reply_to(client_address);
+    wire::RecordRequestItem &item = *request.add_items();
+    item.set_id(++next_id_);
+    wire::TakePermit &wanted = *item.mutable_change()->mutable_take_permit();
+    wanted.set_tenant("tenant");
+    wire::QuotaTerms &terms = *wanted.mutable_terms();
+    terms.set_version(1);
+    terms.set_millirequests_per_second(10000);
+    terms.set_burst_millirequests(10000);
+    terms.set_window_ms(5000);
+    terms.set_overshoot_permille(100);
+    terms.set_slack(20);
+    permits_asked_[item.id()] = now_;
+    letters_.push_back({now_, client_address, node, std::move(envelope)});
+  }
+  /// When requests were sent with permits that were not void by then.
+  [[nodiscard]] const std::vector<timestamp> &permits_used() const {
+    return permits_used_;
+  }
   std::uint64_t keep_turn(const std::string &id,
                           std::size_t input_bytes = 200) {
     wire::RecordChange change;
@@ -375,6 +399,11 @@
       named_leader_ = reply.leader_address();
     }
     for (const wire::RecordReplyItem &item : reply.items()) {
+      const auto permit = permits_asked_.find(item.id());
+      if (permit != permits_asked_.end() && item.permit().granted() &&
+          now_ < permit->second + tenants::permit_lifetime) {
+        permits_used_.push_back(now_);
+      }
       if (asked_.erase(item.id()) > 0) {
         answered_[item.id()] = item.verdict();
       }
@@ -411,6 +440,8 @@
   std::set<std::string> retiring_;
   std::map<std::uint64_t, wire::RecordChange> asked_;
   std::map<std::uint64_t, wire::RecordVerdict> answered_;
+  std::map<std::uint64_t, timestamp> permits_asked_;
+  std::vector<timestamp> permits_used_;
   std::uint64_t next_id_ = 0;
   timestamp next_retry_{};
   std::size_t undeliverable_bytes_ = 0;
