--- a/src/tenants/quota_account.cpp
+++ b/src/tenants/quota_account.cpp
@@ -1,6 +1,7 @@
 #include "tenants/quota_account.hpp"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace heathtrestle::tenants {
@@ -102,17 +103,16 @@
   // In millionths of a request: a rate in thousandths, times milliseconds.
   std::uint64_t granted = 0;
   std::uint64_t covered = 0;
-  for (auto each = state_.terms.rbegin(); each != state_.terms.rend(); ++each) {
-    const std::uint64_t rate = std::max(each->terms.millirequests_per_second,
+  for (const dated_terms &each : std::views::reverse(state_.terms)) {
+    const std::uint64_t rate = std::max(each.terms.millirequests_per_second,
                                         last.millirequests_per_second);
-    const quota_time since = std::max(each->since, begins);
+    const quota_time since = std::max(each.since, begins);
     if (until > since) {
       granted += rate * (until - since);
       covered += until - since;
       until = since;
     }
-    const bool in_force = each->since + window > now || &each->terms == &last;
-    burst = in_force ? std::max(burst, each->terms.burst_millirequests) : burst;
+    burst = std::max(burst, each.terms.burst_millirequests);
   }
   // Before the first terms that are known nothing else was in force.
   granted += state_.terms.front().terms.millirequests_per_second *
