--- a/src/tenants/quota_account.cpp
+++ b/src/tenants/quota_account.cpp
@@ -1,7 +1,6 @@
 #include "tenants/quota_account.hpp"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace heathtrestle::tenants {
@@ -103,7 +102,8 @@
   // In millionths of a request: a rate in thousandths, times milliseconds.
   std::uint64_t granted = 0;
   std::uint64_t covered = 0;
-  for (const dated_terms &each : std::views::reverse(state_.terms)) {
+  for (std::size_t left = state_.terms.size(); left > 0; --left) {
+    const dated_terms &each = state_.terms[left - 1];
     const std::uint64_t rate = std::max(each.terms.millirequests_per_second,
                                         last.millirequests_per_second);
     const quota_time since = std::max(each.since, begins);
