--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -87,6 +87,11 @@
   CPPUNIT_TEST(what_one_tenant_keeps_does_not_exist_for_another);
   CPPUNIT_TEST(a_tenant_over_its_quota_is_told_when_to_come_back);
   CPPUNIT_TEST(each_attempt_counts_against_the_quota);
+  CPPUNIT_TEST(a_tenant_without_quota_asks_for_no_permit);
+  CPPUNIT_TEST(a_quota_that_nobody_answers_for_runs_nothing);
+  CPPUNIT_TEST(a_void_permit_is_asked_for_again);
+  CPPUNIT_TEST(an_attempt_that_was_turned_down_keeps_its_permit);
+  CPPUNIT_TEST(without_a_second_permit_there_is_no_second_attempt);
   CPPUNIT_TEST(the_priority_of_a_tenant_goes_first);
   CPPUNIT_TEST_SUITE_END();
 
@@ -1013,6 +1018,63 @@
     CPPUNIT_ASSERT_EQUAL(sent, counted_requests());
   }
 
+  /// One tenant that may send a hundred requests a second.
+  void serve_one_tenant() {
+    tenants::tenant one = holder("a", "ka");
+    one.quota = {.rate_per_second = 100, .burst = 100};
+    apply_routes(2, {one});
+  }
+
+  void a_tenant_without_quota_asks_for_no_permit() {
+    apply_routes(2, {holder("a", "ka")});
+    replicas_[0]->script.push_back({plain("hello")});
+    CPPUNIT_ASSERT_EQUAL(
+        200U, ask("/call/x", {{"Credential", "Key ka"}})->result_int());
+    CPPUNIT_ASSERT_EQUAL(0, ledger_.permits_asked);
+  }
+
+  void a_quota_that_nobody_answers_for_runs_nothing() {
+    serve_one_tenant();
+    ledger_.no_permits = true;
+    const auto answer = ask("/call/x", {{"Credential", "Key ka"}});
+    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    CPPUNIT_ASSERT(!field_of(*answer, "Retry-After").empty());
+    CPPUNIT_ASSERT(replicas_[0]->received.empty());
+  }
+
+  void a_void_permit_is_asked_for_again() {
+    serve_one_tenant();
+    ledger_.void_permits = 1;
+    replicas_[0]->script.push_back({plain("hello")});
+    CPPUNIT_ASSERT_EQUAL(
+        200U, ask("/call/x", {{"Credential", "Key ka"}})->result_int());
+    CPPUNIT_ASSERT_EQUAL(2, ledger_.permits_asked);
+  }
+
+  void an_attempt_that_was_turned_down_keeps_its_permit() {
+    serve_one_tenant();
+    replicas_[0]->script.assign({{refusal}, {plain("hello")}});
+    CPPUNIT_ASSERT_EQUAL(
+        200U, ask("/call/x", {{"Credential", "Key ka"}})->result_int());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replicas_[0]->received.size());
+    CPPUNIT_ASSERT_EQUAL(1, ledger_.permits_asked);
+  }
+
+  void without_a_second_permit_there_is_no_second_attempt() {
+    add_replica("r2");
+    tenants::tenant small = holder("a", "ka");
+    small.quota = {.rate_per_second = 0.001, .burst = 1};
+    apply_routes(2, {small});
+    for (const auto &replica : replicas_) {
+      replica->script.push_back({.bytes = "HTTP/1.1 20", .close = true});
+      replica->script.push_back({plain("hello")});
+    }
+    const auto answer = ask("/get/x", {{"Credential", "Key ka"}});
+    CPPUNIT_ASSERT_EQUAL(502U, answer->result_int());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[0]->received.size() +
+                                             replicas_[1]->received.size());
+  }
+
   void the_priority_of_a_tenant_goes_first() {
     tenants::tenant urgent = holder("a", "ka");
     urgent.priority = 0;
--- a/tests/support/open_ledger.hpp
+++ b/tests/support/open_ledger.hpp
@@ -76,18 +76,26 @@
                            time);
     of.number = made.number;
     ++permits_asked;
+    if (no_permits) {
+      co_return records::permit_answer{};
+    }
     if (made.granted == 0) {
       co_return records::permit_answer{.verdict =
                                            records::permit_verdict::used_up,
                                        .retry_after = made.free_after};
     }
     of.given[tenants::slice_of(time)] = 1;
-    co_return records::permit_answer{.verdict =
-                                         records::permit_verdict::granted,
-                                     .good_until = asked + permits_good_for};
+    co_return records::permit_answer{
+        .verdict = records::permit_verdict::granted,
+        .good_until = permits_asked <= void_permits
+                          ? asked
+                          : asked + tenants::permit_lifetime};
   }
   int permits_asked = 0;
-  duration_ms permits_good_for = tenants::permit_lifetime;
+  /// Nobody answers questions for permits.
+  bool no_permits = false;
+  /// So many first permits are void when they come.
+  int void_permits = 0;
 
 private:
   struct account {
