What a leader wanted to reserve in an earlier term is dropped

Cause: a reservation that waits to be joined with other questions stayed among the proposals when the lead was lost, and was recorded when it was won again; the new term's desk would have given what it knew nothing of, beyond the time that the account reckons with. Change: the desk and its proposals go with the term.

--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -435,6 +435,9 @@
   if (!knows_quotas()) {
     return;
   }
+  if (desk_term_ != log_->term()) {
+    clear_desk(now); // elected anew before the loss was noticed
+  }
   for (wire::ReserveQuota &wanted : desk_.due(now)) {
     wire::RecordChange change;
     *change.mutable_reserve_quota() = std::move(wanted);
@@ -442,6 +445,23 @@
   }
 }
 
+void record_node::clear_desk(timestamp now) {
+  desk_term_ = log_->term();
+  for (const permit_question &each : desk_.clear()) {
+    taken_up_.erase(question_hash(each.reply_to, each.id));
+    wire::RecordRequest refused;
+    refused.set_reply_to(each.reply_to);
+    refused.set_members_hash(each.members_hash);
+    refused.add_items()->set_id(each.id);
+    refuse(refused, now);
+  }
+  // Recorded later it would be another term's, about permits that count
+  // already.
+  std::erase_if(proposals_, [](const auto &proposal) {
+    return proposal.second.has_reserve_quota();
+  });
+}
+
 void record_node::send_permits(timestamp now, record_effects &effects) {
   std::map<std::string, std::pair<wire::RecordReply, std::uint64_t>> replies;
   for (permit_reply &each : desk_.take_replies()) {
@@ -514,8 +534,10 @@
   for (std::size_t place = 0; place < found->second.size(); ++place) {
     const asker &who = found->second[place];
     if (outcomes.at(place).has_reserved_quota()) {
-      desk_.on_reserved(outcomes.at(place).reserved_quota(),
-                        quota_clock_.read(now), now);
+      if (applied_term_ == desk_term_) {
+        desk_.on_reserved(outcomes.at(place).reserved_quota(),
+                          quota_clock_.read(now), now);
+      }
       continue;
     }
     auto &[reply, known_hash] = replies[who.reply_to];
@@ -549,16 +571,11 @@
                    log_->commit_index(), log_->last_index()));
   if (leads) {
     leading_since_ = now;
+    clear_desk(now);
   } else {
     askers_.clear();
     taken_up_.clear();
-    for (const permit_question &each : desk_.clear()) {
-      wire::RecordRequest refused;
-      refused.set_reply_to(each.reply_to);
-      refused.set_members_hash(each.members_hash);
-      refused.add_items()->set_id(each.id);
-      refuse(refused, now);
-    }
+    clear_desk(now);
     successors_.clear();
     sender_.clear();
     owed_loads_.clear();
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -190,6 +190,9 @@
   /// True once this leader has applied every entry of earlier terms: only then
   /// it knows what is out, and the partition's time.
   [[nodiscard]] bool knows_quotas() const;
+  /// Empties the desk: what it has is another term's. Questions that wait are
+  /// refused, and what it wanted and has not been proposed is dropped.
+  void clear_desk(timestamp now);
   /// Sends what the desk has decided.
   void send_permits(timestamp now, record_effects &effects);
   void refuse(const wire::RecordRequest &request, timestamp now);
@@ -246,6 +249,8 @@
   wire::SeenRevisions seen_;
   load_board loads_;
   permit_desk desk_;
+  /// The term in which the desk was last empty.
+  term_id desk_term_{};
   quota_clock quota_clock_;
   /// Of the last entry that was applied.
   term_id applied_term_{};
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(a_leader_that_is_cut_off_gives_no_more_than_it_has);
   CPPUNIT_TEST(all_restart_and_no_permit_is_forgotten);
   CPPUNIT_TEST(nobody_but_a_leader_reserves);
+  CPPUNIT_TEST(what_was_wanted_in_an_earlier_term_is_not_reserved);
   CPPUNIT_TEST_SUITE_END();
 
   /// What the quota of `ask_permit` allows in 5 s: 60 x 1.1 + 20.
@@ -976,6 +977,24 @@
     group.run(1000ms);
     CPPUNIT_ASSERT(!group.verdict(id).has_value());
   }
+
+  /// What a leader wanted to reserve waited to be joined with other questions
+  /// while the lead was lost and won again, and was recorded in the new term:
+  /// a reservation that its desk knew nothing of.
+  void what_was_wanted_in_an_earlier_term_is_not_reserved() {
+    record_group group(44);
+    group.options().join_interval = 3000ms;
+    found_with(group, {"a"});
+    group.keep_turn("t");
+    group.run(100ms); // whatever comes now is joined with later questions
+    group.ask_permit("a");
+    group.run(100ms);
+    group.claim_lead("a", 1000);
+    group.run(6000ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), group.leader());
+    CPPUNIT_ASSERT(group.at("a").log()->term().value() > 1000);
+    CPPUNIT_ASSERT_EQUAL(0, group.at("a").table().snapshot().quotas_size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(record_group_test);
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -174,6 +174,17 @@
     permits_asked_[item.id()] = now_;
     letters_.push_back({now_, client_address, node, std::move(envelope)});
   }
+  /// A node that nobody knows says that it leads a later term.
+  void claim_lead(const std::string &to, std::uint64_t term) {
+    wire::Envelope envelope;
+    envelope.set_from(make_node_id("stranger").value());
+    envelope.set_from_boot(1);
+    wire::HeartbeatBatch &batch = *envelope.mutable_heartbeat_batch();
+    *batch.mutable_leader() =
+        to_wire(replica_id{make_node_id("stranger"), boot_id{1}});
+    batch.add_heartbeats()->set_term(term);
+    letters_.push_back({now_, client_address, to, std::move(envelope)});
+  }
   /// When requests were sent with permits that were not void by then.
   [[nodiscard]] const std::vector<timestamp> &permits_used() const {
     return permits_used_;
