A storage node logs what it is kept busy with

Cause: after a return of the whole fleet some storage nodes answer late for seconds, and no line tells what they do meanwhile. Change: event 1113, once a second while a node is asked anything: messages by kind, questions and copies of questions, bytes of histories, the queue of arrived messages and how long it waits, and the time of each part of a step. No decision is touched.

--- a/src/logging/event_catalogue.hpp
+++ b/src/logging/event_catalogue.hpp
@@ -91,6 +91,7 @@
   record_turns_missing = 1110,
   partition_unserved = 1111,
   partition_served = 1112,
+  record_node_load = 1113,
 };
 
 struct event_row {
@@ -215,6 +216,7 @@
     event_row{event::partition_unserved, "partition_unserved",
               severity::warning},
     event_row{event::partition_served, "partition_served", severity::info},
+    event_row{event::record_node_load, "record_node_load", severity::info},
 };
 
 /// The catalogue's row of an event.
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -293,7 +293,9 @@
 }
 
 bool record_node::take_up(const std::string &reply_to, std::uint64_t id) {
-  return taken_up_.insert(question_hash(reply_to, id)).second;
+  const bool fresh = taken_up_.insert(question_hash(reply_to, id)).second;
+  ++(fresh ? question_counts_.taken : question_counts_.repeated);
+  return fresh;
 }
 
 void record_node::refuse(const wire::RecordRequest &request, timestamp now) {
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -26,6 +26,7 @@
 #include <set>
 #include <string>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace heathtrestle::records {
@@ -106,6 +107,13 @@
   std::vector<logged_event> log;
 };
 
+/// Questions that a leader was asked.
+struct question_counts {
+  std::uint64_t taken = 0;
+  /// Copies of questions that are being answered already.
+  std::uint64_t repeated = 0;
+};
+
 class record_node {
 public:
   /// @param self how others know this node; its replica carries the identity
@@ -138,6 +146,10 @@
 
   /// True when committed entries wait to be applied by another step.
   [[nodiscard]] bool has_more_to_apply() const { return log_->has_committed(); }
+  /// Questions since the last call.
+  question_counts take_question_counts() {
+    return std::exchange(question_counts_, {});
+  }
   /// When questions that wait to be joined are to be proposed by a step.
   [[nodiscard]] std::optional<timestamp> joined_due() const;
 
@@ -262,6 +274,7 @@
   std::map<std::uint64_t, std::vector<asker>> askers_; // by log index
   /// Hashes of the questions in the two above.
   std::unordered_set<std::uint64_t> taken_up_;
+  question_counts question_counts_;
   std::vector<addressed_message> outgoing_;
   std::vector<logged_event> events_;
   std::optional<wire::RecordSnapshot> installed_;
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -199,18 +199,23 @@
   arrived_.push_back(std::move(envelope));
   if (!drain_posted_) {
     drain_posted_ = true;
+    first_arrived_ = steady_now();
     asio::post(io_, [this] { drain(); });
   }
 }
 
 void record_runtime::drain() {
   std::vector<wire::Envelope> taken;
+  timestamp oldest;
   {
     const std::scoped_lock lock(mutex_);
     taken.swap(arrived_);
     drain_posted_ = false;
+    oldest = first_arrived_;
   }
+  load_.on_queue(taken.size(), oldest, steady_now());
   for (wire::Envelope &envelope : taken) {
+    load_.on_message(envelope);
     receive(std::move(envelope));
   }
   for (const std::size_t number : std::exchange(touched_, {})) {
@@ -265,6 +270,17 @@
       step(number);
     }
     tell_emptied();
+    report_load();
+  }
+}
+
+void record_runtime::report_load() {
+  for (const partition &each : partitions_) {
+    const question_counts counts = each.node->take_question_counts();
+    load_.on_questions(counts.taken, counts.repeated);
+  }
+  if (const auto sums = load_.take_report(steady_now())) {
+    log_load(*sums);
   }
 }
 
@@ -294,11 +310,10 @@
 void record_runtime::step(std::size_t number) {
   ++steps_;
   partition &stepped = partitions_[number];
-  record_effects first = stepped.node->step(steady_now(), wall_ms(), random_());
+  record_effects first = reduce(stepped);
   send(number, first.early);
   write(stepped, first);
-  record_effects second = stepped.node->after_write(steady_now());
-  exit_unless_done(stepped.disk->keep(std::move(second.kept)));
+  record_effects second = apply(stepped);
   fill_in(number, second.messages);
   send(number, second.messages);
   stepped.disk->drop(second.dropped);
@@ -317,8 +332,21 @@
   }
 }
 
+record_effects record_runtime::reduce(partition &stepped) {
+  const work_timer timer(load_, work_part::reduce);
+  return stepped.node->step(steady_now(), wall_ms(), random_());
+}
+
+record_effects record_runtime::apply(partition &stepped) {
+  const work_timer timer(load_, work_part::apply);
+  record_effects effects = stepped.node->after_write(steady_now());
+  exit_unless_done(stepped.disk->keep(std::move(effects.kept)));
+  return effects;
+}
+
 void record_runtime::fill_in(std::size_t number,
                              std::vector<addressed_message> &messages) {
+  const work_timer timer(load_, work_part::read_bodies);
   for (addressed_message &message : messages) {
     const std::size_t missing =
         records::fill_in(message.envelope, *partitions_[number].disk);
@@ -329,6 +357,15 @@
           .field("turns", missing)
           .write();
     }
+    count_history(message.envelope);
+  }
+}
+
+void record_runtime::count_history(const wire::Envelope &envelope) {
+  for (const auto &item : envelope.record_reply().items()) {
+    for (const wire::RecordTurn &turn : item.history()) {
+      load_.on_history(1, turn.input().size() + turn.output().size());
+    }
   }
 }
 
@@ -345,6 +382,7 @@
 }
 
 void record_runtime::write(partition &written, record_effects &effects) {
+  const work_timer timer(load_, work_part::write);
   const auto begun = std::chrono::steady_clock::now();
   result<void> done = written.disk->keep(std::move(effects.kept));
   if (done && !effects.write.empty()) {
@@ -362,6 +400,7 @@
 }
 
 void record_runtime::compact(partition &compacted) {
+  const work_timer timer(load_, work_part::compact);
   const raft::consensus &log = *compacted.node->log();
   exit_unless_done(compacted.disk->compact(log.base(), log.applied_index(),
                                            compacted.node->table().snapshot()));
@@ -369,6 +408,7 @@
 
 void record_runtime::send(std::size_t number,
                           std::vector<addressed_message> &messages) {
+  const work_timer timer(load_, work_part::send);
   for (addressed_message &message : messages) {
     message.envelope.set_record_partition(static_cast<std::uint32_t>(number));
     transport_->send(std::move(message.address), message.envelope);
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -3,6 +3,7 @@
 // record group; they share the node's identity, address and thread.
 #pragma once
 
+#include "records/node_load.hpp"
 #include "records/record_node.hpp"
 #include "rpc/transport.hpp"
 #include "runtime/asio.hpp"
@@ -103,8 +104,16 @@
   void write(partition &written, record_effects &effects);
   /// Completes the turns that messages name.
   void fill_in(std::size_t number, std::vector<addressed_message> &messages);
+  /// Notes the turns with their bodies that an answer brings.
+  void count_history(const wire::Envelope &envelope);
   void compact(partition &compacted);
   void tell_emptied();
+  /// Logs what the node was kept busy with, once a second.
+  void report_load();
+  /// The reducer's part of a step.
+  record_effects reduce(partition &stepped);
+  /// The part of a step behind the write.
+  record_effects apply(partition &stepped);
   asio::awaitable<void> tick();
 
   asio::io_context &io_;
@@ -117,10 +126,12 @@
   std::mutex mutex_;
   std::vector<wire::Envelope> arrived_; // guarded by mutex_
   bool drain_posted_ = false;           // guarded by mutex_
+  timestamp first_arrived_{};           // guarded by mutex_
 
   std::uint64_t writes_ = 0;
   double write_seconds_ = 0;
   std::uint64_t steps_ = 0;
+  node_load load_;
 };
 
 } // namespace heathtrestle::records
--- /dev/null
+++ b/tests/records/node_load_test.cpp
@@ -0,0 +1,66 @@
+#include "records/node_load.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace heathtrestle::records {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr timestamp start = timestamp{10s};
+
+class node_load_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(node_load_test);
+  CPPUNIT_TEST(a_report_has_what_came_since_the_last_one);
+  CPPUNIT_TEST(a_node_that_nobody_asks_reports_nothing);
+  CPPUNIT_TEST(kinds_of_messages_are_told_apart);
+  CPPUNIT_TEST_SUITE_END();
+
+  node_load load_;
+
+public:
+  void a_report_has_what_came_since_the_last_one() {
+    load_.take_report(start);
+    load_.on_queue(3, start, start + 40ms);
+    load_.on_queue(2, start, start + 90ms);
+    load_.on_questions(5, 2);
+    load_.on_history(4, 1000);
+    load_.on_spent(work_part::write, 7us);
+    load_.on_spent(work_part::write, 3us);
+    CPPUNIT_ASSERT(!load_.take_report(start + 999ms));
+    const auto sums = load_.take_report(start + 1000ms);
+    CPPUNIT_ASSERT(sums);
+    load_sums expected;
+    expected.longest_queue = 3;
+    expected.longest_wait = 90ms;
+    expected.questions = 5;
+    expected.repeated_questions = 2;
+    expected.history_turns = 4;
+    expected.history_bytes = 1000;
+    expected.spent[static_cast<std::size_t>(work_part::write)] = 10us;
+    CPPUNIT_ASSERT(*sums == expected);
+    load_.on_questions(1, 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         load_.take_report(start + 2000ms)->questions);
+  }
+
+  void a_node_that_nobody_asks_reports_nothing() {
+    load_.on_spent(work_part::reduce, 5us);
+    CPPUNIT_ASSERT(!load_.take_report(start));
+  }
+
+  void kinds_of_messages_are_told_apart() {
+    wire::Envelope envelope;
+    envelope.mutable_record_request();
+    CPPUNIT_ASSERT(kind_of(envelope) == message_kind::request);
+    envelope.mutable_append_request();
+    CPPUNIT_ASSERT(kind_of(envelope) == message_kind::append_request);
+    envelope.mutable_record_hello();
+    CPPUNIT_ASSERT(kind_of(envelope) == message_kind::other);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(node_load_test);
+
+} // namespace
+} // namespace heathtrestle::records
