Tests of two causes of turns refused after a final fault, which fail

The fake partitions of partitioned_ledger_test move to tests/support unchanged but for answers that wait until the test asks for them.

--- a/tests/records/partitioned_ledger_test.cpp
+++ b/tests/records/partitioned_ledger_test.cpp
@@ -1,65 +1,21 @@
 #include "records/partitioned_ledger.hpp"
 
 #include "records/partitions.hpp"
-#include "records/record_table.hpp"
 #include "support/coroutines.hpp"
-#include "support/turns_in_memory.hpp"
+#include "support/fake_partitions.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <map>
-#include <set>
 
 namespace heathtrestle::records {
 namespace {
 
 using test_support::await_result;
 
-constexpr std::size_t partitions = 4;
-
-/// A group whose partitions answer at once, each from a table of its own.
-class fake_partitions {
-public:
-  explicit fake_partitions(asio::io_context &io) : io_(io) {}
-
-  partitioned_ledger *ledger = nullptr;
-  /// Partitions that say nothing.
-  std::set<std::uint32_t> silent;
-  std::map<std::uint32_t, int> asked;
-
-  void receive(const wire::Envelope &envelope) {
-    const std::uint32_t number = envelope.record_partition();
-    ++asked[number];
-    if (silent.contains(number)) {
-      return;
-    }
-    wire::Envelope answer;
-    answer.set_record_partition(number);
-    wire::RecordReply &reply = *answer.mutable_record_reply();
-    reply.set_leader_address("leader:1");
-    for (const auto &item : envelope.record_request().items()) {
-      wire::RecordBatch batch;
-      batch.set_time_ms(1000);
-      *batch.add_changes() = item.change();
-      wire::RecordReplyItem &done = *reply.add_items();
-      done = tables_[number].apply(batch).front();
-      done.set_id(item.id());
-      bodies_[number].keep(tables_[number].take_kept());
-    }
-    fill_in(answer, bodies_[number]);
-    asio::post(io_, [this, answer] { ledger->on_message(answer); });
-  }
+using test_support::fake_partitions;
 
-  [[nodiscard]] std::size_t turns_in(std::uint32_t number) {
-    return tables_[number].turns();
-  }
-
-private:
-  asio::io_context &io_;
-  std::map<std::uint32_t, record_table> tables_;
-  std::map<std::uint32_t, test_support::turns_in_memory> bodies_;
-};
+constexpr std::size_t partitions = 4;
 
 class partitioned_ledger_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(partitioned_ledger_test);
--- /dev/null
+++ b/tests/records/refill_test.cpp
@@ -0,0 +1,100 @@
+// After all machines had lost power and two of them their disks, two of four
+// partitions had no leader to the end of the day: half of all programs were
+// refused for 16 seconds, until they gave up.
+#include "support/record_group.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fmt/format.h>
+
+namespace heathtrestle::records {
+namespace {
+
+using test_support::record_group;
+using namespace std::chrono_literals;
+
+class refill_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(refill_test);
+  CPPUNIT_TEST(a_copy_of_the_state_is_sent_once);
+  CPPUNIT_TEST(the_preferred_voter_leads_once_the_node_is_whole);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint32_t partitions = 4;
+  /// A promise of the group: a node that is back is whole within this long.
+  static constexpr duration_ms catch_up = 15s;
+
+  /// Eight nodes with a state that takes some seconds to copy.
+  static void fill(record_group &group) {
+    group.options().raft.retained_entries = 8;
+    group.options().raft.held_entries = 512;
+    group.options().recruit_after = 2000ms;
+    group.options().replace_after = 3000ms;
+    group.options().snapshots.part_bytes = 256;
+    for (const char *name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+      group.add(name);
+    }
+    group.found("a");
+    group.run(8000ms);
+    for (int turn = 0; turn < 100; ++turn) {
+      group.keep_turn(fmt::format("t{}", turn));
+      group.run(20ms);
+    }
+    group.run(1000ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, group.unanswered());
+  }
+
+  /// The leader loses its disk; all others stay.
+  /// @return its name.
+  static std::string wipe_leader(record_group &group) {
+    const std::string lost = group.leader();
+    group.wipe(lost);
+    group.run(1000ms);
+    group.start(lost);
+    group.slow_down(lost, 60ms); // as long as a part takes on a busy machine
+    return lost;
+  }
+
+  static bool is_whole(const record_group &group, const std::string &name) {
+    const std::string lead = group.leader();
+    return !lead.empty() &&
+           group.at(lead).log()->is_voter(group.at(name).self_id());
+  }
+
+public:
+  void a_copy_of_the_state_is_sent_once() {
+    for (std::uint32_t partition = 0; partition < partitions; ++partition) {
+      for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        record_group group(seed, group_size::bearing(2, partitions), partition,
+                           partitions);
+        fill(group);
+        const std::string lost = wipe_leader(group);
+        const std::size_t before = group.logged(logging::event::snapshot_sent);
+        const timestamp back = group.now();
+        while (!is_whole(group, lost) && group.now() < back + 2 * catch_up) {
+          group.run(50ms);
+        }
+        CPPUNIT_ASSERT(group.now() <= back + catch_up);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             group.logged(logging::event::snapshot_sent) -
+                                 before);
+      }
+    }
+  }
+
+  void the_preferred_voter_leads_once_the_node_is_whole() {
+    for (std::uint32_t partition = 0; partition < partitions; ++partition) {
+      record_group group(1, group_size::bearing(2, partitions), partition,
+                         partitions);
+      fill(group);
+      const std::string preferred = group.leader();
+      wipe_leader(group);
+      group.run(catch_up + 10s);
+      CPPUNIT_ASSERT_EQUAL(preferred, group.leader());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(refill_test);
+
+} // namespace
+} // namespace heathtrestle::records
