A lead stays while a node that lost its disk is filled

Cause: a leader that isn't the preferred voter hands the lead on after 2 s, also while it copies the state to a node without a disk. The next leader begins anew, and often leads another partition beside it: 14.5 s and more until the node had its vote, while two more disks may go 15 s after it is back. Looked for elsewhere: a retiring leader still hands over at once (its machine goes); a leader that loses an election while it copies begins anew, too, which is not mended here.

--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -709,7 +709,11 @@
                                : options_.yield_after;
   const bool due = options_.partitions > 1 && log_->established() &&
                    now >= leading_since_ + kept && now >= next_yield_;
-  if (!due) {
+  // The next leader would begin the copy of the state anew. A partition whose
+  // copy was begun twice had its voter back after 15 s and more, and lost its
+  // majority with the next two disks.
+  const bool fills_a_node = !learners_.empty();
+  if (!due || fills_a_node) {
     return;
   }
   next_yield_ = now + options_.yield_after;
