A question that the state has settled needs no entry of the log

Cause: a question is taken up once while it is in the log, but one that is asked again after its answer has left was taken for a new one and recorded anew, with the turn that it brings, on all voters. Why this holds: a grant or an end that is in the state, and a turn that is kept, are answered from there, as the log would (record_table_test holds the two together). None of these can change: an attempt is granted, and closed, once, and only who asks for it closes it; a kept turn never changes.

--- a/src/records/node_load.cpp
+++ b/src/records/node_load.cpp
@@ -59,9 +59,11 @@
   sums_.longest_wait = std::max(sums_.longest_wait, now - oldest);
 }
 
-void node_load::on_questions(std::uint64_t taken, std::uint64_t repeated) {
+void node_load::on_questions(std::uint64_t taken, std::uint64_t repeated,
+                             std::uint64_t settled) {
   sums_.questions += taken;
   sums_.repeated_questions += repeated;
+  sums_.settled_questions += settled;
 }
 
 void node_load::on_history(std::size_t turns, std::size_t bytes) {
@@ -86,6 +88,7 @@
   }
   line.field("questions", sums.questions)
       .field("repeated", sums.repeated_questions)
+      .field("settled", sums.settled_questions)
       .field("history_turns", sums.history_turns)
       .field("history_bytes", sums.history_bytes)
       .field("longest_queue", sums.longest_queue)
--- a/src/records/node_load.hpp
+++ b/src/records/node_load.hpp
@@ -58,6 +58,8 @@
   /// answered already.
   std::uint64_t questions = 0;
   std::uint64_t repeated_questions = 0;
+  /// Questions that were answered without an entry of the log.
+  std::uint64_t settled_questions = 0;
   /// Turns with their bodies that went out in answers, and the bytes of their
   /// bodies.
   std::uint64_t history_turns = 0;
@@ -77,7 +79,8 @@
   /// @param count messages that are taken from the queue now.
   /// @param oldest when the first of them arrived.
   void on_queue(std::size_t count, timestamp oldest, timestamp now);
-  void on_questions(std::uint64_t taken, std::uint64_t repeated);
+  void on_questions(std::uint64_t taken, std::uint64_t repeated,
+                    std::uint64_t settled);
   void on_history(std::size_t turns, std::size_t bytes);
   void on_spent(work_part part, std::chrono::microseconds time) {
     sums_.spent[static_cast<std::size_t>(part)] += time;
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -270,6 +270,10 @@
   } else if (request.items().empty()) {
     refuse(request, now); // nothing can be recorded without a majority
   }
+  // What was asked again after its answer had left, or can be told at once.
+  // Recorded anew it would cost an entry with all that the question holds: a
+  // group that answered late had three times the entries to replicate.
+  wire::RecordReply settled;
   for (const wire::RecordRequestItem &item : request.items()) {
     if (item.change().has_reserve_quota()) {
       continue; // for leaders alone to propose
@@ -285,11 +289,31 @@
                 quota_clock_.read(now), now);
       continue;
     }
+    if (auto known = table_.settled(item.change())) {
+      taken_up_.erase(question_hash(request.reply_to(), item.id()));
+      ++question_counts_.settled;
+      known->set_id(item.id());
+      *settled.add_items() = std::move(*known);
+      continue;
+    }
     proposals_.emplace_back(asker{.reply_to = request.reply_to(),
                                   .id = item.id(),
                                   .members_hash = request.members_hash()},
                             item.change());
   }
+  if (settled.items_size() > 0) {
+    reply_to(request.reply_to(), request.members_hash(), std::move(settled),
+             now);
+  }
+}
+
+void record_node::reply_to(const std::string &address,
+                           std::uint64_t known_members, wire::RecordReply reply,
+                           timestamp now) {
+  complete(reply, address, known_members, now);
+  wire::Envelope envelope;
+  *envelope.mutable_record_reply() = std::move(reply);
+  send(address, std::move(envelope));
 }
 
 bool record_node::take_up(const std::string &reply_to, std::uint64_t id) {
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -112,6 +112,8 @@
   std::uint64_t taken = 0;
   /// Copies of questions that are being answered already.
   std::uint64_t repeated = 0;
+  /// Those of `taken` that needed no entry of the log.
+  std::uint64_t settled = 0;
 };
 
 class record_node {
@@ -234,6 +236,9 @@
   void answer(std::uint64_t index,
               const std::vector<wire::RecordReplyItem> &outcomes, timestamp now,
               record_effects &effects);
+  /// Sends an answer that needs no entry of the log.
+  void reply_to(const std::string &address, std::uint64_t known_members,
+                wire::RecordReply reply, timestamp now);
   /// Adds to an answer what every answer to this address carries.
   void complete(wire::RecordReply &reply, const std::string &address,
                 std::uint64_t known_members, timestamp now);
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -277,7 +277,7 @@
 void record_runtime::report_load() {
   for (const partition &each : partitions_) {
     const question_counts counts = each.node->take_question_counts();
-    load_.on_questions(counts.taken, counts.repeated);
+    load_.on_questions(counts.taken, counts.repeated, counts.settled);
   }
   if (const auto sums = load_.take_report(steady_now())) {
     log_load(*sums);
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -93,15 +93,72 @@
     account.reserved += wanted.most();
     reply.set_verdict(wire::RECORD_GRANTED);
   }
+  describe_grant(wanted, account, reply);
+  return reply;
+}
+
+void record_table::describe_grant(const wire::BeginTurn &wanted,
+                                  const program &account,
+                                  wire::RecordReplyItem &reply) const {
   reply.set_spent(account.spent);
   reply.set_reserved(account.reserved);
   const bool granted = reply.verdict() == wire::RECORD_GRANTED;
   if (granted && wanted.want_history()) {
     add_history(wanted.previous(), reply);
   }
+  const retained_entry *previous = find_turn(wanted.previous());
   if (granted && previous != nullptr && previous->turn->has_place()) {
     *reply.mutable_previous_place() = previous->turn->place();
   }
+}
+
+std::optional<wire::RecordReplyItem>
+record_table::settled(const wire::RecordChange &change) const {
+  switch (change.body_case()) {
+  case wire::RecordChange::kBegin:
+    return settled(change.begin());
+  case wire::RecordChange::kEnd:
+    return settled(change.end());
+  case wire::RecordChange::kRead:
+    // A turn that is kept never changes; that there is none takes the log.
+    return find_turn(change.read().last()) != nullptr
+               ? std::optional(read(change.read()))
+               : std::nullopt;
+  default:
+    return std::nullopt;
+  }
+}
+
+std::optional<wire::RecordReplyItem>
+record_table::settled(const wire::BeginTurn &wanted) const {
+  const program *account = find_account(wanted.program());
+  const bool chain_kept =
+      wanted.previous().empty() || find_turn(wanted.previous()) != nullptr;
+  const bool granted = account != nullptr && chain_kept &&
+                       account->open.contains(wanted.attempt());
+  if (!granted) {
+    return std::nullopt;
+  }
+  wire::RecordReplyItem reply;
+  reply.set_verdict(wire::RECORD_GRANTED);
+  describe_grant(wanted, *account, reply);
+  return reply;
+}
+
+std::optional<wire::RecordReplyItem>
+record_table::settled(const wire::EndTurn &ended) const {
+  const program *account = find_account(ended.program());
+  const bool nothing_to_keep =
+      ended.kept().id().empty() || find_turn(ended.kept().id()) != nullptr;
+  const bool known = account != nullptr && nothing_to_keep &&
+                     account->closed.contains(ended.attempt());
+  if (!known) {
+    return std::nullopt;
+  }
+  wire::RecordReplyItem reply;
+  reply.set_verdict(wire::RECORD_DONE);
+  reply.set_spent(account->spent);
+  reply.set_reserved(account->reserved);
   return reply;
 }
 
@@ -146,6 +203,14 @@
   return account;
 }
 
+const record_table::program *
+record_table::find_account(const std::string &id) const {
+  const auto found = programs_.find(id);
+  const bool there =
+      found != programs_.end() && now_ms_ < found->second.expires_ms;
+  return there ? &found->second : nullptr;
+}
+
 const retained_entry *record_table::find_turn(const std::string &id) const {
   const auto found = turns_.find(id);
   const bool there =
--- a/src/records/record_table.hpp
+++ b/src/records/record_table.hpp
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -29,6 +30,12 @@
   /// their turns without the bodies.
   std::vector<wire::RecordReplyItem> apply(const wire::RecordBatch &batch);
 
+  /// The answer to a question whose outcome is in the state already, and that
+  /// no later entry can change; nothing where the log has to decide. Such
+  /// answers need no entry of their own.
+  [[nodiscard]] std::optional<wire::RecordReplyItem>
+  settled(const wire::RecordChange &change) const;
+
   /// Whole turns that were taken in since the last call.
   std::vector<wire::RecordTurn> take_kept() { return std::exchange(kept_, {}); }
   /// Turns that were dropped since the last call and are not kept anew.
@@ -61,9 +68,18 @@
   wire::RecordReplyItem apply(const wire::RecordChange &change);
   wire::RecordReplyItem begin(const wire::BeginTurn &wanted);
   [[nodiscard]] wire::RecordReplyItem read(const wire::ReadTurns &wanted) const;
+  [[nodiscard]] std::optional<wire::RecordReplyItem>
+  settled(const wire::BeginTurn &wanted) const;
+  [[nodiscard]] std::optional<wire::RecordReplyItem>
+  settled(const wire::EndTurn &ended) const;
   wire::RecordReplyItem keep(const wire::KeepTurns &copies);
   wire::RecordReplyItem end(const wire::EndTurn &ended);
   wire::RecordReplyItem reserve(const wire::ReserveQuota &wanted);
+  /// @return null when there is none, or it has expired.
+  [[nodiscard]] const program *find_account(const std::string &id) const;
+  /// Adds what a grant tells besides its verdict.
+  void describe_grant(const wire::BeginTurn &wanted, const program &account,
+                      wire::RecordReplyItem &reply) const;
   /// The account, without what has expired.
   program &account_of(const std::string &id, std::uint64_t keep_ms);
   /// @return null when it was never kept or has expired. What has expired is
--- a/tests/records/node_load_test.cpp
+++ b/tests/records/node_load_test.cpp
@@ -23,7 +23,7 @@
     load_.take_report(start);
     load_.on_queue(3, start, start + 40ms);
     load_.on_queue(2, start, start + 90ms);
-    load_.on_questions(5, 2);
+    load_.on_questions(5, 2, 3);
     load_.on_history(4, 1000);
     load_.on_spent(work_part::write, 7us);
     load_.on_spent(work_part::write, 3us);
@@ -35,11 +35,12 @@
     expected.longest_wait = 90ms;
     expected.questions = 5;
     expected.repeated_questions = 2;
+    expected.settled_questions = 3;
     expected.history_turns = 4;
     expected.history_bytes = 1000;
     expected.spent[static_cast<std::size_t>(work_part::write)] = 10us;
     CPPUNIT_ASSERT(*sums == expected);
-    load_.on_questions(1, 0);
+    load_.on_questions(1, 0, 0);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
                          load_.take_report(start + 2000ms)->questions);
   }
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(partitions_are_led_by_different_nodes);
   CPPUNIT_TEST(questions_that_come_together_share_an_entry);
   CPPUNIT_TEST(a_question_asked_again_is_recorded_once);
+  CPPUNIT_TEST(a_question_whose_answer_is_late_is_recorded_once);
   CPPUNIT_TEST(the_lead_is_handed_over_while_questions_come);
   CPPUNIT_TEST(a_voter_that_is_back_soon_is_not_replaced);
   CPPUNIT_TEST(a_node_without_a_part_keeps_to_the_leader);
@@ -550,6 +551,24 @@
                              before.value());
   }
 
+  // Storage nodes that answered late after a return of the whole fleet had
+  // three times as much to record as was asked.
+  void a_question_whose_answer_is_late_is_recorded_once() {
+    record_group group(43);
+    found_with(group, {"a", "b", "c"});
+    const auto before = group.at(group.leader()).log()->last_index();
+    group.lose_answers(true);
+    const std::uint64_t id = group.keep_turn("late");
+    group.run(2000ms); // asked again every 200 ms
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, group.unanswered());
+    group.lose_answers(false);
+    group.run(500ms);
+    CPPUNIT_ASSERT(group.verdict(id) == wire::RECORD_DONE);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         group.at(group.leader()).log()->last_index().value() -
+                             before.value());
+  }
+
   void the_lead_is_handed_over_while_questions_come() {
     // Followers lag behind a leader that goes on proposing.
     for (std::uint32_t partition = 0; partition < 4; ++partition) {
--- a/tests/records/record_table_test.cpp
+++ b/tests/records/record_table_test.cpp
@@ -59,6 +59,8 @@
   CPPUNIT_TEST(a_snapshot_that_brings_bodies_is_taken_in);
   CPPUNIT_TEST(a_history_that_lacks_a_turn_is_refused);
   CPPUNIT_TEST(a_turn_that_expires_while_a_snapshot_travels_still_decides);
+  CPPUNIT_TEST(what_the_state_settles_is_answered_as_the_log_would);
+  CPPUNIT_TEST(what_the_state_does_not_settle_is_left_to_the_log);
   CPPUNIT_TEST_SUITE_END();
 
   record_table table_;
@@ -85,7 +87,44 @@
     return item;
   }
 
+  static wire::RecordChange read(const std::string &last) {
+    wire::RecordChange change;
+    change.mutable_read()->set_last(last);
+    return change;
+  }
+
 public:
+  void what_the_state_settles_is_answered_as_the_log_would() {
+    apply(end("a", 5, "", true));
+    apply(begin("b", 10, 100, "a"));
+    for (const auto &change : {begin("b", 10, 100, "a"), end("a", 5, "", true),
+                               end("a", 5), read("a")}) {
+      const auto settled = table_.settled(change);
+      CPPUNIT_ASSERT(settled);
+      wire::RecordBatch batch;
+      batch.set_time_ms(1000);
+      *batch.add_changes() = change;
+      CPPUNIT_ASSERT_EQUAL(table_.apply(batch).at(0).SerializeAsString(),
+                           settled->SerializeAsString());
+    }
+  }
+
+  void what_the_state_does_not_settle_is_left_to_the_log() {
+    apply(end("a", 5, "", true));
+    apply(end("cancelled", 0));
+    for (const auto &change :
+         {begin("b", 10, 100), begin("a", 10, 100), begin("b", 10, 100, "c"),
+          end("b", 0), end("cancelled", 0, "", true), read("c")}) {
+      CPPUNIT_ASSERT(!table_.settled(change));
+    }
+    // What has expired is not there, whether it was swept or not.
+    wire::RecordBatch later;
+    later.set_time_ms(1000 + 10 * keep);
+    table_.apply(later);
+    CPPUNIT_ASSERT(!table_.settled(read("a")));
+    CPPUNIT_ASSERT(!table_.settled(end("a", 5, "", true)));
+  }
+
   void a_turn_that_fits_is_granted() {
     CPPUNIT_ASSERT_EQUAL(wire::RECORD_GRANTED,
                          apply(begin("a", 100, 100)).verdict());
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -105,6 +105,8 @@
   }
   /// Messages to the node take that much longer.
   void slow_down(const std::string &name, duration_ms by) { slow_[name] = by; }
+  /// Whether answers to the client are lost.
+  void lose_answers(bool lost) { answers_lost_ = lost; }
   void freeze(const std::string &name) { frozen_.insert(name); }
   void thaw(const std::string &name) { frozen_.erase(name); }
   void retire(const std::string &name) {
@@ -387,7 +389,7 @@
     letters_ = std::move(waiting);
     for (letter &each : due) {
       if (each.to == client_address) {
-        if (passes(each)) {
+        if (passes(each) && !answers_lost_) {
           take_reply(each.envelope.record_reply());
         }
         continue;
@@ -447,6 +449,7 @@
   std::set<std::string> isolated_;
   std::set<std::string> frozen_;
   std::map<std::string, duration_ms> slow_;
+  bool answers_lost_ = false;
   std::set<std::pair<std::string, std::string>> cut_;
   std::set<std::string> retiring_;
   std::map<std::uint64_t, wire::RecordChange> asked_;
