The log in memory keeps to the bytes that it is to retain

Callers saw nothing yet: a test of a storage node's memory passed its bound of 8 MB of heap beside load (8.02, 8.06 and 8.07 MB). Cause: applied entries were dropped only once there were twice the bytes that are to be retained, so a node's heap was 7.90 MB in each of 60 runs of that test, and a request of 160 KB that was sent again and still waited passed the bound. Made to come: one of 62 runs, 30 at a time, 8,059,120 bytes with 151 messages sent for 150 requests. What a voter lacks is still held, up to its own bytes. consensus_test's bound is 24 entries where 20 are retained (42 before), red first. Not mended: arrived messages still have no bound in bytes of their own.

--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -14,6 +14,9 @@
 constexpr std::uint64_t learner_lag_limit = 8;
 /// A snapshot that brought no answer is sent again after this long.
 constexpr duration_ms snapshot_retry{2000};
+/// The log grows by this part beyond the bytes that are kept before any are
+/// dropped, so that this is not worked out for each entry.
+constexpr std::size_t slack_divisor = 8;
 
 bool contains(const std::vector<replica_id> &replicas,
               const replica_id &replica) {
@@ -627,9 +630,12 @@
 void consensus::compact() {
   const std::uint64_t kept = applied_ - base_index_;
   const bool many = kept > 2 * options_.retained_entries;
-  // Entries are as large as what callers send: only bytes bound the memory.
-  const bool large =
-      options_.retained_bytes > 0 && log_bytes_ > 2 * options_.retained_bytes;
+  // Entries are as large as what callers send: only bytes bound the memory. At
+  // twice the bytes a node came within 1.3 % of what it may take, so that one
+  // message that waited, with its turns, passed the bound.
+  const std::size_t most_bytes =
+      options_.retained_bytes + options_.retained_bytes / slack_divisor;
+  const bool large = options_.retained_bytes > 0 && log_bytes_ > most_bytes;
   if (!many && !large) {
     return;
   }
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -510,7 +510,7 @@
         acknowledge(leader, replica(voter), leader.last_index().value(), now);
       }
       CPPUNIT_ASSERT(leader.take_committed().size() <= 2);
-      CPPUNIT_ASSERT(leader.log_bytes() < 42 * entry_size);
+      CPPUNIT_ASSERT(leader.log_bytes() < 24 * entry_size);
     }
     CPPUNIT_ASSERT(leader.log_bytes() >= 19 * entry_size);
   }
--- a/tests/records/record_memory_test.cpp
+++ b/tests/records/record_memory_test.cpp
@@ -8,6 +8,12 @@
 // of up to 24 MB a partition back. Settled by `record_log_recovered`, base 0
 // with 2,657 and more entries in each of four partitions, and a process of 124
 // MB after a minute in which 0.6 to 1.5 MB a second came in.
+//
+// Later a run beside heavy compiling passed the bound now and then. The log in
+// memory was let grow to twice the bytes that it is to keep before any were
+// dropped: 7.90 MB of heap in each of 60 runs, 30 at a time, 1.3 % below the
+// bound, and 8.06 MB in the one run in which a request of 160 KB that was sent
+// again (151 messages for 150 requests) still waited when the heap was read.
 #include "records/record_runtime.hpp"
 
 #include "support/temporary_directory.hpp"
