A node in a dead voter's place votes once it holds the state

Cause: a node that is back without its disk had its vote only within eight entries of the end of the log, which grows by forty a second: state installed at 37.52 s, no `record_member_replaced` until two more disks were lost at 42.02 s. Why this holds: a dead voter acknowledges nothing, so whoever lags in its place costs nothing; the change is committed by a majority that holds all before it, and whoever leads with it has it in its log. A lead stays while a voter lags, too: the next leader may have dropped what it lacks.

--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -649,6 +649,19 @@
   return !told_leader_.empty() && now < leader_told_ + told_for;
 }
 
+bool record_node::may_vote(const replica_id &learner) const {
+  const std::vector<replica_id> &voters = log_->voters();
+  const bool succeeds_dead =
+      std::ranges::any_of(voters, [this, &learner](const replica_id &voter) {
+        return voter.node == learner.node && log_->is_dead(voter);
+      });
+  // A dead voter acknowledges nothing, so a successor that lags in its place
+  // costs nothing. Waiting for it to be close to the end of a busy log left the
+  // group with four voters for up to 5 s more, while the next two may be lost.
+  const bool holds_state = log_->match_index(learner) > 0;
+  return log_->caught_up(learner) || (succeeds_dead && holds_state);
+}
+
 std::vector<node_view> record_node::view(timestamp now) const {
   std::vector<node_view> nodes;
   const std::map<node_id, std::uint64_t> preferred = preferences();
@@ -667,7 +680,7 @@
          .alive = is_self || (!unheard && now < heard + options_.alive_for),
          .long_silent = !is_self && now >= since + options_.replace_after,
          .dead = log_->is_dead(id),
-         .caught_up = log_->is_learner(id) && log_->caught_up(id),
+         .caught_up = log_->is_learner(id) && may_vote(id),
          .lagging = !is_self && log_->is_voter(id) && !log_->caught_up(id),
          .retiring = retiring_.contains(known.record.name())});
   }
@@ -736,13 +749,18 @@
   // The next leader would begin the copy of the state anew. A partition whose
   // copy was begun twice had its voter back after 15 s and more, and lost its
   // majority with the next two disks.
-  const bool fills_a_node = !learners_.empty();
-  if (!due || fills_a_node) {
+  if (!due || !learners_.empty()) {
     return;
   }
   next_yield_ = now + options_.yield_after;
   const node_view *preferred = nullptr;
   const std::vector<node_view> nodes = view(now);
+  const bool voter_lags = std::ranges::any_of(nodes, [](const node_view &each) {
+    return each.votes && each.alive && each.lagging;
+  });
+  if (voter_lags) {
+    return; // the next leader may have dropped what it lacks
+  }
   for (const node_view &each : nodes) {
     const bool fits = each.votes && each.alive && !each.retiring && !each.dead;
     const bool better =
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -220,6 +220,8 @@
   void say_hello(timestamp now);
   void maintain(timestamp now, raft::outbox &out);
   void carry_out(const group_change &change, timestamp now, raft::outbox &out);
+  /// Whether a learner may take a voter's place.
+  [[nodiscard]] bool may_vote(const replica_id &learner) const;
   [[nodiscard]] std::vector<node_view> view(timestamp now) const;
   /// How much this partition prefers each node: the nodes in order of their
   /// ids, beginning where this partition's share of them begins.
