--- a/tests/records/refill_test.cpp
+++ b/tests/records/refill_test.cpp
@@ -2,18 +2,19 @@
 // partitions had no leader to the end of the day: half of all programs were
 // refused for 16 seconds, until they gave up.
 //
-// What happens: a node comes back without its disk, and its partition's leader
-// copies the state to it, which takes 5 to 8 s under load. Cause: a leader that
-// is not the preferred voter hands the lead over once it has led for 2 s, and
-// the next one begins the copy from the start, while it often leads another
-// partition already. The node has its vote late, and the partition bears fewer
-// losses meanwhile. Settled by the events of a play: `snapshot_sent` for
-// partition 1 at 27.08 s and, after a change of leaders, at 29.53 s again,
-// `record_snapshot_installed` at 40.53 s instead of 31 to 33 s, no
-// `record_member_replaced` before two more disks were lost at 42.02 s;
-// partition 0, led by the same node from 29.35 s on, replaced its voter
-// at 41.52 s and had not committed that. Neither had `record_leadership_gained`
-// afterwards.
+// What happens: a node comes back without its disk, its partitions' leaders
+// copy the state to it, and until it votes a partition bears fewer losses.
+// Under load that took up to 15 s, as long as the group has. Causes, each in a
+// play of its own: a leader that is not the preferred voter handed the lead
+// over once it had led for 2 s, and the next one began the copy anew
+// (`snapshot_sent` for partition 1 at 27.08 s and at 29.53 s,
+// `record_snapshot_installed` at 40.53 s instead of 31 to 33 s); a node that
+// came to lead three partitions and kept them copied three states at once
+// (installed at 41.98 s and never); a node that held the state waited for its
+// vote until it was within eight entries of a log that grew by forty a second
+// (installed at 37.52 s, no `record_member_replaced` before 42.02 s, when two
+// more disks were lost). None of these partitions has a
+// `record_leadership_gained` afterwards.
 #include "support/record_group.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
