--- a/tests/records/ledger_client_test.cpp
+++ b/tests/records/ledger_client_test.cpp
@@ -285,10 +285,10 @@
   // What happens: all answers take longer than the time-out. Each question is
   // asked again before its answer is there, so that none of the answers tells
   // how long answers take, and the time-out stays as short as it was. Settled
-  // by `record_call_retried` of one play: 1 to 90 lines a second before a
-  // fault, 670 to 780 for six seconds behind it, none with `silent` but a
-  // fifth, while grants took 276 to 460 ms at the median and the time-out was
-  // 250 ms.
+  // by `record_call_retried` of one play: 3 to 220 lines a second in the six
+  // seconds before a fault, 579 to 782 in the eight behind it, a fifth of these
+  // with `silent`, while grants took 213 to 460 ms at the median and the
+  // time-out was 250 ms.
   void a_leader_that_answers_late_is_not_asked_everything_again() {
     constexpr std::size_t questions = 10;
     ledger_client client(
