Say which step a refused turn was waiting for, and which partitions were silent

The log says only that the record group was unavailable, so the grant, the search in other partitions and the copy cannot be told apart. Change: turn_refused has the step, and the partitions that had not answered.

--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -6,6 +6,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 namespace heathtrestle::forwarding {
 
 namespace {
@@ -54,6 +57,18 @@
   return "unknown";
 }
 
+std::string_view name_of(records::grant_step step) {
+  switch (step) {
+  case records::grant_step::grant:
+    return "grant";
+  case records::grant_step::search:
+    return "search";
+  case records::grant_step::copy:
+    return "copy";
+  }
+  return "unknown";
+}
+
 program_turn::program_turn(gateway &shared, const client_request &request,
                            const routing::route &route, routing::residency home,
                            const tenant_id &tenant, timestamp deadline)
@@ -183,6 +198,8 @@
       .field("spent", grant_.spent)
       .field("reserved", grant_.reserved)
       .field("previous", request_.previous_turn)
+      .field("step", name_of(grant_.step))
+      .field("unanswered", fmt::format("{}", fmt::join(grant_.unanswered, " ")))
       .field("waited_ms", (steady_now() - request_.arrived).count())
       .write();
 }
--- a/src/forwarding/program_turn.hpp
+++ b/src/forwarding/program_turn.hpp
@@ -94,5 +94,6 @@
 };
 
 std::string_view name_of(records::turn_verdict verdict);
+std::string_view name_of(records::grant_step step);
 
 } // namespace heathtrestle::forwarding
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -198,13 +198,15 @@
 
 turn_grant ledger_client::refusal() const {
   turn_grant refused;
+  refused.unanswered = {options_.partition};
   refused.retry_after = breaker_.retry_after(steady_now());
   return refused;
 }
 
-turn_grant ledger_client::to_grant(const pending &entry) {
+turn_grant ledger_client::to_grant(const pending &entry) const {
   turn_grant grant;
   if (!entry.answered) {
+    grant.unanswered = {options_.partition};
     return grant;
   }
   grant.verdict = verdict_of(entry.reply.verdict());
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -130,7 +130,7 @@
   /// that is submitted next and are sent in the same message, so that they are
   /// recorded right before it.
   void send_copies(const turn_request &request, timestamp deadline);
-  static turn_grant to_grant(const pending &entry);
+  [[nodiscard]] turn_grant to_grant(const pending &entry) const;
   static permit_answer to_permit(const pending &entry);
   /// Returns the reply, or a refusal when the circuit breaker has opened
   /// meanwhile.
--- a/src/records/partitioned_ledger.cpp
+++ b/src/records/partitioned_ledger.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -54,11 +55,13 @@
   turn_grant found =
       co_await find_in_other_partitions(request.previous, home, deadline);
   if (found.verdict != turn_verdict::granted) {
+    found.step = grant_step::search;
     co_return found;
   }
   request.copies = found.history;
   const bool wants_history = std::exchange(request.want_history, false);
   grant = co_await client.begin(std::move(request), deadline);
+  grant.step = grant_step::copy;
   if (grant.verdict == turn_verdict::unknown_turn) {
     grant.verdict = turn_verdict::unavailable; // another partition holds it,
                                                // but the copy was lost
@@ -74,8 +77,8 @@
   explicit turn_search(asio::io_context &io) : over(io) {}
 
   /// Handles one partition's reply.
-  void on_answer(turn_grant answer) {
-    --awaited;
+  void on_answer(std::size_t partition, turn_grant answer) {
+    awaited.erase(partition);
     if (answer.verdict == turn_verdict::granted) {
       found = std::move(answer);
     } else if (answer.verdict != turn_verdict::unknown_turn) {
@@ -86,10 +89,10 @@
     }
   }
   [[nodiscard]] bool is_over() const {
-    return awaited == 0 || found.verdict == turn_verdict::granted;
+    return awaited.empty() || found.verdict == turn_verdict::granted;
   }
 
-  std::size_t awaited = 0;
+  std::set<std::size_t> awaited;
   turn_grant found;
   /// Cancelled when the search is over.
   asio::steady_timer over;
@@ -103,7 +106,11 @@
   // waits for its grant when the group is slow.
   const auto search = std::make_shared<turn_search>(io_);
   search->found.verdict = turn_verdict::unknown_turn;
-  search->awaited = clients_.size() - 1;
+  for (std::size_t number = 0; number < clients_.size(); ++number) {
+    if (number != home) {
+      search->awaited.insert(number);
+    }
+  }
   for (std::size_t number = 0; number < clients_.size(); ++number) {
     if (number != home) {
       asio::co_spawn(io_, search_in(number, last, deadline, search),
@@ -116,6 +123,8 @@
   }
   if (!search->is_over()) {
     search->found.verdict = turn_verdict::unavailable;
+    search->found.unanswered.assign(search->awaited.begin(),
+                                    search->awaited.end());
   }
   co_return std::move(search->found);
 }
@@ -127,7 +136,7 @@
   turn_grant answer =
       co_await clients_[number]->read(std::move(last), deadline);
   if (search->found.verdict != turn_verdict::granted) {
-    search->on_answer(std::move(answer));
+    search->on_answer(number, std::move(answer));
   }
 }
 
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -61,8 +61,18 @@
   unavailable,  // no majority of the record group answered in time
 };
 
+/// What a turn was waiting for when its outcome was known.
+enum class grant_step : std::uint8_t {
+  grant,  // its program's partition
+  search, // the other partitions, one of which may keep the previous turn
+  copy,   // its program's partition, with the copied turns
+};
+
 struct turn_grant {
   turn_verdict verdict = turn_verdict::unavailable;
+  grant_step step = grant_step::grant;
+  /// Partitions that were asked in this step and had not answered.
+  std::vector<std::uint32_t> unanswered;
   /// When to retry after `unavailable`; zero when unknown.
   duration_ms retry_after{0};
   /// Oldest first; empty unless requested.
