--- a/tests/records/replica_storage_power_test.cpp
+++ b/tests/records/replica_storage_power_test.cpp
@@ -401,6 +401,7 @@
     }
   }
 
+  // A full disk ends the process in the same way.
   void the_death_of_the_process_at_any_operation_loses_nothing() {
     for (std::uint32_t seed = 100; seed < 120; ++seed) {
       const std::uint64_t operations = operations_of(seed);
--- a/tests/records/replica_storage_test.cpp
+++ b/tests/records/replica_storage_test.cpp
@@ -2,6 +2,7 @@
 
 #include "records/record_runtime.hpp"
 #include "storage/posix_directory.hpp"
+#include "support/simulated_directory.hpp"
 #include "support/temporary_directory.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -42,6 +43,7 @@
   CPPUNIT_TEST(a_torn_tail_leaves_the_last_whole_write);
   CPPUNIT_TEST(a_database_of_an_earlier_version_is_refused);
   CPPUNIT_TEST(a_body_lies_in_its_log_entry_and_is_not_written_again);
+  CPPUNIT_TEST(a_step_costs_one_write_and_one_sync);
   CPPUNIT_TEST(a_changed_body_is_not_handed_out);
   CPPUNIT_TEST(space_is_bounded_by_the_living_bodies);
   CPPUNIT_TEST(damage_to_synced_bytes_is_told_from_a_torn_tail);
@@ -245,6 +247,8 @@
     CPPUNIT_ASSERT(!replica_storage::open(std::move(files).value(), 7));
   }
 
+  // Guards against turns refused after a restart of all storage nodes because
+  // writing each turn twice takes most of a small node's processor.
   void a_body_lies_in_its_log_entry_and_is_not_written_again() {
     const auto storage = open().storage;
     const wire::LogEntry brings = entry_with_turn(1, "a");
@@ -255,6 +259,26 @@
     CPPUNIT_ASSERT_EQUAL(std::string("said in a"), storage->read("a")->input());
   }
 
+  // Guards against the same refusals, by many file operations for each step.
+  void a_step_costs_one_write_and_one_sync() {
+    test_support::simulated_disk disk;
+    const auto storage = std::move(
+        replica_storage::open(
+            std::make_unique<test_support::simulated_directory>(disk), 7)
+            .value()
+            .storage);
+    append(*storage, {entry(1, 1)});
+    const std::uint64_t before = disk.operations();
+    raft::unsaved_changes changes;
+    changes.hard = raft::hard_state{.term = 1};
+    const wire::LogEntry one = entry_with_turn(2, "a", 3000);
+    const wire::LogEntry other = entry_with_turn(3, "b", 3000);
+    changes.entries = {&one, &other};
+    CPPUNIT_ASSERT(storage->write(changes, nullptr));
+    CPPUNIT_ASSERT(storage->keep({turn("a", 3000), turn("b", 3000)}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, disk.operations() - before);
+  }
+
   void a_changed_body_is_not_handed_out() {
     const auto storage = open().storage;
     append(*storage, {entry_with_turn(1, "a")});
@@ -263,6 +287,8 @@
     CPPUNIT_ASSERT(!storage->read("a"));
   }
 
+  // Guards against a disk that fills up because segments with a few bodies
+  // that are needed are never given back.
   void space_is_bounded_by_the_living_bodies() {
     constexpr std::uint32_t segment_bytes = 64U << 10U;
     constexpr std::size_t living = 40;
