A dropped turn is gone at once, and a turn stored again is read from its new entry

Found while reading the new storage: the turns of an entry stayed among those that may not be applied yet after they were kept, until the next turn was. A turn that had expired was still readable, and one that was stored again under its id could be looked for in a segment that had been deleted.

--- a/src/records/replica_storage.cpp
+++ b/src/records/replica_storage.cpp
@@ -1,6 +1,7 @@
 #include "records/replica_storage.hpp"
 
 #include "logging/log.hpp"
+#include "records/checkpoint_messages.hpp"
 #include "records/turn_extents.hpp"
 #include "storage/checkpoint_file.hpp"
 
@@ -33,53 +34,6 @@
   return {.kind = static_cast<std::uint64_t>(kind)};
 }
 
-wire::StoredHardState encode(const raft::hard_state &hard) {
-  wire::StoredHardState message;
-  message.set_term(hard.term);
-  message.set_settled_voters(hard.settled_voters);
-  if (hard.voted_for) {
-    *message.mutable_voted_for() = to_wire(*hard.voted_for);
-  }
-  return message;
-}
-
-raft::hard_state decode(const wire::StoredHardState &message) {
-  raft::hard_state hard{.term = message.term(),
-                        .voted_for = std::nullopt,
-                        .settled_voters = message.settled_voters()};
-  if (message.has_voted_for()) {
-    hard.voted_for = from_wire(message.voted_for());
-  }
-  return hard;
-}
-
-raft::log_base base_of(const wire::ReplicaCheckpoint &checkpoint) {
-  raft::log_base base{.index = checkpoint.base_index(),
-                      .term = checkpoint.base_term(),
-                      .voters = {}};
-  for (const wire::ReplicaId &voter : checkpoint.base_replicas().voters()) {
-    base.voters.push_back(from_wire(voter));
-  }
-  return base;
-}
-
-storage::located_extent decode(const wire::StoredBody &body) {
-  return {.key = {.high = body.key_high(), .low = body.key_low()},
-          .where = {.segment = body.segment(),
-                    .offset = body.offset(),
-                    .size = body.size(),
-                    .checksum = body.checksum()}};
-}
-
-void encode(const storage::located_extent &body, wire::StoredBody &message) {
-  message.set_key_high(body.key.high);
-  message.set_key_low(body.key.low);
-  message.set_segment(body.where.segment);
-  message.set_offset(body.where.offset);
-  message.set_size(body.where.size);
-  message.set_checksum(body.where.checksum);
-}
-
 template <typename Message>
 std::optional<std::string> parse(Message &message,
                                  const storage::found_frame &frame) {
@@ -175,7 +129,7 @@
 replica_storage::recover(const wire::ReplicaCheckpoint &checkpoint,
                          recovered_state &state) {
   identity_ = boot_id{checkpoint.identity()};
-  hard_ = decode(checkpoint.hard());
+  hard_ = from_wire(checkpoint.hard());
   base_ = base_of(checkpoint);
   members_ = checkpoint.members();
   generation_ = checkpoint.generation();
@@ -186,7 +140,7 @@
   state.snapshot = checkpoint.snapshot();
   const std::unordered_set<std::uint64_t> named = turns_in(state.snapshot);
   for (const wire::StoredBody &body : checkpoint.bodies()) {
-    const storage::located_extent stored = decode(body);
+    const storage::located_extent stored = from_wire(body);
     if (named.contains(stored.key.low)) {
       bodies_.set(stored.key, stored.where);
     }
@@ -234,8 +188,8 @@
     return std::nullopt;
   case frame_kind::hard_state: {
     wire::StoredHardState hard;
-    const std::optional<std::string> damage = parse(hard, frame);
-    hard_ = damage ? hard_ : decode(hard);
+    std::optional<std::string> damage = parse(hard, frame);
+    hard_ = damage ? hard_ : from_wire(hard);
     return damage;
   }
   case frame_kind::members:
@@ -323,16 +277,16 @@
 
 std::optional<storage::location>
 replica_storage::take_from_entries(const storage::extent_key &key) {
-  for (std::size_t i = 0; i < entry_turns_.size(); ++i) {
-    for (const storage::located_extent &turn : entry_turns_[i].turns) {
-      if (turn.key == key) {
-        // Entries are applied in order, so those before are applied.
-        const storage::location where = turn.where;
-        entry_turns_.erase(entry_turns_.begin(),
-                           entry_turns_.begin() +
-                               static_cast<std::ptrdiff_t>(i));
-        return where;
-      }
+  for (auto entry = entry_turns_.begin(); entry != entry_turns_.end();
+       ++entry) {
+    const auto turn =
+        std::ranges::find(entry->turns, key, &storage::located_extent::key);
+    if (turn != entry->turns.end()) {
+      const storage::location where = turn->where;
+      entry->turns.erase(turn);
+      // Entries are applied in order, so those before are applied.
+      entry_turns_.erase(entry_turns_.begin(), entry);
+      return where;
     }
   }
   return std::nullopt;
@@ -350,10 +304,10 @@
     return found;
   }
   for (const entry_turns &entry : entry_turns_) {
-    for (const storage::located_extent &turn : entry.turns) {
-      if (turn.key == key) {
-        return turn.where;
-      }
+    const auto turn =
+        std::ranges::find(entry.turns, key, &storage::located_extent::key);
+    if (turn != entry.turns.end()) {
+      return turn->where;
     }
   }
   return std::nullopt;
@@ -409,7 +363,7 @@
 result<void> replica_storage::append_hard_state(const raft::hard_state &hard) {
   hard_ = hard;
   BOOST_OUTCOME_TRY(log_->append(labels_of(frame_kind::hard_state),
-                                 encode(hard).SerializeAsString(), {}));
+                                 to_wire(hard).SerializeAsString(), {}));
   return outcome::success();
 }
 
@@ -454,6 +408,10 @@
     entries_.pop_front();
   }
   base_ = base;
+  // What is left of applied entries is not kept, and its segment may go.
+  while (!entry_turns_.empty() && entry_turns_.front().index <= applied) {
+    entry_turns_.pop_front();
+  }
   return write_checkpoint(applied, std::move(snapshot));
 }
 
@@ -464,17 +422,13 @@
   first_segment_ = entries_.empty() ? end.segment : entries_.front().segment;
   wire::ReplicaCheckpoint checkpoint;
   checkpoint.set_identity(identity_.value());
-  *checkpoint.mutable_hard() = encode(hard_);
-  checkpoint.set_base_index(base_.index);
-  checkpoint.set_base_term(base_.term);
-  for (const replica_id &voter : base_.voters) {
-    *checkpoint.mutable_base_replicas()->add_voters() = to_wire(voter);
-  }
+  *checkpoint.mutable_hard() = to_wire(hard_);
+  set_base(checkpoint, base_);
   checkpoint.set_applied(applied);
   *checkpoint.mutable_snapshot() = std::move(snapshot);
   *checkpoint.mutable_members() = members_;
   for (const storage::located_extent &body : bodies_.all()) {
-    encode(body, *checkpoint.add_bodies());
+    *checkpoint.add_bodies() = to_wire(body);
   }
   checkpoint.set_generation(generation_);
   checkpoint.set_first_segment(first_segment_);
--- a/src/storage/segment_log.cpp
+++ b/src/storage/segment_log.cpp
@@ -259,7 +259,6 @@
 result<void> segment_log::remove(std::uint64_t number) {
   BOOST_OUTCOME_TRY(files_.remove(name_of_segment(number)));
   segments_.erase(number);
-  ++counts_.segments_deleted;
   return outcome::success();
 }
 
--- a/src/storage/segment_log.hpp
+++ b/src/storage/segment_log.hpp
@@ -68,7 +68,6 @@
 struct segment_log_counts {
   std::uint64_t bytes_written = 0;
   std::uint64_t syncs = 0;
-  std::uint64_t segments_deleted = 0;
 };
 
 class segment_log {
@@ -116,9 +115,6 @@
   [[nodiscard]] std::uint64_t active_segment() const;
   /// The end of the log. It is durable after `sync`.
   [[nodiscard]] log_position end() const;
-  [[nodiscard]] bool has_segment(std::uint64_t number) const {
-    return segments_.contains(number);
-  }
   /// Sizes in bytes by segment number.
   [[nodiscard]] std::map<std::uint64_t, std::uint32_t> sizes() const;
   /// Bytes in all segments.
--- a/tests/records/replica_storage_test.cpp
+++ b/tests/records/replica_storage_test.cpp
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(a_database_of_an_earlier_version_is_refused);
   CPPUNIT_TEST(a_body_lies_in_its_log_entry_and_is_not_written_again);
   CPPUNIT_TEST(a_step_costs_one_write_and_one_sync);
+  CPPUNIT_TEST(a_turn_that_is_stored_again_is_read_from_its_new_entry);
   CPPUNIT_TEST(a_changed_body_is_not_handed_out);
   CPPUNIT_TEST(space_is_bounded_by_the_living_bodies);
   CPPUNIT_TEST(damage_to_synced_bytes_is_told_from_a_torn_tail);
@@ -279,6 +280,28 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, disk.operations() - before);
   }
 
+  // Guards against a program refused for good because a body is looked for in
+  // a segment that was deleted when the turn had expired before.
+  void a_turn_that_is_stored_again_is_read_from_its_new_entry() {
+    auto files = storage::posix_directory::open_or_create(directory_);
+    const auto storage =
+        std::move(replica_storage::open(std::move(files).value(), 7,
+                                        {.segment_bytes = 1000})
+                      .value()
+                      .storage);
+    append(*storage, {entry_with_turn(1, "a", 2000)});
+    CPPUNIT_ASSERT(storage->keep({turn("a", 2000)}));
+    storage->drop({"a"});
+    CPPUNIT_ASSERT(!storage->read("a"));
+    append(*storage, {entry(2, 1)});
+    CPPUNIT_ASSERT(storage->compact({.index = 2, .term = 1, .voters = {}}, 2,
+                                    wire::RecordSnapshot()));
+    CPPUNIT_ASSERT(!std::filesystem::exists(segment(1)));
+    append(*storage, {entry_with_turn(3, "a", 2000)});
+    CPPUNIT_ASSERT(storage->keep({turn("a", 2000)}));
+    CPPUNIT_ASSERT(storage->read("a"));
+  }
+
   void a_changed_body_is_not_handed_out() {
     const auto storage = open().storage;
     append(*storage, {entry_with_turn(1, "a")});
