A second voter may lead before the first change of voters is committed

Cause: the founder loses its leadership before the first change is committed. Change: where the set before the change is unknown, only the new one is counted. The founding set is a single voter, so a majority of the two after it includes that one.

--- a/src/raft/consensus_log.cpp
+++ b/src/raft/consensus_log.cpp
@@ -505,7 +505,10 @@
 
 std::uint64_t consensus::quorum_match_index() const {
   const std::uint64_t held = majority_match_index(voters_, {});
-  if (!change_in_progress()) {
+  if (!change_in_progress() || previous_voters_.empty()) {
+    // A log that begins with the first change does not contain the founding
+    // set. That is a single voter, so a majority of the two after it includes
+    // that one.
     return held;
   }
   // When voters are dead, an election among the old voters needs only enough
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -168,6 +168,7 @@
   CPPUNIT_TEST(a_suspended_leader_has_no_recent_quorum);
   CPPUNIT_TEST(entries_under_way_are_not_sent_with_every_heartbeat);
   CPPUNIT_TEST(the_survivor_of_two_voters_replaces_the_dead_one);
+  CPPUNIT_TEST(a_second_voter_may_lead_before_the_first_change_is_committed);
   CPPUNIT_TEST(growth_from_two_waits_for_both);
   CPPUNIT_TEST(growth_from_four_waits_for_a_majority_of_the_four);
   CPPUNIT_TEST(removal_from_four_waits_for_a_majority_of_the_four);
@@ -371,6 +372,33 @@
     CPPUNIT_ASSERT(survivor.is_voter(back));
   }
 
+  // Guards against a storage node that crashes while a group is founded: its
+  // log begins with the first change and does not say who voted before.
+  void a_second_voter_may_lead_before_the_first_change_is_committed() {
+    consensus second = restored({});
+    wire::AppendRequest request;
+    request.set_term(1);
+    *request.mutable_leader() = to_wire(replica(2));
+    wire::LogEntry &marker = *request.add_entries();
+    marker.set_term(1);
+    marker.set_index(1);
+    marker.set_leader_marker(true);
+    wire::LogEntry &change = *request.add_entries();
+    change.set_term(1);
+    change.set_index(2);
+    *change.mutable_replicas()->add_voters() = to_wire(replica(2));
+    *change.mutable_replicas()->add_voters() = to_wire(replica(1));
+    outbox out;
+    second.handle(request, timestamp_from(1000), 1, out);
+    const timestamp now = elect(second);
+    CPPUNIT_ASSERT(second.is_leader());
+    acknowledge(second, replica(2), 2, now);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, second.commit_index().value());
+    acknowledge(second, replica(2), second.last_index().value(), now);
+    CPPUNIT_ASSERT(second.commit_index() == second.last_index());
+    CPPUNIT_ASSERT(!second.change_in_progress());
+  }
+
   void growth_from_two_waits_for_both() {
     // The two are a leader and a voter that lags; the third one acknowledges
     // quickly.
