A choice compares a shortlist, and a record touches one replica

Change: the directory keeps a hash ring of each service and zone. A choice in a service of more than 128 replicas compares the engines that hold the conversation, a window of 16 free ones from the prompt's place on the ring of its own zone, and a few of the next zone (consistent hashing with bounded loads); the windows of a prompt grow in number with the reported load. All gateways of a zone walk the same ring, so a shared prompt is read by a few engines. Plain services start at the gateway's own place, calls with an object at the object's. Load reports are a map by key; capacity and admissions are set for the put record alone; a place in a record is looked up by id; replicas with requests in flight and in slow start are kept in sets; a listing is logged as one line. Services of up to 128 replicas are compared whole, as before.

Also: an empty deque for each replica took 576 bytes, a vector takes none; the number of ended incarnations that are remembered follows the size of the directory.

Tests that set in_flight by hand use begin_attempt now and check as much.

--- a/src/balance/slow_start.cpp
+++ b/src/balance/slow_start.cpp
@@ -66,9 +66,7 @@
   if (admissions_ == 0) {
     return;
   }
-  while (!sent_.empty() && now >= sent_.front() + window) {
-    sent_.pop_front();
-  }
+  std::erase_if(sent_, [now](timestamp sent) { return now >= sent + window; });
   sent_.push_back(now);
   ++sent_since_begin_;
 }
--- a/src/balance/slow_start.hpp
+++ b/src/balance/slow_start.hpp
@@ -15,8 +15,8 @@
 #include "base/time.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <optional>
+#include <vector>
 
 namespace heathtrestle::balance {
 
@@ -79,8 +79,10 @@
   timestamp until_{};
   std::uint32_t admissions_ = 0;
   std::uint32_t sent_since_begin_ = 0;
-  /// Send times of the requests in the window.
-  std::deque<timestamp> sent_;
+  /// Send times of the requests in the window, oldest first. A vector, because
+  /// there is one for each replica, and an empty deque allocates half a
+  /// kilobyte.
+  std::vector<timestamp> sent_;
 };
 
 } // namespace heathtrestle::balance
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -3,8 +3,10 @@
 #include "logging/log.hpp"
 
 #include <algorithm>
+#include <limits>
+#include <optional>
+#include <ranges>
 #include <set>
-#include <unordered_map>
 #include <utility>
 
 namespace heathtrestle::forwarding {
@@ -15,11 +17,8 @@
 /// finite.
 constexpr double min_response_ms = 0.5;
 
-/// The key of a replica in load reports. It identifies the incarnation, because
-/// requests of an earlier incarnation do not load the later one.
-std::uint32_t load_key(const routing::instance &each) {
-  return static_cast<std::uint32_t>(stable_hash(name_of(each.record.start())));
-}
+/// A listing that changes more replicas than this is logged as one line.
+constexpr std::size_t max_logged_changes = 32;
 
 void clear_failures(routing::instance &answered) {
   answered.consecutive_failures = 0;
@@ -66,54 +65,147 @@
 
 } // namespace
 
+/// Builds the candidates of one choice and notes why replicas were left out.
+class replica_selector::candidate_collector {
+public:
+  candidate_collector(const replica_selector &selector, const send_step &step,
+                      const client_request &request,
+                      const routing::residency &home)
+      : selector_(selector), step_(step), request_(request), home_(home),
+        now_(steady_now()),
+        position_(is_first_attempt()
+                      ? traffic_place_of(request, selector.drains_, now_)
+                      : routing::drain_position{}) {}
+
+  /// Adds the replica if it is suitable and was not added before.
+  offer_result offer(const routing::instance_ptr &each) {
+    ++examined_;
+    const routing::incarnation start = each->record.start();
+    const bool wanted = step_.only.empty() || step_.only.contains(start);
+    if (!wanted) {
+      return offer_result::unsuitable;
+    }
+    const routing::exclusion cause =
+        selector_.exclusion_of(*each, home_, position_, now_);
+    common_.add(cause);
+    if (cause == routing::exclusion::warming_up) {
+      next_admission_ =
+          std::min(next_admission_, selector_.next_send(*each, now_));
+    }
+    if (cause != routing::exclusion::none || step_.excluded.contains(start)) {
+      return offer_result::unsuitable;
+    }
+    if (is_shortlist_ && std::ranges::find(fitting_, each) != fitting_.end()) {
+      return result_for(*each);
+    }
+    fitting_.push_back(each);
+    candidates_.push_back(selector_.candidate_of(*each, request_, now_));
+    return result_for(*each);
+  }
+
+  /// Returns whether the replicas of a zone may serve the request, and notes
+  /// the reason if not.
+  bool is_open(const std::string &zone) {
+    const routing::exclusion cause = routing::zone_exclusion(
+        zone, home_, selector_.options_.places, selector_.drains_, position_);
+    const bool open = cause == routing::exclusion::none;
+    if (!open) {
+      common_.add(cause);
+    }
+    return open;
+  }
+
+  /// Replicas are offered more than once from now on.
+  void begin_shortlist() { is_shortlist_ = true; }
+  /// Makes the first suitable replica the one that the request's object hashes
+  /// to.
+  void set_home() {
+    if (!candidates_.empty()) {
+      candidates_.front().affinity = std::numeric_limits<std::uint64_t>::max();
+    }
+  }
+
+  [[nodiscard]] bool empty() const { return fitting_.empty(); }
+  [[nodiscard]] timestamp now() const { return now_; }
+  [[nodiscard]] const std::vector<routing::instance_ptr> &fitting() const {
+    return fitting_;
+  }
+  [[nodiscard]] std::vector<balance::candidate> &candidates() {
+    return candidates_;
+  }
+  [[nodiscard]] placement no_target() const {
+    return {.examined = examined_,
+            .excluded_by = common_.cause(),
+            .next_admission = next_admission_};
+  }
+  [[nodiscard]] std::size_t examined() const { return examined_; }
+
+private:
+  [[nodiscard]] bool is_first_attempt() const {
+    return step_.only.empty() && step_.excluded.empty();
+  }
+  [[nodiscard]] offer_result result_for(const routing::instance &each) const {
+    const double running =
+        each.in_flight + selector_.load_by_others(each).running;
+    const double bound =
+        each.record.slots * selector_.options_.shortlist.free_share;
+    const bool is_free = now_ >= each.avoid_until && running < bound;
+    return is_free ? offer_result::free : offer_result::busy;
+  }
+
+  const replica_selector &selector_;
+  const send_step &step_;
+  const client_request &request_;
+  const routing::residency &home_;
+  timestamp now_;
+  routing::drain_position position_;
+  bool is_shortlist_ = false;
+  std::size_t examined_ = 0;
+  std::vector<routing::instance_ptr> fitting_;
+  std::vector<balance::candidate> candidates_;
+  common_exclusion common_;
+  timestamp next_admission_ = timestamp::max();
+};
+
 void replica_selector::apply(
     std::shared_ptr<const routing::route_table> routes) {
   routes_ = std::move(routes);
-  for (const routing::instance_record &each : directory_.records()) {
-    update_prefix_capacity(each.service);
-    set_admissions(each.service);
+  for (const auto &[id, each] : directory_.all()) {
+    configure(*each);
   }
 }
 
-void replica_selector::set_admissions(const routing::service_id &service) {
+void replica_selector::configure(routing::instance &each) const {
+  const routing::service *known =
+      routes_ != nullptr ? routes_->find_service(each.record.service) : nullptr;
+  const bool has_capacity = known != nullptr && known->engine.has_value() &&
+                            known->engine->memory_tokens > 0;
+  if (has_capacity) {
+    each.prefixes.set_capacity(known->engine->memory_tokens);
+  }
   if (!options_.slow_start.enforced()) {
     return;
   }
-  const routing::service *known =
-      routes_ != nullptr ? routes_->find_service(service) : nullptr;
   const bool slow = known != nullptr && known->slow_start.has_value();
-  const std::uint32_t admissions =
+  each.slow_start.set_admissions(
       slow ? balance::admissions_per_second(
                  known->slow_start->requests_per_second, options_.slow_start)
-           : 0;
-  for (const routing::instance_ptr &each : directory_.replicas_of(service)) {
-    each->slow_start.set_admissions(admissions);
-  }
-}
-
-void replica_selector::update_prefix_capacity(
-    const routing::service_id &service) {
-  const routing::service *known =
-      routes_ != nullptr ? routes_->find_service(service) : nullptr;
-  const bool has_capacity = known != nullptr && known->engine.has_value() &&
-                            known->engine->memory_tokens > 0;
-  if (!has_capacity) {
-    return;
-  }
-  for (const routing::instance_ptr &each : directory_.replicas_of(service)) {
-    each->prefixes.set_capacity(known->engine->memory_tokens);
-  }
+           : 0);
 }
 
 void replica_selector::put(routing::instance_record record) {
-  apply_record(std::move(record), true);
+  const routing::instance_id id = record.id;
+  if (apply_record(std::move(record), record_source::change)) {
+    log_listed(directory_.find(id)->record);
+  }
 }
 
-void replica_selector::apply_record(routing::instance_record record,
-                                    bool written_again) {
+bool replica_selector::apply_record(routing::instance_record record,
+                                    record_source source) {
   const routing::instance_record entry = record;
   const routing::instance_ptr before = directory_.find(record.id);
   const routing::put_outcome outcome = directory_.put(std::move(record));
+  bool changed = false;
   switch (outcome) {
   case routing::put_outcome::unchanged:
     break;
@@ -121,35 +213,37 @@
     if (rejected_.record(entry.id.value(), "of an earlier start")) {
       log_outdated(entry);
     }
-    return;
+    return false;
   case routing::put_outcome::missing_start_time:
     on_instance_removed(before);
     record_rejection(
         entry.id, "entry lacks the start time that an earlier entry had", true);
-    return;
+    return false;
   case routing::put_outcome::restarted:
     if (before != nullptr) {
-      finishing_.push_back(before);
       on_started_again(*before, entry);
     }
     [[fallthrough]];
   case routing::put_outcome::added:
   case routing::put_outcome::changed:
-    update_prefix_capacity(entry.service);
-    set_admissions(entry.service);
-    logging::line(logging::event::instances_changed)
-        .field("instance", entry.id.value())
-        .field("service", entry.service.value())
-        .field("born_ms", entry.born_ms)
-        .field("state", entry.draining ? "draining" : "ready")
-        .write();
-    written_again = true;
+    configure(*directory_.find(entry.id));
+    changed = true;
     break;
   }
   rejected_.forget(entry.id.value());
-  if (written_again) {
-    update_slow_start(*directory_.find(entry.id));
+  if (changed || source == record_source::change) {
+    update_slow_start(directory_.find(entry.id));
   }
+  return changed;
+}
+
+void replica_selector::log_listed(const routing::instance_record &entry) const {
+  logging::line(logging::event::instances_changed)
+      .field("instance", entry.id.value())
+      .field("service", entry.service.value())
+      .field("born_ms", entry.born_ms)
+      .field("state", entry.draining ? "draining" : "ready")
+      .write();
 }
 
 void replica_selector::on_started_again(const routing::instance &before,
@@ -203,13 +297,16 @@
 // An entry holds the remaining warm-up time at the moment it was written. Its
 // age is unknown, so the time is counted from now: a replica may be treated as
 // cold for too long, never for too short.
-void replica_selector::update_slow_start(routing::instance &entry) {
+void replica_selector::update_slow_start(const routing::instance_ptr &target) {
+  routing::instance &entry = *target;
   if (entry.record.cold_for <= duration_ms{0}) {
     end_slow_start(entry);
+    cold_.erase(target);
     return;
   }
   const timestamp now = steady_now();
   entry.slow_start.begin(now + entry.record.cold_for);
+  cold_.insert(target);
   if (!entry.slow_start.cold(now)) {
     return;
   }
@@ -240,18 +337,20 @@
 
 void replica_selector::end_slow_starts() {
   const timestamp now = steady_now();
-  for (const auto &[id, each] : directory_.all()) {
-    if (now >= each->slow_start.cold_until()) {
+  std::erase_if(cold_, [this, now](const routing::instance_ptr &each) {
+    const bool ended = !each->listed || now >= each->slow_start.cold_until();
+    if (ended && each->listed) {
       end_slow_start(*each);
     }
-  }
+    return ended;
+  });
 }
 
 replica_selector::slow_start_totals replica_selector::slow_starts() const {
   const timestamp now = steady_now();
   slow_start_totals figures;
-  for (const auto &[id, each] : directory_.all()) {
-    if (each->slow_start.cold(now)) {
+  for (const routing::instance_ptr &each : cold_) {
+    if (each->listed && each->slow_start.cold(now)) {
       ++figures.cold;
       figures.own_admissions += each->slow_start.owned_admissions(share_, now);
     }
@@ -275,7 +374,6 @@
 }
 
 void replica_selector::on_instance_removed(const routing::instance_ptr &gone) {
-  finishing_.push_back(gone);
   pool_.close_idle(gone->record.start());
   logging::line(logging::event::instances_changed)
       .field("instance", gone->record.id.value())
@@ -295,17 +393,36 @@
   for (const routing::rejected_entry &each : rejected) {
     named.insert(each.name);
   }
-  for (const routing::instance_record &known : directory_.records()) {
-    if (!kept.contains(known.id)) {
-      unlist(known.id);
+  std::vector<routing::instance_id> missing;
+  for (const auto &[id, known] : directory_.all()) {
+    if (!kept.contains(id)) {
+      missing.push_back(id);
     }
   }
+  for (const routing::instance_id &id : missing) {
+    unlist(id);
+  }
   rejected_.retain_only(named);
   for (const routing::rejected_entry &each : rejected) {
     reject(routing::instance_id{each.name}, each.reason);
   }
+  std::vector<routing::instance_id> changed;
   for (routing::instance_record &record : records) {
-    apply_record(std::move(record), false);
+    const routing::instance_id id = record.id;
+    if (apply_record(std::move(record), record_source::listing)) {
+      changed.push_back(id);
+    }
+  }
+  if (changed.size() > max_logged_changes) {
+    logging::line(logging::event::instances_listed)
+        .field("listed", directory_.size())
+        .field("changed", changed.size())
+        .field("gone", missing.size())
+        .write();
+    return;
+  }
+  for (const routing::instance_id &id : changed) {
+    log_listed(directory_.find(id)->record);
   }
 }
 
@@ -344,7 +461,7 @@
   std::vector<balance::reported_load> reports;
   reports.reserve(engines.size());
   for (const routing::instance_ptr &each : engines) {
-    reports.push_back(each->others);
+    reports.push_back(load_by_others(*each));
   }
   const auto others = balance::estimate_loads(reports, now, turn_ms);
   for (std::size_t index = 0; index < engines.size(); ++index) {
@@ -362,50 +479,91 @@
                                    const send_step &step,
                                    const client_request &request,
                                    const routing::residency &home) {
-  const timestamp now = steady_now();
-  const bool on_engine = !request.prompt.empty();
-  balance::engine_choice_options engine_choice = options_.engine_choice;
-  if (on_engine) {
+  candidate_collector collector(*this, step, request, home);
+  offer_candidates(service, step, request, collector);
+  std::vector<balance::candidate> &candidates = collector.candidates();
+  std::optional<std::size_t> chosen;
+  if (request.prompt.empty()) {
+    chosen =
+        balance::choose_plain(candidates, random_(), options_.plain_choice);
+  } else {
+    balance::engine_choice_options engine_choice = options_.engine_choice;
     engine_choice.costs = engine_models_[service].costs();
+    add_engine_loads(candidates, collector.fitting(),
+                     engine_choice.costs.turn_ms, collector.now());
+    chosen = balance::choose_engine(candidates, random_(), engine_choice);
   }
-  std::vector<routing::instance_ptr> fitting;
-  std::vector<balance::candidate> candidates;
-  common_exclusion common;
-  const bool first_attempt = step.only.empty() && step.excluded.empty();
-  const routing::drain_position place =
-      first_attempt ? traffic_place_of(request, drains_, now)
-                    : routing::drain_position{};
-  timestamp next_admission = timestamp::max();
-  for (const routing::instance_ptr &each : directory_.replicas_of(service)) {
-    const routing::incarnation start = each->record.start();
-    const bool wanted = step.only.empty() || step.only.contains(start);
-    if (!wanted) {
-      continue;
+  if (!chosen) {
+    return collector.no_target();
+  }
+  return {.target = collector.fitting()[*chosen],
+          .missing_tokens = candidates[*chosen].missing_tokens,
+          .running = candidates[*chosen].running,
+          .examined = collector.examined()};
+}
+
+void replica_selector::offer_candidates(const routing::service_id &service,
+                                        const send_step &step,
+                                        const client_request &request,
+                                        candidate_collector &collector) {
+  const std::vector<routing::instance_ptr> &all =
+      directory_.replicas_of(service);
+  if (all.size() > options_.shortlist.whole_up_to) {
+    for (const routing::incarnation &start : step.only) {
+      if (directory_.contains(start)) {
+        collector.offer(directory_.find(start.id));
+      }
     }
-    const routing::exclusion cause = exclusion_of(*each, home, place, now);
-    common.add(cause);
-    if (cause == routing::exclusion::warming_up) {
-      next_admission = std::min(next_admission, next_send(*each, now));
+    if (!step.only.empty()) {
+      return;
     }
-    if (cause != routing::exclusion::none || step.excluded.contains(start)) {
-      continue;
+    const bool any_zone_open = offer_shortlist(service, request, collector);
+    if (!any_zone_open || !collector.empty()) {
+      return;
     }
-    fitting.push_back(each);
-    candidates.push_back(candidate_of(*each, request, now));
   }
-  if (on_engine) {
-    add_engine_loads(candidates, fitting, engine_choice.costs.turn_ms, now);
+  for (const routing::instance_ptr &each : all) {
+    collector.offer(each);
   }
-  const auto chosen =
-      on_engine
-          ? balance::choose_engine(candidates, random_(), engine_choice)
-          : balance::choose_plain(candidates, random_(), options_.plain_choice);
-  if (!chosen) {
-    return {.excluded_by = common.cause(), .next_admission = next_admission};
+}
+
+bool replica_selector::offer_shortlist(const routing::service_id &service,
+                                       const client_request &request,
+                                       candidate_collector &collector) {
+  collector.begin_shortlist();
+  const offer_replica offer = [&collector](const routing::instance_ptr &each) {
+    return collector.offer(each);
+  };
+  std::vector<zone_ring> zones = zones_by_distance(
+      directory_.rings_of(service), options_.places, options_.gateway_key);
+  std::erase_if(zones, [&collector](const zone_ring &each) {
+    return !collector.is_open(std::string(each.zone));
+  });
+  if (request.prompt.empty()) {
+    if (options_.policies.object_affinity && !request.object.empty()) {
+      for (const zone_ring &nearest : zones | std::views::take(1)) {
+        offer_window(*nearest.ring, stable_hash(request.object), 1,
+                     options_.shortlist, offer);
+      }
+      collector.set_home();
+    }
+    offer_nearest(zones, options_.gateway_key, options_.shortlist, offer);
+    return !zones.empty();
   }
-  return {.target = fitting[*chosen],
-          .missing_tokens = candidates[*chosen].missing_tokens,
-          .running = candidates[*chosen].running};
+  for (const routing::instance_ptr &holder : holders_.find(request.prompt)) {
+    if (holder->record.service == service) {
+      collector.offer(holder);
+    }
+  }
+  const std::vector<routing::instance_ptr> &all =
+      directory_.replicas_of(service);
+  const std::uint64_t windows =
+      window_count(total_load_by_others_, all.front()->record.slots,
+                   zones.size(), options_.shortlist);
+  offer_nearest(zones,
+                window_key(request.prompt.front().id, random_() % windows),
+                options_.shortlist, offer);
+  return !zones.empty();
 }
 
 routing::exclusion replica_selector::exclusion_of(
@@ -440,47 +598,51 @@
   return cause;
 }
 
-std::uint32_t replica_selector::running_in(const std::string &zone) {
+std::uint32_t replica_selector::running_in(const std::string &zone) const {
   std::uint32_t running = 0;
-  std::erase_if(finishing_, [](const routing::instance_ptr &each) {
-    return each->in_flight == 0;
-  });
-  for (const routing::instance_ptr &each : finishing_) {
-    running += each->record.zone == zone ? each->in_flight : 0;
-  }
-  for (const auto &[id, each] : directory_.all()) {
+  for (const routing::instance_ptr &each : busy_) {
     running += each->record.zone == zone ? each->in_flight : 0;
   }
   return running;
 }
 
+void replica_selector::begin_attempt(const routing::instance_ptr &target) {
+  ++target->in_flight;
+  busy_.insert(target);
+}
+
+void replica_selector::end_attempt(const routing::instance_ptr &target) {
+  --target->in_flight;
+  if (target->in_flight == 0) {
+    busy_.erase(target);
+  }
+}
+
 void replica_selector::learn_prefix_location(
-    const records::turn_place &place, const routing::service_id &service,
+    const records::turn_place &place,
     const std::vector<balance::prompt_part> &prompt) {
   if (!options_.policies.turn_places) {
     return;
   }
-  const auto &instances = directory_.replicas_of(service);
-  const auto found =
-      std::find_if(instances.begin(), instances.end(), [&](const auto &each) {
-        // Records may name the id without the incarnation. Such an entry is
-        // accepted, since a wrong guess only costs time.
-        return place.instance == name_of(each->record.start()) ||
-               place.instance == each->record.id.value();
-      });
-  if (found != instances.end()) {
-    (*found)->prefixes.record(balance::truncate_prompt(prompt, place.tokens));
+  if (const routing::instance_ptr known =
+          directory_.find_named(place.instance)) {
+    record_prefix(known, balance::truncate_prompt(prompt, place.tokens));
   }
 }
 
+void replica_selector::record_prefix(
+    const routing::instance_ptr &target,
+    const std::vector<balance::prompt_part> &prompt, std::uint64_t generated) {
+  target->prefixes.record(prompt, generated);
+  holders_.record(prompt, target);
+}
+
 wire::ReplicaLoads replica_selector::engine_loads() const {
   wire::ReplicaLoads loads;
-  for (const auto &[service, model] : engine_models_) {
-    for (const routing::instance_ptr &each : directory_.replicas_of(service)) {
-      if (each->in_flight > 0) {
-        loads.add_replicas(load_key(*each));
-        loads.add_running(each->in_flight);
-      }
+  for (const routing::instance_ptr &each : busy_) {
+    if (each->listed && engine_models_.contains(each->record.service)) {
+      loads.add_replicas(each->load_key);
+      loads.add_running(each->in_flight);
     }
   }
   return loads;
@@ -492,20 +654,25 @@
   if (!options_.policies.shared_loads) {
     return;
   }
-  const timestamp at = steady_now() - duration_ms{shared.age_ms()};
-  std::unordered_map<std::uint32_t, std::uint32_t> running;
+  load_reported_at_ = steady_now() - duration_ms{shared.age_ms()};
+  load_by_others_.clear();
+  total_load_by_others_ = 0;
   const wire::ReplicaLoads &others = shared.others();
   const int listed = std::min(others.replicas_size(), others.running_size());
   for (int place = 0; place < listed; ++place) {
-    running[others.replicas(place)] = others.running(place);
-  }
-  for (const auto &[id, each] : directory_.all()) {
-    const auto found = running.find(load_key(*each));
-    const std::uint32_t reported = found != running.end() ? found->second : 0;
-    each->others = {.running = static_cast<double>(reported), .at = at};
+    load_by_others_[others.replicas(place)] = others.running(place);
+    total_load_by_others_ += others.running(place);
   }
 }
 
+balance::reported_load
+replica_selector::load_by_others(const routing::instance &each) const {
+  const auto known = load_by_others_.find(each.load_key);
+  const std::uint32_t running =
+      known != load_by_others_.end() ? known->second : 0;
+  return {.running = static_cast<double>(running), .at = load_reported_at_};
+}
+
 void replica_selector::on_failed(routing::instance &failed,
                                  std::string_view reason) {
   ++failed.consecutive_failures;
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -2,15 +2,22 @@
 // gateway's view of the replicas: the directory, response times and failures,
 // estimated prefix caches, and the loads that other gateways report. It sends
 // no requests, but closes pooled connections to replicas that have ended.
+//
+// The cost of a choice, of a load report and of a change of one record does not
+// depend on the number of replicas: a choice compares a shortlist, and per-
+// replica state is updated only for the replicas that are named.
 #pragma once
 
 #include "balance/admission_share.hpp"
 #include "balance/instance_choice.hpp"
+#include "balance/load_estimate.hpp"
 #include "balance/slow_start.hpp"
 #include "base/random.hpp"
 #include "forwarding/attempt_plan.hpp"
 #include "forwarding/client_request.hpp"
 #include "forwarding/policy_switches.hpp"
+#include "forwarding/prompt_holders.hpp"
+#include "forwarding/replica_shortlist.hpp"
 #include "forwarding/upstream_pool.hpp"
 #include "records/turn_ledger.hpp"
 #include "routing/eligibility.hpp"
@@ -22,12 +29,15 @@
 #include "routing/zone_drains.hpp"
 #include "wire/messages.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace heathtrestle::forwarding {
@@ -37,6 +47,10 @@
   policy_switches policies;
   balance::engine_choice_options engine_choice;
   balance::plain_choice_options plain_choice;
+  shortlist_options shortlist;
+  /// Hash of this gateway's name: gateways prefer different replicas of plain
+  /// services, so that each keeps its connections.
+  std::uint64_t gateway_key = 0;
   /// How long a replica is avoided after a failure.
   duration_ms avoid_for{1000};
   /// Time from the operator's request to drain a zone until its replicas
@@ -54,6 +68,8 @@
   std::uint64_t missing_tokens = 0;
   /// Estimated number of requests running there.
   double running = 0;
+  /// Number of times that a replica was examined for the choice.
+  std::size_t examined = 0;
   /// Without a target: the condition that excludes every listed replica, or
   /// `none` when a replica may become available.
   routing::exclusion excluded_by = routing::exclusion::none;
@@ -95,7 +111,7 @@
   [[nodiscard]] const routing::zone_drains &drains() const { return drains_; }
   /// Returns the number of this gateway's requests that are running at the
   /// replicas of a zone.
-  [[nodiscard]] std::uint32_t running_in(const std::string &zone);
+  [[nodiscard]] std::uint32_t running_in(const std::string &zone) const;
   [[nodiscard]] const routing::topology &places() const {
     return options_.places;
   }
@@ -123,17 +139,28 @@
   };
   [[nodiscard]] slow_start_totals slow_starts() const;
 
-  /// Records the prefix that an engine of `service` has cached, according to
-  /// the record of an earlier turn.
+  /// Counts a request of this gateway that goes to the replica as in flight.
+  void begin_attempt(const routing::instance_ptr &target);
+  void end_attempt(const routing::instance_ptr &target);
+
+  /// Records the prefix that an engine has cached, according to the record of
+  /// an earlier turn.
   void learn_prefix_location(const records::turn_place &place,
-                             const routing::service_id &service,
                              const std::vector<balance::prompt_part> &prompt);
+  /// Records that a request with this prompt was sent to the engine.
+  /// @param generated tokens of the response, which extend the last part.
+  void record_prefix(const routing::instance_ptr &target,
+                     const std::vector<balance::prompt_part> &prompt,
+                     std::uint64_t generated = 0);
 
   /// Returns this gateway's requests at engines, for the load report to other
   /// gateways.
   [[nodiscard]] wire::ReplicaLoads engine_loads() const;
   /// Applies the load report of the other gateways.
   void apply_shared_loads(const wire::SharedLoads &shared);
+  /// The other gateways' requests at a replica, as last reported.
+  [[nodiscard]] balance::reported_load
+  load_by_others(const routing::instance &each) const;
 
   /// Records that the replica could not be reached or broke the connection off.
   void on_failed(routing::instance &failed, std::string_view reason);
@@ -152,6 +179,17 @@
   }
 
 private:
+  class candidate_collector;
+
+  /// Offers the replicas that a choice compares.
+  void offer_candidates(const routing::service_id &service,
+                        const send_step &step, const client_request &request,
+                        candidate_collector &collector);
+  /// Offers a part of a service that is too large to be compared as a whole.
+  /// @return false when no zone may serve the request.
+  bool offer_shortlist(const routing::service_id &service,
+                       const client_request &request,
+                       candidate_collector &collector);
   [[nodiscard]] routing::exclusion
   exclusion_of(const routing::instance &target, const routing::residency &home,
                const routing::drain_position &place, timestamp now) const;
@@ -163,10 +201,16 @@
                         const std::string &reason, bool was_listed);
   /// Called after a replica was removed from the directory.
   void on_instance_removed(const routing::instance_ptr &gone);
-  void apply_record(routing::instance_record record, bool written_again);
-  void update_slow_start(routing::instance &entry);
+  /// Whether a record arrived as a change or as a part of a listing, which
+  /// repeats what was known and is logged as a whole.
+  enum class record_source : std::uint8_t { change, listing };
+  /// @return false when the record changed nothing.
+  bool apply_record(routing::instance_record record, record_source source);
+  void log_listed(const routing::instance_record &entry) const;
+  void update_slow_start(const routing::instance_ptr &target);
   void end_slow_start(routing::instance &warm);
-  void set_admissions(const routing::service_id &service);
+  /// Applies the configuration of the replica's service.
+  void configure(routing::instance &each) const;
   /// Builds the view of a replica that the selection policies use.
   [[nodiscard]] balance::candidate candidate_of(const routing::instance &each,
                                                 const client_request &request,
@@ -176,7 +220,6 @@
   void add_engine_loads(std::vector<balance::candidate> &candidates,
                         const std::vector<routing::instance_ptr> &engines,
                         double turn_ms, timestamp now) const;
-  void update_prefix_capacity(const routing::service_id &service);
   /// Closes the connections that belong to the earlier incarnation.
   void on_started_again(const routing::instance &before,
                         const routing::instance_record &now);
@@ -190,9 +233,17 @@
   std::shared_ptr<const routing::route_table> routes_;
   routing::instance_directory directory_;
   routing::rejected_entries rejected_;
-  /// Replicas that are no longer listed, but may still run requests of this
-  /// gateway.
-  std::vector<routing::instance_ptr> finishing_;
+  /// Replicas with requests of this gateway in flight; some may no longer be
+  /// listed.
+  std::set<routing::instance_ptr> busy_;
+  /// Replicas in slow start.
+  std::set<routing::instance_ptr> cold_;
+  prompt_holders holders_;
+  /// The requests of the other gateways by `instance::load_key`, their sum, and
+  /// when they were reported.
+  std::unordered_map<std::uint32_t, std::uint32_t> load_by_others_;
+  double total_load_by_others_ = 0;
+  timestamp load_reported_at_{};
   routing::zone_drains drains_;
   /// This gateway's share of the slow-start admissions of all replicas.
   balance::admission_share share_;
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -332,7 +332,7 @@
       co_return false;
     }
     body_.insert(0, turn_->history());
-    gateway_.replicas().learn_prefix_location(turn_->previous_place(), service_,
+    gateway_.replicas().learn_prefix_location(turn_->previous_place(),
                                               request_.prompt);
     co_return true;
   }
@@ -427,10 +427,10 @@
   ++attempts_;
   const routing::incarnation started = target->record.start();
   last_start_ = started;
-  ++target->in_flight;
+  gateway_.replicas().begin_attempt(target);
   const auto connection = co_await gateway_.pool().acquire(target->record);
   if (!connection) {
-    --target->in_flight;
+    gateway_.replicas().end_attempt(target);
     const bool refused = connection.error() == connect_error::refused;
     const std::string_view reason =
         refused ? "connection refused" : "connection failed";
@@ -444,7 +444,7 @@
   if (!co_await await_permit()) {
     gateway_.pool().release(started, active_, duration_ms{0});
     active_.reset();
-    --target->in_flight;
+    gateway_.replicas().end_attempt(target);
     co_return;
   }
   attempt_end end = attempt_outcome::not_sent;
@@ -459,7 +459,7 @@
     gateway_.pool().release(started, active_, duration_ms{0});
   }
   active_.reset();
-  --target->in_flight;
+  gateway_.replicas().end_attempt(target);
   if (permit_ && end == attempt_outcome::not_executed) {
     permit_->return_unused();
   }
@@ -534,7 +534,7 @@
                          route_->kind == routing::request_kind::streaming;
   head_at_ = steady_now();
   if (is_stream) {
-    target.prefixes.record(request_.prompt);
+    gateway_.replicas().record_prefix(placement_.target, request_.prompt);
     const bool from_start = events_forwarded_ == 0;
     relayed_ = {};
     const attempt_end end = co_await relay_stream(*connection, *parser);
@@ -582,7 +582,8 @@
   }
   const auto span =
       static_cast<double>((relayed_.last_at - relayed_.first_at).count());
-  target.prefixes.record(request_.prompt, used_tokens());
+  gateway_.replicas().record_prefix(placement_.target, request_.prompt,
+                                    used_tokens());
   gateway_.replicas().on_turn_answered(
       target,
       {.missing_tokens = static_cast<double>(placement_.missing_tokens),
--- a/src/routing/eligibility.cpp
+++ b/src/routing/eligibility.cpp
@@ -20,21 +20,25 @@
   return "unknown";
 }
 
-exclusion exclusion_of(const instance &target, const residency &home,
-                       const topology &places, const zone_drains &drains,
-                       const drain_position &place) {
-  if (!target.accepts_work()) {
-    return exclusion::leaving;
-  }
+exclusion zone_exclusion(const std::string &zone, const residency &home,
+                         const topology &places, const zone_drains &drains,
+                         const drain_position &place) {
   if (!drains.known()) {
     return exclusion::drains_unknown;
   }
-  if (drains.blocks_requests(target.record.zone, place)) {
+  if (drains.blocks_requests(zone, place)) {
     return exclusion::zone_drained;
   }
-  const bool inside =
-      !home.restricted() || home.allows(places.region_of(target.record.zone));
+  const bool inside = !home.restricted() || home.allows(places.region_of(zone));
   return inside ? exclusion::none : exclusion::outside_home;
 }
 
+exclusion exclusion_of(const instance &target, const residency &home,
+                       const topology &places, const zone_drains &drains,
+                       const drain_position &place) {
+  return target.accepts_work()
+             ? zone_exclusion(target.record.zone, home, places, drains, place)
+             : exclusion::leaving;
+}
+
 } // namespace heathtrestle::routing
--- a/src/routing/eligibility.hpp
+++ b/src/routing/eligibility.hpp
@@ -9,6 +9,7 @@
 #include "routing/zone_drains.hpp"
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace heathtrestle::routing {
@@ -30,6 +31,12 @@
 
 std::string_view name_of(exclusion cause);
 
+/// Checks the reasons that apply to all replicas of a zone alike.
+/// @return the first reason found, or `none`.
+exclusion zone_exclusion(const std::string &zone, const residency &home,
+                         const topology &places, const zone_drains &drains,
+                         const drain_position &place);
+
 /// Checks the lasting reasons. `warming_up` is temporary and decided by
 /// `balance::slow_start`.
 /// @param place position of the request in the gradual drain of a zone; by
--- a/src/routing/incarnation.hpp
+++ b/src/routing/incarnation.hpp
@@ -4,6 +4,7 @@
 
 #include "routing/configuration.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -34,6 +35,10 @@
 public:
   explicit ended_incarnations(std::size_t capacity) : capacity_(capacity) {}
 
+  /// Raises the number of ids that are remembered.
+  void reserve(std::size_t capacity) {
+    capacity_ = std::max(capacity_, capacity);
+  }
   /// Adds an incarnation that has left. Ignored if its start time is unknown.
   void add(const incarnation &ended);
   /// @return 0 if the id is unknown.
--- a/src/routing/instance_directory.cpp
+++ b/src/routing/instance_directory.cpp
@@ -30,7 +30,14 @@
     return add(std::move(record), put_outcome::changed);
   }
   const bool same = present == record;
+  const bool moved = present.zone != record.zone;
+  if (moved) {
+    rings_[present.service][present.zone].remove(*known->second);
+  }
   present = std::move(record);
+  if (moved) {
+    rings_[present.service][present.zone].add(known->second);
+  }
   return same ? put_outcome::unchanged : put_outcome::changed;
 }
 
@@ -38,10 +45,16 @@
                                     put_outcome outcome) {
   auto added = std::make_shared<instance>();
   added->record = std::move(record);
-  added->slow_start =
-      balance::slow_start(stable_hash(added->record.id.value()));
-  by_service_[added->record.service].push_back(added);
+  added->ring_point = stable_hash(added->record.id.value());
+  added->slow_start = balance::slow_start(added->ring_point);
+  added->load_key =
+      static_cast<std::uint32_t>(stable_hash(name_of(added->record.start())));
+  std::vector<instance_ptr> &service = by_service_[added->record.service];
+  added->service_index = service.size();
+  service.push_back(added);
+  rings_[added->record.service][added->record.zone].add(added);
   by_id_.emplace(added->record.id, std::move(added));
+  ended_.reserve(std::max(min_ended_incarnations, by_id_.size()));
   return outcome;
 }
 
@@ -54,10 +67,18 @@
   by_id_.erase(known);
   removed->listed = false;
   ended_.add(removed->record.start());
-  std::erase(by_service_[removed->record.service], removed);
+  remove_from_service(removed);
   return true;
 }
 
+void instance_directory::remove_from_service(const instance_ptr &removed) {
+  std::vector<instance_ptr> &service = by_service_[removed->record.service];
+  service.back()->service_index = removed->service_index;
+  std::swap(service[removed->service_index], service.back());
+  service.pop_back();
+  rings_[removed->record.service][removed->record.zone].remove(*removed);
+}
+
 void instance_directory::replace_all(std::vector<instance_record> records) {
   std::set<instance_id> listed;
   for (const instance_record &record : records) {
@@ -94,6 +115,23 @@
   return found == by_service_.end() ? none : found->second;
 }
 
+const std::map<std::string, replica_ring> &
+instance_directory::rings_of(const service_id &service) const {
+  static const std::map<std::string, replica_ring> none;
+  const auto found = rings_.find(service);
+  return found == rings_.end() ? none : found->second;
+}
+
+instance_ptr instance_directory::find_named(const std::string &name) const {
+  if (const instance_ptr whole = find(instance_id{name})) {
+    return whole;
+  }
+  const std::size_t end_of_id = name.rfind('@');
+  const instance_ptr known = find(instance_id{name.substr(0, end_of_id)});
+  const bool same = known != nullptr && name_of(known->record.start()) == name;
+  return same ? known : nullptr;
+}
+
 std::vector<instance_record> instance_directory::records() const {
   std::vector<instance_record> all;
   all.reserve(by_id_.size());
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -2,14 +2,15 @@
 // this gateway's own observations of each.
 #pragma once
 
-#include "balance/load_estimate.hpp"
 #include "balance/prefix_view.hpp"
 #include "balance/replica_speed.hpp"
 #include "balance/slow_start.hpp"
 #include "base/time.hpp"
 #include "routing/configuration.hpp"
 #include "routing/incarnation.hpp"
+#include "routing/replica_ring.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -39,10 +40,10 @@
   bool operator==(const instance_record &) const = default;
 };
 
-/// Number of removed ids whose latest start time is remembered: several times
-/// the replicas of a large fleet, which may all be replaced while delayed
-/// entries are still in transit.
-inline constexpr std::size_t max_ended_incarnations = 4096;
+/// Number of removed ids whose latest start time is remembered at least. A
+/// larger directory remembers as many as it lists, since all replicas may be
+/// replaced while delayed entries are still in transit.
+inline constexpr std::size_t min_ended_incarnations = 4096;
 
 /// Assumed memory, in tokens, of an engine without a configured capacity: a few
 /// long conversations, so that a wrong assumption costs little.
@@ -54,10 +55,15 @@
   instance_record record;
   /// False once it was removed from the directory.
   bool listed = true;
+  /// Position on the ring of its service and zone.
+  std::uint64_t ring_point = 0;
+  /// Position among the replicas of its service.
+  std::size_t service_index = 0;
+  /// Identifies this incarnation in load reports. Requests of an earlier
+  /// incarnation do not load the later one.
+  std::uint32_t load_key = 0;
   /// In-flight requests of this gateway.
   std::uint32_t in_flight = 0;
-  /// In-flight requests of the other gateways, as last reported.
-  balance::reported_load others;
   /// Connection failures since its last response.
   std::uint32_t consecutive_failures = 0;
   /// Until then it gets new requests only if no other replica is available.
@@ -72,8 +78,6 @@
   [[nodiscard]] bool accepts_work() const { return listed && !record.draining; }
 };
 
-using instance_ptr = std::shared_ptr<instance>;
-
 /// Result of putting a record into the directory.
 enum class put_outcome : std::uint8_t {
   unchanged,
@@ -105,19 +109,32 @@
   /// The replicas of a service, including draining ones.
   [[nodiscard]] const std::vector<instance_ptr> &
   replicas_of(const service_id &service) const;
+  /// The rings of a service's replicas, by zone.
+  [[nodiscard]] const std::map<std::string, replica_ring> &
+  rings_of(const service_id &service) const;
   /// The replicas of all services.
   [[nodiscard]] const std::map<instance_id, instance_ptr> &all() const {
     return by_id_;
   }
+  [[nodiscard]] const std::map<service_id, std::vector<instance_ptr>> &
+  by_service() const {
+    return by_service_;
+  }
+  /// Finds the incarnation with this name; a name without a start time matches
+  /// any incarnation of the id.
+  /// @return null if it is not listed.
+  [[nodiscard]] instance_ptr find_named(const std::string &name) const;
   [[nodiscard]] std::size_t size() const { return by_id_.size(); }
   [[nodiscard]] std::vector<instance_record> records() const;
 
 private:
   put_outcome add(instance_record record, put_outcome outcome);
+  void remove_from_service(const instance_ptr &removed);
 
-  ended_incarnations ended_{max_ended_incarnations};
+  ended_incarnations ended_{min_ended_incarnations};
   std::map<instance_id, instance_ptr> by_id_;
   std::map<service_id, std::vector<instance_ptr>> by_service_;
+  std::map<service_id, std::map<std::string, replica_ring>> rings_;
 };
 
 } // namespace heathtrestle::routing
--- a/tests/forwarding/drain_monitor_test.cpp
+++ b/tests/forwarding/drain_monitor_test.cpp
@@ -72,7 +72,7 @@
     replicas_.put(record);
     const routing::instance_ptr replica =
         replicas_.directory().replicas_of(routing::service_id{"s"}).front();
-    replica->in_flight = 1;
+    replicas_.begin_attempt(replica);
     handlers_.on_listing({.items = {request_for("a")}, .revision = 1});
     monitor_.check(steady_now());
     CPPUNIT_ASSERT(!replicas_.drains().all().at("a").idle);
@@ -80,7 +80,7 @@
     CPPUNIT_ASSERT(
         metrics_.text().find("heathtrestle_gateway_drained_zone_requests 1") !=
         std::string::npos);
-    replica->in_flight = 0;
+    replicas_.end_attempt(replica);
     monitor_.check(steady_now());
     CPPUNIT_ASSERT(replicas_.drains().all().at("a").idle);
   }
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -156,6 +156,17 @@
     return gateway_->replicas().directory().find(routing::instance_id{id});
   }
 
+  void begin_attempts(const routing::instance_ptr &target, int count) {
+    for (int begun = 0; begun < count; ++begun) {
+      gateway_->replicas().begin_attempt(target);
+    }
+  }
+
+  /// The requests of other gateways that were reported at a replica.
+  [[nodiscard]] double reported_at(const std::string &id) const {
+    return gateway_->replicas().load_by_others(*listed(id)).running;
+  }
+
   /// Registers a new incarnation of the replica under the same id.
   void restart_replica(const std::string &id, std::uint64_t born_ms) {
     routing::instance_record record = listed(id)->record;
@@ -413,7 +424,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[0]->received.size());
     const balance::prompt_part part{.id = 0xa, .tokens = 2000};
     gateway_->replicas().learn_prefix_location(
-        {.instance = "r1", .tokens = 100}, routing::service_id{"s"}, {part});
+        {.instance = "r1", .tokens = 100}, {part});
     const auto &known =
         gateway_->replicas().directory().replicas_of(routing::service_id{"s"});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
@@ -423,7 +434,7 @@
     gateway without(io_, options, ledger_);
     without.replicas().put(known.at(0)->record);
     without.replicas().learn_prefix_location({.instance = "r1", .tokens = 2000},
-                                             routing::service_id{"s"}, {part});
+                                             {part});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2000},
                          without.replicas()
                              .directory()
@@ -437,8 +448,7 @@
     const auto missing_after = [&](const std::string &place) {
       restart_replica("r1", ++born_ms_);
       gateway_->replicas().learn_prefix_location(
-          {.instance = place, .tokens = 2000}, routing::service_id{"s"},
-          {part});
+          {.instance = place, .tokens = 2000}, {part});
       return listed("r1")->prefixes.missing_tokens({part});
     };
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2000}, missing_after("r1@100"));
@@ -455,14 +465,14 @@
     restart_replica("r1", 100);
     script_turns(1);
     ask_turns(1); // makes the selector treat it as an engine
-    listed("r1")->in_flight = 3;
+    begin_attempts(listed("r1"), 3);
     wire::SharedLoads shared;
     *shared.mutable_others() = gateway_->replicas().engine_loads();
     gateway_->replicas().apply_shared_loads(shared);
-    CPPUNIT_ASSERT_EQUAL(3.0, listed("r1")->others.running);
+    CPPUNIT_ASSERT_EQUAL(3.0, reported_at("r1"));
     restart_replica("r1", 200);
     gateway_->replicas().apply_shared_loads(shared);
-    CPPUNIT_ASSERT_EQUAL(0.0, listed("r1")->others.running);
+    CPPUNIT_ASSERT_EQUAL(0.0, reported_at("r1"));
   }
 
   /// Restarts r1 while it has a request.
@@ -842,10 +852,11 @@
 
   void requests_at_a_replica_that_left_count_for_its_zone() {
     const routing::instance_ptr left = listed("r1");
-    left->in_flight = 2;
+    begin_attempts(left, 2);
     gateway_->replicas().remove(left->record.id);
     CPPUNIT_ASSERT_EQUAL(2U, gateway_->replicas().running_in("z"));
-    left->in_flight = 0;
+    gateway_->replicas().end_attempt(left);
+    gateway_->replicas().end_attempt(left);
     CPPUNIT_ASSERT_EQUAL(0U, gateway_->replicas().running_in("z"));
   }
 
