Relays in two levels, and a long list of objects packed once for all

Cause: all gateways followed as many storage nodes as losses are tolerated plus one, whatever the size of the fleet: 288 each of 865. A starting gateway got the whole list of replicas at each heartbeat until it had applied it, encoded anew each time; a relay that was still loading its first copy counted as silent after 0.6 s, so that gateways went on to the next and made it load as well, and after 2.5 s listed the store themselves.

Change: with 16 storage nodes or more for each that watches the store, one in four nodes relays to the gateways of its zone and follows a watcher (objects/relay_order). A list of more than 64 objects is deflated once for each revision and not repeated within 2 s; a follower that has it does not decode it. A relay says that it loads its first copy, and followers wait for it. The change log holds as many changes as there are objects.

Deployments with fewer than 48 storage nodes (two losses) keep one level.

--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -71,7 +71,7 @@
   /// object store.
   asio::awaitable<bool> look_up_members(bool may_ask_store);
   void on_message(const wire::Envelope &envelope);
-  [[nodiscard]] std::vector<objects::relay_address> relays() const;
+  [[nodiscard]] objects::relay_order relays() const;
   asio::awaitable<void> drain();
   void on_reload();
 
@@ -118,6 +118,7 @@
   options.selection = {
       .places = places,
       .policies = policies_without(settings.disabled_policies),
+      .gateway_key = stable_hash(settings.name),
       .zone_drain = settings.zone_drain,
       .slow_start = {.overshoot = settings.slow_start_overshoot,
                      .slack = settings.slow_start_slack}};
@@ -147,9 +148,7 @@
       gateway_(io, options_from(settings_, places, binding), ledger_),
       drain_monitor_(gateway_.replicas(), gateway_.metrics()),
       follower_(
-          io,
-          {.address = advertised_rpc(settings_),
-           .relays = static_cast<std::size_t>(settings_.tolerated_losses) + 1},
+          io, {.address = advertised_rpc(settings_)},
           [this] { return relays(); },
           [this](const std::string &address, const wire::Envelope &envelope) {
             send(address, envelope);
@@ -200,13 +199,11 @@
   }
 }
 
-std::vector<objects::relay_address> gateway_process::relays() const {
-  std::vector<objects::relay_address> known;
-  for (const wire::RecordMember &each : ledger_.members().members()) {
-    known.push_back(
-        {.name = each.name(), .address = each.address(), .zone = each.zone()});
-  }
-  return known;
+objects::relay_order gateway_process::relays() const {
+  return objects::relays_of_gateway(
+      records::relay_addresses(ledger_.members()),
+      static_cast<std::size_t>(settings_.tolerated_losses) + 1,
+      settings_.places.zone);
 }
 
 void gateway_process::on_message(const wire::Envelope &envelope) {
--- a/src/objects/change_log.cpp
+++ b/src/objects/change_log.cpp
@@ -12,9 +12,11 @@
 
 namespace {
 
-/// Holds a few seconds of changes while every replica of a large fleet is being
-/// replaced.
-constexpr std::size_t max_changes = 2000;
+/// The log holds at least this many changes, and as many as there are objects
+/// when these are more: a longer one would exceed a list of all objects.
+constexpr std::size_t min_log_capacity = 2000;
+/// Fewer objects are sent one by one.
+constexpr std::size_t packed_above_objects = 64;
 /// Compressing shorter specifications saves nothing.
 constexpr std::size_t deflate_above_bytes = 1000;
 /// Bounds the buffer that a message can make its receiver allocate; the store's
@@ -86,6 +88,23 @@
   return read;
 }
 
+store_result<wire::CopiedObjects> objects_of(const wire::CopiedKind &message) {
+  wire::CopiedObjects all;
+  if (message.inflated_bytes() == 0) {
+    *all.mutable_objects() = message.objects();
+    return all;
+  }
+  if (message.inflated_bytes() > max_inflated_bytes) {
+    return store_error::malformed;
+  }
+  const std::string text =
+      inflated(message.packed_objects(), message.inflated_bytes());
+  if (text.empty() || !all.ParseFromString(text)) {
+    return store_error::malformed;
+  }
+  return all;
+}
+
 void change_log::apply(const listing &listed) {
   if (known_ && listed.revision < revision_) {
     return;
@@ -129,20 +148,43 @@
   } else {
     by_name_[object.name()] = object;
   }
+  packed_.clear();
   changes_.push_back({.revision = revision, .object = std::move(object)});
-  while (changes_.size() > max_changes) {
+  const std::size_t capacity = std::max(min_log_capacity, by_name_.size());
+  while (changes_.size() > capacity) {
     base_ = changes_.front().revision;
     changes_.pop_front();
   }
 }
 
+bool change_log::needs_packed_objects(const follower_revision &have) const {
+  return !reaches(have) && by_name_.size() > packed_above_objects;
+}
+
+void change_log::write_packed(wire::CopiedKind &message) {
+  if (packed_.empty()) {
+    wire::CopiedObjects all;
+    for (const auto &[name, copied] : by_name_) {
+      *all.add_objects() = copied;
+    }
+    const std::string text = all.SerializeAsString();
+    packed_ = deflated(text);
+    inflated_bytes_ = text.size();
+  }
+  message.set_packed_objects(packed_);
+  message.set_inflated_bytes(static_cast<std::uint32_t>(inflated_bytes_));
+}
+
 void change_log::write_update(wire::CopiedKind &message,
-                              const follower_revision &have) const {
+                              const follower_revision &have) {
   message.set_revision(revision_);
   message.set_since(have.revision);
-  const bool in_log = have.known && have.revision >= base_;
-  if (!in_log) {
+  if (!reaches(have)) {
     message.set_whole(true);
+    if (needs_packed_objects(have)) {
+      write_packed(message);
+      return;
+    }
     for (const auto &[name, copied] : by_name_) {
       *message.add_objects() = copied;
     }
--- a/src/objects/change_log.hpp
+++ b/src/objects/change_log.hpp
@@ -1,6 +1,7 @@
 // Keeps a relay's copy of one kind of objects with a bounded log of recent
 // changes. A follower is brought up to date with the changes since its
-// revision, or with all objects when the log does not reach back that far.
+// revision, or with all objects when the log does not reach back that far. A
+// long list of all objects is encoded once for all followers.
 #pragma once
 
 #include "objects/object_store.hpp"
@@ -35,10 +36,12 @@
   [[nodiscard]] bool known() const { return known_; }
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
+  /// True when a follower at `have` can only be sent all objects, and these are
+  /// many.
+  [[nodiscard]] bool needs_packed_objects(const follower_revision &have) const;
   /// Writes the changes that a follower at `have` has not seen, or all objects
   /// when the log does not reach back to its revision.
-  void write_update(wire::CopiedKind &message,
-                    const follower_revision &have) const;
+  void write_update(wire::CopiedKind &message, const follower_revision &have);
 
 private:
   struct log_entry {
@@ -47,6 +50,11 @@
   };
 
   void append(wire::CopiedObject object, std::uint64_t revision);
+  /// True when the log has all changes since the follower's revision.
+  [[nodiscard]] bool reaches(const follower_revision &have) const {
+    return have.known && have.revision >= base_;
+  }
+  void write_packed(wire::CopiedKind &message);
 
   bool known_ = false;
   std::uint64_t revision_ = 0;
@@ -54,8 +62,16 @@
   std::uint64_t base_ = 0;
   std::map<std::string, wire::CopiedObject> by_name_;
   std::deque<log_entry> changes_;
+  /// All objects, deflated; empty when they have changed since they were
+  /// packed.
+  std::string packed_;
+  std::size_t inflated_bytes_ = 0;
 };
 
+/// Returns the objects of a message, whether they are packed or not.
+/// @return `malformed` when they cannot be unpacked.
+store_result<wire::CopiedObjects> objects_of(const wire::CopiedKind &message);
+
 /// Encodes an object for the wire; compresses a long specification.
 wire::CopiedObject to_wire(const object &copied, bool deleted);
 /// @return `malformed` when the specification cannot be decompressed or parsed.
--- a/src/objects/object_follower.cpp
+++ b/src/objects/object_follower.cpp
@@ -5,46 +5,15 @@
 #include "objects/change_log.hpp"
 
 #include <algorithm>
-#include <map>
-#include <tuple>
 #include <utility>
 
 namespace heathtrestle::objects {
 
-std::vector<relay_address>
-sort_by_preference(std::vector<relay_address> relays) {
-  std::sort(relays.begin(), relays.end(),
-            [](const relay_address &left, const relay_address &right) {
-              return std::tuple(stable_hash(left.name), left.name) <
-                     std::tuple(stable_hash(right.name), right.name);
-            });
-  // The first of each zone, then the second of each, and so on.
-  std::map<std::string, std::size_t> count_by_zone;
-  std::vector<std::pair<std::size_t, relay_address>> by_rank;
-  for (relay_address &each : relays) {
-    const std::size_t rank = count_by_zone[each.zone]++;
-    by_rank.emplace_back(rank, std::move(each));
-  }
-  std::stable_sort(by_rank.begin(), by_rank.end(),
-                   [](const auto &left, const auto &right) {
-                     return left.first < right.first;
-                   });
-  std::vector<relay_address> ordered;
-  ordered.reserve(by_rank.size());
-  for (auto &[rank, each] : by_rank) {
-    ordered.push_back(std::move(each));
-  }
-  return ordered;
-}
-
-object_follower::object_follower(
-    asio::io_context &io, follow_options options,
-    std::function<std::vector<relay_address>()> relays, sender send)
+object_follower::object_follower(asio::io_context &io, follow_options options,
+                                 std::function<relay_order()> relays,
+                                 sender send)
     : io_(io), options_(std::move(options)), relays_(std::move(relays)),
-      send_(std::move(send)),
-      first_relay_(stable_hash(options_.address) %
-                   std::max<std::size_t>(options_.relays, 1)),
-      started_at_(steady_now()) {}
+      send_(std::move(send)), started_at_(steady_now()) {}
 
 void object_follower::add(std::string kind, object_watch &watch) {
   kinds_.push_back({.kind = std::move(kind), .watch = &watch});
@@ -70,19 +39,31 @@
   }
 }
 
+void object_follower::restart() {
+  started_at_ = steady_now();
+  current_until_ = {};
+  last_useful_at_ = {};
+  last_loading_at_ = {};
+  relays_tried_ = 0;
+  tick();
+}
+
 void object_follower::switch_to_next_relay() {
-  const auto relays = sort_by_preference(relays_());
-  if (relays.empty()) {
+  const relay_order order = relays_();
+  if (order.relays.empty()) {
+    relay_.clear();
     return;
   }
   const std::string before = relay_;
-  relay_ = relays[(first_relay_ + relays_tried_) % relays.size()].address;
+  const std::size_t first =
+      stable_hash(options_.address) % std::max<std::size_t>(order.preferred, 1);
+  relay_ = order.relays[(first + relays_tried_) % order.relays.size()].address;
   ++relays_tried_;
   last_useful_at_ = steady_now();
   logging::line(logging::event::relay_chosen)
       .field("relay", relay_)
       .field("before", before)
-      .field("known", relays.size())
+      .field("known", order.relays.size())
       .write();
 }
 
@@ -107,12 +88,14 @@
   }
   last_answer_at_ = steady_now();
   bool all_current = true;
+  bool any_loading = false;
   for (const wire::CopiedKind &copied : copies.kinds()) {
     if (object_watch *watch = find_watch(copied.kind())) {
       apply_copy(copied, *watch);
       record_confirmation(copies, copied, *watch);
     }
     all_current = all_current && copied.current();
+    any_loading = any_loading || copied.loading();
   }
   const bool heartbeat =
       static_cast<std::size_t>(copies.kinds_size()) >= kinds_.size();
@@ -120,14 +103,30 @@
     last_useful_at_ = steady_now();
     current_until_ = last_useful_at_ + options_.confirmation_validity;
     relays_tried_ = 0; // the next search starts at the first relay again
+  } else if (heartbeat && any_loading && is_starting()) {
+    // Another relay would have to load its copy as well.
+    last_useful_at_ = steady_now();
+    last_loading_at_ = last_useful_at_;
   }
 }
 
 void object_follower::apply_copy(const wire::CopiedKind &copied,
                                  object_watch &watch) {
+  const bool outdated = watch.known() && copied.revision() <= watch.revision();
+  if (copied.whole() && outdated) {
+    return; // sent twice; decoding a long list is expensive
+  }
+  const auto objects = objects_of(copied);
+  if (!objects) {
+    logging::line(logging::event::copy_rejected)
+        .field("kind", copied.kind())
+        .field("relay", relay_)
+        .write();
+    return;
+  }
   listing listed{.items = {}, .revision = copied.revision()};
   change_list changes{.changes = {}, .revision = copied.revision()};
-  for (const wire::CopiedObject &each : copied.objects()) {
+  for (const wire::CopiedObject &each : objects.value().objects()) {
     auto read = from_wire(each);
     if (!read) {
       logging::line(logging::event::copy_rejected)
@@ -171,11 +170,18 @@
                             duration_ms{copied.confirmed_age_ms()});
 }
 
-bool object_follower::is_current() const {
+bool object_follower::is_starting() const {
   const timestamp now = steady_now();
-  const bool starting = current_until_ == timestamp{} &&
-                        now < started_at_ + options_.startup_grace_period;
-  return starting || now < current_until_;
+  const bool relay_is_loading =
+      last_loading_at_ != timestamp{} &&
+      now < last_loading_at_ + options_.relay_timeout &&
+      now < started_at_ + options_.loading_grace_period;
+  const bool in_grace = now < started_at_ + options_.startup_grace_period;
+  return current_until_ == timestamp{} && (in_grace || relay_is_loading);
+}
+
+bool object_follower::is_current() const {
+  return is_starting() || steady_now() < current_until_;
 }
 
 bool object_follower::no_relay_is_current() const {
--- a/src/objects/object_follower.hpp
+++ b/src/objects/object_follower.hpp
@@ -1,14 +1,15 @@
-// The gateway's side of object replication: follows one storage node as its
-// relay and switches to another when the relay stops answering or cannot watch
-// the object store. While no relay is current, the gateway watches the store
-// itself.
+// The follower's side of object replication: follows one storage node as its
+// relay and switches to another when the relay stops answering or is not
+// current. While no relay is current, the process watches the object store
+// itself. Followers are the gateways and, in a large fleet, most of the relays.
 //
-// All gateways together follow a few nodes, one more than may fail at once, so
+// The nodes that watch the store are a few, one more than may fail at once, so
 // that some gateway hears of every change. The others learn from the revisions
 // in the record group's answers that they are behind (`object_watch::hint`).
 #pragma once
 
 #include "objects/object_watch.hpp"
+#include "objects/relay_order.hpp"
 #include "wire/messages.hpp"
 
 #include <functional>
@@ -17,20 +18,9 @@
 
 namespace heathtrestle::objects {
 
-/// A storage node that can serve as a relay.
-struct relay_address {
-  std::string name;
-  std::string address; // "ip:port"
-  std::string zone;
-
-  bool operator==(const relay_address &) const = default;
-};
-
 struct follow_options {
   /// "ip:port" at which this gateway receives copies.
   std::string address;
-  /// Number of relays that all gateways together follow while none has failed.
-  std::size_t relays = 2;
   duration_ms heartbeat{250};
   /// A relay that has not confirmed its copies as current for this long is
   /// replaced. Covers two heartbeats and the time in which a relay starts to
@@ -43,6 +33,9 @@
   /// After startup the copies count as current for this long without a
   /// confirmation, so that relays are tried before the store is watched.
   duration_ms startup_grace_period{2500};
+  /// The grace period extends to this while a relay is loading its first copy.
+  /// A list of tens of thousands of objects takes seconds.
+  duration_ms loading_grace_period{10000};
 };
 
 class object_follower {
@@ -50,10 +43,10 @@
   using sender =
       std::function<void(const std::string &address, const wire::Envelope &)>;
 
-  /// @param relays returns the storage nodes that are known at present.
+  /// @param relays returns the relays to follow, by the storage nodes that are
+  /// known at present.
   object_follower(asio::io_context &io, follow_options options,
-                  std::function<std::vector<relay_address>()> relays,
-                  sender send);
+                  std::function<relay_order()> relays, sender send);
 
   /// Adds a kind to follow; `watch` must outlive the follower.
   void add(std::string kind, object_watch &watch);
@@ -63,6 +56,9 @@
   /// Sends one heartbeat, after switching relays when the present one has timed
   /// out.
   void tick();
+  /// Follows again after a pause: starts over with the startup grace period,
+  /// and calls `tick`.
+  void restart();
   void on_copies(const wire::ObjectCopies &copies);
 
   /// True while a relay has recently confirmed the copies, and during the
@@ -73,6 +69,7 @@
   [[nodiscard]] bool no_relay_is_current() const;
   /// Address of the followed relay; empty before any is known.
   [[nodiscard]] const std::string &relay() const { return relay_; }
+  [[nodiscard]] duration_ms heartbeat() const { return options_.heartbeat; }
 
 private:
   struct followed_kind {
@@ -80,6 +77,9 @@
     object_watch *watch = nullptr;
   };
 
+  /// True until a relay has been current, for as long as one is likely to
+  /// become it.
+  [[nodiscard]] bool is_starting() const;
   void apply_copy(const wire::CopiedKind &copied, object_watch &watch);
   static void record_confirmation(const wire::ObjectCopies &copies,
                                   const wire::CopiedKind &copied,
@@ -90,26 +90,21 @@
 
   asio::io_context &io_;
   follow_options options_;
-  std::function<std::vector<relay_address>()> relays_;
+  std::function<relay_order()> relays_;
   sender send_;
   std::vector<followed_kind> kinds_;
   std::string relay_;
-  /// Index of the first relay to try, and the number tried since one was
-  /// current.
-  std::size_t first_relay_;
+  /// The number of relays tried since one was current.
   std::size_t relays_tried_ = 0;
   timestamp started_at_;
   /// When the present relay was chosen or last confirmed its copies.
   timestamp last_useful_at_{};
   /// When a relay last sent a message, current or not.
   timestamp last_answer_at_{};
+  /// When the present relay last reported that it is loading its first copy.
+  timestamp last_loading_at_{};
   /// The copies count as current until this time.
   timestamp current_until_{};
 };
 
-/// Sorts relays into the order in which gateways try them, the same on all
-/// gateways. Neighbours are in different zones where possible.
-std::vector<relay_address>
-sort_by_preference(std::vector<relay_address> relays);
-
 } // namespace heathtrestle::objects
--- a/src/objects/object_relay.cpp
+++ b/src/objects/object_relay.cpp
@@ -17,6 +17,9 @@
 /// Watches continue this long after the last heartbeat, so that a returning
 /// follower finds a current copy.
 constexpr duration_ms watch_linger{3000};
+/// A long list of all objects is not sent to a follower again within this time,
+/// in which a small machine receives and applies it.
+constexpr duration_ms packed_resend_after{2000};
 
 /// @return the age in milliseconds, at least 1; 0 when the copy was never
 /// confirmed.
@@ -37,7 +40,7 @@
   for (watch_options &options : watches) {
     const std::string kind = options.kind;
     kind_copy &copy = kinds_[kind];
-    options.enabled = [this] { return has_followers(); };
+    options.enabled = [this] { return has_followers() && !is_fed(); };
     copy.watch = std::make_unique<object_watch>(
         io_, store_, std::vector<listing_source *>(), cache_,
         std::move(options), make_handlers(copy));
@@ -57,7 +60,43 @@
               }};
 }
 
+void object_relay::follow(object_follower &upstream) {
+  upstream_ = &upstream;
+  for (const auto &[kind, copy] : kinds_) {
+    upstream.add(kind, *copy.watch);
+  }
+}
+
+bool object_relay::is_fed() const {
+  return upstream_ != nullptr && !upstream_->relay().empty() &&
+         upstream_->is_current();
+}
+
+bool object_relay::is_current(const kind_copy &copy) const {
+  return copy.log.known() && (is_fed() || copy.watch->is_current());
+}
+
+bool object_relay::is_loading(const kind_copy &copy) const {
+  return !copy.log.known() && (is_fed() || copy.watch->is_loading());
+}
+
+asio::awaitable<void> object_relay::follow_upstream() {
+  asio::steady_timer timer(io_);
+  while (true) {
+    if (has_followers()) {
+      upstream_->tick();
+    } else {
+      follows_upstream_ = false;
+    }
+    timer.expires_after(upstream_->heartbeat());
+    co_await timer.async_wait(as_result);
+  }
+}
+
 void object_relay::start() {
+  if (upstream_ != nullptr) {
+    asio::co_spawn(io_, follow_upstream(), asio::detached);
+  }
   for (const auto &[kind, copy] : kinds_) {
     asio::co_spawn(io_, copy.watch->run(), asio::detached);
     asio::co_spawn(io_, copy.watch->relist_when_behind(), asio::detached);
@@ -73,6 +112,10 @@
 void object_relay::on_follow(const wire::FollowObjects &follow) {
   const timestamp now = steady_now();
   last_heartbeat_at_ = now;
+  if (upstream_ != nullptr && !follows_upstream_) {
+    follows_upstream_ = true;
+    upstream_->restart();
+  }
   follower &from = followers_[follow.reply_to()];
   from.last_heard_at = now;
   for (const wire::FollowedKind &each : follow.kinds()) {
@@ -105,6 +148,16 @@
   }
 }
 
+bool object_relay::is_packed_in_transit(const kind_copy &copy,
+                                        const follower &to,
+                                        const std::string &kind,
+                                        timestamp now) {
+  const auto sent = to.packed_sent_at.find(kind);
+  return sent != to.packed_sent_at.end() &&
+         now < sent->second + packed_resend_after &&
+         copy.log.needs_packed_objects(to.have.at(kind));
+}
+
 void object_relay::send_update(const std::string &address, follower &to,
                                const wire::FollowObjects *heartbeat) {
   wire::Envelope envelope;
@@ -113,8 +166,9 @@
   if (heartbeat != nullptr) {
     copies.set_heartbeat_sent_ms(heartbeat->sent_ms());
   }
+  const timestamp now = steady_now();
   for (auto &[kind, have] : to.have) {
-    const kind_copy &copy = kinds_.at(kind);
+    kind_copy &copy = kinds_.at(kind);
     const bool is_behind = copy.log.known() &&
                            (!have.known || have.revision < copy.log.revision());
     if (!is_behind && heartbeat == nullptr) {
@@ -122,9 +176,17 @@
     }
     wire::CopiedKind &message = *copies.add_kinds();
     message.set_kind(kind);
-    message.set_current(copy.log.known() && copy.watch->is_current());
+    message.set_current(is_current(copy));
+    message.set_loading(is_loading(copy));
     message.set_confirmed_age_ms(confirmed_age(*copy.watch));
-    if (is_behind) {
+    if (is_behind && is_packed_in_transit(copy, to, kind, now)) {
+      // Neither confirms an older copy nor moves it to this revision.
+      message.set_since(copy.log.revision());
+      message.set_revision(copy.log.revision());
+    } else if (is_behind) {
+      if (copy.log.needs_packed_objects(have)) {
+        to.packed_sent_at[kind] = now;
+      }
       copy.log.write_update(message, have);
       // A lost message is repaired by the next heartbeat, which carries the
       // follower's actual revision.
--- a/src/objects/object_relay.hpp
+++ b/src/objects/object_relay.hpp
@@ -1,9 +1,11 @@
-// A storage node's side of object replication: watches the object store on
-// behalf of the gateways that follow it, which limits the store to a few
-// watchers per zone. Watches only while it has followers.
+// A storage node's side of object replication: keeps copies of the watched
+// objects for the processes that follow it. Most relays of a large fleet follow
+// another relay in turn (`relay_order`); the others watch the object store,
+// which limits it to a few watchers. Works only while it has followers.
 #pragma once
 
 #include "objects/change_log.hpp"
+#include "objects/object_follower.hpp"
 #include "objects/object_watch.hpp"
 
 #include <functional>
@@ -25,6 +27,10 @@
   object_relay(asio::io_context &io, object_store &store, std::string self,
                std::vector<watch_options> watches, sender send);
 
+  /// Makes this relay follow others.
+  /// @param upstream must outlive the relay. While it knows no relay or none is
+  /// current, this one watches the store itself.
+  void follow(object_follower &upstream);
   /// Starts the watches, which stay idle until a gateway follows.
   void start();
   /// Answers a follower's heartbeat.
@@ -37,11 +43,25 @@
   };
   struct follower {
     std::map<std::string, follower_revision> have;
+    /// When all objects of a kind were last sent in packed form.
+    std::map<std::string, timestamp> packed_sent_at;
     timestamp last_heard_at{};
   };
 
   object_watch::handlers make_handlers(kind_copy &copy);
   [[nodiscard]] bool has_followers() const;
+  /// True while the relay that this one follows is current.
+  [[nodiscard]] bool is_fed() const;
+  [[nodiscard]] bool is_current(const kind_copy &copy) const;
+  /// True while the first copy of a kind is being fetched.
+  [[nodiscard]] bool is_loading(const kind_copy &copy) const;
+  /// Follows the upstream relay while there are followers; runs until the
+  /// process ends.
+  asio::awaitable<void> follow_upstream();
+  /// True when the follower was sent all objects a moment ago and has probably
+  /// not applied them yet.
+  static bool is_packed_in_transit(const kind_copy &copy, const follower &to,
+                                   const std::string &kind, timestamp now);
   void schedule_push();
   void push();
   /// Sends a follower the changes that it has not received.
@@ -57,6 +77,8 @@
   object_cache cache_;
   std::map<std::string, kind_copy> kinds_;
   std::map<std::string, follower> followers_;
+  object_follower *upstream_ = nullptr;
+  bool follows_upstream_ = false;
   timestamp last_heartbeat_at_{};
   bool push_posted_ = false;
 };
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -138,6 +138,10 @@
   /// True while other processes may rely on the copy: the store is watched and,
   /// where confirmations are enabled, has recently confirmed the copy.
   [[nodiscard]] bool is_current() const;
+  /// True while the first listing is under way and no call has failed.
+  [[nodiscard]] bool is_loading() const {
+    return !known_ && reachable_ && enabled();
+  }
   /// When the copy was last known to be as new as the store; the epoch for
   /// never.
   [[nodiscard]] timestamp confirmed_at() const { return confirmed_at_; }
--- a/src/records/group_directory.cpp
+++ b/src/records/group_directory.cpp
@@ -78,6 +78,16 @@
   return members;
 }
 
+std::vector<objects::relay_address>
+relay_addresses(const wire::RecordMembers &members) {
+  std::vector<objects::relay_address> nodes;
+  for (const wire::RecordMember &each : members.members()) {
+    nodes.push_back(
+        {.name = each.name(), .address = each.address(), .zone = each.zone()});
+  }
+  return nodes;
+}
+
 objects::listing to_listing(const wire::RecordMembers &members) {
   objects::listing listed;
   for (const wire::RecordMember &each : members.members()) {
--- a/src/records/group_directory.hpp
+++ b/src/records/group_directory.hpp
@@ -6,6 +6,7 @@
 
 #include "objects/object_cache.hpp"
 #include "objects/object_store.hpp"
+#include "objects/relay_order.hpp"
 #include "records/record_runtime.hpp"
 #include "runtime/asio.hpp"
 
@@ -28,6 +29,9 @@
 std::optional<wire::RecordMember>
 member_from(const boost::json::value &document);
 wire::RecordMembers members_from(const objects::listing &listed);
+/// The members as nodes that relay watched objects.
+std::vector<objects::relay_address>
+relay_addresses(const wire::RecordMembers &members);
 /// Returns the members as a listing, for a peer that cannot reach the store.
 objects::listing to_listing(const wire::RecordMembers &members);
 
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -292,6 +292,12 @@
     }
     return;
   }
+  if (envelope.has_object_copies()) {
+    if (copies_handler_) {
+      copies_handler_(envelope.object_copies());
+    }
+    return;
+  }
   const std::size_t number = envelope.record_partition();
   if (number >= partitions_.size()) {
     return; // the sender is configured with more partitions
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -65,6 +65,14 @@
   void on_follow(std::function<void(const wire::FollowObjects &)> handler) {
     follow_handler_ = std::move(handler);
   }
+  /// Sets the handler of copies from the relay that this node follows.
+  void on_copies(std::function<void(const wire::ObjectCopies &)> handler) {
+    copies_handler_ = std::move(handler);
+  }
+  /// The storage nodes that are known.
+  [[nodiscard]] wire::RecordMembers members() const {
+    return partitions_.front().node->members();
+  }
   /// Sends a message that belongs to no partition.
   void send_to(const std::string &address, const wire::Envelope &envelope) {
     transport_->send(address, envelope);
@@ -128,6 +136,7 @@
   std::vector<partition> partitions_;
   std::set<std::size_t> partitions_with_input_;
   std::function<void(const wire::FollowObjects &)> follow_handler_;
+  std::function<void(const wire::ObjectCopies &)> copies_handler_;
   std::unique_ptr<rpc::transport> transport_;
 
   std::mutex mutex_;
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -3,6 +3,7 @@
 #include "base/random.hpp"
 #include "http/status_server.hpp"
 #include "logging/log.hpp"
+#include "objects/object_follower.hpp"
 #include "objects/object_relay.hpp"
 #include "objects/object_watch.hpp"
 #include "objects/peer_listing.hpp"
@@ -160,12 +161,24 @@
   group_directory directory(io, *binding.store, sources, runtime,
                             settings.first_start);
   asio::co_spawn(io, directory.run(), asio::detached);
-  objects::object_relay relay(
-      io, *binding.store, runtime.self().address(),
-      relayed_kinds(settings, binding),
-      [&runtime](const std::string &address, const wire::Envelope &envelope) {
-        runtime.send_to(address, envelope);
-      });
+  const auto send = [&runtime](const std::string &address,
+                               const wire::Envelope &envelope) {
+    runtime.send_to(address, envelope);
+  };
+  const auto watchers = static_cast<std::size_t>(settings.tolerated_losses) + 1;
+  objects::object_follower upstream(
+      io, {.address = runtime.self().address()},
+      [&runtime, &settings, watchers] {
+        return objects::relays_of_node(relay_addresses(runtime.members()),
+                                       watchers, settings.name);
+      },
+      send);
+  objects::object_relay relay(io, *binding.store, runtime.self().address(),
+                              relayed_kinds(settings, binding), send);
+  relay.follow(upstream);
+  runtime.on_copies([&upstream](const wire::ObjectCopies &copies) {
+    upstream.on_copies(copies);
+  });
   runtime.on_follow(
       [&relay](const wire::FollowObjects &follow) { relay.on_follow(follow); });
   relay.start();
--- a/tests/objects/object_relay_test.cpp
+++ b/tests/objects/object_relay_test.cpp
@@ -306,12 +306,13 @@
     follower_ = std::make_unique<object_follower>(
         io_,
         follow_options{.address = "gateway:1",
-                       .relays = 1,
                        .heartbeat = duration_ms{5},
                        .relay_timeout = duration_ms{40},
                        .confirmation_validity = duration_ms{60},
                        .startup_grace_period = start_patience_},
-        [known = std::move(known)] { return known; },
+        [known = std::move(known)] {
+          return relay_order{.relays = known, .preferred = 1};
+        },
         [this](const std::string &address, const wire::Envelope &envelope) {
           to_relay(address, envelope);
         });
