Storage node: a step no longer compares all members; idle gateways tick rarely

Cause: each step of each partition compared all members with all (119 nodes, ten partitions, 20 steps a second at rest), and each reply and hello hashed the whole member list. Gateways woke 40 times a second to look after requests that most of them do not have.

Change: only nodes with several identities are checked, and the hash is kept until the members change. A gateway without pending requests ticks twice a second and wakes when one is added.

--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -261,6 +261,9 @@
 std::uint64_t ledger_client::add_pending(pending_ptr entry) {
   const std::uint64_t id = next_id_++;
   pending_.emplace(id, std::move(entry));
+  if (options_.on_pending) {
+    options_.on_pending();
+  }
   return id;
 }
 
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -42,6 +42,8 @@
   /// per `loads_interval`. Empty for a client that reports none.
   std::function<wire::ReplicaLoads()> loads;
   duration_ms loads_interval{200};
+  /// Called when a request becomes pending.
+  std::function<void()> on_pending;
   /// Called with the loads of the other gateways, which come with the reply to
   /// a load report.
   std::function<void(const wire::SharedLoads &)> on_loads;
@@ -96,6 +98,12 @@
   /// every `tick_interval`.
   void tick();
   static constexpr duration_ms tick_interval{25};
+  /// True when no request is pending and no probe is due, so that calls of
+  /// `tick` may pause until `on_pending` is called.
+  [[nodiscard]] bool idle() const {
+    return pending_.empty() && first_unanswered_ == timestamp{} &&
+           breaker_.is_served();
+  }
 
 private:
   struct pending {
--- a/src/records/partitioned_ledger.cpp
+++ b/src/records/partitioned_ledger.cpp
@@ -17,6 +17,9 @@
 
 /// Interval of the probes while the group is unreachable.
 constexpr duration_ms probe_interval{100};
+/// Interval of the checks while nothing is pending. Most gateways of a large
+/// fleet are idle most of the time, and each wake-up costs processor time.
+constexpr duration_ms idle_tick_interval{500};
 
 } // namespace
 
@@ -24,10 +27,11 @@
                                        const ledger_options &options,
                                        std::size_t partitions,
                                        const ledger_client::sender &send)
-    : io_(io) {
+    : io_(io), tick_timer_(io) {
   for (std::size_t number = 0; number < partitions; ++number) {
     ledger_options own = options;
     own.partition = static_cast<std::uint32_t>(number);
+    own.on_pending = [this] { end_pause(); };
     if (number != 0) {
       own.loads = {}; // load reports are summed by the leader of partition 0
     }
@@ -250,14 +254,24 @@
 }
 
 asio::awaitable<void> partitioned_ledger::run() {
-  asio::steady_timer timer(io_);
   while (true) {
-    timer.expires_after(ledger_client::tick_interval);
-    co_await timer.async_wait(as_result);
+    const bool all_idle = std::ranges::all_of(
+        clients_, [](const auto &client) { return client->idle(); });
+    paused_ = all_idle;
+    tick_timer_.expires_after(all_idle ? idle_tick_interval
+                                       : ledger_client::tick_interval);
+    co_await tick_timer_.async_wait(as_result);
+    paused_ = false;
     for (const auto &client : clients_) {
       client->tick();
     }
   }
 }
 
+void partitioned_ledger::end_pause() {
+  if (std::exchange(paused_, false)) {
+    tick_timer_.cancel();
+  }
+}
+
 } // namespace heathtrestle::records
--- a/src/records/partitioned_ledger.hpp
+++ b/src/records/partitioned_ledger.hpp
@@ -70,8 +70,13 @@
                                   std::shared_ptr<turn_search> search);
   /// @param key a program or a tenant.
   ledger_client &client_of(const std::string &key);
+  /// Makes the clients tick at their interval again.
+  void end_pause();
 
   asio::io_context &io_;
+  asio::steady_timer tick_timer_;
+  /// True while `run` waits for the longer interval of idle clients.
+  bool paused_ = false;
   std::vector<std::unique_ptr<ledger_client>> clients_;
   group_failure_detector detector_;
   timestamp next_probe_{};
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -69,6 +69,7 @@
                options_.raft, now, random);
   learn_members(recovered.members);
   members_[self_id_] = {.record = self_, .heard = now};
+  members_hash_.reset();
 }
 
 void record_node::bootstrap(timestamp now, std::uint64_t random) {
@@ -101,12 +102,12 @@
   const auto known = members_.find(id);
   if (known == members_.end()) {
     members_[id] = {.record = record, .heard = now};
-    members_changed_ = true;
+    on_members_changed();
     return;
   }
   if (known->second.record.address() != record.address()) {
     known->second.record = record;
-    members_changed_ = true;
+    on_members_changed();
   }
   known->second.heard = std::max(known->second.heard, now);
 }
@@ -341,9 +342,8 @@
   for (const wire::RecordRequestItem &item : request.items()) {
     reply.add_refused(item.id());
   }
-  const wire::RecordMembers listed = members();
-  if (hash_of(listed) != request.members_hash()) {
-    *reply.mutable_members() = listed;
+  if (members_hash() != request.members_hash()) {
+    *reply.mutable_members() = members();
   }
   send(request.reply_to(), std::move(envelope));
 }
@@ -360,9 +360,8 @@
   learn_member(hello.self(), now);
   wire::Envelope envelope;
   wire::RecordMembers &answer = *envelope.mutable_record_members();
-  const wire::RecordMembers known = members();
-  if (hash_of(known) != hello.members_hash()) {
-    answer = known;
+  if (members_hash() != hello.members_hash()) {
+    answer = members();
   }
   answer.set_leader_address(leader_address());
   send(hello.self().address(), std::move(envelope));
@@ -525,9 +524,8 @@
                                     timestamp now) {
   reply.set_leader_address(self_.address());
   *reply.mutable_seen() = seen_;
-  const wire::RecordMembers known = members();
-  if (known_members != hash_of(known)) {
-    *reply.mutable_members() = known;
+  if (known_members != members_hash()) {
+    *reply.mutable_members() = members();
   }
   if (pending_load_replies_.erase(address) > 0) {
     *reply.mutable_loads() = loads_.loads_of_others(address, now);
@@ -631,7 +629,7 @@
       now + (has_hint ? options_.idle_hello_interval : options_.hello_interval);
   wire::RecordHello hello;
   *hello.mutable_self() = self_;
-  hello.set_members_hash(hash_of(members()));
+  hello.set_members_hash(members_hash());
   for (const auto &[id, known] : members_) {
     const std::string &address = known.record.address();
     if (id != self_id_ && (!has_hint || address == leader_hint_)) {
@@ -836,33 +834,53 @@
 }
 
 void record_node::detect_dead_replicas(timestamp now) {
-  const auto has_successor = [this, now](const replica_id &id) {
-    return std::ranges::any_of(members_, [id, now](const auto &entry) {
-      const auto &[other, state] = entry;
-      return other.node == id.node && other != id &&
-             now < state.heard + successor_heard_within;
-    });
-  };
   // Includes the voters: a restarted node no longer lists a member that it
   // declared dead before, but its log may still count it as a voter.
-  std::set<replica_id> candidates;
-  for (const auto &[id, known] : members_) {
-    candidates.insert(id);
+  std::vector<replica_id> dead;
+  const auto check = [this, now, &dead](const replica_id &id) {
+    const bool silent = now >= last_heard(id) + dead_after_silence;
+    const bool gone = id != self_id_ && !log_->is_dead(id) && silent &&
+                      has_successor(id, now);
+    if (gone) {
+      dead.push_back(id);
+    }
+  };
+  // Called in every step, so only nodes with several identities are checked.
+  // They are neighbours in the order of the ids.
+  for (auto it = members_.begin(); it != members_.end(); ++it) {
+    const auto next = std::next(it);
+    const bool has_later =
+        next != members_.end() && next->first.node == it->first.node;
+    const bool has_earlier =
+        it != members_.begin() && std::prev(it)->first.node == it->first.node;
+    if (has_later || has_earlier) {
+      check(it->first);
+    }
   }
   for (const replica_id &voter : log_->counted_voters()) {
-    candidates.insert(voter);
+    if (!members_.contains(voter)) {
+      check(voter);
+    }
   }
-  for (const replica_id &id : candidates) {
-    const bool silent = now >= last_heard(id) + dead_after_silence;
-    const bool gone =
-        id != self_id_ && !log_->is_dead(id) && silent && has_successor(id);
-    if (gone) {
-      log_->declare_dead(id);
-      members_changed_ = members_.erase(id) > 0 || members_changed_;
+  for (const replica_id &id : dead) {
+    log_->declare_dead(id);
+    if (members_.erase(id) > 0) {
+      on_members_changed();
     }
   }
 }
 
+bool record_node::has_successor(const replica_id &id, timestamp now) const {
+  auto it = members_.lower_bound({id.node, boot_id{0}});
+  for (; it != members_.end() && it->first.node == id.node; ++it) {
+    const bool heard_lately = now < it->second.heard + successor_heard_within;
+    if (it->first != id && heard_lately) {
+      return true;
+    }
+  }
+  return false;
+}
+
 timestamp record_node::last_heard(const replica_id &id) const {
   const auto known = members_.find(id);
   return known == members_.end() ? started_ : known->second.heard;
@@ -977,6 +995,18 @@
   return leader ? address_of(*leader) : std::string();
 }
 
+void record_node::on_members_changed() {
+  members_changed_ = true;
+  members_hash_.reset();
+}
+
+std::uint64_t record_node::members_hash() {
+  if (!members_hash_) {
+    members_hash_ = hash_of(members());
+  }
+  return *members_hash_;
+}
+
 wire::RecordMembers record_node::members() const {
   wire::RecordMembers all;
   for (const auto &[id, known] : members_) {
@@ -996,7 +1026,9 @@
     const bool silent = now >= known.heard + forget_after;
     return id != self_id_ && silent && !log_->is_voter(id);
   });
-  members_changed_ = members_changed_ || members_.size() != before;
+  if (members_.size() != before) {
+    on_members_changed();
+  }
 }
 
 void record_node::send(std::string address, wire::Envelope envelope) {
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -269,6 +269,11 @@
   /// Declares a replica dead when its node has come back with another identity,
   /// i.e. has lost its disk.
   void detect_dead_replicas(timestamp now);
+  /// True when another identity of the replica's node was heard lately.
+  [[nodiscard]] bool has_successor(const replica_id &id, timestamp now) const;
+  /// Called after each change of `members_`.
+  void on_members_changed();
+  [[nodiscard]] std::uint64_t members_hash();
   /// Time of the last message from a replica; the start of this process for a
   /// voter that is not in the member list.
   [[nodiscard]] timestamp last_heard(const replica_id &id) const;
@@ -287,6 +292,8 @@
   std::optional<raft::consensus> log_;
   std::map<replica_id, member> members_;
   bool members_changed_ = false;
+  /// Empty when `members_` has changed since it was computed.
+  std::optional<std::uint64_t> members_hash_;
   std::set<std::string> retiring_;
   wire::SeenRevisions seen_;
   load_reports loads_;
