One budget in bytes for what a gateway holds for its open requests

What callers saw: nothing bounded the sum of request bodies, histories and answers that a gateway holds; a client or replica that reads slowly could take it over its memory. A client that took no byte kept its connection and its answer for good. A client that read slowly held up the replica's stream, which replicas cut off after some seconds.

Change: byte_budget, two fifths of the machine's memory (limits.memory_mb). Bodies (by their length before they are read), histories, answers and untaken pieces are booked. The body is no longer copied where there is no history.

--- a/src/forwarding/client_session.cpp
+++ b/src/forwarding/client_session.cpp
@@ -5,6 +5,7 @@
 #include "logging/log.hpp"
 
 #include <array>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,6 +15,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
 
 namespace heathtrestle::forwarding {
 
@@ -25,6 +27,11 @@
 constexpr duration_ms idle_slack{1000};
 constexpr duration_ms linger_limit{500};
 constexpr duration_ms accept_pause{20};
+/// Booked for a request besides what it carries: buffers and its state.
+constexpr std::size_t request_overhead_bytes = 48U << 10U;
+/// Another gateway can probably serve the request.
+constexpr duration_ms memory_retry{50};
+constexpr std::uint32_t status_unavailable = 503;
 
 std::uint32_t status_for(boost::system::error_code failure) {
   constexpr std::uint32_t bad_request = 400;
@@ -87,20 +94,21 @@
 
 asio::awaitable<void> client_session::run() {
   const auto self = shared_from_this();
-  enable_liveness_checks(socket_, gateway_.options().pool.liveness);
+  enable_liveness_checks(socket_, gateway_.options().client_liveness);
   enter(phase::idle, duration_ms{15000});
   asio::co_spawn(gateway_.io(), watch_deadline(), asio::detached);
   bool open = true;
   while (open) {
-    std::optional<client_request> request = co_await read_request();
-    if (!request) {
+    std::optional<received_request> received = co_await read_request();
+    if (!received) {
       break;
     }
     constexpr duration_ms unbounded{std::chrono::hours(24)};
     enter(phase::serving, unbounded);
     gateway_.on_request_started();
     const auto exchange = std::make_shared<request_exchange>(
-        gateway_, socket_, std::move(*request));
+        gateway_, socket_, std::move(received->request),
+        std::move(received->held));
     open = co_await exchange->run();
     gateway_.on_request_finished();
     open = open && !gateway_.draining();
@@ -118,7 +126,8 @@
   }
 }
 
-asio::awaitable<std::optional<client_request>> client_session::read_request() {
+asio::awaitable<std::optional<client_session::received_request>>
+client_session::read_request() {
   const routing::client_limits limits = gateway_.routes()
                                             ? gateway_.routes()->limits()
                                             : routing::client_limits{};
@@ -140,16 +149,58 @@
     co_return std::nullopt;
   }
   const timestamp arrived = steady_now();
+  byte_budget::booking held = gateway_.open_booking();
+  if (!has_memory_for(parser)) {
+    gateway_.metrics().on_refused("memory");
+    co_await reject_with(status_unavailable, memory_retry);
+    co_return std::nullopt;
+  }
+  held.resize(request_overhead_bytes + parser.content_length().value_or(0));
+  if (!co_await read_body(parser, held)) {
+    co_return std::nullopt;
+  }
+  co_return received_request{.request = interpret(parser.release(), arrived,
+                                                  gateway_.options().headers),
+                             .held = std::move(held)};
+}
+
+bool client_session::has_memory_for(const request_parser &parser) const {
+  const auto &head = parser.get();
+  const auto &routes = gateway_.routes();
+  const auto to_view = [](boost::beast::string_view text) {
+    return std::string_view(text.data(), text.size());
+  };
+  const routing::route *route =
+      routes ? routes->find(to_view(head[beast_http::field::host]),
+                            to_view(head.target()))
+             : nullptr;
+  const std::size_t bytes =
+      request_overhead_bytes + parser.content_length().value_or(0);
+  return gateway_.held_bytes().admits(route != nullptr ? route->priority : 0,
+                                      bytes);
+}
+
+asio::awaitable<bool> client_session::read_body(request_parser &parser,
+                                                byte_budget::booking &held) {
   if (!parser.is_done()) {
     enter(phase::body, gateway_.options().body_timeout);
-    const auto [failure, bytes] =
-        co_await beast_http::async_read(socket_, buffer_, parser, as_result);
+  }
+  while (!parser.is_done()) {
+    const auto [failure, bytes] = co_await beast_http::async_read_some(
+        socket_, buffer_, parser, as_result);
     if (failure) {
       co_await reject(failure);
-      co_return std::nullopt;
+      co_return false;
+    }
+    const std::size_t needed =
+        request_overhead_bytes + parser.get().body().size();
+    if (needed > held.bytes() && !held.try_resize(needed)) {
+      gateway_.metrics().on_refused("memory");
+      co_await reject_with(status_unavailable, memory_retry);
+      co_return false;
     }
   }
-  co_return interpret(parser.release(), arrived, gateway_.options().headers);
+  co_return true;
 }
 
 asio::awaitable<bool> client_session::read_header(request_parser &parser) {
@@ -184,7 +235,8 @@
   }
 }
 
-asio::awaitable<void> client_session::reject_with(std::uint32_t status) {
+asio::awaitable<void> client_session::reject_with(std::uint32_t status,
+                                                  duration_ms retry_after) {
   logging::line(logging::event::http_request_rejected)
       .field("status", status)
       .write();
@@ -192,6 +244,11 @@
   beast_http::response<beast_http::empty_body> answer;
   answer.result(status);
   answer.set(beast_http::field::connection, "close");
+  if (retry_after.count() > 0) {
+    answer.set(beast_http::field::retry_after,
+               fmt::format("{:.3f}",
+                           std::chrono::duration<double>(retry_after).count()));
+  }
   answer.prepare_payload();
   const auto [lost, written] =
       co_await beast_http::async_write(socket_, answer, as_result);
--- a/src/forwarding/client_session.hpp
+++ b/src/forwarding/client_session.hpp
@@ -45,13 +45,27 @@
   /// has timed out.
   asio::awaitable<void> watch_deadline();
 
-  asio::awaitable<std::optional<client_request>> read_request();
+  /// A request and the memory that is booked for it.
+  struct received_request {
+    client_request request;
+    byte_budget::booking held;
+  };
+
+  asio::awaitable<std::optional<received_request>> read_request();
   asio::awaitable<bool> read_header(request_parser &parser);
+  /// Reads the body and books it.
+  /// @return false when it was not read; the client has been answered.
+  asio::awaitable<bool> read_body(request_parser &parser,
+                                  byte_budget::booking &held);
+  /// Decides whether there is memory for the request whose header was read.
+  [[nodiscard]] bool has_memory_for(const request_parser &parser) const;
   asio::awaitable<void> reject(boost::system::error_code failure);
   /// Answers a request that could not be parsed. Then half-closes the
   /// connection and discards further input, since closing with unread bytes
   /// would reset the connection and could lose the answer.
-  asio::awaitable<void> reject_with(std::uint32_t status);
+  /// @param retry_after the value of Retry-After; zero for none.
+  asio::awaitable<void> reject_with(std::uint32_t status,
+                                    duration_ms retry_after = {});
 
   gateway &gateway_;
   tcp::socket socket_;
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -15,7 +15,8 @@
                  records::turn_ledger &ledger)
     : io_(io), options_(std::move(options)), ledger_(ledger),
       tenants_(options_.tenants), pool_(io, options_.pool),
-      replicas_(options_.selection, pool_), turns_(options_.turn_cache_bytes) {
+      replicas_(options_.selection, pool_), turns_(options_.turn_cache_bytes),
+      held_bytes_(std::make_shared<byte_budget>(options_.held_bytes_limit)) {
   if (!options_.selection.policies.patience) {
     options_.plan.wait_fraction = 0;
   }
@@ -113,7 +114,34 @@
   return store_away + duration_ms{spread};
 }
 
+void gateway::on_request_started() {
+  ++open_requests_;
+  check_held_bytes();
+}
+
+void gateway::on_request_finished() {
+  --open_requests_;
+  check_held_bytes();
+}
+
+void gateway::check_held_bytes() {
+  const byte_budget::state now = held_bytes_->current();
+  if (now == held_bytes_state_) {
+    return;
+  }
+  logging::line(logging::event::held_bytes_changed)
+      .field("state", name_of(now))
+      .field("before", name_of(held_bytes_state_))
+      .field("held_bytes", held_bytes_->held())
+      .field("limit_bytes", held_bytes_->limit())
+      .field("open_requests", open_requests_)
+      .write();
+  held_bytes_state_ = now;
+}
+
 void gateway::refresh_metrics() {
+  metrics_.set_held_bytes(static_cast<double>(held_bytes_->held()),
+                          static_cast<double>(held_bytes_->limit()));
   metrics_.set_open_requests(static_cast<double>(open_requests_));
   const auto age = tenants_.freshness().age(steady_now());
   metrics_.set_configuration_age(
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -4,7 +4,9 @@
 #pragma once
 
 #include "forwarding/attempt_plan.hpp"
+#include "forwarding/byte_budget.hpp"
 #include "forwarding/client_request.hpp"
+#include "forwarding/client_stream.hpp"
 #include "forwarding/gateway_metrics.hpp"
 #include "forwarding/header_names.hpp"
 #include "forwarding/replica_selector.hpp"
@@ -36,6 +38,11 @@
   duration_ms body_timeout{10000};
   /// Largest answer in bytes that is buffered before it is forwarded.
   std::uint64_t answer_limit = 16U << 20U;
+  /// Bytes that may be held for open requests (`byte_budget`); 0 for no limit.
+  std::size_t held_bytes_limit = 0;
+  client_stream_options client_streams;
+  /// A client that reads slowly must not be taken for a dead one.
+  liveness_options client_liveness{.unacknowledged = client_stall_limit};
   /// Capacity of the turn cache in bytes.
   std::size_t turn_cache_bytes = 32U << 20U;
 };
@@ -123,8 +130,13 @@
   /// Updates the metrics that are computed on request.
   void refresh_metrics();
 
-  void on_request_started() { ++open_requests_; }
-  void on_request_finished() { --open_requests_; }
+  void on_request_started();
+  void on_request_finished();
+  /// Books memory that is held for a request.
+  [[nodiscard]] byte_budget::booking open_booking() const {
+    return byte_budget::booking(held_bytes_);
+  }
+  [[nodiscard]] const byte_budget &held_bytes() const { return *held_bytes_; }
   void add_session(client_session &session) { sessions_.insert(&session); }
   void remove_session(client_session &session) { sessions_.erase(&session); }
 
@@ -137,6 +149,8 @@
   [[nodiscard]] gateway_metrics &metrics() { return metrics_; }
 
 private:
+  /// Logs a change in the state of the byte budget.
+  void check_held_bytes();
   /// Clears the turn cache when home regions have changed, and logs home
   /// regions that contain no known zone.
   void apply_home_regions(const routing::configuration &settings);
@@ -155,6 +169,9 @@
   records::turn_cache turns_;
   gateway_metrics metrics_;
   std::mt19937_64 random_{std::random_device{}()};
+  /// Shared with the bookings, which may outlive the gateway.
+  std::shared_ptr<byte_budget> held_bytes_;
+  byte_budget::state held_bytes_state_ = byte_budget::state::free;
   std::set<client_session *> sessions_;
   std::size_t open_requests_ = 0;
   bool draining_ = false;
--- a/src/forwarding/gateway_metrics.cpp
+++ b/src/forwarding/gateway_metrics.cpp
@@ -82,6 +82,16 @@
                          .Help("Requests being served")
                          .Register(*registry_)
                          .Add({})),
+      held_bytes_(prometheus::BuildGauge()
+                      .Name("heathtrestle_gateway_held_bytes")
+                      .Help("Bytes held for open requests")
+                      .Register(*registry_)
+                      .Add({})),
+      held_bytes_limit_(prometheus::BuildGauge()
+                            .Name("heathtrestle_gateway_held_bytes_limit")
+                            .Help("Bytes that may be held for open requests")
+                            .Register(*registry_)
+                            .Add({})),
       configuration_version_(
           prometheus::BuildGauge()
               .Name("heathtrestle_gateway_configuration_version")
@@ -169,6 +179,11 @@
   zone_drains_age_.Set(age_seconds);
 }
 
+void gateway_metrics::set_held_bytes(double held, double limit) {
+  held_bytes_.Set(held);
+  held_bytes_limit_.Set(limit);
+}
+
 void gateway_metrics::set_open_requests(double count) {
   open_requests_.Set(count);
 }
--- a/src/forwarding/gateway_metrics.hpp
+++ b/src/forwarding/gateway_metrics.hpp
@@ -42,6 +42,8 @@
   void set_zone_drains(std::size_t zones, std::uint32_t requests,
                        double age_seconds);
   void set_open_requests(double count);
+  /// The bytes held for open requests, and their limit; 0 for none.
+  void set_held_bytes(double held, double limit);
   void set_configuration_version(double version);
   /// The number of gateways that report their load, including this one.
   void set_sharing_gateways(double count);
@@ -76,6 +78,8 @@
   prometheus::Gauge &drained_zone_requests_;
   prometheus::Gauge &zone_drains_age_;
   prometheus::Gauge &open_requests_;
+  prometheus::Gauge &held_bytes_;
+  prometheus::Gauge &held_bytes_limit_;
   prometheus::Gauge &configuration_version_;
   prometheus::Gauge &sharing_gateways_;
   prometheus::Gauge &rejected_entries_;
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -115,6 +115,8 @@
   gateway_options options;
   options.name = settings.name;
   options.headers = binding.headers;
+  options.held_bytes_limit =
+      settings.memory_mb * (std::size_t{1} << 20U) / 5 * 2;
   options.selection = {
       .places = places,
       .policies = policies_without(settings.disabled_policies),
--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -16,6 +16,7 @@
   constexpr double longest_window = 600;
   constexpr double most_overshoot = 100;
   constexpr double most_slack = 10000;
+  constexpr std::uint64_t most_memory_mb = 1U << 20U;
   schema.text("node.name", settings.name,
               "name of this process, unique among the gateways", true);
   routing::describe_places(schema, settings.places);
@@ -78,6 +79,10 @@
   schema.choices("policy.disabled", settings.disabled_policies, policy_names(),
                  "mechanisms of choice that are switched off, to measure what "
                  "they are worth");
+  schema.integer("limits.memory_mb", settings.memory_mb, 0, most_memory_mb,
+                 "megabytes of memory that this process may use; two fifths of "
+                 "them may be held for open requests, beyond that new ones are "
+                 "refused; 0 for no limit");
   schema.choice("log.level", settings.log_level,
                 {"debug", "info", "warning", "error"},
                 "least severity that is logged");
--- a/src/forwarding/gateway_settings.hpp
+++ b/src/forwarding/gateway_settings.hpp
@@ -50,6 +50,8 @@
   double slow_start_slack = 0;
   /// Names of the selection mechanisms that are disabled.
   std::vector<std::string> disabled_policies;
+  /// Memory of the machine in megabytes; 0 if unknown.
+  std::uint64_t memory_mb = 0;
   std::string log_level = "info";
   std::uint64_t log_lines = 200;
 };
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -9,7 +9,6 @@
 #include <utility>
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -91,10 +90,11 @@
 } // namespace
 
 request_exchange::request_exchange(gateway &shared, tcp::socket &client,
-                                   client_request request)
+                                   client_request request,
+                                   byte_budget::booking held)
     : gateway_(shared), client_(client), request_(std::move(request)),
-      routes_(shared.routes()), deadline_timer_(shared.io()),
-      pause_timer_(shared.io()) {}
+      held_(std::move(held)), routes_(shared.routes()),
+      deadline_timer_(shared.io()), pause_timer_(shared.io()) {}
 
 asio::awaitable<bool> request_exchange::run() {
   const auto self = shared_from_this();
@@ -123,13 +123,15 @@
   if (const auto *part = gateway_.rotation().next(*route_)) {
     service_ = *part;
   }
-  body_ = request_.message.body();
   if (co_await acquire_permissions()) {
     co_await run_attempts();
   }
   if (turn_) {
     turn_->settle(used_tokens());
   }
+  if (stream_) {
+    client_gone_ = !co_await stream_->flush() || client_gone_;
+  }
   disarm();
   log_end();
   co_return keep_open_ && !client_gone_;
@@ -331,7 +333,10 @@
     if (!co_await check_storage_residency()) {
       co_return false;
     }
-    body_.insert(0, turn_->history());
+    if (!turn_->history().empty()) {
+      body_with_history_ = turn_->history() + request_.message.body();
+      held_.grow(turn_->history().size() + body_with_history_.size());
+    }
     gateway_.replicas().learn_prefix_location(turn_->previous_place(),
                                               request_.prompt);
     co_return true;
@@ -595,6 +600,11 @@
       from_start);
 }
 
+std::string_view request_exchange::body() const {
+  return body_with_history_.empty() ? std::string_view(request_.message.body())
+                                    : std::string_view(body_with_history_);
+}
+
 asio::awaitable<bool> request_exchange::send(const routing::instance &target,
                                              upstream_connection &connection) {
   const header_names &names = gateway_.options().headers;
@@ -623,10 +633,10 @@
   if (last_event_id_) {
     outgoing.set(names.last_event_id, std::to_string(*last_event_id_));
   }
-  outgoing.body() = {body_.data(), body_.size()};
+  outgoing.body() = {body().data(), body().size()};
   const bool framed = incoming.has_content_length() || incoming.chunked();
-  if (framed || !body_.empty()) {
-    outgoing.content_length(body_.size());
+  if (framed || !body().empty()) {
+    outgoing.content_length(body().size());
   }
   const auto [failure, written] =
       co_await beast_http::async_write(connection.socket, outgoing, as_result);
@@ -707,7 +717,9 @@
     if (!whole) {
       co_return false;
     }
-    body.append(chunk.data(), chunk.size() - parser.get().body().size);
+    const std::size_t filled = chunk.size() - parser.get().body().size;
+    body.append(chunk.data(), filled);
+    held_.grow(filled);
   }
   co_return true;
 }
@@ -781,16 +793,16 @@
     co_return true;
   }
   const bool first = events_forwarded_ == events.size();
-  const auto [failure, written] = co_await asio::async_write(
-      client_, beast_http::make_chunk(asio::buffer(fresh)), as_result);
+  stream_->write(fmt::format("{:x}\r\n{}\r\n", fresh.size(), fresh));
   if (first) {
     first_event_at_ = steady_now();
     gateway_.metrics().on_first_event(
         route_->name,
         std::chrono::duration<double>(steady_now() - request_.arrived).count());
   }
-  client_gone_ = client_gone_ || failure;
-  co_return !failure;
+  const bool has_room = co_await stream_->wait_for_room();
+  client_gone_ = client_gone_ || !has_room;
+  co_return has_room;
 }
 
 void request_exchange::recycle(const routing::instance &target,
@@ -831,9 +843,22 @@
   keep_open_ = keep_open_ && !gateway_.should_close_connections();
   message.keep_alive(keep_open_);
   message.prepare_payload();
-  const auto [failure, written] =
-      co_await beast_http::async_write(client_, message, as_result);
-  client_gone_ = client_gone_ || failure;
+  co_await write_message(message);
+}
+
+template <typename Message>
+asio::awaitable<bool> request_exchange::write_message(Message &message) {
+  beast_http::serializer<false, typename Message::body_type,
+                         typename Message::fields_type>
+      serializer(message);
+  stall_guard guard(client_, gateway_.options().client_streams.stall_limit);
+  while (!serializer.is_done() && !client_gone_) {
+    const auto [failure, written] =
+        co_await beast_http::async_write_some(client_, serializer, as_result);
+    guard.on_progress();
+    client_gone_ = client_gone_ || failure;
+  }
+  co_return !client_gone_;
 }
 
 template <typename Message>
@@ -862,9 +887,7 @@
   message.keep_alive(keep_open_);
   message.body() = std::move(body);
   message.prepare_payload();
-  const auto [failure, written] =
-      co_await beast_http::async_write(client_, message, as_result);
-  client_gone_ = client_gone_ || failure;
+  co_await write_message(message);
 }
 
 asio::awaitable<bool>
@@ -879,6 +902,8 @@
   const auto [failure, written] =
       co_await beast_http::async_write_header(client_, serializer, as_result);
   client_gone_ = client_gone_ || failure;
+  stream_ = std::make_shared<client_stream>(client_, gateway_.open_booking(),
+                                            gateway_.options().client_streams);
   co_return !failure;
 }
 
@@ -903,10 +928,10 @@
     co_return false;
   }
   reason_ = answered_reason;
-  const auto [failure, written] = co_await asio::async_write(
-      client_, beast_http::make_chunk_last(), as_result);
-  client_gone_ = client_gone_ || failure;
-  co_return !failure;
+  stream_->write("0\r\n\r\n");
+  const bool written = co_await stream_->flush();
+  client_gone_ = client_gone_ || !written;
+  co_return written;
 }
 
 void request_exchange::log_attempt(const routing::instance &target,
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -11,6 +11,7 @@
 
 #include "forwarding/attempt_plan.hpp"
 #include "forwarding/client_request.hpp"
+#include "forwarding/client_stream.hpp"
 #include "forwarding/event_stream.hpp"
 #include "forwarding/gateway.hpp"
 #include "forwarding/program_turn.hpp"
@@ -21,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -29,8 +31,9 @@
 
 class request_exchange : public std::enable_shared_from_this<request_exchange> {
 public:
-  request_exchange(gateway &shared, tcp::socket &client,
-                   client_request request);
+  /// @param held the memory that is booked for the request.
+  request_exchange(gateway &shared, tcp::socket &client, client_request request,
+                   byte_budget::booking held);
 
   /// Serves the request.
   /// @return true when the connection may carry another request.
@@ -106,6 +109,8 @@
                            std::string_view region) const;
   asio::awaitable<attempt_end> exchange_with(routing::instance &target,
                                              connection_ptr connection);
+  /// The body that is sent to replicas.
+  [[nodiscard]] std::string_view body() const;
   asio::awaitable<bool> send(const routing::instance &target,
                              upstream_connection &connection);
   /// Reads response heads until the one that belongs to this request. Answers
@@ -122,7 +127,13 @@
                                   response_parser &parser, std::string &body);
   asio::awaitable<attempt_end> relay_stream(upstream_connection &connection,
                                             response_parser &parser);
+  /// Passes events on, and waits while the client has too many untaken ones.
+  /// @return false when the client is gone.
   asio::awaitable<bool> forward_events(std::vector<stream_event> events);
+  /// Writes a message as fast as the client takes it.
+  /// @return false when the client is gone or takes nothing any more.
+  template <typename Message>
+  asio::awaitable<bool> write_message(Message &message);
   void recycle(const routing::instance &target, connection_ptr connection,
                const response_head &head, bool keep_alive);
   void forget_ended(const send_step &step);
@@ -150,6 +161,7 @@
   gateway &gateway_;
   tcp::socket &client_;
   client_request request_;
+  byte_budget::booking held_;
   std::shared_ptr<const routing::route_table> routes_;
   const routing::route *route_ = nullptr;
   routing::service_id service_;
@@ -168,7 +180,10 @@
 
   std::optional<send_permit> permit_; // for tenants with a quota
   std::optional<program_turn> turn_;  // for requests that need a grant
-  std::string body_;                  // the body sent to the replica
+  /// The history and the input, when there is a history; else empty.
+  std::string body_with_history_;
+  /// Set once the head of a stream was sent.
+  std::shared_ptr<client_stream> stream_;
 
   // The answer.
   bool keep_open_ = true;
