Objects are kept as JSON text, not as parsed values

Documents share their text now and are parsed where they are read; a packed list is not parsed to check it; memory that a long list took is given back to the system.

--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -15,6 +15,7 @@
 #include "rpc/transport.hpp"
 #include "runtime/process_signals.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <memory>
 #include <optional>
@@ -25,6 +26,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include <malloc.h>
+
 namespace heathtrestle::forwarding {
 
 namespace {
@@ -210,7 +213,17 @@
 
 void gateway_process::on_message(const wire::Envelope &envelope) {
   if (envelope.has_object_copies()) {
-    follower_.on_copies(envelope.object_copies());
+    const wire::ObjectCopies &copies = envelope.object_copies();
+    follower_.on_copies(copies);
+    const bool long_list =
+        std::ranges::any_of(copies.kinds(), [](const wire::CopiedKind &each) {
+          return each.inflated_bytes() > 0;
+        });
+    if (long_list) {
+      // What the list took while it was decoded is given back once the message
+      // is gone.
+      asio::post(io_, [] { ::malloc_trim(0); });
+    }
   } else {
     ledger_.on_message(envelope);
   }
@@ -272,8 +285,8 @@
                 std::vector<routing::instance_record> records;
                 std::vector<routing::rejected_entry> rejected;
                 for (const objects::object &each : listed.items) {
-                  auto read =
-                      binding_.read_instance(each.name, each.specification);
+                  auto read = binding_.read_instance(
+                      each.name, each.specification.parse());
                   if (read) {
                     records.push_back(std::move(read).value());
                   } else {
@@ -291,7 +304,7 @@
                   return;
                 }
                 auto read = binding_.read_instance(
-                    id.value(), changed.changed.specification);
+                    id.value(), changed.changed.specification.parse());
                 if (read) {
                   gateway_.replicas().put(std::move(read).value());
                 } else {
@@ -304,7 +317,7 @@
   if (object.name != binding_.configuration_name) {
     return;
   }
-  auto read = binding_.read_configuration(object.specification);
+  auto read = binding_.read_configuration(object.specification.parse());
   if (!read) {
     logging::line(logging::event::routes_rejected)
         .field("object", object.name)
--- a/src/objects/change_log.cpp
+++ b/src/objects/change_log.cpp
@@ -4,8 +4,6 @@
 #include <set>
 #include <utility>
 
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
 #include <zlib.h>
 
 namespace heathtrestle::objects {
@@ -53,7 +51,7 @@
   if (deleted) {
     return message;
   }
-  std::string text = boost::json::serialize(copied.specification);
+  std::string text(copied.specification.text());
   if (text.size() > deflate_above_bytes) {
     std::string packed = deflated(text);
     if (!packed.empty()) {
@@ -65,7 +63,8 @@
   return message;
 }
 
-store_result<change> from_wire(const wire::CopiedObject &message) {
+store_result<change> from_wire(const wire::CopiedObject &message,
+                               specification_check check) {
   change read;
   read.changed.name = message.name();
   read.changed.revision = message.revision();
@@ -76,13 +75,15 @@
   if (message.inflated_bytes() > max_inflated_bytes) {
     return store_error::malformed;
   }
-  const std::string text =
+  read.changed.specification = document::from_text(
       message.inflated_bytes() > 0
           ? inflated(message.specification(), message.inflated_bytes())
-          : message.specification();
-  boost::system::error_code ec;
-  read.changed.specification = boost::json::parse(text, ec);
-  if (ec) {
+          : message.specification());
+  const document &specification = read.changed.specification;
+  const bool malformed = check == specification_check::parse &&
+                         specification.text() != "null" &&
+                         specification.parse().is_null();
+  if (malformed) {
     return store_error::malformed;
   }
   return read;
--- a/src/objects/change_log.hpp
+++ b/src/objects/change_log.hpp
@@ -74,7 +74,11 @@
 
 /// Encodes an object for the wire; compresses a long specification.
 wire::CopiedObject to_wire(const object &copied, bool deleted);
+/// Whether the specification of a received object is parsed to check it.
+enum class specification_check : std::uint8_t { parse, trust };
 /// @return `malformed` when the specification cannot be decompressed or parsed.
-store_result<change> from_wire(const wire::CopiedObject &message);
+store_result<change>
+from_wire(const wire::CopiedObject &message,
+          specification_check check = specification_check::parse);
 
 } // namespace heathtrestle::objects
--- a/src/objects/object_cache.cpp
+++ b/src/objects/object_cache.cpp
@@ -66,9 +66,10 @@
 std::string encode_listing(const listing &objects) {
   json::array items;
   for (const object &each : objects.items) {
-    items.push_back(json::object{{"name", each.name},
-                                 {"revision", each.revision},
-                                 {"specification", each.specification}});
+    items.push_back(
+        json::object{{"name", each.name},
+                     {"revision", each.revision},
+                     {"specification", each.specification.parse()}});
   }
   return json::serialize(json::object{{"revision", objects.revision},
                                       {"items", std::move(items)}});
--- a/src/objects/object_follower.cpp
+++ b/src/objects/object_follower.cpp
@@ -124,10 +124,15 @@
         .write();
     return;
   }
+  // A packed list is protected by the checksum of its compression, and its
+  // sender has written the documents itself.
+  const specification_check check = copied.inflated_bytes() > 0
+                                        ? specification_check::trust
+                                        : specification_check::parse;
   listing listed{.items = {}, .revision = copied.revision()};
   change_list changes{.changes = {}, .revision = copied.revision()};
   for (const wire::CopiedObject &each : objects.value().objects()) {
-    auto read = from_wire(each);
+    auto read = from_wire(each, check);
     if (!read) {
       logging::line(logging::event::copy_rejected)
           .field("kind", copied.kind())
--- a/src/objects/object_store.hpp
+++ b/src/objects/object_store.hpp
@@ -4,6 +4,7 @@
 
 #include "base/error.hpp"
 #include "base/time.hpp"
+#include "objects/document.hpp"
 
 #include <cstdint>
 #include <string>
@@ -32,8 +33,8 @@
   std::string name;
   /// The store's counter at the object's last change.
   std::uint64_t revision = 0;
-  boost::json::value specification;
-  boost::json::value status;
+  document specification;
+  document status;
   bool is_deleting = false;
 };
 
--- a/src/records/group_directory.cpp
+++ b/src/records/group_directory.cpp
@@ -71,7 +71,7 @@
 wire::RecordMembers members_from(const objects::listing &listed) {
   wire::RecordMembers members;
   for (const objects::object &each : listed.items) {
-    if (auto member = member_from(each.specification)) {
+    if (auto member = member_from(each.specification.parse())) {
       *members.add_members() = std::move(*member);
     }
   }
@@ -198,7 +198,8 @@
   if (!group) {
     co_return;
   }
-  const json::object *fields = group.value().specification.if_object();
+  const json::value named = group.value().specification.parse();
+  const json::object *fields = named.if_object();
   const bool own = fields != nullptr && text_of(*fields, "founder") == self;
   search_.bootstrapped_elsewhere = !own;
   if (own && !runtime_.has_group()) {
--- a/src/records/retirement_watch.cpp
+++ b/src/records/retirement_watch.cpp
@@ -41,7 +41,7 @@
 
 void retirement_watch::apply_request(const objects::object &request) {
   reports_.on_request(request.name, request.revision,
-                      binding_.retirement_completed(request.status));
+                      binding_.retirement_completed(request.status.parse()));
 }
 
 void retirement_watch::on_listing(const objects::listing &listed) {
