Relays drain bursts of changes, list long kinds without losing followers, and queue few long lists

At 1.65 s all three watchers listed again, which takes longer than the 0.6 s after which followers leave; all relays and gateways moved at once, relays sent a list of 0.5 MB to each arrival, and 13 storage nodes exceeded their 180 MB (246 MB at the peak).

Change: after an answer of 100 changes or more the next call follows at once. A relay that lists a long kind again says so, and its followers stay for up to 2.5 s. A relay sends at most 16 long lists at a time.

--- a/src/objects/change_log.hpp
+++ b/src/objects/change_log.hpp
@@ -35,6 +35,7 @@
   /// False until the first listing.
   [[nodiscard]] bool known() const { return known_; }
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  [[nodiscard]] std::size_t size() const { return by_name_.size(); }
 
   /// True when a follower at `have` can only be sent all objects, and these are
   /// many.
--- a/src/objects/object_follower.cpp
+++ b/src/objects/object_follower.cpp
@@ -101,12 +101,27 @@
       static_cast<std::size_t>(copies.kinds_size()) >= kinds_.size();
   if (heartbeat && all_current) {
     last_useful_at_ = steady_now();
+    last_current_at_ = last_useful_at_;
     current_until_ = last_useful_at_ + options_.confirmation_validity;
     relays_tried_ = 0; // the next search starts at the first relay again
-  } else if (heartbeat && any_loading && is_starting()) {
-    // Another relay would have to load its copy as well.
-    last_useful_at_ = steady_now();
-    last_loading_at_ = last_useful_at_;
+  } else if (heartbeat && any_loading) {
+    on_loading();
+  }
+}
+
+// Another relay would probably have to load its copy as well.
+void object_follower::on_loading() {
+  const timestamp now = steady_now();
+  const bool was_current = last_current_at_ != timestamp{} &&
+                           now < last_current_at_ + options_.loading_validity;
+  if (was_current) {
+    current_until_ = std::max(
+        current_until_, std::min(now + options_.confirmation_validity,
+                                 last_current_at_ + options_.loading_validity));
+  }
+  if (was_current || is_starting()) {
+    last_useful_at_ = now;
+    last_loading_at_ = now;
   }
 }
 
--- a/src/objects/object_follower.hpp
+++ b/src/objects/object_follower.hpp
@@ -36,6 +36,9 @@
   /// The grace period extends to this while a relay is loading its first copy.
   /// A list of tens of thousands of objects takes seconds.
   duration_ms loading_grace_period{10000};
+  /// The copies count as current for so long after the last confirmation while
+  /// the relay lists a long kind again. Other relays are likely to list it too.
+  duration_ms loading_validity{2500};
 };
 
 class object_follower {
@@ -77,6 +80,8 @@
     object_watch *watch = nullptr;
   };
 
+  /// Called when the relay answered that it is loading a copy.
+  void on_loading();
   /// True until a relay has been current, for as long as one is likely to
   /// become it.
   [[nodiscard]] bool is_starting() const;
@@ -101,8 +106,10 @@
   timestamp last_useful_at_{};
   /// When a relay last sent a message, current or not.
   timestamp last_answer_at_{};
-  /// When the present relay last reported that it is loading its first copy.
+  /// When the present relay last reported that it is loading a copy.
   timestamp last_loading_at_{};
+  /// When a relay last confirmed the copies as current.
+  timestamp last_current_at_{};
   /// The copies count as current until this time.
   timestamp current_until_{};
 };
--- a/src/objects/object_relay.cpp
+++ b/src/objects/object_relay.cpp
@@ -20,6 +20,13 @@
 /// A long list of all objects is not sent to a follower again within this time,
 /// in which a small machine receives and applies it.
 constexpr duration_ms packed_resend_after{2000};
+/// Followers that are sent a long list at the same time. Each list is queued
+/// until it is sent, and all followers may come at once when another relay is
+/// lost.
+constexpr std::ptrdiff_t max_packed_in_transit = 16;
+/// Objects that the store lists in one answer. A longer list takes so long that
+/// followers are told to wait for it.
+constexpr std::size_t listing_page_objects = 500;
 
 /// @return the age in milliseconds, at least 1; 0 when the copy was never
 /// confirmed.
@@ -77,7 +84,10 @@
 }
 
 bool object_relay::is_loading(const kind_copy &copy) const {
-  return !copy.log.known() && (is_fed() || copy.watch->is_loading());
+  if (!copy.log.known()) {
+    return is_fed() || copy.watch->is_loading();
+  }
+  return copy.watch->is_loading() && copy.log.size() > listing_page_objects;
 }
 
 asio::awaitable<void> object_relay::follow_upstream() {
@@ -123,8 +133,11 @@
     if (known == kinds_.end()) {
       continue;
     }
-    from.have[each.kind()] = {.known = each.known(),
-                              .revision = each.revision()};
+    follower_revision &have = from.have[each.kind()];
+    have = {.known = each.known(), .revision = each.revision()};
+    if (!known->second.log.needs_packed_objects(have)) {
+      from.packed_sent_at.erase(each.kind());
+    }
     known->second.watch->hint(each.hinted());
   }
   send_update(follow.reply_to(), from, &follow);
@@ -148,14 +161,23 @@
   }
 }
 
-bool object_relay::is_packed_in_transit(const kind_copy &copy,
-                                        const follower &to,
-                                        const std::string &kind,
-                                        timestamp now) {
+bool object_relay::is_in_transit(const follower &to, const std::string &kind,
+                                 timestamp now) {
   const auto sent = to.packed_sent_at.find(kind);
   return sent != to.packed_sent_at.end() &&
-         now < sent->second + packed_resend_after &&
-         copy.log.needs_packed_objects(to.have.at(kind));
+         now < sent->second + packed_resend_after;
+}
+
+bool object_relay::may_send_packed(const follower &to, const std::string &kind,
+                                   timestamp now) const {
+  if (is_in_transit(to, kind, now)) {
+    return false;
+  }
+  const auto in_transit =
+      std::ranges::count_if(followers_, [&kind, now](const auto &each) {
+        return is_in_transit(each.second, kind, now);
+      });
+  return in_transit < max_packed_in_transit;
 }
 
 void object_relay::send_update(const std::string &address, follower &to,
@@ -179,12 +201,13 @@
     message.set_current(is_current(copy));
     message.set_loading(is_loading(copy));
     message.set_confirmed_age_ms(confirmed_age(*copy.watch));
-    if (is_behind && is_packed_in_transit(copy, to, kind, now)) {
+    const bool packed = is_behind && copy.log.needs_packed_objects(have);
+    if (packed && !may_send_packed(to, kind, now)) {
       // Neither confirms an older copy nor moves it to this revision.
       message.set_since(copy.log.revision());
       message.set_revision(copy.log.revision());
     } else if (is_behind) {
-      if (copy.log.needs_packed_objects(have)) {
+      if (packed) {
         to.packed_sent_at[kind] = now;
       }
       copy.log.write_update(message, have);
--- a/src/objects/object_relay.hpp
+++ b/src/objects/object_relay.hpp
@@ -53,15 +53,22 @@
   /// True while the relay that this one follows is current.
   [[nodiscard]] bool is_fed() const;
   [[nodiscard]] bool is_current(const kind_copy &copy) const;
-  /// True while the first copy of a kind is being fetched.
+  /// True while the copy of a kind is being fetched, for the first time or
+  /// because changes were missed.
   [[nodiscard]] bool is_loading(const kind_copy &copy) const;
   /// Follows the upstream relay while there are followers; runs until the
   /// process ends.
   asio::awaitable<void> follow_upstream();
-  /// True when the follower was sent all objects a moment ago and has probably
-  /// not applied them yet.
-  static bool is_packed_in_transit(const kind_copy &copy, const follower &to,
-                                   const std::string &kind, timestamp now);
+  /// Whether the follower may be sent all objects in packed form now: it has
+  /// probably applied the last ones, and not too many other followers are being
+  /// sent theirs.
+  [[nodiscard]] bool may_send_packed(const follower &to,
+                                     const std::string &kind,
+                                     timestamp now) const;
+  /// True while a packed list that was sent to the follower is probably in
+  /// transit.
+  static bool is_in_transit(const follower &to, const std::string &kind,
+                            timestamp now);
   void schedule_push();
   void push();
   /// Sends a follower the changes that it has not received.
--- a/src/objects/object_watch.cpp
+++ b/src/objects/object_watch.cpp
@@ -39,6 +39,9 @@
     if (answer) {
       recovering_ = false;
       on_answer();
+      if (answer.value().changes.size() >= options_.burst_changes) {
+        next_call_ = {};
+      }
       apply_newer_changes(answer.value());
       continue;
     }
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -9,6 +9,7 @@
 #include "runtime/asio.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <random>
@@ -33,6 +34,10 @@
   /// Shortest time from one watch call to the next; changes that are closer
   /// together are fetched by one call.
   duration_ms min_poll_interval{150};
+  /// After an answer with at least this many changes the next call follows at
+  /// once: the store limits the size of an answer, and forgets changes that are
+  /// not fetched in time.
+  std::size_t burst_changes = 100;
   duration_ms initial_backoff{100};
   duration_ms max_backoff{1000};
   /// Returns whether to watch the store at present; empty for always. While
@@ -138,9 +143,10 @@
   /// True while other processes may rely on the copy: the store is watched and,
   /// where confirmations are enabled, has recently confirmed the copy.
   [[nodiscard]] bool is_current() const;
-  /// True while the first listing is under way and no call has failed.
+  /// True while a listing is under way that the copy needs to be current, and
+  /// the store answers.
   [[nodiscard]] bool is_loading() const {
-    return !known_ && reachable_ && enabled();
+    return !in_sync_ && reachable_ && enabled();
   }
   /// When the copy was last known to be as new as the store; the epoch for
   /// never.
--- a/tests/objects/object_relay_test.cpp
+++ b/tests/objects/object_relay_test.cpp
@@ -51,6 +51,12 @@
   void disconnect() { reachable = false; }
   /// When true, watches never return and listings time out.
   bool unresponsive = false;
+  /// When true, the next watch fails because its history is gone.
+  bool forgets_history = false;
+  /// How long a listing takes.
+  duration_ms listing_time{0};
+  /// Changes that one watch returns at most.
+  std::size_t answer_limit = 100000;
 
   asio::awaitable<store_result<listing>> list(std::string) override {
     ++listings;
@@ -62,6 +68,10 @@
     if (!reachable) {
       co_return store_error::no_answer;
     }
+    if (listing_time.count() > 0) {
+      asio::steady_timer timer(io_, listing_time);
+      co_await timer.async_wait(as_result);
+    }
     listing all{.items = {}, .revision = revision_};
     for (const auto &[name, each] : objects_) {
       all.items.push_back(each);
@@ -72,17 +82,22 @@
   watch(std::string, std::uint64_t revision, duration_ms) override {
     ++watches;
     asio::steady_timer timer(io_);
-    while (reachable && (unresponsive || revision_ <= revision)) {
+    while (reachable && !forgets_history &&
+           (unresponsive || revision_ <= revision)) {
       timer.expires_after(duration_ms{1});
       co_await timer.async_wait(as_result);
     }
+    if (std::exchange(forgets_history, false)) {
+      co_return store_error::history_gone;
+    }
     if (!reachable) {
       co_return store_error::no_answer;
     }
     change_list changes{.changes = {}, .revision = revision_};
     for (const auto &[at, each] : log_) {
-      if (at > revision) {
+      if (at > revision && changes.changes.size() < answer_limit) {
         changes.changes.push_back(each);
+        changes.revision = at;
       }
     }
     co_return changes;
@@ -206,6 +221,11 @@
   CPPUNIT_TEST(incomplete_copy_is_not_confirmed);
   CPPUNIT_TEST(changes_of_other_kinds_do_not_prevent_confirmation);
   CPPUNIT_TEST(gateway_without_relays_confirms_with_the_store);
+  CPPUNIT_TEST(relay_that_lists_a_long_kind_again_is_kept);
+  CPPUNIT_TEST(burst_of_changes_is_fetched_without_pauses);
+  CPPUNIT_TEST(long_list_is_sent_once_in_packed_form);
+  CPPUNIT_TEST(relay_follows_another_relay);
+  CPPUNIT_TEST(long_lists_are_sent_to_few_followers_at_a_time);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -215,6 +235,9 @@
   std::map<std::string, std::unique_ptr<object_relay>> relays_;
   std::set<std::string> dead_relays_;
   int copies_to_drop_ = 0;
+  int packed_lists_ = 0;
+  /// Followers of the relays that follow others.
+  std::map<std::string, std::unique_ptr<object_follower>> upstreams_;
   object_cache cache_;
   std::set<std::string> seen_;
   std::unique_ptr<object_watch> watch_;
@@ -222,10 +245,13 @@
 
   static constexpr const char *first = "relay-a:1";
   static constexpr const char *second = "relay-b:1";
+  static constexpr const char *gateway_address = "gateway:1";
 
   /// Adds a relay that confirms its copy every `interval`; zero for never.
+  /// @param upstream the follower by which it follows another relay, if any.
   void add_relay(const std::string &address, fake_object_store &store,
-                 duration_ms interval = duration_ms{0}) {
+                 duration_ms interval = duration_ms{0},
+                 object_follower *upstream = nullptr) {
     relays_[address] = std::make_unique<object_relay>(
         io_, store, address,
         std::vector<watch_options>{{.kind = things,
@@ -233,15 +259,26 @@
                                     .initial_backoff = duration_ms{1},
                                     .enabled_check_interval = duration_ms{1},
                                     .confirm_interval = interval}},
-        [this, address](const std::string &, const wire::Envelope &envelope) {
+        [this, address](const std::string &to, const wire::Envelope &envelope) {
           const bool lost = dead_relays_.contains(address) ||
                             (copies_to_drop_ > 0 && copies_to_drop_-- > 0);
-          if (!lost) {
+          for (const wire::CopiedKind &each :
+               envelope.object_copies().kinds()) {
+            packed_lists_ += each.inflated_bytes() > 0 ? 1 : 0;
+          }
+          if (!lost && to != gateway_address) {
+            asio::post(io_, [this, to, envelope] {
+              upstreams_.at(to)->on_copies(envelope.object_copies());
+            });
+          } else if (!lost) {
             asio::post(io_, [this, envelope] {
               follower_->on_copies(envelope.object_copies());
             });
           }
         });
+    if (upstream != nullptr) {
+      relays_[address]->follow(*upstream);
+    }
     relays_[address]->start();
   }
 
@@ -283,7 +320,7 @@
     watch_ = std::make_unique<object_watch>(
         io_, store_, std::vector<listing_source *>{}, cache_,
         watch_options{.kind = things,
-                      .min_poll_interval = duration_ms{1},
+                      .min_poll_interval = poll_interval_,
                       .initial_backoff = duration_ms{1},
                       .enabled = [this] { return !follower_->is_current(); },
                       .enabled_check_interval = duration_ms{1},
@@ -305,7 +342,7 @@
                                    }});
     follower_ = std::make_unique<object_follower>(
         io_,
-        follow_options{.address = "gateway:1",
+        follow_options{.address = gateway_address,
                        .heartbeat = duration_ms{5},
                        .relay_timeout = duration_ms{40},
                        .confirmation_validity = duration_ms{60},
@@ -335,6 +372,7 @@
 
   duration_ms start_patience_{3600000};
   duration_ms confirm_interval_{0};
+  duration_ms poll_interval_{1};
 
   static constexpr duration_ms often{5};
 
@@ -348,6 +386,13 @@
          {.name = "d", .address = "relay-d:1", .zone = "z"}});
   }
 
+  /// Adds 600 objects, which is a long list.
+  void put_many() {
+    for (int number = 0; number < 600; ++number) {
+      put("many-" + std::to_string(number));
+    }
+  }
+
   void run_for(duration_ms time) {
     const timestamp end = steady_now() + time;
     run_until([end] { return steady_now() >= end; });
@@ -467,6 +512,115 @@
     CPPUNIT_ASSERT_EQUAL(0, store_of(order.back().address).listings);
   }
 
+  void relay_that_lists_a_long_kind_again_is_kept() {
+    put_many();
+    start(both_relays());
+    run_until([this] { return seen_.size() == 601; });
+    const std::string kept = follower_->relay();
+    store_of(kept).listing_time = duration_ms{300};
+    store_of(kept).forgets_history = true;
+    put("late");
+    run_until([this] { return seen_.size() == 602; });
+    CPPUNIT_ASSERT_EQUAL(kept, follower_->relay());
+    CPPUNIT_ASSERT_EQUAL(0, store_.listings);
+  }
+
+  void burst_of_changes_is_fetched_without_pauses() {
+    dead_relays_ = {first, second};
+    start_patience_ = duration_ms{0};
+    poll_interval_ = duration_ms{600000};
+    store_.answer_limit = 150;
+    start(both_relays());
+    run_until([this] { return store_.watches == 1; });
+    put_many();
+    run_until([this] { return seen_.size() == 601; });
+    CPPUNIT_ASSERT_EQUAL(1, store_.listings);
+  }
+
+  void long_list_is_sent_once_in_packed_form() {
+    put_many();
+    start(both_relays());
+    run_until([this] { return seen_.size() == 601; });
+    run_for(duration_ms{50});
+    CPPUNIT_ASSERT_EQUAL(1, packed_lists_);
+  }
+
+  void relay_follows_another_relay() {
+    upstreams_[second] = std::make_unique<object_follower>(
+        io_, follow_options{.address = second, .heartbeat = duration_ms{5}},
+        [] {
+          return relay_order{
+              .relays = {{.name = "a", .address = first, .zone = "z"}},
+              .preferred = 1};
+        },
+        [this](const std::string &address, const wire::Envelope &envelope) {
+          to_relay(address, envelope);
+        });
+    relays_.erase(second);
+    add_relay(second, second_store_, duration_ms{0}, upstreams_[second].get());
+    start({{.name = "b", .address = second, .zone = "z"}});
+    wait_for({"one"});
+    put("two");
+    wait_for({"one", "two"});
+    CPPUNIT_ASSERT_EQUAL(0, store_.listings + store_.watches);
+    CPPUNIT_ASSERT_EQUAL(0, second_store_.listings + second_store_.watches);
+    // Without its own relay it watches the store.
+    dead_relays_.insert(first);
+    put("three");
+    wait_for({"one", "two", "three"});
+    CPPUNIT_ASSERT_EQUAL(0, store_.listings);
+    CPPUNIT_ASSERT(second_store_.listings > 0);
+  }
+
+  void long_lists_are_sent_to_few_followers_at_a_time() {
+    constexpr int count = 100;
+    constexpr int at_a_time = 16;
+    put_many();
+    std::set<std::string> served;
+    object_relay relay(
+        io_, first_store_, "relay-e:1",
+        {{.kind = things, .enabled_check_interval = duration_ms{1}}},
+        [&served](const std::string &to, const wire::Envelope &envelope) {
+          if (envelope.object_copies().kinds(0).inflated_bytes() > 0) {
+            served.insert(to);
+          }
+        });
+    relay.start();
+    const auto follow = [&relay](const std::string &from,
+                                 std::uint64_t revision) {
+      wire::FollowObjects heartbeat;
+      heartbeat.set_reply_to(from);
+      wire::FollowedKind &kind = *heartbeat.add_kinds();
+      kind.set_kind(things);
+      kind.set_known(revision > 0);
+      kind.set_revision(revision);
+      relay.on_follow(heartbeat);
+    };
+    const auto address = [](int number) {
+      return "gateway-" + std::to_string(number) + ":1";
+    };
+    follow(address(0), 0);
+    run_until([&served] { return !served.empty(); });
+    for (int number = 1; number < count; ++number) {
+      follow(address(number), 0);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{at_a_time}, served.size());
+    // Followers that have applied their list make room for others.
+    for (int round = 0; round < count / at_a_time + 1; ++round) {
+      const std::set<std::string> done = served;
+      for (const std::string &each : done) {
+        follow(each, 601);
+      }
+      for (int number = 0; number < count; ++number) {
+        if (!served.contains(address(number))) {
+          follow(address(number), 0);
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{count}, served.size());
+    io_.stop();
+  }
+
   void preference_order_alternates_zones() {
     std::vector<relay_address> known;
     for (int number = 0; number < 12; ++number) {
