A relay sends a slow follower no more than it confirms

The replicas that register at the start are now fetched without pauses, and each batch of some 100 KB was queued for each of 30 gateways, whether it took the one before or not.

Change: beyond 128 KB that a follower has not confirmed it is sent nothing more for up to 2 s, and then what it lacks in one update; a follower that lacks more than a quarter of the objects is sent all of them packed.

Test: slow_follower_is_sent_little_until_it_confirms.

--- a/src/bench/selection_main.cpp
+++ b/src/bench/selection_main.cpp
@@ -6,6 +6,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
 #include <limits>
 #include <string>
 #include <vector>
@@ -104,12 +107,18 @@
 } // namespace
 
 int main() {
-  heathtrestle::logging::configure("selection-bench",
-                                   heathtrestle::logging::severity::error);
-  fmt::print("{:>8} {:>14} {:>14} {:>10} {:>12} {:>14}\n", "replicas",
-             "listing ms", "us a record", "report us", "choice us",
-             "shortlisted us");
-  for (const std::size_t count : {300U, 1000U, 3000U, 10000U, 30000U}) {
-    measure(count);
+  try {
+    heathtrestle::logging::configure("selection-bench",
+                                     heathtrestle::logging::severity::error);
+    fmt::print("{:>8} {:>14} {:>14} {:>10} {:>12} {:>14}\n", "replicas",
+               "listing ms", "us a record", "report us", "choice us",
+               "shortlisted us");
+    for (const std::size_t count : {300U, 1000U, 3000U, 10000U, 30000U}) {
+      measure(count);
+    }
+  } catch (const std::exception &failure) {
+    std::fputs(failure.what(), stderr);
+    return EXIT_FAILURE;
   }
+  return EXIT_SUCCESS;
 }
--- a/src/forwarding/client_stream.cpp
+++ b/src/forwarding/client_stream.cpp
@@ -13,7 +13,7 @@
     : client_(client), booked_(std::move(booked)), options_(options),
       progress_(client.get_executor(), asio::steady_timer::time_point::max()) {}
 
-void client_stream::write(std::string bytes) {
+void client_stream::write(std::string_view bytes) {
   if (failed_) {
     return;
   }
--- a/src/forwarding/client_stream.hpp
+++ b/src/forwarding/client_stream.hpp
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace heathtrestle::forwarding {
 
@@ -28,7 +29,7 @@
                 client_stream_options options = {});
 
   /// Writes the bytes, or queues what the client does not take at once.
-  void write(std::string bytes);
+  void write(std::string_view bytes);
   /// Waits until more may be written.
   /// @return false when the client is gone or takes nothing any more.
   asio::awaitable<bool> wait_for_room();
--- a/src/forwarding/prompt_holders.cpp
+++ b/src/forwarding/prompt_holders.cpp
@@ -25,15 +25,16 @@
 std::vector<routing::instance_ptr>
 prompt_holders::find(const std::vector<balance::prompt_part> &prompt) const {
   std::vector<routing::instance_ptr> holders;
-  for (auto part = prompt.rbegin(); part != prompt.rend(); ++part) {
-    const auto known = by_part_.find(part->id);
+  // The last part is the conversation's own; the ones before it are shared.
+  std::for_each(prompt.rbegin(), prompt.rend(), [&](const auto &part) {
+    const auto known = by_part_.find(part.id);
     const routing::instance_ptr holder =
         known != by_part_.end() ? known->second->holder.lock() : nullptr;
     const bool usable = holder != nullptr && holder->listed;
     if (usable && std::ranges::find(holders, holder) == holders.end()) {
       holders.push_back(holder);
     }
-  }
+  });
   return holders;
 }
 
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -541,8 +540,8 @@
   });
   if (request.prompt.empty()) {
     if (options_.policies.object_affinity && !request.object.empty()) {
-      for (const zone_ring &nearest : zones | std::views::take(1)) {
-        offer_window(*nearest.ring, stable_hash(request.object), 1,
+      if (!zones.empty()) {
+        offer_window(*zones.front().ring, stable_hash(request.object), 1,
                      options_.shortlist, offer);
       }
       collector.set_home();
--- a/src/objects/change_log.cpp
+++ b/src/objects/change_log.cpp
@@ -1,6 +1,7 @@
 #include "objects/change_log.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <set>
 #include <utility>
 
@@ -159,7 +160,16 @@
 }
 
 bool change_log::needs_packed_objects(const follower_revision &have) const {
-  return !reaches(have) && by_name_.size() > packed_above_objects;
+  return by_name_.size() > packed_above_objects &&
+         (!reaches(have) || is_far_behind(have));
+}
+
+bool change_log::is_far_behind(const follower_revision &have) const {
+  // Changes take some four times the bytes of packed objects.
+  const std::size_t most = by_name_.size() / 4;
+  return changes_.size() > most &&
+         (changes_.rbegin() + static_cast<std::ptrdiff_t>(most))->revision >
+             have.revision;
 }
 
 void change_log::write_packed(wire::CopiedKind &message) {
@@ -180,12 +190,13 @@
                               const follower_revision &have) {
   message.set_revision(revision_);
   message.set_since(have.revision);
+  if (needs_packed_objects(have)) {
+    message.set_whole(true);
+    write_packed(message);
+    return;
+  }
   if (!reaches(have)) {
     message.set_whole(true);
-    if (needs_packed_objects(have)) {
-      write_packed(message);
-      return;
-    }
     for (const auto &[name, copied] : by_name_) {
       *message.add_objects() = copied;
     }
--- a/src/objects/change_log.hpp
+++ b/src/objects/change_log.hpp
@@ -37,8 +37,9 @@
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   [[nodiscard]] std::size_t size() const { return by_name_.size(); }
 
-  /// True when a follower at `have` can only be sent all objects, and these are
-  /// many.
+  /// True when a follower at `have` is best sent all objects, because the log
+  /// does not reach back that far or holds many changes since, and the objects
+  /// are many.
   [[nodiscard]] bool needs_packed_objects(const follower_revision &have) const;
   /// Writes the changes that a follower at `have` has not seen, or all objects
   /// when the log does not reach back to its revision.
@@ -55,6 +56,9 @@
   [[nodiscard]] bool reaches(const follower_revision &have) const {
     return have.known && have.revision >= base_;
   }
+  /// True when the changes since `have` are more than a large part of all
+  /// objects.
+  [[nodiscard]] bool is_far_behind(const follower_revision &have) const;
   void write_packed(wire::CopiedKind &message);
 
   bool known_ = false;
--- a/src/objects/object_relay.cpp
+++ b/src/objects/object_relay.cpp
@@ -17,13 +17,16 @@
 /// Watches continue this long after the last heartbeat, so that a returning
 /// follower finds a current copy.
 constexpr duration_ms watch_linger{3000};
-/// A long list of all objects is not sent to a follower again within this time,
-/// in which a small machine receives and applies it.
-constexpr duration_ms packed_resend_after{2000};
+/// A follower that was sent this much is sent nothing more until it has
+/// confirmed it. Messages to a slow machine are queued here in memory.
+constexpr std::size_t max_unconfirmed_bytes = 128U << 10U;
+/// What is not confirmed after this time counts as lost: a small machine has
+/// received and applied a long list by then.
+constexpr duration_ms resend_after{2000};
 /// Followers that are sent a long list at the same time. Each list is queued
 /// until it is sent, and all followers may come at once when another relay is
 /// lost.
-constexpr std::ptrdiff_t max_packed_in_transit = 16;
+constexpr std::ptrdiff_t max_long_updates = 16;
 /// Objects that the store lists in one answer. A longer list takes so long that
 /// followers are told to wait for it.
 constexpr std::size_t listing_page_objects = 500;
@@ -135,8 +138,9 @@
     }
     follower_revision &have = from.have[each.kind()];
     have = {.known = each.known(), .revision = each.revision()};
-    if (!known->second.log.needs_packed_objects(have)) {
-      from.packed_sent_at.erase(each.kind());
+    unconfirmed &sent = from.sent[each.kind()];
+    if (have.known && have.revision >= sent.revision) {
+      sent.bytes = 0;
     }
     known->second.watch->hint(each.hinted());
   }
@@ -161,23 +165,35 @@
   }
 }
 
-bool object_relay::is_in_transit(const follower &to, const std::string &kind,
-                                 timestamp now) {
-  const auto sent = to.packed_sent_at.find(kind);
-  return sent != to.packed_sent_at.end() &&
-         now < sent->second + packed_resend_after;
+bool object_relay::unconfirmed::is_long(timestamp now) const {
+  return bytes >= max_unconfirmed_bytes && now < sent_at + resend_after;
 }
 
-bool object_relay::may_send_packed(const follower &to, const std::string &kind,
-                                   timestamp now) const {
-  if (is_in_transit(to, kind, now)) {
+void object_relay::unconfirmed::add(std::size_t sent, std::uint64_t reached,
+                                    timestamp now) {
+  const bool lost = now >= sent_at + resend_after;
+  bytes = (lost ? 0 : bytes) + sent;
+  revision = reached;
+  sent_at = now;
+}
+
+bool object_relay::may_send(const follower &to, const std::string &kind,
+                            const change_log &log, timestamp now) const {
+  const auto is_busy = [&kind, now](const follower &each) {
+    const auto sent = each.sent.find(kind);
+    return sent != each.sent.end() && sent->second.is_long(now);
+  };
+  if (is_busy(to)) {
     return false;
   }
-  const auto in_transit =
-      std::ranges::count_if(followers_, [&kind, now](const auto &each) {
-        return is_in_transit(each.second, kind, now);
+  if (!log.needs_packed_objects(to.have.at(kind))) {
+    return true;
+  }
+  const auto busy =
+      std::ranges::count_if(followers_, [&is_busy](const auto &each) {
+        return is_busy(each.second);
       });
-  return in_transit < max_packed_in_transit;
+  return busy < max_long_updates;
 }
 
 void object_relay::send_update(const std::string &address, follower &to,
@@ -193,7 +209,8 @@
     kind_copy &copy = kinds_.at(kind);
     const bool is_behind = copy.log.known() &&
                            (!have.known || have.revision < copy.log.revision());
-    if (!is_behind && heartbeat == nullptr) {
+    const bool sends = is_behind && may_send(to, kind, copy.log, now);
+    if (!sends && heartbeat == nullptr) {
       continue;
     }
     wire::CopiedKind &message = *copies.add_kinds();
@@ -201,16 +218,17 @@
     message.set_current(is_current(copy));
     message.set_loading(is_loading(copy));
     message.set_confirmed_age_ms(confirmed_age(*copy.watch));
-    const bool packed = is_behind && copy.log.needs_packed_objects(have);
-    if (packed && !may_send_packed(to, kind, now)) {
+    if (is_behind && !sends) {
       // Neither confirms an older copy nor moves it to this revision.
       message.set_since(copy.log.revision());
       message.set_revision(copy.log.revision());
-    } else if (is_behind) {
-      if (packed) {
-        to.packed_sent_at[kind] = now;
-      }
+    } else if (sends) {
       copy.log.write_update(message, have);
+      // A list of all objects takes long to apply, however well it is packed.
+      const std::size_t least =
+          message.inflated_bytes() > 0 ? max_unconfirmed_bytes : 0;
+      to.sent[kind].add(std::max(least, message.ByteSizeLong()),
+                        copy.log.revision(), now);
       // A lost message is repaired by the next heartbeat, which carries the
       // follower's actual revision.
       have = {.known = true, .revision = copy.log.revision()};
--- a/src/objects/object_relay.hpp
+++ b/src/objects/object_relay.hpp
@@ -8,6 +8,8 @@
 #include "objects/object_follower.hpp"
 #include "objects/object_watch.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -41,10 +43,21 @@
     change_log log;
     std::unique_ptr<object_watch> watch;
   };
+  /// What a follower was sent of one kind and has not confirmed yet.
+  struct unconfirmed {
+    std::size_t bytes = 0;
+    /// The revision that the follower reports once it has applied them.
+    std::uint64_t revision = 0;
+    timestamp sent_at{};
+
+    /// True while much is probably still in transit or being applied.
+    [[nodiscard]] bool is_long(timestamp now) const;
+    /// Adds a message that brings the follower to a revision.
+    void add(std::size_t sent, std::uint64_t reached, timestamp now);
+  };
   struct follower {
     std::map<std::string, follower_revision> have;
-    /// When all objects of a kind were last sent in packed form.
-    std::map<std::string, timestamp> packed_sent_at;
+    std::map<std::string, unconfirmed> sent;
     timestamp last_heard_at{};
   };
 
@@ -59,16 +72,11 @@
   /// Follows the upstream relay while there are followers; runs until the
   /// process ends.
   asio::awaitable<void> follow_upstream();
-  /// Whether the follower may be sent all objects in packed form now: it has
-  /// probably applied the last ones, and not too many other followers are being
-  /// sent theirs.
-  [[nodiscard]] bool may_send_packed(const follower &to,
-                                     const std::string &kind,
-                                     timestamp now) const;
-  /// True while a packed list that was sent to the follower is probably in
-  /// transit.
-  static bool is_in_transit(const follower &to, const std::string &kind,
-                            timestamp now);
+  /// Whether the follower may be sent an update now: it has applied most of
+  /// what it was sent, and when it needs all objects, not too many other
+  /// followers are being sent theirs.
+  [[nodiscard]] bool may_send(const follower &to, const std::string &kind,
+                              const change_log &log, timestamp now) const;
   void schedule_push();
   void push();
   /// Sends a follower the changes that it has not received.
--- a/src/sim/capacity_main.cpp
+++ b/src/sim/capacity_main.cpp
@@ -1,5 +1,6 @@
 // heathtrestle-capacity: measures the processor time, memory and traffic of a
-// daemon on a simulated cluster. docs/CAPACITY.md lists the runs and results.
+// daemon on a simulated cluster. docs/design/hollow-daemons.md lists the runs
+// and results.
 #include "bench/statistics.hpp"
 #include "config/settings_schema.hpp"
 #include "dispatch/scheduling_policy.hpp"
--- a/tests/objects/object_relay_test.cpp
+++ b/tests/objects/object_relay_test.cpp
@@ -226,6 +226,7 @@
   CPPUNIT_TEST(long_list_is_sent_once_in_packed_form);
   CPPUNIT_TEST(relay_follows_another_relay);
   CPPUNIT_TEST(long_lists_are_sent_to_few_followers_at_a_time);
+  CPPUNIT_TEST(slow_follower_is_sent_little_until_it_confirms);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -621,6 +622,38 @@
     io_.stop();
   }
 
+  void slow_follower_is_sent_little_until_it_confirms() {
+    constexpr int bursts = 60;
+    constexpr int burst = 100;
+    const std::string text(100, 'x');
+    std::size_t bytes = 0;
+    object_relay relay(
+        io_, first_store_, "relay-f:1",
+        {{.kind = things,
+          .min_poll_interval = duration_ms{1},
+          .enabled_check_interval = duration_ms{1}}},
+        [&bytes](const std::string &, const wire::Envelope &envelope) {
+          bytes += envelope.ByteSizeLong();
+        });
+    relay.start();
+    wire::FollowObjects heartbeat;
+    heartbeat.set_reply_to("gateway-f:1");
+    wire::FollowedKind &kind = *heartbeat.add_kinds();
+    kind.set_kind(things);
+    relay.on_follow(heartbeat);
+    run_until([&bytes] { return bytes > 0; });
+    for (int number = 0; number < bursts * burst; ++number) {
+      first_store_.put("many-" + std::to_string(number), text);
+      if (number % burst == 0) {
+        run_for(duration_ms{3});
+        relay.on_follow(heartbeat); // it has confirmed nothing
+      }
+    }
+    run_for(duration_ms{20});
+    CPPUNIT_ASSERT(bytes < 300000);
+    io_.stop();
+  }
+
   void preference_order_alternates_zones() {
     std::vector<relay_address> known;
     for (int number = 0; number < 12; ++number) {
