--- a/src/forwarding/stall_guard.cpp
+++ b/src/forwarding/stall_guard.cpp
@@ -9,7 +9,8 @@
 
 stall_guard::~stall_guard() {
   state_->socket = nullptr;
-  state_->timer.cancel();
+  boost::system::error_code ignored;
+  state_->timer.cancel(ignored);
 }
 
 void stall_guard::on_progress() {
--- a/src/routing/instance_directory.cpp
+++ b/src/routing/instance_directory.cpp
@@ -123,11 +123,11 @@
 }
 
 instance_ptr instance_directory::find_named(const std::string &name) const {
-  if (const instance_ptr whole = find(instance_id{name})) {
+  if (instance_ptr whole = find(instance_id{name})) {
     return whole;
   }
   const std::size_t end_of_id = name.rfind('@');
-  const instance_ptr known = find(instance_id{name.substr(0, end_of_id)});
+  instance_ptr known = find(instance_id{name.substr(0, end_of_id)});
   const bool same = known != nullptr && name_of(known->record.start()) == name;
   return same ? known : nullptr;
 }
