A refused turn names the attempt that holds its program's budget

Cause: `turn_refused` told how many tokens are reserved, not by which attempt and since when, so a reservation that is left behind looked like one of a turn under way.

A given-up end is event 1025. What is granted and refused is unchanged.

--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -197,6 +197,8 @@
       .field("most", turn_.most_tokens)
       .field("spent", grant_.spent)
       .field("reserved", grant_.reserved)
+      .field("holder", grant_.holder.attempt)
+      .field("holder_age_ms", grant_.holder.age.count())
       .field("previous", request_.previous_turn)
       .field("step", name_of(grant_.step))
       .field("unanswered", fmt::format("{}", fmt::join(grant_.unanswered, " ")))
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -212,6 +212,9 @@
   grant.verdict = verdict_of(entry.reply.verdict());
   grant.spent = entry.reply.spent();
   grant.reserved = entry.reply.reserved();
+  const wire::ReservationHolder &holder = entry.reply.holder();
+  grant.holder = {.attempt = holder.attempt(),
+                  .age = duration_ms{holder.age_ms()}};
   grant.previous_place = from_wire_place(entry.reply.previous_place());
   for (const wire::RecordTurn &turn : entry.reply.history()) {
     grant.history.push_back(from_wire_turn(turn));
@@ -495,6 +498,22 @@
   }
 }
 
+void ledger_client::drop_expired_ends(timestamp now) {
+  std::erase_if(pending_, [this, now](const auto &each) {
+    const pending &entry = *each.second;
+    const bool expired = !entry.awaited && now >= entry.deadline;
+    if (expired) {
+      --unsettled_;
+      logging::line(logging::event::turn_end_unrecorded)
+          .field("partition", options_.partition)
+          .field("attempt", entry.change.end().attempt())
+          .field("waited_ms", options_.settle_timeout.count())
+          .write();
+    }
+    return expired;
+  });
+}
+
 void ledger_client::tick() {
   const timestamp now = steady_now();
   update_breaker(now);
@@ -516,12 +535,7 @@
                           now < entry->added + options_.settle_delay;
     unsent = unsent || (entry->sent == timestamp{} && !may_wait);
   }
-  std::erase_if(pending_, [this, now](const auto &each) {
-    const pending &entry = *each.second;
-    const bool expired = !entry.awaited && now >= entry.deadline;
-    unsettled_ -= expired ? 1 : 0;
-    return expired;
-  });
+  drop_expired_ends(now);
   if (timed_out) {
     logging::line(logging::event::record_call_retried)
         .field("partition", options_.partition)
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -145,6 +145,8 @@
   [[nodiscard]] turn_grant outcome_of(const pending &entry) const;
   std::uint64_t add_pending(pending_ptr entry);
   asio::awaitable<void> wait_for(pending_ptr entry, std::uint64_t id);
+  /// Gives up ends that could not be recorded for `settle_timeout`.
+  void drop_expired_ends(timestamp now);
   void flush_soon();
   void flush();
   void complete_requests(const wire::RecordReply &reply);
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -80,29 +80,27 @@
     return reply;
   }
   program &account = account_of(wanted.program(), wanted.keep_ms());
-  const bool ended = account.closed.contains(wanted.attempt());
-  const bool granted_before = account.open.contains(wanted.attempt());
-  const std::uint64_t committed = account.spent + account.reserved;
-  if (ended) {
-    reply.set_verdict(wire::RECORD_UNAVAILABLE);
-  } else if (granted_before) {
-    reply.set_verdict(wire::RECORD_GRANTED);
-  } else if (committed + wanted.most() > wanted.budget()) {
-    reply.set_verdict(wire::RECORD_BUDGET_SPENT);
-  } else {
-    account.open[wanted.attempt()] = wanted.most();
-    account.reserved += wanted.most();
-    reply.set_verdict(wire::RECORD_GRANTED);
-  }
+  reply.set_verdict(account.tokens.begin(wanted, now_ms_));
   add_grant_details(wanted, account, reply);
   return reply;
 }
 
+void record_table::add_balance(const program &account,
+                               wire::RecordReplyItem &reply) const {
+  const token_account::balance balance = account.tokens.current_balance();
+  reply.set_spent(balance.spent);
+  reply.set_reserved(balance.reserved);
+}
+
 void record_table::add_grant_details(const wire::BeginTurn &wanted,
                                      const program &account,
                                      wire::RecordReplyItem &reply) const {
-  reply.set_spent(account.spent);
-  reply.set_reserved(account.reserved);
+  add_balance(account, reply);
+  if (reply.verdict() == wire::RECORD_BUDGET_SPENT) {
+    if (auto holder = account.tokens.oldest_holder(now_ms_)) {
+      *reply.mutable_holder() = std::move(*holder);
+    }
+  }
   const bool granted = reply.verdict() == wire::RECORD_GRANTED;
   if (granted && wanted.want_history()) {
     add_history(wanted.previous(), reply);
@@ -136,7 +134,7 @@
   const bool chain_kept =
       wanted.previous().empty() || find_turn(wanted.previous()) != nullptr;
   const bool granted = account != nullptr && chain_kept &&
-                       account->open.contains(wanted.attempt());
+                       account->tokens.is_open(wanted.attempt());
   if (!granted) {
     return std::nullopt;
   }
@@ -152,35 +150,25 @@
   const bool nothing_to_keep =
       ended.kept().id().empty() || find_turn(ended.kept().id()) != nullptr;
   const bool known = account != nullptr && nothing_to_keep &&
-                     account->closed.contains(ended.attempt());
+                     account->tokens.has_ended(ended.attempt());
   if (!known) {
     return std::nullopt;
   }
   wire::RecordReplyItem reply;
   reply.set_verdict(wire::RECORD_DONE);
-  reply.set_spent(account->spent);
-  reply.set_reserved(account->reserved);
+  add_balance(*account, reply);
   return reply;
 }
 
 wire::RecordReplyItem record_table::end(const wire::EndTurn &ended) {
   program &account = account_of(ended.program(), ended.keep_ms());
-  const bool first = account.closed.insert(ended.attempt()).second;
-  const auto reserved = account.open.find(ended.attempt());
-  if (reserved != account.open.end()) {
-    account.reserved -= reserved->second;
-    account.open.erase(reserved);
-  }
-  if (first) {
-    account.spent += ended.used();
-  }
+  account.tokens.end(ended.attempt(), ended.used());
   if (!ended.kept().id().empty()) {
     keep(ended.kept(), ended.keep_ms());
   }
   wire::RecordReplyItem reply;
   reply.set_verdict(wire::RECORD_DONE);
-  reply.set_spent(account.spent);
-  reply.set_reserved(account.reserved);
+  add_balance(account, reply);
   return reply;
 }
 
@@ -297,16 +285,8 @@
   for (const auto &[id, account] : programs_) {
     wire::RecordProgram &saved = programs.emplace_back();
     saved.set_id(id);
-    saved.set_spent(account.spent);
     saved.set_expires_ms(account.expires_ms);
-    for (const auto &[attempt, most] : account.open) {
-      wire::RecordOpenTurn &open = *saved.add_open();
-      open.set_attempt(attempt);
-      open.set_most(most);
-    }
-    for (const std::string &attempt : account.closed) {
-      saved.add_closed(attempt);
-    }
+    account.tokens.save(saved);
   }
   std::vector<stored_turn> turns;
   turns.reserve(turns_.size());
@@ -338,14 +318,8 @@
   turns_.clear();
   turn_bytes_ = 0;
   for (const wire::RecordProgram &saved : snapshot.programs()) {
-    program &account = programs_[saved.id()];
-    account.spent = saved.spent();
-    account.expires_ms = saved.expires_ms();
-    for (const wire::RecordOpenTurn &open : saved.open()) {
-      account.open[open.attempt()] = open.most();
-      account.reserved += open.most();
-    }
-    account.closed.insert(saved.closed().begin(), saved.closed().end());
+    programs_[saved.id()] = {.tokens = token_account::restore(saved),
+                             .expires_ms = saved.expires_ms()};
   }
   for (const wire::RecordKeptTurn &saved : snapshot.turns()) {
     turns_[saved.turn().id()] = {
--- a/src/records/record_table.hpp
+++ b/src/records/record_table.hpp
@@ -7,14 +7,13 @@
 #pragma once
 
 #include "records/snapshot_image.hpp"
+#include "records/token_account.hpp"
 #include "records/turn_ledger.hpp"
 #include "tenants/quota_account.hpp"
 #include "wire/messages.hpp"
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -56,13 +55,8 @@
   [[nodiscard]] std::size_t turn_bytes() const { return turn_bytes_; }
 
 private:
-  /// The token account of a program.
   struct program {
-    std::uint64_t spent = 0;
-    std::uint64_t reserved = 0; // sum of `open`
-    std::map<std::string, std::uint64_t> open;
-    /// Attempts that have ended; a late copy of their beginning is refused.
-    std::set<std::string> closed;
+    token_account tokens;
     std::uint64_t expires_ms = 0;
   };
   wire::RecordReplyItem apply(const wire::RecordChange &change);
@@ -77,6 +71,8 @@
   wire::RecordReplyItem reserve(const wire::ReserveQuota &wanted);
   /// @return null when there is no account or it has expired.
   [[nodiscard]] const program *find_account(const std::string &id) const;
+  /// Adds the account's balance.
+  void add_balance(const program &account, wire::RecordReplyItem &reply) const;
   /// Adds the balance, and for a granted turn its history and place.
   void add_grant_details(const wire::BeginTurn &wanted, const program &account,
                          wire::RecordReplyItem &reply) const;
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -68,6 +68,12 @@
   copy,   // its program's partition, with the copied turns
 };
 
+/// An attempt whose reserved tokens keep other turns of its program waiting.
+struct reservation_holder {
+  std::string attempt; // empty for none
+  duration_ms age{0};  // since its grant
+};
+
 struct turn_grant {
   turn_verdict verdict = turn_verdict::unavailable;
   grant_step step = grant_step::grant;
@@ -80,6 +86,8 @@
   std::uint64_t spent = 0; // tokens settled
   std::uint64_t reserved =
       0; // tokens granted and not settled, including this turn's
+  /// With `budget_spent`: the oldest attempt that holds a reservation.
+  reservation_holder holder;
   /// The place of the turn that this one continues.
   turn_place previous_place;
 };
