Storage nodes tell which outcomes came too late, and where they waited

Cause: gateways log a grant that had no answer in time, storage nodes did not, so it could not be told whether a request waited for its log entry, for the commit, or was lost on the way.

Change: a request item carries how long its caller still waits (`wait_ms`). Event 1113 counts the outcomes sent after their callers had stopped waiting (`late`), and tells the longest times that an item waited for its entry and for its outcome. Nothing is decided by it.

--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -24,6 +24,12 @@
   return {.instance = place.instance(), .tokens = place.tokens()};
 }
 
+/// @return at least one millisecond.
+std::uint64_t remaining_ms(timestamp deadline, timestamp now) {
+  constexpr duration_ms at_least{1};
+  return static_cast<std::uint64_t>(std::max(deadline - now, at_least).count());
+}
+
 retained_turn from_wire_turn(const wire::RecordTurn &turn) {
   return {.id = turn.id(),
           .previous = turn.previous(),
@@ -306,6 +312,9 @@
     wire::RecordRequestItem &item = *request.add_items();
     item.set_id(id);
     *item.mutable_change() = entry->change;
+    if (entry->awaited) {
+      item.set_wait_ms(remaining_ms(entry->deadline, now));
+    }
   }
   if (request.items_size() == 0) {
     return;
--- a/src/records/node_load.cpp
+++ b/src/records/node_load.cpp
@@ -59,13 +59,6 @@
   totals_.longest_wait = std::max(totals_.longest_wait, now - oldest);
 }
 
-void node_load::on_requests(std::uint64_t taken, std::uint64_t repeated,
-                            std::uint64_t settled) {
-  totals_.requests += taken;
-  totals_.repeated_requests += repeated;
-  totals_.settled_requests += settled;
-}
-
 void node_load::on_history(std::size_t turns, std::size_t bytes) {
   totals_.history_turns += turns;
   totals_.history_bytes += bytes;
@@ -78,8 +71,9 @@
   next_report_ = now + report_interval;
   load_totals totals = std::exchange(totals_, {});
   totals.disk = disk_.since(std::exchange(reported_disk_, disk_));
-  return totals.requests + totals.repeated_requests > 0 ? std::optional(totals)
-                                                        : std::nullopt;
+  return totals.requests.taken + totals.requests.repeated > 0
+             ? std::optional(totals)
+             : std::nullopt;
 }
 
 void log_load(const load_totals &totals) {
@@ -87,9 +81,13 @@
   for (std::size_t kind = 0; kind < message_kinds; ++kind) {
     line.field(name_of(static_cast<message_kind>(kind)), totals.messages[kind]);
   }
-  line.field("questions", totals.requests)
-      .field("repeated", totals.repeated_requests)
-      .field("settled", totals.settled_requests)
+  line.field("questions", totals.requests.taken)
+      .field("repeated", totals.requests.repeated)
+      .field("settled", totals.requests.settled)
+      .field("late", totals.requests.late)
+      .field("longest_unproposed_ms",
+             totals.requests.longest_unproposed.count())
+      .field("longest_outcome_ms", totals.requests.longest_outcome.count())
       .field("history_turns", totals.history_turns)
       .field("history_bytes", totals.history_bytes)
       .field("longest_queue", totals.longest_queue)
--- a/src/records/node_load.hpp
+++ b/src/records/node_load.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "records/request_counts.hpp"
 #include "records/storage_counts.hpp"
 #include "wire/messages.hpp"
 
@@ -55,11 +56,7 @@
 struct load_totals {
   std::array<std::uint64_t, message_kinds> messages{};
   std::array<std::chrono::microseconds, step_phases> spent{};
-  /// New request items, and retransmissions of items still being processed.
-  std::uint64_t requests = 0;
-  std::uint64_t repeated_requests = 0;
-  /// Request items answered without a log entry.
-  std::uint64_t settled_requests = 0;
+  request_counts requests;
   /// Turns sent in histories, and the size of their bodies in bytes.
   std::uint64_t history_turns = 0;
   std::uint64_t history_bytes = 0;
@@ -80,8 +77,7 @@
   /// @param count number of messages taken from the queue.
   /// @param oldest arrival time of the first of them.
   void on_queue(std::size_t count, timestamp oldest, timestamp now);
-  void on_requests(std::uint64_t taken, std::uint64_t repeated,
-                   std::uint64_t settled);
+  void on_requests(const request_counts &counts) { totals_.requests += counts; }
   void on_history(std::size_t turns, std::size_t bytes);
   /// @param counts of all partitions, since the start.
   void on_disk(const storage_counts &counts) { disk_ = counts; }
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -301,11 +301,7 @@
       *decided.add_items() = std::move(*known);
       continue;
     }
-    proposals_.emplace_back(
-        request_origin{.reply_to = request.reply_to(),
-                       .id = item.id(),
-                       .members_hash = request.members_hash()},
-        item.change());
+    proposals_.emplace_back(origin_of(request, item, now), item.change());
   }
   if (decided.items_size() > 0) {
     send_reply(request.reply_to(), request.members_hash(), std::move(decided),
@@ -313,6 +309,18 @@
   }
 }
 
+record_node::request_origin
+record_node::origin_of(const wire::RecordRequest &request,
+                       const wire::RecordRequestItem &item, timestamp now) {
+  const bool awaited = item.wait_ms() != 0;
+  const duration_ms wait{static_cast<std::int64_t>(item.wait_ms())};
+  return {.reply_to = request.reply_to(),
+          .id = item.id(),
+          .members_hash = request.members_hash(),
+          .received = now,
+          .answer_by = awaited ? now + wait : timestamp{}};
+}
+
 void record_node::send_reply(const std::string &address,
                              std::uint64_t known_members,
                              wire::RecordReply reply, timestamp now) {
@@ -452,6 +460,10 @@
   }
   std::vector<request_origin> origins;
   for (auto &[origin, change] : proposals_) {
+    if (origin.received != timestamp{}) {
+      request_counts_.longest_unproposed =
+          std::max(request_counts_.longest_unproposed, now - origin.received);
+    }
     *batch.add_changes() = std::move(change);
     origins.push_back(std::move(origin));
   }
@@ -577,6 +589,9 @@
       }
       continue;
     }
+    request_counts_.late += origin.is_late(now) ? 1 : 0;
+    request_counts_.longest_outcome =
+        std::max(request_counts_.longest_outcome, now - origin.received);
     auto &[reply, known_hash] = replies[origin.reply_to];
     known_hash = origin.members_hash;
     wire::RecordReplyItem &item = *reply.add_items();
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -19,6 +19,7 @@
 #include "records/quota_clock.hpp"
 #include "records/record_table.hpp"
 #include "records/recovered_state.hpp"
+#include "records/request_counts.hpp"
 #include "records/snapshot_transfer.hpp"
 #include "wire/messages.hpp"
 
@@ -113,16 +114,6 @@
   std::vector<logged_event> log;
 };
 
-/// Numbers of request items received by a leader.
-struct request_counts {
-  std::uint64_t taken = 0;
-  /// Retransmissions of items that are still being processed.
-  std::uint64_t repeated = 0;
-  /// Items of `taken` that were answered from the current state, without a log
-  /// entry.
-  std::uint64_t settled = 0;
-};
-
 class record_node {
 public:
   /// @param self name, address and zone of this node; its replica id is
@@ -191,11 +182,22 @@
     std::string reply_to;
     std::uint64_t id = 0;
     std::uint64_t members_hash = 0;
+    timestamp received{};
+    /// When its caller stops waiting; the epoch when nobody waits.
+    timestamp answer_by{};
+
+    [[nodiscard]] bool is_late(timestamp now) const {
+      return answer_by != timestamp{} && now >= answer_by;
+    }
   };
 
   void reduce(wire::Envelope &envelope, timestamp now, std::uint64_t random,
               raft::outbox &out);
   void on_request(const wire::RecordRequest &request, timestamp now);
+  /// Returns where and by when an item received now is to be answered.
+  static request_origin origin_of(const wire::RecordRequest &request,
+                                  const wire::RecordRequestItem &item,
+                                  timestamp now);
   /// Marks a request item as pending.
   /// @return false when it is pending already, i.e. this is a retransmission.
   bool register_request(const std::string &reply_to, std::uint64_t id);
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -327,8 +327,7 @@
 
 void record_runtime::report_load() {
   for (const partition &each : partitions_) {
-    const request_counts counts = each.node->take_request_counts();
-    load_.on_requests(counts.taken, counts.repeated, counts.settled);
+    load_.on_requests(each.node->take_request_counts());
   }
   load_.on_disk(disk_counts());
   if (const auto totals = load_.take_report(steady_now())) {
--- a/tests/records/node_load_test.cpp
+++ b/tests/records/node_load_test.cpp
@@ -25,7 +25,7 @@
     load_.on_disk({.bytes_written = 170, .syncs = 4, .live_bytes = 9});
     load_.on_queue(3, start, start + 40ms);
     load_.on_queue(2, start, start + 90ms);
-    load_.on_requests(5, 2, 3);
+    load_.on_requests({.taken = 5, .repeated = 2, .settled = 3});
     load_.on_history(4, 1000);
     load_.on_spent(step_phase::write, 7us);
     load_.on_spent(step_phase::write, 3us);
@@ -35,17 +35,15 @@
     load_totals expected;
     expected.longest_queue = 3;
     expected.longest_wait = 90ms;
-    expected.requests = 5;
-    expected.repeated_requests = 2;
-    expected.settled_requests = 3;
+    expected.requests = {.taken = 5, .repeated = 2, .settled = 3};
     expected.history_turns = 4;
     expected.history_bytes = 1000;
     expected.disk = {.bytes_written = 70, .syncs = 3, .live_bytes = 9};
     expected.spent[static_cast<std::size_t>(step_phase::write)] = 10us;
     CPPUNIT_ASSERT(*totals == expected);
-    load_.on_requests(1, 0, 0);
+    load_.on_requests({.taken = 1});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
-                         load_.take_report(start + 2000ms)->requests);
+                         load_.take_report(start + 2000ms)->requests.taken);
   }
 
   void a_node_without_requests_reports_nothing() {
