A program goes on when a gateway dies with one of its attempts

What callers saw: a gateway was killed or lost its power with a turn under way; the client's next tries were refused with 503, "budget held by turns under way", until the program was given up.

Cause: a reservation ends with the report of the gateway that was granted it, and with nothing else. A gateway that dies reports nothing, and each further try of the client prolonged the account, and so the reservation.

Change: an attempt is presumed lost when another attempt of its session begins or its lifetime is over. One presumed loss at a time, the largest, is borne by the allowance of one turn by which a program may exceed its budget; further ones count as spent once their gateways have had time to report, so the answer is the final 402 and not a 503 for ever. Requests for leave carry the session and the lifetime.

Why it works: what is spent and all that is reserved, presumed losses included, bounds what clients can have received; a grant needs that bound less one loss, and the turn's most, within the budget. So it holds whether or not a presumed loss is one.

--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -19,6 +19,8 @@
 constexpr double grant_wait_fraction = 0.4;
 /// The minimum retention of a turn.
 constexpr duration_ms min_retention{60000};
+/// A lifetime of zero would mean that it is not known.
+constexpr duration_ms min_lifetime{1};
 constexpr std::uint64_t unlimited_budget = 1ULL << 62U;
 
 /// Returns a client's name in the tenant's namespace. The separator is
@@ -110,11 +112,13 @@
 records::turn_request program_turn::make_request() const {
   return {.program = turn_.program,
           .attempt = attempt_,
+          .session = turn_.session,
           .budget = turn_.budget,
           .most = turn_.most_tokens,
           .previous = previous_,
           .want_history = !previous_.empty() && !history_known_,
-          .keep = retention_};
+          .keep = retention_,
+          .lifetime = std::max(deadline_ - steady_now(), min_lifetime)};
 }
 
 asio::awaitable<records::turn_verdict> program_turn::begin() {
@@ -199,6 +203,7 @@
       .field("reserved", grant_.reserved)
       .field("holder", grant_.holder.attempt)
       .field("holder_age_ms", grant_.holder.age.count())
+      .field("holder_presumed_lost", grant_.holder.presumed_lost)
       .field("previous", request_.previous_turn)
       .field("step", name_of(grant_.step))
       .field("unanswered", fmt::format("{}", fmt::join(grant_.unanswered, " ")))
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-std::uint64_t keep_ms(duration_ms keep) {
-  return static_cast<std::uint64_t>(keep.count());
+std::uint64_t to_milliseconds(duration_ms span) {
+  return static_cast<std::uint64_t>(span.count());
 }
 
 turn_place from_wire_place(const wire::TurnPlace &place) {
@@ -55,7 +55,7 @@
   message.set_program(std::move(end.program));
   message.set_attempt(std::move(end.attempt));
   message.set_used(end.used);
-  message.set_keep_ms(keep_ms(end.keep));
+  message.set_keep_ms(to_milliseconds(end.keep));
   if (!end.kept.id.empty()) {
     fill(*message.mutable_kept(), std::move(end.kept));
   }
@@ -71,7 +71,9 @@
   message.set_most(request.most);
   message.set_previous(std::move(request.previous));
   message.set_want_history(request.want_history);
-  message.set_keep_ms(keep_ms(request.keep));
+  message.set_keep_ms(to_milliseconds(request.keep));
+  message.set_session(std::move(request.session));
+  message.set_lifetime_ms(to_milliseconds(request.lifetime));
   return change;
 }
 
@@ -192,7 +194,7 @@
   }
   auto entry = std::make_shared<pending>(io_);
   wire::KeepTurns &copies = *entry->change.mutable_keep();
-  copies.set_keep_ms(keep_ms(request.keep));
+  copies.set_keep_ms(to_milliseconds(request.keep));
   for (const retained_turn &turn : request.copies) {
     fill(*copies.add_turns(), turn);
   }
@@ -220,7 +222,8 @@
   grant.reserved = entry.reply.reserved();
   const wire::ReservationHolder &holder = entry.reply.holder();
   grant.holder = {.attempt = holder.attempt(),
-                  .age = duration_ms{holder.age_ms()}};
+                  .age = duration_ms{holder.age_ms()},
+                  .presumed_lost = holder.presumed_lost()};
   grant.previous_place = from_wire_place(entry.reply.previous_place());
   for (const wire::RecordTurn &turn : entry.reply.history()) {
     grant.history.push_back(from_wire_turn(turn));
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -87,7 +87,7 @@
 
 void record_table::add_balance(const program &account,
                                wire::RecordReplyItem &reply) const {
-  const token_account::balance balance = account.tokens.current_balance();
+  const token_account::balance balance = account.tokens.balance_at(now_ms_);
   reply.set_spent(balance.spent);
   reply.set_reserved(balance.reserved);
 }
--- a/src/records/token_account.hpp
+++ b/src/records/token_account.hpp
@@ -1,6 +1,15 @@
 // The token account of a program: the tokens that its turns have spent, and
 // those reserved for attempts whose end is not recorded yet.
 //
+// An attempt whose gateway dies never reports its end, so what it delivered
+// stays unknown, between nothing and the most that was granted. Such an attempt
+// is presumed lost once nobody waits for its tokens any more. A program may
+// exceed its budget by the most of one turn, and the account spends this
+// allowance on one presumed loss at a time: the program goes on at once, and
+// what its clients receive stays below its budget and one turn's most, whether
+// or not the attempt is really lost. Further losses count like spent tokens
+// when their gateways have had time to report an end.
+//
 // All times are times of the log, in milliseconds, so that all replicas agree.
 #pragma once
 
@@ -18,6 +27,7 @@
 public:
   /// What is left of the budget is the budget less both.
   struct balance {
+    /// Tokens that no report can give back any more.
     std::uint64_t spent = 0;
     /// Tokens that attempts may still give back when they end.
     std::uint64_t reserved = 0;
@@ -39,8 +49,8 @@
   [[nodiscard]] bool has_ended(const std::string &attempt) const {
     return ended_.contains(attempt);
   }
-  [[nodiscard]] balance current_balance() const;
-  /// The oldest attempt with a reservation, if any.
+  [[nodiscard]] balance balance_at(std::uint64_t now_ms) const;
+  /// The oldest attempt whose reservation counts, if any.
   [[nodiscard]] std::optional<wire::ReservationHolder>
   oldest_holder(std::uint64_t now_ms) const;
 
@@ -51,9 +61,21 @@
 private:
   struct reservation {
     std::uint64_t most = 0;
+    std::string session;
     std::uint64_t granted_ms = 0;
+    std::uint64_t ends_ms = 0; // of the attempt's lifetime; 0 when unknown
+    std::uint64_t presumed_lost_ms = 0; // since when; 0 while it is not
+
+    [[nodiscard]] bool presumed_lost() const { return presumed_lost_ms != 0; }
+    /// True when its gateway has had time to report an end and did not.
+    [[nodiscard]] bool given_up(std::uint64_t now_ms) const;
   };
 
+  /// Presumes those open attempts lost for which nobody can be waiting: their
+  /// lifetime is over, or their client has begun another attempt of the
+  /// session.
+  void presume_losses(const wire::BeginTurn &wanted, std::uint64_t now_ms);
+
   std::uint64_t spent_ = 0;
   std::map<std::string, reservation> open_; // by attempt
   /// Attempts that have ended; a late copy of their beginning is refused.
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -40,6 +40,9 @@
 struct turn_request {
   std::string program;
   std::string attempt; // unique for each attempt of a client
+  /// The sequence of turns that this one belongs to. A client runs one attempt
+  /// of a session at a time; empty when the session is not known.
+  std::string session{};
   std::uint64_t budget = 0;
   /// Maximum number of tokens that this turn may generate.
   std::uint64_t most = 0;
@@ -49,6 +52,8 @@
   bool want_history = false;
   /// How long the program and its turns are kept after their last use.
   duration_ms keep{0};
+  /// How long the attempt may go on delivering tokens; zero when not known.
+  duration_ms lifetime{0};
   /// The chain to continue, oldest first, when the program's partition does not
   /// hold it. It is recorded there before the grant.
   std::vector<retained_turn> copies{};
@@ -72,6 +77,8 @@
 struct reservation_holder {
   std::string attempt; // empty for none
   duration_ms age{0};  // since its grant
+  /// Nobody waits for its tokens any more (`token_account`).
+  bool presumed_lost = false;
 };
 
 struct turn_grant {
@@ -83,9 +90,11 @@
   duration_ms retry_after{0};
   /// Oldest first; empty unless requested.
   std::vector<retained_turn> history;
-  std::uint64_t spent = 0; // tokens settled
-  std::uint64_t reserved =
-      0; // tokens granted and not settled, including this turn's
+  /// Tokens that no end of a turn can give back any more.
+  std::uint64_t spent = 0;
+  /// Tokens that are granted and may still be given back, including this
+  /// turn's.
+  std::uint64_t reserved = 0;
   /// With `budget_spent`: the oldest attempt that holds a reservation.
   reservation_holder holder;
   /// The place of the turn that this one continues.
@@ -151,8 +160,8 @@
   turn_ledger &operator=(const turn_ledger &) = delete;
   virtual ~turn_ledger() = default;
 
-  /// Requests a turn; returns by `deadline`. A grant is durable and counts as
-  /// spent in full until the turn's end is recorded.
+  /// Requests a turn; returns by `deadline`. A grant is durable and counts
+  /// against the budget until the turn's end is recorded (`token_account`).
   virtual boost::asio::awaitable<turn_grant> begin(turn_request request,
                                                    timestamp deadline) = 0;
 
