A leader grants no turn whose caller has stopped waiting

What callers saw: a turn is refused because its program's budget is held by a grant that nobody heard, and the tries after it meet the next such grant.

Cause: a request for leave that waited at the leader beyond its caller's time, in the inbox of a process that got no processor or through a change of leaders, was proposed all the same. The grant reserved the most of a turn until the caller's cancellation was recorded.

Messages are stamped when the transport hands them over. The cancellation comes as before; an attempt that was ended is never granted.

Test: record_group_test, a_grant_that_nobody_waits_for_is_not_made: a leader that stands still for 80 ms takes up a request that was good for 40 ms. Fails with the drop switched off: the next turn is refused.

--- a/src/records/node_load.cpp
+++ b/src/records/node_load.cpp
@@ -84,6 +84,7 @@
   line.field("questions", totals.requests.taken)
       .field("repeated", totals.requests.repeated)
       .field("settled", totals.requests.settled)
+      .field("expired", totals.requests.expired)
       .field("late", totals.requests.late)
       .field("longest_unproposed_ms",
              totals.requests.longest_unproposed.count())
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -83,8 +83,8 @@
   log_event(logging::event::record_group_founded, fmt::format("{}", self_id_));
 }
 
-void record_node::receive(wire::Envelope envelope) {
-  inbox_.push_back(std::move(envelope));
+void record_node::receive(arrived_message message) {
+  inbox_.push_back(std::move(message));
 }
 
 void record_node::learn_members(const wire::RecordMembers &members) {
@@ -122,10 +122,10 @@
 record_effects record_node::step(timestamp now, std::uint64_t wall_ms,
                                  std::uint64_t random) {
   raft::outbox out;
-  std::vector<wire::Envelope> taken;
+  std::vector<arrived_message> taken;
   taken.swap(inbox_);
-  for (wire::Envelope &envelope : taken) {
-    reduce(envelope, now, random, out);
+  for (arrived_message &message : taken) {
+    reduce(message, now, random, out);
   }
   detect_dead_replicas(now);
   log_->tick(now, random, out);
@@ -184,8 +184,9 @@
   return effects;
 }
 
-void record_node::reduce(wire::Envelope &envelope, timestamp now,
+void record_node::reduce(arrived_message &message, timestamp now,
                          std::uint64_t random, raft::outbox &out) {
+  wire::Envelope &envelope = message.envelope;
   const replica_id from{node_id{envelope.from()},
                         boot_id{envelope.from_boot()}};
   if (log_->is_dead(from)) {
@@ -199,7 +200,7 @@
   update_last_heard(from, now);
   switch (envelope.body_case()) {
   case wire::Envelope::kRecordRequest:
-    on_request(envelope.record_request(), now);
+    on_request(envelope.record_request(), message.arrived, now);
     break;
   case wire::Envelope::kRecordHello:
     on_hello(envelope.record_hello(), now);
@@ -256,7 +257,7 @@
 }
 
 void record_node::on_request(const wire::RecordRequest &request,
-                             timestamp now) {
+                             timestamp arrived, timestamp now) {
   const wire::SeenRevisions &reported = request.seen();
   seen_.set_configuration(
       std::max(seen_.configuration(), reported.configuration()));
@@ -301,7 +302,7 @@
       *decided.add_items() = std::move(*known);
       continue;
     }
-    proposals_.emplace_back(origin_of(request, item, now), item.change());
+    proposals_.emplace_back(origin_of(request, item, arrived), item.change());
   }
   if (decided.items_size() > 0) {
     send_reply(request.reply_to(), request.members_hash(), std::move(decided),
@@ -311,14 +312,14 @@
 
 record_node::request_origin
 record_node::origin_of(const wire::RecordRequest &request,
-                       const wire::RecordRequestItem &item, timestamp now) {
+                       const wire::RecordRequestItem &item, timestamp arrived) {
   const bool awaited = item.wait_ms() != 0;
   const duration_ms wait{static_cast<std::int64_t>(item.wait_ms())};
   return {.reply_to = request.reply_to(),
           .id = item.id(),
           .members_hash = request.members_hash(),
-          .received = now,
-          .answer_by = awaited ? now + wait : timestamp{}};
+          .received = arrived,
+          .answer_by = awaited ? arrived + wait : timestamp{}};
 }
 
 void record_node::send_reply(const std::string &address,
@@ -441,12 +442,26 @@
   send(address_of(due->to), std::move(envelope));
 }
 
+void record_node::drop_late_proposals(timestamp now) {
+  std::erase_if(proposals_, [this, now](const auto &proposal) {
+    const auto &[origin, change] = proposal;
+    const bool only_for_caller = change.has_begin() || change.has_read();
+    const bool dropped = only_for_caller && origin.is_late(now);
+    if (dropped) {
+      pending_requests_.erase(request_hash(origin.reply_to, origin.id));
+      ++request_counts_.expired;
+    }
+    return dropped;
+  });
+}
+
 void record_node::propose_batch(timestamp now, std::uint64_t wall_ms,
                                 raft::outbox &out) {
   if (!log_->is_leader()) {
     redirect_proposals(now);
     return;
   }
+  drop_late_proposals(now);
   const bool batching = now < proposed_ + options_.batch_interval;
   if (proposals_.empty() || batching || !transfer_targets_.empty()) {
     return;
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -114,6 +114,12 @@
   std::vector<logged_event> log;
 };
 
+/// A message, and when it reached this process.
+struct arrived_message {
+  wire::Envelope envelope;
+  timestamp arrived{};
+};
+
 class record_node {
 public:
   /// @param self name, address and zone of this node; its replica id is
@@ -129,7 +135,7 @@
   }
 
   /// Queues a message for the next `step`.
-  void receive(wire::Envelope envelope);
+  void receive(arrived_message message);
   /// Adds storage nodes listed by the object store or by a peer.
   void learn_members(const wire::RecordMembers &members);
   /// Sets the names of the nodes that the operator wants to remove.
@@ -191,13 +197,14 @@
     }
   };
 
-  void reduce(wire::Envelope &envelope, timestamp now, std::uint64_t random,
+  void reduce(arrived_message &message, timestamp now, std::uint64_t random,
               raft::outbox &out);
-  void on_request(const wire::RecordRequest &request, timestamp now);
-  /// Returns where and by when an item received now is to be answered.
+  void on_request(const wire::RecordRequest &request, timestamp arrived,
+                  timestamp now);
+  /// Returns where and by when an item is to be answered.
   static request_origin origin_of(const wire::RecordRequest &request,
                                   const wire::RecordRequestItem &item,
-                                  timestamp now);
+                                  timestamp arrived);
   /// Marks a request item as pending.
   /// @return false when it is pending already, i.e. this is a retransmission.
   bool register_request(const std::string &reply_to, std::uint64_t id);
@@ -210,6 +217,10 @@
   void send_snapshot(timestamp now);
   void update_last_heard(const replica_id &from, timestamp now);
   void learn_member(const wire::RecordMember &record, timestamp now);
+  /// Drops requests for turns and histories whose callers have stopped
+  /// waiting. A grant that nobody hears would hold its program's budget until
+  /// its cancellation is recorded.
+  void drop_late_proposals(timestamp now);
   void propose_batch(timestamp now, std::uint64_t wall_ms, raft::outbox &out);
   /// Proposes the quota reservations that the pending permit requests need.
   void propose_quota_reservations(timestamp now);
@@ -308,7 +319,7 @@
   /// Gateways that have sent a load report and are due one in return.
   std::set<std::string> pending_load_replies_;
 
-  std::vector<wire::Envelope> inbox_;
+  std::vector<arrived_message> inbox_;
   std::vector<std::pair<request_origin, wire::RecordChange>> proposals_;
   std::map<std::uint64_t, std::vector<request_origin>>
       requesters_; // by log index
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -241,27 +241,24 @@
 
 void record_runtime::on_message(wire::Envelope envelope) {
   const std::scoped_lock lock(mutex_);
-  arrived_.push_back(std::move(envelope));
+  arrived_.push_back({std::move(envelope), steady_now()});
   if (!processing_posted_) {
     processing_posted_ = true;
-    first_arrived_ = steady_now();
     asio::post(io_, [this] { process_arrived(); });
   }
 }
 
 void record_runtime::process_arrived() {
-  std::vector<wire::Envelope> taken;
-  timestamp oldest;
+  std::vector<arrived_message> taken;
   {
     const std::scoped_lock lock(mutex_);
     taken.swap(arrived_);
     processing_posted_ = false;
-    oldest = first_arrived_;
   }
-  load_.on_queue(taken.size(), oldest, steady_now());
-  for (wire::Envelope &envelope : taken) {
-    load_.on_message(envelope);
-    receive(std::move(envelope));
+  load_.on_queue(taken.size(), taken.front().arrived, steady_now());
+  for (arrived_message &message : taken) {
+    load_.on_message(message.envelope);
+    receive(std::move(message));
   }
   for (const std::size_t number : std::exchange(partitions_with_input_, {})) {
     step(number);
@@ -285,7 +282,8 @@
       });
 }
 
-void record_runtime::receive(wire::Envelope envelope) {
+void record_runtime::receive(arrived_message message) {
+  const wire::Envelope &envelope = message.envelope;
   if (envelope.has_follow_objects()) {
     if (follow_handler_) {
       follow_handler_(envelope.follow_objects());
@@ -308,7 +306,7 @@
     partitions_[number].reported_at = steady_now();
     return;
   }
-  partitions_[number].node->receive(std::move(envelope));
+  partitions_[number].node->receive(std::move(message));
   partitions_with_input_.insert(number);
 }
 
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -105,7 +105,7 @@
 
   void on_message(wire::Envelope envelope);
   void process_arrived();
-  void receive(wire::Envelope envelope);
+  void receive(arrived_message message);
   /// Schedules a step for the time at which queued requests are to be proposed.
   void arm_batch_timer(std::size_t number);
   void step(std::size_t number);
@@ -140,9 +140,8 @@
   std::unique_ptr<rpc::transport> transport_;
 
   std::mutex mutex_;
-  std::vector<wire::Envelope> arrived_; // guarded by mutex_
-  bool processing_posted_ = false;      // guarded by mutex_
-  timestamp first_arrived_{};           // guarded by mutex_
+  std::vector<arrived_message> arrived_; // guarded by mutex_
+  bool processing_posted_ = false;       // guarded by mutex_
 
   std::uint64_t writes_ = 0;
   double write_seconds_ = 0;
--- a/src/records/request_counts.hpp
+++ b/src/records/request_counts.hpp
@@ -15,6 +15,9 @@
   /// Items of `taken` that were answered from the current state, without a log
   /// entry.
   std::uint64_t settled = 0;
+  /// Items that were dropped before they were proposed, because their callers
+  /// had stopped waiting.
+  std::uint64_t expired = 0;
   /// Outcomes of log entries that were sent after their callers had stopped
   /// waiting.
   std::uint64_t late = 0;
@@ -27,6 +30,7 @@
     taken += other.taken;
     repeated += other.repeated;
     settled += other.settled;
+    expired += other.expired;
     late += other.late;
     longest_unproposed = std::max(longest_unproposed, other.longest_unproposed);
     longest_outcome = std::max(longest_outcome, other.longest_outcome);
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(requests_that_arrive_together_share_an_entry);
   CPPUNIT_TEST(a_repeated_request_is_recorded_once);
   CPPUNIT_TEST(a_request_with_a_late_reply_is_recorded_once);
+  CPPUNIT_TEST(a_grant_that_nobody_waits_for_is_not_made);
   CPPUNIT_TEST(leadership_is_transferred_under_load);
   CPPUNIT_TEST(a_voter_that_is_back_soon_is_not_replaced);
   CPPUNIT_TEST(a_node_without_a_replica_contacts_only_the_leader);
@@ -574,6 +575,33 @@
                              before.value());
   }
 
+  /// A request that its caller has given up must not reserve tokens: the
+  /// program's next turn would be refused until the cancellation is recorded.
+  void a_grant_that_nobody_waits_for_is_not_made() {
+    record_group group(5);
+    start_group(group, {"a", "b", "c"});
+    const std::string leader = group.leader();
+    const auto begin = [](const std::string &attempt) {
+      wire::RecordChange change;
+      wire::BeginTurn &turn = *change.mutable_begin();
+      turn.set_program("p");
+      turn.set_attempt(attempt);
+      turn.set_most(589);
+      turn.set_budget(900);
+      turn.set_keep_ms(60000);
+      return change;
+    };
+    group.freeze(leader);
+    group.send_once(leader, begin("given-up"), 40ms);
+    group.run(80ms); // shorter than an election timeout
+    group.thaw(leader);
+    group.run(200ms);
+    CPPUNIT_ASSERT_EQUAL(leader, group.leader());
+    const std::uint64_t next = group.submit(begin("next"));
+    group.run(500ms);
+    CPPUNIT_ASSERT(group.verdict(next) == wire::RECORD_GRANTED);
+  }
+
   void leadership_is_transferred_under_load() {
     // Followers lag behind a leader that keeps proposing entries.
     for (std::uint32_t partition = 0; partition < 4; ++partition) {
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -149,14 +149,24 @@
     if (leader_name.empty()) {
       return;
     }
+    wire::RecordChange change;
+    change.mutable_begin()->set_program(std::to_string(number));
+    send_once(leader_name, std::move(change), duration_ms{0});
+  }
+  /// Sends a change to a node without repeating it.
+  /// @param wait how long its caller waits; zero when nobody does.
+  std::uint64_t send_once(const std::string &to, wire::RecordChange change,
+                          duration_ms wait) {
+    const std::uint64_t id = ++next_id_;
     wire::Envelope envelope;
     wire::RecordRequest &request = *envelope.mutable_record_request();
     request.set_reply_to(client_address);
     wire::RecordRequestItem &item = *request.add_items();
-    item.set_id(++next_id_);
-    item.mutable_change()->mutable_begin()->set_program(std::to_string(number));
-    in_flight_.push_back(
-        {now_, client_address, leader_name, std::move(envelope)});
+    item.set_id(id);
+    item.set_wait_ms(static_cast<std::uint64_t>(wait.count()));
+    *item.mutable_change() = std::move(change);
+    in_flight_.push_back({now_, client_address, to, std::move(envelope)});
+    return id;
   }
   /// Sends one request for a permit of a tenant that is limited to ten requests
   /// a second with a burst of ten.
@@ -405,7 +415,8 @@
         undeliverable_bytes_ += own ? each.envelope.ByteSizeLong() : 0;
         continue;
       }
-      found->second.node->receive(std::move(each.envelope));
+      found->second.node->receive(
+          {.envelope = std::move(each.envelope), .arrived = now_});
       found->second.has_messages = true;
     }
   }
