A turn that waits for its budget leaves time for the last reply

What callers saw: 503 "record group unavailable" where a budget was held, at exactly 0.4 of the turn's time. The longest outcome of any second at any leader was 292 ms in that time, and 128 ms but for one second.

Cause: a gateway asks every 100 ms while the budget is only reserved, the last time with less than 100 ms left. The reply came too late: a refusal was reported as no answer, and a grant reserved tokens that nobody used.

Change: a turn asks again only while 150 ms of its wait are left for the reply; else it answers at once with what it knows.

Test: request_exchange_test, a_grant_is_not_requested_without_time_for_the_reply; fails without the reserve of time.

--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -42,6 +42,10 @@
 /// The interval at which a turn requests its grant again while the budget is
 /// reserved by other turns.
 constexpr duration_ms budget_pause{100};
+/// A turn requests its grant again only while this much of its wait is left for
+/// the reply. A grant whose reply comes too late reserves tokens that nobody
+/// uses, and keeps the program's other turns waiting.
+constexpr duration_ms grant_reply_time{150};
 /// Replicas and storage nodes take seconds to start. A client that retries
 /// sooner only uses up its attempts.
 constexpr duration_ms home_retry{1000};
@@ -316,16 +320,26 @@
   return request_.turn.has_value() || route_->retained;
 }
 
+asio::awaitable<bool> request_exchange::pause_for_budget() {
+  const timestamp last_request = turn_->wait_deadline() - grant_reply_time;
+  if (client_gone_ || steady_now() + budget_pause >= last_request) {
+    co_return false;
+  }
+  pause_timer_.expires_after(budget_pause);
+  co_await pause_timer_.async_wait(as_result);
+  co_return !client_gone_ && steady_now() < last_request;
+}
+
 asio::awaitable<bool> request_exchange::begin_turn() {
   turn_.emplace(gateway_, request_, *route_, home_, caller_.tenant, deadline_);
   if (!co_await check_storage_residency()) {
     co_return false;
   }
   records::turn_verdict verdict = co_await turn_->begin();
-  while (turn_->budget_is_only_reserved() && !client_gone_ &&
-         steady_now() + budget_pause < turn_->wait_deadline()) {
-    pause_timer_.expires_after(budget_pause);
-    co_await pause_timer_.async_wait(as_result);
+  while (turn_->budget_is_only_reserved()) {
+    if (!co_await pause_for_budget()) {
+      break;
+    }
     verdict = co_await turn_->begin();
   }
   if (verdict == records::turn_verdict::granted) {
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -91,6 +91,10 @@
   /// @return true when the request may run; otherwise the client has been
   /// answered.
   asio::awaitable<bool> begin_turn();
+  /// Waits before the grant is requested again.
+  /// @return false when the client has left or too little time remains for
+  /// another reply.
+  asio::awaitable<bool> pause_for_budget();
   /// Checks that no storage node is outside the turn's home regions.
   /// @return false when one does; then the client has been answered.
   asio::awaitable<bool> check_storage_residency();
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(a_request_with_a_spent_budget_is_not_sent);
   CPPUNIT_TEST(a_budget_that_is_only_reserved_is_waited_for);
   CPPUNIT_TEST(a_budget_that_stays_reserved_is_not_called_spent);
+  CPPUNIT_TEST(a_grant_is_not_requested_without_time_for_the_reply);
   CPPUNIT_TEST(a_gateway_that_leaves_refuses_new_requests);
   CPPUNIT_TEST(without_routes_the_answer_is_503_not_404);
   CPPUNIT_TEST(a_replica_gets_the_tenant_and_not_the_key);
@@ -626,6 +627,19 @@
         ask("/stream/x", {{"Program", "p"}, {"Budget", "9"}})->result_int());
   }
 
+  /// A grant that comes too late for its turn reserves tokens that nobody uses,
+  /// and the turn is refused as if the record group had not answered.
+  void a_grant_is_not_requested_without_time_for_the_reply() {
+    ledger_.refused_for_reservations = 1000;
+    const auto answer = ask(
+        "/stream/x", {{"Program", "p"}, {"Budget", "9"}, {"Deadline", "1375"}});
+    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    CPPUNIT_ASSERT(ledger_.reply_times.size() > 1);
+    for (const duration_ms each : ledger_.reply_times) {
+      CPPUNIT_ASSERT(each > duration_ms{100});
+    }
+  }
+
   void a_gateway_that_leaves_refuses_new_requests() {
     gateway_->begin_drain();
     gateway_->refuse_new_requests();
--- a/tests/support/open_ledger.hpp
+++ b/tests/support/open_ledger.hpp
@@ -21,6 +21,8 @@
   records::turn_verdict verdict = records::turn_verdict::granted;
   std::vector<records::turn_end> ends;
   std::vector<records::turn_request> requests;
+  /// How long each request could wait for its reply.
+  std::vector<duration_ms> reply_times;
   /// Called before a grant is given.
   std::function<void()> before_grant;
   bool records_ends = true;
@@ -43,7 +45,8 @@
   }
 
   asio::awaitable<records::turn_grant> begin(records::turn_request request,
-                                             timestamp) override {
+                                             timestamp deadline) override {
+    reply_times.push_back(deadline - steady_now());
     requests.push_back(std::move(request));
     if (before_grant) {
       before_grant();
