A program's spent budget stays spent when a report comes late

What callers could have seen: a 402, and then the same turn is run. A 402 is a promise that the turn is not run.

Cause: losses beyond the allowance were counted as spent only while they were open, so a report took the count back. And lifetimes were judged by the wall clocks of leaders, which can be set: a step ahead counted running attempts as lost.

Change: an attempt that is given up is charged in full and ended; a later report of it changes nothing. Lifetimes go by the partition's quota clock, which never runs faster than real time and stands still while there is no leader, so that gateways have their time to report after an outage.

--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -80,14 +80,14 @@
     return reply;
   }
   program &account = account_of(wanted.program(), wanted.keep_ms());
-  reply.set_verdict(account.tokens.begin(wanted, now_ms_));
+  reply.set_verdict(account.tokens.begin(wanted, quota_time_));
   add_grant_details(wanted, account, reply);
   return reply;
 }
 
 void record_table::add_balance(const program &account,
                                wire::RecordReplyItem &reply) const {
-  const token_account::balance balance = account.tokens.balance_at(now_ms_);
+  const token_account::balance balance = account.tokens.current_balance();
   reply.set_spent(balance.spent);
   reply.set_reserved(balance.reserved);
 }
@@ -97,7 +97,7 @@
                                      wire::RecordReplyItem &reply) const {
   add_balance(account, reply);
   if (reply.verdict() == wire::RECORD_BUDGET_SPENT) {
-    if (auto holder = account.tokens.oldest_holder(now_ms_)) {
+    if (auto holder = account.tokens.oldest_holder(quota_time_)) {
       *reply.mutable_holder() = std::move(*holder);
     }
   }
--- a/src/records/token_account.cpp
+++ b/src/records/token_account.cpp
@@ -1,6 +1,8 @@
 #include "records/token_account.hpp"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace heathtrestle::records {
 
@@ -12,10 +14,8 @@
 
 } // namespace
 
-bool token_account::reservation::given_up(std::uint64_t now_ms) const {
-  const bool bounded = ends_ms != 0;
-  return presumed_lost() && bounded &&
-         now_ms >= std::max(ends_ms, presumed_lost_ms) + report_allowance_ms;
+bool token_account::reservation::is_given_up(std::uint64_t now_ms) const {
+  return ends_ms.has_value() && now_ms >= *ends_ms + report_allowance_ms;
 }
 
 wire::RecordVerdict token_account::begin(const wire::BeginTurn &wanted,
@@ -27,27 +27,47 @@
     return wire::RECORD_GRANTED;
   }
   presume_losses(wanted, now_ms);
-  const balance now = balance_at(now_ms);
+  charge_given_up(now_ms);
+  const balance now = current_balance();
   if (now.spent + now.reserved + wanted.most() > wanted.budget()) {
     return wire::RECORD_BUDGET_SPENT;
   }
-  const std::uint64_t lifetime = wanted.lifetime_ms();
-  open_[wanted.attempt()] = {.most = wanted.most(),
-                             .session = wanted.session(),
-                             .granted_ms = now_ms,
-                             .ends_ms = lifetime == 0 ? 0 : now_ms + lifetime};
+  reservation &granted = open_[wanted.attempt()];
+  granted.most = wanted.most();
+  granted.session = wanted.session();
+  granted.granted_ms = now_ms;
+  if (wanted.lifetime_ms() != 0) {
+    granted.ends_ms = now_ms + wanted.lifetime_ms();
+  }
   return wire::RECORD_GRANTED;
 }
 
 void token_account::presume_losses(const wire::BeginTurn &wanted,
                                    std::uint64_t now_ms) {
   for (auto &[attempt, each] : open_) {
-    const bool over = each.ends_ms != 0 && now_ms >= each.ends_ms;
-    const bool superseded =
+    const bool is_over = each.ends_ms && now_ms >= *each.ends_ms;
+    const bool is_superseded =
         !each.session.empty() && each.session == wanted.session();
-    if (!each.presumed_lost() && (over || superseded)) {
-      each.presumed_lost_ms = now_ms;
+    each.presumed_lost = each.presumed_lost || is_over || is_superseded;
+  }
+}
+
+void token_account::charge_given_up(std::uint64_t now_ms) {
+  std::uint64_t largest = 0;
+  std::vector<std::string> given_up;
+  for (const auto &[attempt, each] : open_) {
+    if (!each.is_given_up(now_ms)) {
+      continue;
     }
+    given_up.push_back(attempt);
+    if (each.most > largest) {
+      largest = each.most;
+      std::swap(given_up.front(), given_up.back());
+    }
+  }
+  // The first one is the largest, which the allowance bears.
+  for (std::size_t place = 1; place < given_up.size(); ++place) {
+    end(given_up[place], open_.at(given_up[place]).most);
   }
 }
 
@@ -59,31 +79,23 @@
   }
 }
 
-token_account::balance token_account::balance_at(std::uint64_t now_ms) const {
+token_account::balance token_account::current_balance() const {
   std::uint64_t reserved = 0;
-  std::uint64_t given_up = 0;
-  std::uint64_t largest_given_up = 0;
   std::uint64_t largest_lost = 0;
   for (const auto &[attempt, each] : open_) {
     reserved += each.most;
-    if (each.presumed_lost()) {
+    if (each.presumed_lost) {
       largest_lost = std::max(largest_lost, each.most);
     }
-    if (each.given_up(now_ms)) {
-      given_up += each.most;
-      largest_given_up = std::max(largest_given_up, each.most);
-    }
   }
-  // One presumed loss, the largest, is borne by the allowance of the budget.
-  const std::uint64_t committed = spent_ + reserved - largest_lost;
-  const std::uint64_t unrecoverable = spent_ + given_up - largest_given_up;
-  return {.spent = unrecoverable, .reserved = committed - unrecoverable};
+  return {.spent = spent_, .reserved = reserved - largest_lost};
 }
 
 std::optional<wire::ReservationHolder>
 token_account::oldest_holder(std::uint64_t now_ms) const {
-  const auto oldest = std::ranges::min_element(
-      open_, {}, [](const auto &each) { return each.second.granted_ms; });
+  const auto oldest = std::ranges::min_element(open_, {}, [](const auto &each) {
+    return std::pair(each.second.presumed_lost, each.second.granted_ms);
+  });
   if (oldest == open_.end()) {
     return std::nullopt;
   }
@@ -91,7 +103,7 @@
   wire::ReservationHolder holder;
   holder.set_attempt(oldest->first);
   holder.set_age_ms(now_ms - std::min(now_ms, held.granted_ms));
-  holder.set_presumed_lost(held.presumed_lost());
+  holder.set_presumed_lost(held.presumed_lost);
   return holder;
 }
 
@@ -103,8 +115,10 @@
     open.set_most(each.most);
     open.set_session(each.session);
     open.set_granted_ms(each.granted_ms);
-    open.set_ends_ms(each.ends_ms);
-    open.set_presumed_lost_ms(each.presumed_lost_ms);
+    if (each.ends_ms) {
+      open.set_ends_ms(*each.ends_ms);
+    }
+    open.set_presumed_lost(each.presumed_lost);
   }
   for (const std::string &attempt : ended_) {
     saved.add_closed(attempt);
@@ -115,12 +129,14 @@
   token_account account;
   account.spent_ = saved.spent();
   for (const wire::RecordOpenTurn &open : saved.open()) {
-    account.open_[open.attempt()] = {.most = open.most(),
-                                     .session = open.session(),
-                                     .granted_ms = open.granted_ms(),
-                                     .ends_ms = open.ends_ms(),
-                                     .presumed_lost_ms =
-                                         open.presumed_lost_ms()};
+    reservation &held = account.open_[open.attempt()];
+    held.most = open.most();
+    held.session = open.session();
+    held.granted_ms = open.granted_ms();
+    if (open.has_ends_ms()) {
+      held.ends_ms = open.ends_ms();
+    }
+    held.presumed_lost = open.presumed_lost();
   }
   account.ended_.insert(saved.closed().begin(), saved.closed().end());
   return account;
--- a/src/records/token_account.hpp
+++ b/src/records/token_account.hpp
@@ -6,11 +6,14 @@
 // is presumed lost once nobody waits for its tokens any more. A program may
 // exceed its budget by the most of one turn, and the account spends this
 // allowance on one presumed loss at a time: the program goes on at once, and
-// what its clients receive stays below its budget and one turn's most, whether
-// or not the attempt is really lost. Further losses count like spent tokens
-// when their gateways have had time to report an end.
+// what its clients receive stays within its budget and one turn's most, whether
+// or not the attempt is really lost. Further losses are charged in full when
+// their gateways have had time to report an end; a later report changes
+// nothing, so a budget that was called spent stays spent.
 //
-// All times are times of the log, in milliseconds, so that all replicas agree.
+// All times are those of the partition's quota clock, in milliseconds. All
+// replicas agree on it; it never runs faster than real time and stands still
+// while there is no leader to report to.
 #pragma once
 
 #include "wire/messages.hpp"
@@ -27,9 +30,10 @@
 public:
   /// What is left of the budget is the budget less both.
   struct balance {
-    /// Tokens that no report can give back any more.
+    /// Never decreases.
     std::uint64_t spent = 0;
-    /// Tokens that attempts may still give back when they end.
+    /// Tokens that attempts may still give back when they end, without those
+    /// that the allowance bears.
     std::uint64_t reserved = 0;
   };
 
@@ -49,8 +53,9 @@
   [[nodiscard]] bool has_ended(const std::string &attempt) const {
     return ended_.contains(attempt);
   }
-  [[nodiscard]] balance balance_at(std::uint64_t now_ms) const;
-  /// The oldest attempt whose reservation counts, if any.
+  [[nodiscard]] balance current_balance() const;
+  /// An attempt that holds a reservation, if any: the oldest of those that are
+  /// not presumed lost, or else the oldest.
   [[nodiscard]] std::optional<wire::ReservationHolder>
   oldest_holder(std::uint64_t now_ms) const;
 
@@ -63,18 +68,20 @@
     std::uint64_t most = 0;
     std::string session;
     std::uint64_t granted_ms = 0;
-    std::uint64_t ends_ms = 0; // of the attempt's lifetime; 0 when unknown
-    std::uint64_t presumed_lost_ms = 0; // since when; 0 while it is not
+    std::optional<std::uint64_t> ends_ms; // end of the lifetime, when known
+    bool presumed_lost = false;
 
-    [[nodiscard]] bool presumed_lost() const { return presumed_lost_ms != 0; }
     /// True when its gateway has had time to report an end and did not.
-    [[nodiscard]] bool given_up(std::uint64_t now_ms) const;
+    [[nodiscard]] bool is_given_up(std::uint64_t now_ms) const;
   };
 
   /// Presumes those open attempts lost for which nobody can be waiting: their
   /// lifetime is over, or their client has begun another attempt of the
   /// session.
   void presume_losses(const wire::BeginTurn &wanted, std::uint64_t now_ms);
+  /// Ends the attempts that are given up, except for the largest, and charges
+  /// the most that they may have delivered.
+  void charge_given_up(std::uint64_t now_ms);
 
   std::uint64_t spent_ = 0;
   std::map<std::string, reservation> open_; // by attempt
--- a/tests/records/token_account_test.cpp
+++ b/tests/records/token_account_test.cpp
@@ -15,15 +15,15 @@
 
 constexpr std::uint64_t most = 589;
 constexpr std::uint64_t lifetime_ms = 3000;
-/// Longer than gateways may take to report an end after the lifetime.
+/// Longer than the account waits for a report after the lifetime.
 constexpr std::uint64_t report_time_ms = 10000;
 
 wire::BeginTurn turn(const std::string &attempt, const std::string &session,
-                     std::uint64_t budget) {
+                     std::uint64_t budget, std::uint64_t tokens = most) {
   wire::BeginTurn wanted;
   wanted.set_attempt(attempt);
   wanted.set_session(session);
-  wanted.set_most(most);
+  wanted.set_most(tokens);
   wanted.set_budget(budget);
   wanted.set_lifetime_ms(lifetime_ms);
   return wanted;
@@ -36,6 +36,8 @@
   CPPUNIT_TEST(an_attempt_under_way_is_waited_for);
   CPPUNIT_TEST(the_allowance_bears_one_loss_at_a_time);
   CPPUNIT_TEST(losses_beyond_the_allowance_count_as_spent);
+  CPPUNIT_TEST(a_budget_that_was_called_spent_stays_spent);
+  CPPUNIT_TEST(the_allowance_bears_the_largest_loss);
   CPPUNIT_TEST(an_end_that_arrives_after_all_counts_what_was_used);
   CPPUNIT_TEST(the_oldest_holder_is_named);
   CPPUNIT_TEST(random_losses_stay_within_the_budget_and_one_turn);
@@ -51,9 +53,8 @@
   }
 
   /// Whether the turn can only wait for reservations, as gateways tell.
-  [[nodiscard]] bool is_only_reserved(std::uint64_t budget,
-                                      std::uint64_t now_ms) const {
-    const token_account::balance balance = account_.balance_at(now_ms);
+  [[nodiscard]] bool is_only_reserved(std::uint64_t budget) const {
+    const token_account::balance balance = account_.current_balance();
     return balance.reserved > 0 && balance.spent + most <= budget;
   }
 
@@ -75,7 +76,7 @@
     begin("running", "s", 900, 1000);
     CPPUNIT_ASSERT_EQUAL(wire::RECORD_BUDGET_SPENT,
                          begin("next", "other", 900, 2000));
-    CPPUNIT_ASSERT(is_only_reserved(900, 2000));
+    CPPUNIT_ASSERT(is_only_reserved(900));
     account_.end("running", 100);
     CPPUNIT_ASSERT_EQUAL(wire::RECORD_GRANTED,
                          begin("again", "other", 900, 2100));
@@ -94,11 +95,41 @@
     begin("first", "s", 900, 1000);
     begin("second", "s", 900, 1200);
     begin("third", "s", 900, 1400);
-    CPPUNIT_ASSERT(is_only_reserved(900, 1400));
+    CPPUNIT_ASSERT(is_only_reserved(900));
     const std::uint64_t later = 1400 + lifetime_ms + report_time_ms;
     CPPUNIT_ASSERT_EQUAL(wire::RECORD_BUDGET_SPENT,
                          begin("fourth", "s", 900, later));
-    CPPUNIT_ASSERT(!is_only_reserved(900, later));
+    CPPUNIT_ASSERT(!is_only_reserved(900));
+  }
+
+  /// "Budget spent" is final for clients; a report that comes later must not
+  /// take it back.
+  void a_budget_that_was_called_spent_stays_spent() {
+    begin("first", "s", 900, 1000);
+    begin("second", "s", 900, 1400);
+    begin("third", "s", 900, 1800);
+    const std::uint64_t later = 1800 + lifetime_ms + report_time_ms;
+    begin("fourth", "s", 900, later);
+    CPPUNIT_ASSERT(!is_only_reserved(900));
+    account_.end("first", 0);
+    account_.end("second", 0);
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_BUDGET_SPENT,
+                         begin("fifth", "s", 900, later + 100));
+    CPPUNIT_ASSERT(!is_only_reserved(900));
+  }
+
+  void the_allowance_bears_the_largest_loss() {
+    const auto start = [this](const std::string &attempt, std::uint64_t tokens,
+                              std::uint64_t now_ms) {
+      return account_.begin(turn(attempt, "s", 1000, tokens), now_ms);
+    };
+    start("small", 100, 1000);
+    start("large", 800, 1000);
+    const std::uint64_t later = 1000 + lifetime_ms;
+    CPPUNIT_ASSERT_EQUAL(wire::RECORD_GRANTED, start("next", 900, later));
+    account_.end("next", 0);
+    start("again", 900, later + report_time_ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, account_.current_balance().spent);
   }
 
   void an_end_that_arrives_after_all_counts_what_was_used() {
@@ -106,7 +137,7 @@
     begin("next", "s", 900, 1200);
     account_.end("slow", 500);
     account_.end("next", 200);
-    const token_account::balance balance = account_.balance_at(1300);
+    const token_account::balance balance = account_.current_balance();
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{700}, balance.spent);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, balance.reserved);
   }
@@ -121,7 +152,14 @@
                          account_.oldest_holder(1700)->age_ms());
     CPPUNIT_ASSERT(!account_.oldest_holder(1700)->presumed_lost());
     begin("c", "s", 2000, 1800);
-    CPPUNIT_ASSERT(account_.oldest_holder(1800)->presumed_lost());
+    // "b" is presumed lost.
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         account_.oldest_holder(1800)->attempt());
+    account_.end("a", 0);
+    account_.end("c", 0);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         account_.oldest_holder(1900)->attempt());
+    CPPUNIT_ASSERT(account_.oldest_holder(1900)->presumed_lost());
   }
 
   /// Gateways die before, while and after tokens are delivered, their reports
@@ -142,15 +180,22 @@
       token_account account;
       std::vector<attempt_under_way> under_way;
       std::uint64_t received = 0;
+      std::uint64_t least_called_spent = budget + 1;
       std::uint64_t now_ms = 1000;
       for (int step = 0; step < 300; ++step) {
         now_ms += draw(20) == 0 ? draw(12000) : draw(200);
         const std::string id = fmt::format("a{}", step);
         const std::string session = fmt::format("s{}", draw(3));
-        const auto verdict = account.begin(turn(id, session, budget), now_ms);
+        const std::uint64_t tokens = 1 + draw(most);
+        const auto verdict =
+            account.begin(turn(id, session, budget, tokens), now_ms);
+        if (account.current_balance().spent + tokens > budget) {
+          least_called_spent = std::min(least_called_spent, tokens);
+        }
         if (verdict == wire::RECORD_GRANTED) {
+          CPPUNIT_ASSERT(tokens < least_called_spent);
           // What an unheard grant delivers is nothing.
-          const std::uint64_t delivered = draw(4) == 0 ? 0 : draw(most + 1);
+          const std::uint64_t delivered = draw(4) == 0 ? 0 : draw(tokens + 1);
           received += delivered;
           under_way.push_back({id, delivered});
         }
@@ -196,8 +241,8 @@
           const auto wanted = turn(fmt::format("try{}", attempt), "s0", budget);
           verdict = account.begin(wanted, now_ms);
           CPPUNIT_ASSERT_EQUAL(verdict, copy.begin(wanted, now_ms));
-          const auto balance = account.balance_at(now_ms);
-          CPPUNIT_ASSERT_EQUAL(balance.spent, copy.balance_at(now_ms).spent);
+          const auto balance = account.current_balance();
+          CPPUNIT_ASSERT_EQUAL(balance.spent, copy.current_balance().spent);
           waits = verdict == wire::RECORD_BUDGET_SPENT &&
                   balance.spent + most <= budget;
         }
