A leader that drops late requests still answers their gateways

A dropped request had no reply, and only a reply tells a gateway that the leader is there. Where nothing else was under way, the circuit breaker opened 1.5 s after a dropped read, and callers were refused until a probe was answered.

Change: a leader with a recent quorum sends the gateways of dropped requests a reply without items.

--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -443,16 +443,25 @@
 }
 
 void record_node::drop_late_proposals(timestamp now) {
-  std::erase_if(proposals_, [this, now](const auto &proposal) {
+  std::map<std::string, std::uint64_t> gateways; // with the members they know
+  std::erase_if(proposals_, [this, now, &gateways](const auto &proposal) {
     const auto &[origin, change] = proposal;
     const bool only_for_caller = change.has_begin() || change.has_read();
     const bool dropped = only_for_caller && origin.is_late(now);
     if (dropped) {
+      gateways[origin.reply_to] = origin.members_hash;
       pending_requests_.erase(request_hash(origin.reply_to, origin.id));
       ++request_counts_.expired;
     }
     return dropped;
   });
+  if (!log_->has_recent_quorum(now)) {
+    return;
+  }
+  // Without a reply the gateway would take this leader for silent.
+  for (const auto &[address, known_members] : gateways) {
+    send_reply(address, known_members, {}, now);
+  }
 }
 
 void record_node::propose_batch(timestamp now, std::uint64_t wall_ms,
