A turn that is refused for good cancels the copies of its request

A program's budget is held by an attempt that its gateway refused.

Cause: a gateway asks again for leave after 250 ms. The leader answers the first copy with a refusal and forgets its id; then the tokens come free, or the chain is copied in, and the second copy is granted. The gateway has its answer, has told its client, and reports no end: it cancels only requests that were not answered.

Change: a grant's answer says whether the request was sent more than once. When the turn is refused for good, the gateway then records an end with nothing used, after which no copy is granted.

--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -127,6 +127,7 @@
   gateway_.metrics().on_turn_verdict(
       std::string(name_of(grant_.verdict)),
       std::chrono::duration<double>(steady_now() - asked).count());
+  copies_in_flight_ = copies_in_flight_ || grant_.was_resent;
   if (grant_.verdict == records::turn_verdict::granted) {
     granted_ = true;
     granted_at_ = steady_now();
@@ -192,6 +193,17 @@
                             .keep = retention_});
 }
 
+void program_turn::cancel_copies() {
+  if (granted_ || !copies_in_flight_) {
+    return;
+  }
+  gateway_.ledger().settle({.program = turn_.program,
+                            .attempt = attempt_,
+                            .used = 0,
+                            .kept = {},
+                            .keep = retention_});
+}
+
 void program_turn::log_refusal() const {
   logging::line(logging::event::turn_refused)
       .field("id", request_.attempt_id)
--- a/src/forwarding/program_turn.hpp
+++ b/src/forwarding/program_turn.hpp
@@ -62,6 +62,10 @@
   /// Settles a granted turn that is not recorded, releasing its unused tokens.
   void settle(std::uint64_t used_tokens);
 
+  /// Cancels copies of the request that may still arrive after the turn was
+  /// refused for good: one of them could be granted, and nobody would end it.
+  void cancel_copies();
+
   /// Logs why the turn was refused.
   void log_refusal() const;
 
@@ -87,6 +91,8 @@
 
   records::turn_grant grant_;
   bool granted_ = false;
+  /// The group may still receive copies of the request.
+  bool copies_in_flight_ = false;
   timestamp granted_at_{};
   std::string history_;
   bool history_known_ = false;
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -355,6 +355,7 @@
                                               request_.prompt);
     co_return true;
   }
+  turn_->cancel_copies();
   turn_->log_refusal();
   if (turn_->budget_is_only_reserved()) {
     co_await answer(status_unavailable, ledger_retry,
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -218,6 +218,7 @@
     return grant;
   }
   grant.verdict = verdict_of(entry.reply.verdict());
+  grant.was_resent = entry.send_count > 1;
   grant.spent = entry.reply.spent();
   grant.reserved = entry.reply.reserved();
   const wire::ReservationHolder &holder = entry.reply.holder();
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -88,14 +88,17 @@
   std::vector<std::uint32_t> unanswered;
   /// When to retry after `unavailable`; zero when unknown.
   duration_ms retry_after{0};
+  /// The request was sent more than once. After a refusal, a late copy of it
+  /// may still be granted.
+  bool was_resent = false;
   /// Oldest first; empty unless requested.
   std::vector<retained_turn> history;
-  /// Tokens that no end of a turn can give back any more.
+  /// Tokens that count as used for good.
   std::uint64_t spent = 0;
   /// Tokens that are granted and may still be given back, including this
-  /// turn's.
+  /// turn's (`token_account::balance`).
   std::uint64_t reserved = 0;
-  /// With `budget_spent`: the oldest attempt that holds a reservation.
+  /// With `budget_spent`: an attempt that holds a reservation, if any.
   reservation_holder holder;
   /// The place of the turn that this one continues.
   turn_place previous_place;
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -591,8 +591,8 @@
       turn.set_keep_ms(60000);
       return change;
     };
-    group.freeze(leader);
-    group.send_once(leader, begin("given-up"), 40ms);
+    group.freeze(leader); // the transport goes on receiving
+    group.send_once(leader, begin("given-up"), std::nullopt, 40ms);
     group.run(80ms); // shorter than an election timeout
     group.thaw(leader);
     group.run(200ms);
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -151,22 +151,25 @@
     }
     wire::RecordChange change;
     change.mutable_begin()->set_program(std::to_string(number));
-    send_once(leader_name, std::move(change), duration_ms{0});
+    send_once(leader_name, std::move(change));
   }
   /// Sends a change to a node without repeating it.
+  /// @param id the id of an earlier request to send a copy of it.
   /// @param wait how long its caller waits; zero when nobody does.
   std::uint64_t send_once(const std::string &to, wire::RecordChange change,
-                          duration_ms wait) {
-    const std::uint64_t id = ++next_id_;
+                          std::optional<std::uint64_t> id = std::nullopt,
+                          duration_ms wait = duration_ms{0}) {
+    const std::uint64_t used_id = id.value_or(next_id_ + 1);
+    next_id_ = std::max(next_id_, used_id);
     wire::Envelope envelope;
     wire::RecordRequest &request = *envelope.mutable_record_request();
     request.set_reply_to(client_address);
     wire::RecordRequestItem &item = *request.add_items();
-    item.set_id(id);
+    item.set_id(used_id);
     item.set_wait_ms(static_cast<std::uint64_t>(wait.count()));
     *item.mutable_change() = std::move(change);
     in_flight_.push_back({now_, client_address, to, std::move(envelope)});
-    return id;
+    return used_id;
   }
   /// Sends one request for a permit of a tenant that is limited to ten requests
   /// a second with a burst of ten.
@@ -233,9 +236,15 @@
   /// @return nothing until the group has answered.
   [[nodiscard]] std::optional<wire::RecordVerdict>
   verdict(std::uint64_t id) const {
-    const auto found = verdicts_.find(id);
-    return found == verdicts_.end() ? std::nullopt
-                                    : std::optional(found->second);
+    const auto answer = reply(id);
+    return answer ? std::optional(answer->verdict()) : std::nullopt;
+  }
+  /// The reply without its history; nothing until the group has answered.
+  [[nodiscard]] std::optional<wire::RecordReplyItem>
+  reply(std::uint64_t id) const {
+    const auto found = replies_.find(id);
+    return found == replies_.end() ? std::nullopt
+                                   : std::optional(found->second);
   }
   [[nodiscard]] std::size_t unanswered() const { return unanswered_.size(); }
 
@@ -432,7 +441,8 @@
         permits_used_.push_back(now_);
       }
       if (unanswered_.erase(item.id()) > 0) {
-        verdicts_[item.id()] = item.verdict();
+        replies_[item.id()] = item;
+        replies_[item.id()].clear_history();
       }
     }
   }
@@ -467,7 +477,7 @@
   std::set<std::pair<std::string, std::string>> cut_;
   std::set<std::string> retiring_;
   std::map<std::uint64_t, wire::RecordChange> unanswered_;
-  std::map<std::uint64_t, wire::RecordVerdict> verdicts_;
+  std::map<std::uint64_t, wire::RecordReplyItem> replies_;
   std::map<std::uint64_t, timestamp> permit_requests_;
   std::vector<timestamp> permits_used_;
   std::uint64_t next_id_ = 0;
