--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -19,6 +19,8 @@
 constexpr double grant_wait_fraction = 0.4;
 /// The minimum retention of a turn.
 constexpr duration_ms min_retention{60000};
+/// A lifetime of zero would mean that it is not known.
+constexpr duration_ms min_lifetime{1};
 constexpr std::uint64_t unlimited_budget = 1ULL << 62U;
 
 /// Returns a client's name in the tenant's namespace. The separator is
@@ -110,11 +112,13 @@
 records::turn_request program_turn::make_request() const {
   return {.program = turn_.program,
           .attempt = attempt_,
+          .session = turn_.session,
           .budget = turn_.budget,
           .most = turn_.most_tokens,
           .previous = previous_,
           .want_history = !previous_.empty() && !history_known_,
-          .keep = retention_};
+          .keep = retention_,
+          .lifetime = std::max(deadline_ - steady_now(), min_lifetime)};
 }
 
 asio::awaitable<records::turn_verdict> program_turn::begin() {
@@ -123,6 +127,7 @@
   gateway_.metrics().on_turn_verdict(
       std::string(name_of(grant_.verdict)),
       std::chrono::duration<double>(steady_now() - asked).count());
+  copies_in_flight_ = copies_in_flight_ || grant_.was_resent;
   if (grant_.verdict == records::turn_verdict::granted) {
     granted_ = true;
     granted_at_ = steady_now();
@@ -188,6 +193,17 @@
                             .keep = retention_});
 }
 
+void program_turn::cancel_copies() {
+  if (granted_ || !copies_in_flight_) {
+    return;
+  }
+  gateway_.ledger().settle({.program = turn_.program,
+                            .attempt = attempt_,
+                            .used = 0,
+                            .kept = {},
+                            .keep = retention_});
+}
+
 void program_turn::log_refusal() const {
   logging::line(logging::event::turn_refused)
       .field("id", request_.attempt_id)
@@ -197,6 +213,9 @@
       .field("most", turn_.most_tokens)
       .field("spent", grant_.spent)
       .field("reserved", grant_.reserved)
+      .field("holder", grant_.holder.attempt)
+      .field("holder_age_ms", grant_.holder.age.count())
+      .field("holder_presumed_lost", grant_.holder.presumed_lost)
       .field("previous", request_.previous_turn)
       .field("step", name_of(grant_.step))
       .field("unanswered", fmt::format("{}", fmt::join(grant_.unanswered, " ")))
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -16,14 +16,20 @@
 
 namespace {
 
-std::uint64_t keep_ms(duration_ms keep) {
-  return static_cast<std::uint64_t>(keep.count());
+std::uint64_t to_milliseconds(duration_ms span) {
+  return static_cast<std::uint64_t>(span.count());
 }
 
 turn_place from_wire_place(const wire::TurnPlace &place) {
   return {.instance = place.instance(), .tokens = place.tokens()};
 }
 
+/// @return at least one millisecond.
+std::uint64_t remaining_ms(timestamp deadline, timestamp now) {
+  constexpr duration_ms at_least{1};
+  return static_cast<std::uint64_t>(std::max(deadline - now, at_least).count());
+}
+
 retained_turn from_wire_turn(const wire::RecordTurn &turn) {
   return {.id = turn.id(),
           .previous = turn.previous(),
@@ -49,7 +55,7 @@
   message.set_program(std::move(end.program));
   message.set_attempt(std::move(end.attempt));
   message.set_used(end.used);
-  message.set_keep_ms(keep_ms(end.keep));
+  message.set_keep_ms(to_milliseconds(end.keep));
   if (!end.kept.id.empty()) {
     fill(*message.mutable_kept(), std::move(end.kept));
   }
@@ -65,7 +71,9 @@
   message.set_most(request.most);
   message.set_previous(std::move(request.previous));
   message.set_want_history(request.want_history);
-  message.set_keep_ms(keep_ms(request.keep));
+  message.set_keep_ms(to_milliseconds(request.keep));
+  message.set_session(std::move(request.session));
+  message.set_lifetime_ms(to_milliseconds(request.lifetime));
   return change;
 }
 
@@ -186,7 +194,7 @@
   }
   auto entry = std::make_shared<pending>(io_);
   wire::KeepTurns &copies = *entry->change.mutable_keep();
-  copies.set_keep_ms(keep_ms(request.keep));
+  copies.set_keep_ms(to_milliseconds(request.keep));
   for (const retained_turn &turn : request.copies) {
     fill(*copies.add_turns(), turn);
   }
@@ -210,8 +218,13 @@
     return grant;
   }
   grant.verdict = verdict_of(entry.reply.verdict());
+  grant.was_resent = entry.send_count > 1;
   grant.spent = entry.reply.spent();
   grant.reserved = entry.reply.reserved();
+  const wire::ReservationHolder &holder = entry.reply.holder();
+  grant.holder = {.attempt = holder.attempt(),
+                  .age = duration_ms{holder.age_ms()},
+                  .presumed_lost = holder.presumed_lost()};
   grant.previous_place = from_wire_place(entry.reply.previous_place());
   for (const wire::RecordTurn &turn : entry.reply.history()) {
     grant.history.push_back(from_wire_turn(turn));
@@ -303,6 +316,9 @@
     wire::RecordRequestItem &item = *request.add_items();
     item.set_id(id);
     *item.mutable_change() = entry->change;
+    if (entry->awaited) {
+      item.set_wait_ms(remaining_ms(entry->deadline, now));
+    }
   }
   if (request.items_size() == 0) {
     return;
@@ -495,6 +511,22 @@
   }
 }
 
+void ledger_client::drop_expired_ends(timestamp now) {
+  std::erase_if(pending_, [this, now](const auto &each) {
+    const pending &entry = *each.second;
+    const bool expired = !entry.awaited && now >= entry.deadline;
+    if (expired) {
+      --unsettled_;
+      logging::line(logging::event::turn_end_unrecorded)
+          .field("partition", options_.partition)
+          .field("attempt", entry.change.end().attempt())
+          .field("waited_ms", options_.settle_timeout.count())
+          .write();
+    }
+    return expired;
+  });
+}
+
 void ledger_client::tick() {
   const timestamp now = steady_now();
   update_breaker(now);
@@ -516,12 +548,7 @@
                           now < entry->added + options_.settle_delay;
     unsent = unsent || (entry->sent == timestamp{} && !may_wait);
   }
-  std::erase_if(pending_, [this, now](const auto &each) {
-    const pending &entry = *each.second;
-    const bool expired = !entry.awaited && now >= entry.deadline;
-    unsettled_ -= expired ? 1 : 0;
-    return expired;
-  });
+  drop_expired_ends(now);
   if (timed_out) {
     logging::line(logging::event::record_call_retried)
         .field("partition", options_.partition)
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -83,8 +83,8 @@
   log_event(logging::event::record_group_founded, fmt::format("{}", self_id_));
 }
 
-void record_node::receive(wire::Envelope envelope) {
-  inbox_.push_back(std::move(envelope));
+void record_node::receive(arrived_message message) {
+  inbox_.push_back(std::move(message));
 }
 
 void record_node::learn_members(const wire::RecordMembers &members) {
@@ -122,10 +122,10 @@
 record_effects record_node::step(timestamp now, std::uint64_t wall_ms,
                                  std::uint64_t random) {
   raft::outbox out;
-  std::vector<wire::Envelope> taken;
+  std::vector<arrived_message> taken;
   taken.swap(inbox_);
-  for (wire::Envelope &envelope : taken) {
-    reduce(envelope, now, random, out);
+  for (arrived_message &message : taken) {
+    reduce(message, now, random, out);
   }
   detect_dead_replicas(now);
   log_->tick(now, random, out);
@@ -184,8 +184,9 @@
   return effects;
 }
 
-void record_node::reduce(wire::Envelope &envelope, timestamp now,
+void record_node::reduce(arrived_message &message, timestamp now,
                          std::uint64_t random, raft::outbox &out) {
+  wire::Envelope &envelope = message.envelope;
   const replica_id from{node_id{envelope.from()},
                         boot_id{envelope.from_boot()}};
   if (log_->is_dead(from)) {
@@ -199,7 +200,7 @@
   update_last_heard(from, now);
   switch (envelope.body_case()) {
   case wire::Envelope::kRecordRequest:
-    on_request(envelope.record_request(), now);
+    on_request(envelope.record_request(), message.arrived, now);
     break;
   case wire::Envelope::kRecordHello:
     on_hello(envelope.record_hello(), now);
@@ -256,7 +257,7 @@
 }
 
 void record_node::on_request(const wire::RecordRequest &request,
-                             timestamp now) {
+                             timestamp arrived, timestamp now) {
   const wire::SeenRevisions &reported = request.seen();
   seen_.set_configuration(
       std::max(seen_.configuration(), reported.configuration()));
@@ -301,11 +302,7 @@
       *decided.add_items() = std::move(*known);
       continue;
     }
-    proposals_.emplace_back(
-        request_origin{.reply_to = request.reply_to(),
-                       .id = item.id(),
-                       .members_hash = request.members_hash()},
-        item.change());
+    proposals_.emplace_back(origin_of(request, item, arrived), item.change());
   }
   if (decided.items_size() > 0) {
     send_reply(request.reply_to(), request.members_hash(), std::move(decided),
@@ -313,6 +310,18 @@
   }
 }
 
+record_node::request_origin
+record_node::origin_of(const wire::RecordRequest &request,
+                       const wire::RecordRequestItem &item, timestamp arrived) {
+  const bool awaited = item.wait_ms() != 0;
+  const duration_ms wait{static_cast<std::int64_t>(item.wait_ms())};
+  return {.reply_to = request.reply_to(),
+          .id = item.id(),
+          .members_hash = request.members_hash(),
+          .received = arrived,
+          .answer_by = awaited ? arrived + wait : timestamp{}};
+}
+
 void record_node::send_reply(const std::string &address,
                              std::uint64_t known_members,
                              wire::RecordReply reply, timestamp now) {
@@ -433,12 +442,35 @@
   send(address_of(due->to), std::move(envelope));
 }
 
+void record_node::drop_late_proposals(timestamp now) {
+  std::map<std::string, std::uint64_t> gateways; // with the members they know
+  std::erase_if(proposals_, [this, now, &gateways](const auto &proposal) {
+    const auto &[origin, change] = proposal;
+    const bool only_for_caller = change.has_begin() || change.has_read();
+    const bool dropped = only_for_caller && origin.is_late(now);
+    if (dropped) {
+      gateways[origin.reply_to] = origin.members_hash;
+      pending_requests_.erase(request_hash(origin.reply_to, origin.id));
+      ++request_counts_.expired;
+    }
+    return dropped;
+  });
+  if (!log_->has_recent_quorum(now)) {
+    return;
+  }
+  // Without a reply the gateway would take this leader for silent.
+  for (const auto &[address, known_members] : gateways) {
+    send_reply(address, known_members, {}, now);
+  }
+}
+
 void record_node::propose_batch(timestamp now, std::uint64_t wall_ms,
                                 raft::outbox &out) {
   if (!log_->is_leader()) {
     redirect_proposals(now);
     return;
   }
+  drop_late_proposals(now);
   const bool batching = now < proposed_ + options_.batch_interval;
   if (proposals_.empty() || batching || !transfer_targets_.empty()) {
     return;
@@ -452,6 +484,10 @@
   }
   std::vector<request_origin> origins;
   for (auto &[origin, change] : proposals_) {
+    if (origin.received != timestamp{}) {
+      request_counts_.longest_unproposed =
+          std::max(request_counts_.longest_unproposed, now - origin.received);
+    }
     *batch.add_changes() = std::move(change);
     origins.push_back(std::move(origin));
   }
@@ -577,6 +613,9 @@
       }
       continue;
     }
+    request_counts_.late += origin.is_late(now) ? 1 : 0;
+    request_counts_.longest_outcome =
+        std::max(request_counts_.longest_outcome, now - origin.received);
     auto &[reply, known_hash] = replies[origin.reply_to];
     known_hash = origin.members_hash;
     wire::RecordReplyItem &item = *reply.add_items();
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -40,6 +40,9 @@
 struct turn_request {
   std::string program;
   std::string attempt; // unique for each attempt of a client
+  /// The sequence of turns that this one belongs to. A client runs one attempt
+  /// of a session at a time; empty when the session is not known.
+  std::string session{};
   std::uint64_t budget = 0;
   /// Maximum number of tokens that this turn may generate.
   std::uint64_t most = 0;
@@ -49,6 +52,8 @@
   bool want_history = false;
   /// How long the program and its turns are kept after their last use.
   duration_ms keep{0};
+  /// How long the attempt may go on delivering tokens; zero when not known.
+  duration_ms lifetime{0};
   /// The chain to continue, oldest first, when the program's partition does not
   /// hold it. It is recorded there before the grant.
   std::vector<retained_turn> copies{};
@@ -68,6 +73,14 @@
   copy,   // its program's partition, with the copied turns
 };
 
+/// An attempt whose reserved tokens keep other turns of its program waiting.
+struct reservation_holder {
+  std::string attempt; // empty for none
+  duration_ms age{0};  // since its grant
+  /// Nobody waits for its tokens any more (`token_account`).
+  bool presumed_lost = false;
+};
+
 struct turn_grant {
   turn_verdict verdict = turn_verdict::unavailable;
   grant_step step = grant_step::grant;
@@ -75,11 +88,18 @@
   std::vector<std::uint32_t> unanswered;
   /// When to retry after `unavailable`; zero when unknown.
   duration_ms retry_after{0};
+  /// The request was sent more than once. After a refusal, a late copy of it
+  /// may still be granted.
+  bool was_resent = false;
   /// Oldest first; empty unless requested.
   std::vector<retained_turn> history;
-  std::uint64_t spent = 0; // tokens settled
-  std::uint64_t reserved =
-      0; // tokens granted and not settled, including this turn's
+  /// Tokens that count as used for good.
+  std::uint64_t spent = 0;
+  /// Tokens that are granted and may still be given back, including this
+  /// turn's (`token_account::balance`).
+  std::uint64_t reserved = 0;
+  /// With `budget_spent`: an attempt that holds a reservation, if any.
+  reservation_holder holder;
   /// The place of the turn that this one continues.
   turn_place previous_place;
 };
@@ -143,8 +163,8 @@
   turn_ledger &operator=(const turn_ledger &) = delete;
   virtual ~turn_ledger() = default;
 
-  /// Requests a turn; returns by `deadline`. A grant is durable and counts as
-  /// spent in full until the turn's end is recorded.
+  /// Requests a turn; returns by `deadline`. A grant is durable and counts
+  /// against the budget until the turn's end is recorded (`token_account`).
   virtual boost::asio::awaitable<turn_grant> begin(turn_request request,
                                                    timestamp deadline) = 0;
 
