Soak: a fault ends the process that runs now, not an earlier one

Cause: faults run in subshells, which know the process ids of when they began. The roll came to gateway-2 after the kill had restarted it, signalled the dead id, and started a second gateway-2, whose ports were taken (three lines of event 803 in its log); its id replaced the one of the process that ran.

Change: who takes hold of a process reads its id from the file that a restart leaves. The checks are unchanged.

--- a/scripts/lib/soak_faults.sh
+++ b/scripts/lib/soak_faults.sh
@@ -132,7 +132,14 @@
 
 # One strike at a time ends and starts a process: two would start it twice, and
 # the second of the two ends by itself, for its ports are taken.
-hold() { mkdir "$run/held-$1" 2>/dev/null; }
+# A subshell knows the ids of when it began, so the id of a process that was
+# restarted since is read from its file.
+hold() { # name
+  mkdir "$run/held-$1" 2>/dev/null || return 1
+  if [[ -e $run/restarted-$1 ]]; then
+    pid_of[$1]=$(<"$run/restarted-$1")
+  fi
+}
 let_go() { rmdir "$run/held-$1"; }
 
 restart() { # name
