--- a/scripts/lib/soak_faults.sh
+++ b/scripts/lib/soak_faults.sh
@@ -132,10 +132,10 @@
 
 # One strike at a time ends and starts a process: two would start it twice, and
 # the second of the two ends by itself, for its ports are taken.
+hold() { mkdir "$run/held-$1" 2>/dev/null; }
 # A subshell knows the ids of when it began, so the id of a process that was
 # restarted since is read from its file.
-hold() { # name
-  mkdir "$run/held-$1" 2>/dev/null || return 1
+refresh_id() { # name
   if [[ -e $run/restarted-$1 ]]; then
     pid_of[$1]=$(<"$run/restarted-$1")
   fi
@@ -149,6 +149,7 @@
 
 strike_stop() { # name
   hold "$1" || return 0
+  refresh_id "$1"
   end_process "$1" TERM
   sleep 9
   restart "$1"
@@ -190,6 +191,7 @@
     [[ $1 == kill_gateway ]] && name=$(draw "${soak_gateways[@]}")
     hold "$name" || return 0
     note_strike "kill:$name"
+    refresh_id "$name"
     end_process "$name" KILL
     sleep "0.$((RANDOM % 9 + 1))"
     restart "$name"
