Hold back signals that come while a process starts

Callers saw: a gateway or a storage node that was just coming back ended ("Hangup") when the platform told it to read its settings again, and had to start once more.

Cause: the handlers of SIGHUP, SIGTERM and SIGINT were installed as the last step of the start, in a storage node after it had read its log. Until then the default action ended the process.

Evidence: a process held at its first bind (hold_at_bind, loaded by the new test) and sent one signal there, on the code before: gateway and storage node end by SIGHUP, and with 143 by SIGTERM, each time.

Change: main blocks the three signals first, process_signals lets them through once its handlers stand. An early reload is carried out late and reads what changed after the start had read it; an early stop ends with 0. heathtrestled and the stand-ins blocked two of them late and SIGHUP never: they block all three first, and SIGHUP stops them like SIGTERM, since they read their settings once.

What remains: a signal between the start of a process and its main.

Tests: platform_early_signals.sh failed before at the first of its four cases, and at each of the other three alone; process_signals_test ends by SIGHUP (status 129) with the blocking switched off. The soak's check is as it was; it now reloads also processes that were just started, by their present id, where it left them out and signalled an id that was gone.

--- a/scripts/lib/platform_cluster.sh
+++ b/scripts/lib/platform_cluster.sh
@@ -49,17 +49,19 @@
     --store.address "$(store_for "storage-$1")"
 }
 
-start_gateway() { # number
-  start_process "gateway-$1" "$platform_bin/heathtrestle-gateway" \
-    --node.name "gateway-$1" --node.zone "zone-$1" \
-    --listen.clients "$(gateway_address "$1")" \
-    --listen.readiness "$(ready_address "$1")" \
-    --listen.peers "$(peer_address "$1")" \
-    --listen.rpc "$(gateway_rpc "$1")" \
-    --advertise.rpc "$(advertised "$(gateway_rpc "$1")")" \
-    --listen.metrics "$(gateway_metrics "$1")" \
+start_gateway() { # number flags...
+  local number=$1
+  shift
+  start_process "gateway-$number" "$platform_bin/heathtrestle-gateway" \
+    --node.name "gateway-$number" --node.zone "zone-$number" \
+    --listen.clients "$(gateway_address "$number")" \
+    --listen.readiness "$(ready_address "$number")" \
+    --listen.peers "$(peer_address "$number")" \
+    --listen.rpc "$(gateway_rpc "$number")" \
+    --advertise.rpc "$(advertised "$(gateway_rpc "$number")")" \
+    --listen.metrics "$(gateway_metrics "$number")" \
     --cluster.seeds "$(peer_address 1)" --cluster.seeds "$(peer_address 2)" \
-    --store.address "$(store_for "gateway-$1")" --timing.grace_seconds 8
+    --store.address "$(store_for "gateway-$number")" --timing.grace_seconds 8 "$@"
 }
 
 write_configuration() { # version
--- a/scripts/lib/soak_faults.sh
+++ b/scripts/lib/soak_faults.sh
@@ -142,6 +142,22 @@
 }
 let_go() { rmdir "$run/held-$1"; }
 
+# Whether a process runs its own main, which blocks or handles SIGHUP. Until then it
+# is still being loaded, and a signal ends it before it can do anything about it.
+has_loaded() { # name
+  local id=${pid_of[$1]} blocked caught
+  [[ ! /proc/$id/exe -ef /proc/$$/exe ]] || return 1
+  blocked=$(sed -n 's/^SigBlk:\t//p' "/proc/$id/status" 2>/dev/null)
+  caught=$(sed -n 's/^SigCgt:\t//p' "/proc/$id/status" 2>/dev/null)
+  (((16#${blocked:-0} | 16#${caught:-0}) & 1))
+}
+
+# Waits without a pause, so that the signal comes as early as it may.
+wait_until_loaded() { # name
+  local tries=0
+  until has_loaded "$1" || ((tries++ > 200)); do :; done
+}
+
 restart() { # name
   start_soak_process "$1" false
   echo "${pid_of[$1]}" >"$run/restarted-$1"
@@ -224,9 +240,11 @@
       sleep "0.$((RANDOM % 6))"
     done
     ;;
-  reload) # of one that is not just starting: it could not take the signal yet
+  reload) # also of one that has just been started
     hold "$name" || return 0
     note_strike "reload:$name"
+    refresh_id "$name"
+    wait_until_loaded "$name"
     end_process "$name" HUP
     let_go "$name"
     ;;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,12 +2,14 @@
 #include "daemon/daemon_settings.hpp"
 #include "daemon/runtime.hpp"
 #include "logging/log.hpp"
+#include "runtime/signal_mask.hpp"
 #include "runtime/stop_signals.hpp"
 
 #include <cstdlib>
 
 int main(int argc, char **argv) {
   using namespace heathtrestle;
+  runtime::block_signals();
   daemon::daemon_settings settings;
   config::settings_schema schema;
   daemon::describe_settings(schema, settings);
@@ -26,7 +28,6 @@
     return config::exit_code_bad_settings;
   }
   logging::configure(settings.name, logging::severity_from(settings.log_level));
-  const sigset_t signals = runtime::block_stop_signals();
   daemon::daemon_runtime runtime(settings);
   const auto started = runtime.start();
   if (!started) {
@@ -34,7 +35,7 @@
                    describe(started.error()));
     return EXIT_FAILURE;
   }
-  runtime::wait_for_stop(signals);
+  runtime::wait_for_stop();
   runtime.begin_drain();
   runtime.wait_until_drained();
   logging::write(logging::event::daemon_stopped, settings.name);
--- a/src/runtime/process_signals.cpp
+++ b/src/runtime/process_signals.cpp
@@ -1,5 +1,7 @@
 #include "runtime/process_signals.hpp"
 
+#include "runtime/signal_mask.hpp"
+
 #include <csignal>
 #include <utility>
 
@@ -10,8 +12,8 @@
                                  std::function<void()> on_reload)
     : signals_(io, SIGTERM, SIGINT, SIGHUP), on_stop_(std::move(on_stop)),
       on_reload_(std::move(on_reload)) {
-  std::signal(SIGPIPE, SIG_IGN);
   wait();
+  unblock_signals();
 }
 
 void process_signals::wait() {
--- a/src/runtime/process_signals.hpp
+++ b/src/runtime/process_signals.hpp
@@ -10,7 +10,8 @@
 namespace heathtrestle::runtime {
 
 /// Calls `on_stop` at the first SIGTERM or SIGINT and `on_reload` at each
-/// SIGHUP. Lives as long as the io_context runs.
+/// SIGHUP, including those that have been pending since `block_signals`
+/// (several of one kind count once). Lives as long as the io_context runs.
 class process_signals {
 public:
   process_signals(asio::io_context &io, std::function<void()> on_stop,
--- a/src/runtime/stop_signals.cpp
+++ b/src/runtime/stop_signals.cpp
@@ -1,18 +1,11 @@
 #include "runtime/stop_signals.hpp"
 
-namespace heathtrestle::runtime {
+#include "runtime/signal_mask.hpp"
 
-sigset_t block_stop_signals() {
-  sigset_t signals{};
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
+namespace heathtrestle::runtime {
 
-void wait_for_stop(const sigset_t &signals) {
+void wait_for_stop() {
+  const sigset_t signals = handled_signals();
   int received = 0;
   sigwait(&signals, &received);
 }
--- a/src/runtime/stop_signals.hpp
+++ b/src/runtime/stop_signals.hpp
@@ -1,15 +1,10 @@
-// The signals that ask a process to end.
+// Waiting for the signal that asks a process to end.
 #pragma once
 
-#include <csignal>
-
 namespace heathtrestle::runtime {
 
-/// Blocks SIGTERM and SIGINT for this thread and all that it starts later, and
-/// ignores SIGPIPE. Called before any thread is started.
-sigset_t block_stop_signals();
-
-/// Waits for one of the blocked signals.
-void wait_for_stop(const sigset_t &signals);
+/// Waits for SIGTERM, SIGINT or SIGHUP, for programs that read their settings
+/// only when they start. Needs `block_signals`.
+void wait_for_stop();
 
 } // namespace heathtrestle::runtime
--- a/src/stand_ins/engine/main.cpp
+++ b/src/stand_ins/engine/main.cpp
@@ -1,6 +1,7 @@
 // heathtrestle-engine: a stand-in for a model engine.
 #include "config/settings_schema.hpp"
 #include "logging/log.hpp"
+#include "runtime/signal_mask.hpp"
 #include "runtime/stop_signals.hpp"
 #include "stand_ins/engine/engine.hpp"
 
@@ -8,6 +9,7 @@
 
 int main(int argc, char **argv) {
   using namespace heathtrestle;
+  runtime::block_signals();
   stand_ins::engine_settings settings;
   config::settings_schema schema;
   schema.address("listen", settings.address, "where to serve HTTP", true);
@@ -41,7 +43,6 @@
   }
   logging::configure("engine " + settings.address,
                      logging::severity_from(settings.log_level));
-  const sigset_t signals = runtime::block_stop_signals();
   http::io_thread io;
   runtime::fiber_pool fibers(2);
   stand_ins::engine engine(settings, fibers);
@@ -53,6 +54,6 @@
                    describe(server.error()));
     return EXIT_FAILURE;
   }
-  runtime::wait_for_stop(signals);
+  runtime::wait_for_stop();
   std::_Exit(EXIT_SUCCESS);
 }
--- a/src/stand_ins/serve.cpp
+++ b/src/stand_ins/serve.cpp
@@ -2,6 +2,7 @@
 
 #include "http/io_thread.hpp"
 #include "logging/log.hpp"
+#include "runtime/signal_mask.hpp"
 #include "runtime/stop_signals.hpp"
 
 #include <cstdlib>
@@ -16,6 +17,7 @@
 
 int serve(int argc, char **argv, config::settings_schema &schema,
           const served_program &program, const make_handler &make) {
+  runtime::block_signals();
   const auto choice = config::parse_command_line(argc, argv, program.name,
                                                  program.purpose, schema);
   if (choice != config::start_choice::run) {
@@ -25,7 +27,6 @@
   }
   logging::configure(fmt::format("{} {}", program.name, program.address),
                      logging::severity_from(program.log_level));
-  const sigset_t signals = runtime::block_stop_signals();
   http::io_thread io;
   runtime::fiber_pool fibers(worker_threads);
   const auto server = http::server::start(
@@ -35,7 +36,7 @@
                    describe(server.error()));
     std::_Exit(EXIT_FAILURE);
   }
-  runtime::wait_for_stop(signals);
+  runtime::wait_for_stop();
   // Stand-ins hold no durable state. Exiting at once cuts open connections off,
   // as a crash would.
   std::_Exit(EXIT_SUCCESS);
