--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -186,20 +186,20 @@
     return;
   }
   granted_ = false;
-  gateway_.ledger().settle({.program = turn_.program,
-                            .attempt = attempt_,
-                            .used = used_tokens,
-                            .kept = {},
-                            .keep = retention_});
+  end_attempt(used_tokens);
 }
 
 void program_turn::cancel_copies() {
   if (granted_ || !copies_in_flight_) {
     return;
   }
+  end_attempt(0);
+}
+
+void program_turn::end_attempt(std::uint64_t used_tokens) {
   gateway_.ledger().settle({.program = turn_.program,
                             .attempt = attempt_,
-                            .used = 0,
+                            .used = used_tokens,
                             .kept = {},
                             .keep = retention_});
 }
--- a/src/forwarding/program_turn.hpp
+++ b/src/forwarding/program_turn.hpp
@@ -71,6 +71,8 @@
 
 private:
   [[nodiscard]] records::turn_request make_request() const;
+  /// Tells the group that the attempt ended without a recorded turn.
+  void end_attempt(std::uint64_t used_tokens);
   /// Returns whether this gateway may cache the program's turns.
   [[nodiscard]] bool may_cache() const;
   void append_history(const std::vector<records::retained_turn> &turns);
