--- a/scripts/lib/soak_faults.sh
+++ b/scripts/lib/soak_faults.sh
@@ -154,8 +154,8 @@
 
 # Waits without a pause, so that the signal comes as early as it may.
 wait_until_loaded() { # name
-  local tries=0
-  until has_loaded "$1" || ((tries++ > 200)); do :; done
+  local tries=0 most_tries=200
+  until has_loaded "$1" || ((++tries > most_tries)); do :; done
 }
 
 restart() { # name
