Log the software version of replicas and the attempt that a client resumes

Whether a stream went on at another version could not be told from the logs: a replica's version was read, checked and dropped, and the field Resumes was unknown. Nothing is decided by them yet.

--- a/src/forwarding/client_request.hpp
+++ b/src/forwarding/client_request.hpp
@@ -44,6 +44,9 @@
   /// Present on turns of programs that name a budget.
   std::optional<turn_header> turn;
   std::string previous_turn; // may be empty
+  /// The attempt that brought the first event of the stream that this request
+  /// resumes; empty when the client names none.
+  std::string resumes;
 
   /// Time until the program's deadline, if the client sent it; negative when
   /// the deadline has passed.
--- a/src/forwarding/header_names.hpp
+++ b/src/forwarding/header_names.hpp
@@ -20,6 +20,9 @@
   std::string token_budget;     // tokens that the program may generate
   std::string previous_turn;    // the attempt id of the turn to continue
   std::string last_event_id;    // the event after which a stream resumes
+  /// The client's attempt that brought the first event of the stream that this
+  /// request resumes.
+  std::string resumes;
   std::string expected_instance;
   std::string request_priority;  // 0 (most urgent) to 9
   std::string credential;        // the field with the client's key
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -98,6 +98,7 @@
   logging::line(logging::event::instances_changed)
       .field("instance", entry.id.value())
       .field("service", entry.service.value())
+      .field("software", entry.version.value())
       .field("born_ms", entry.born_ms)
       .field("state", entry.draining ? "draining" : "ready")
       .write();
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -447,6 +447,7 @@
   ++attempts_;
   const routing::incarnation started = target->record.start();
   last_start_ = started;
+  last_version_ = target->record.version;
   gateway_.replicas().begin_attempt(target);
   const auto connection = co_await gateway_.pool().acquire(target->record);
   if (!connection) {
@@ -750,6 +751,7 @@
     logging::line(logging::event::stream_resumed)
         .field("id", request_.attempt_id)
         .field("instance", last_start_.id.value())
+        .field("software", last_version_.value())
         .field("after", *last_event_id_)
         .write();
   }
@@ -985,11 +987,13 @@
       .field("route", route)
       .field("version", routes_ ? routes_->version().value() : 0)
       .field("instance", last_start_.id.value())
+      .field("software", last_version_.value())
       .field("locality", last_locality_)
       .field("attempts", attempts_)
       .field(
           "client_resumes_after",
           to_view(request_.message[gateway_.options().headers.last_event_id]))
+      .field("resumes", request_.resumes)
       .field("previous", request_.previous_turn)
       .field("status", status_)
       .field("events", events_forwarded_)
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -197,6 +197,7 @@
   std::uint32_t status_ = 0;
   std::string_view reason_;
   routing::incarnation last_start_;
+  software_version last_version_;
   std::string_view last_locality_ = "none";
   std::string last_failure_;
   std::uint32_t attempts_ = 0;
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -5,6 +5,7 @@
 #include "balance/prefix_view.hpp"
 #include "balance/replica_speed.hpp"
 #include "balance/slow_start.hpp"
+#include "base/software_version.hpp"
 #include "base/time.hpp"
 #include "routing/configuration.hpp"
 #include "routing/incarnation.hpp"
@@ -25,6 +26,7 @@
   service_id service;
   std::string address; // "ip:port"
   std::string zone;
+  software_version version;
   std::uint32_t slots = 1;
   bool draining = false;
   /// Start time in milliseconds of wall-clock time; 0 if not reported. A later
--- a/tests/support/header_names.hpp
+++ b/tests/support/header_names.hpp
@@ -18,6 +18,7 @@
   names.token_budget = "Budget";
   names.previous_turn = "Previous";
   names.last_event_id = "Last-Event-Id";
+  names.resumes = "Resumes";
   names.expected_instance = "Expect";
   names.request_priority = "Priority";
   names.credential = "Credential";
