Record the software version of each attempt's stream with its grant

An attempt that names the one that began its stream takes over its version, whichever gateway asks. Choices are numbered, so that late copies change nothing. Nothing asks for it yet.

--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -74,6 +74,9 @@
   message.set_keep_ms(to_milliseconds(request.keep));
   message.set_session(std::move(request.session));
   message.set_lifetime_ms(to_milliseconds(request.lifetime));
+  message.set_software_version(request.version.value());
+  message.set_version_choice(request.version_choice);
+  message.set_resumes(std::move(request.resumes));
   return change;
 }
 
@@ -118,6 +121,7 @@
   if (!breaker_.is_served()) {
     co_return refusal();
   }
+  const bool was_granted_before = request.version_choice > 0;
   turn_end cancelled{.program = request.program,
                      .attempt = request.attempt,
                      .used = 0,
@@ -126,7 +130,7 @@
   send_copies(request, deadline);
   const pending_ptr entry =
       co_await submit_and_wait(to_change(std::move(request)), deadline);
-  if (!entry->answered) {
+  if (!entry->answered && !was_granted_before) {
     // The turn may be granted although the reply was lost. Release it, or it
     // would count against the budget for good.
     settle(std::move(cancelled));
@@ -226,6 +230,9 @@
                   .age = duration_ms{holder.age_ms()},
                   .presumed_lost = holder.presumed_lost()};
   grant.previous_place = from_wire_place(entry.reply.previous_place());
+  const wire::StreamOrigin &origin = entry.reply.origin();
+  grant.origin = {.version = software_version{origin.version()},
+                  .is_continuation = origin.is_continuation()};
   for (const wire::RecordTurn &turn : entry.reply.history()) {
     grant.history.push_back(from_wire_turn(turn));
   }
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -81,6 +81,9 @@
   }
   program &account = account_of(wanted.program(), wanted.keep_ms());
   reply.set_verdict(account.tokens.begin(wanted, quota_time_));
+  if (reply.verdict() == wire::RECORD_GRANTED) {
+    add_origin(account.origins.record(wanted, quota_time_), reply);
+  }
   add_grant_details(wanted, account, reply);
   return reply;
 }
@@ -92,6 +95,13 @@
   reply.set_reserved(balance.reserved);
 }
 
+void record_table::add_origin(std::optional<wire::StreamOrigin> origin,
+                              wire::RecordReplyItem &reply) {
+  if (origin) {
+    *reply.mutable_origin() = std::move(*origin);
+  }
+}
+
 void record_table::add_grant_details(const wire::BeginTurn &wanted,
                                      const program &account,
                                      wire::RecordReplyItem &reply) const {
@@ -138,8 +148,13 @@
   if (!granted) {
     return std::nullopt;
   }
+  auto origin = account->origins.recorded(wanted);
+  if (!wanted.software_version().empty() && !origin) {
+    return std::nullopt;
+  }
   wire::RecordReplyItem reply;
   reply.set_verdict(wire::RECORD_GRANTED);
+  add_origin(std::move(origin), reply);
   add_grant_details(wanted, *account, reply);
   return reply;
 }
@@ -287,6 +302,7 @@
     saved.set_id(id);
     saved.set_expires_ms(account.expires_ms);
     account.tokens.save(saved);
+    account.origins.save(saved);
   }
   std::vector<stored_turn> turns;
   turns.reserve(turns_.size());
@@ -319,6 +335,7 @@
   turn_bytes_ = 0;
   for (const wire::RecordProgram &saved : snapshot.programs()) {
     programs_[saved.id()] = {.tokens = token_account::restore(saved),
+                             .origins = stream_origins::restore(saved),
                              .expires_ms = saved.expires_ms()};
   }
   for (const wire::RecordKeptTurn &saved : snapshot.turns()) {
--- a/src/records/record_table.hpp
+++ b/src/records/record_table.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "records/snapshot_image.hpp"
+#include "records/stream_origins.hpp"
 #include "records/token_account.hpp"
 #include "records/turn_ledger.hpp"
 #include "tenants/quota_account.hpp"
@@ -57,6 +58,7 @@
 private:
   struct program {
     token_account tokens;
+    stream_origins origins;
     std::uint64_t expires_ms = 0;
   };
   wire::RecordReplyItem apply(const wire::RecordChange &change);
@@ -73,6 +75,8 @@
   [[nodiscard]] const program *find_account(const std::string &id) const;
   /// Adds the account's balance.
   void add_balance(const program &account, wire::RecordReplyItem &reply) const;
+  static void add_origin(std::optional<wire::StreamOrigin> origin,
+                         wire::RecordReplyItem &reply);
   /// Adds the balance, and for a granted turn its history and place.
   void add_grant_details(const wire::BeginTurn &wanted, const program &account,
                          wire::RecordReplyItem &reply) const;
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/ids.hpp"
+#include "base/software_version.hpp"
 #include "base/time.hpp"
 #include "tenants/permit.hpp"
 
@@ -54,6 +55,15 @@
   duration_ms keep{0};
   /// How long the attempt may go on delivering tokens; zero when not known.
   duration_ms lifetime{0};
+  /// The version of the replicas that are to run the turn's stream; empty when
+  /// it is not recorded (`stream_origins`).
+  software_version version{};
+  /// Counts the versions chosen for this attempt. Above zero, the turn was
+  /// granted before and the request only records another version.
+  std::uint32_t version_choice = 0;
+  /// The attempt that brought the first event of the stream that this attempt
+  /// resumes; empty when it begins a stream.
+  std::string resumes{};
   /// The chain to continue, oldest first, when the program's partition does not
   /// hold it. It is recorded there before the grant.
   std::vector<retained_turn> copies{};
@@ -81,6 +91,13 @@
   bool presumed_lost = false;
 };
 
+/// The version of the replicas that may run an attempt's stream.
+struct stream_origin {
+  software_version version; // empty when none is recorded
+  /// It is the version of the stream that the attempt resumes.
+  bool is_continuation = false;
+};
+
 struct turn_grant {
   turn_verdict verdict = turn_verdict::unavailable;
   grant_step step = grant_step::grant;
@@ -102,6 +119,7 @@
   reservation_holder holder;
   /// The place of the turn that this one continues.
   turn_place previous_place;
+  stream_origin origin;
 };
 
 /// The end of a turn: what it used of its grant and what is kept of it.
