Another version under the same id is another replica

A replica's entry may come back under its id with other software. It counted as the same replica unless it told another start: connections, attempts and what was learnt of it carried over. The version is part of the incarnation now; the directory counts versions by service. instance_directory_test: two new tests.

--- a/src/routing/eligibility.cpp
+++ b/src/routing/eligibility.cpp
@@ -14,6 +14,8 @@
     return "drains_unknown";
   case exclusion::outside_home:
     return "outside_home";
+  case exclusion::other_version:
+    return "other_version";
   case exclusion::warming_up:
     return "warming_up";
   }
--- a/src/routing/eligibility.hpp
+++ b/src/routing/eligibility.hpp
@@ -25,6 +25,8 @@
   drains_unknown,
   /// The replica is outside the home regions of the request.
   outside_home,
+  /// The replica runs another software version than the stream requires.
+  other_version,
   /// The replica is in slow start and has no free admission.
   warming_up,
 };
--- a/src/routing/incarnation.hpp
+++ b/src/routing/incarnation.hpp
@@ -2,6 +2,7 @@
 // nothing learned about the earlier start or sent to it applies to the new one.
 #pragma once
 
+#include "base/software_version.hpp"
 #include "routing/configuration.hpp"
 
 #include <algorithm>
@@ -19,6 +20,8 @@
   /// Start time in milliseconds of wall-clock time; 0 if the replica does not
   /// report it, in which case the id has a single incarnation.
   std::uint64_t born_ms = 0;
+  /// A process runs one version, so another version is another start.
+  software_version version{};
 
   auto operator<=>(const incarnation &) const = default;
 };
--- a/src/routing/instance_directory.cpp
+++ b/src/routing/instance_directory.cpp
@@ -25,6 +25,10 @@
     remove(record.id);
     return add(std::move(record), put_outcome::restarted);
   }
+  if (record.version != present.version) {
+    remove(record.id);
+    return add(std::move(record), put_outcome::restarted);
+  }
   if (record.service != present.service) {
     remove(record.id);
     return add(std::move(record), put_outcome::changed);
@@ -53,6 +57,7 @@
   added->service_index = service.size();
   service.push_back(added);
   rings_[added->record.service][added->record.zone].add(added);
+  ++versions_[added->record.service][added->record.version];
   by_id_.emplace(added->record.id, std::move(added));
   ended_.reserve(std::max(min_ended_incarnations, by_id_.size()));
   return outcome;
@@ -77,6 +82,11 @@
   std::swap(service[removed->service_index], service.back());
   service.pop_back();
   rings_[removed->record.service][removed->record.zone].remove(*removed);
+  auto &versions = versions_[removed->record.service];
+  const auto counted = versions.find(removed->record.version);
+  if (--counted->second == 0) {
+    versions.erase(counted);
+  }
 }
 
 void instance_directory::replace_all(std::vector<instance_record> records) {
@@ -115,6 +125,13 @@
   return found == by_service_.end() ? none : found->second;
 }
 
+const std::map<software_version, std::size_t> &
+instance_directory::versions_of(const service_id &service) const {
+  static const std::map<software_version, std::size_t> none;
+  const auto found = versions_.find(service);
+  return found == versions_.end() ? none : found->second;
+}
+
 const std::map<std::string, replica_ring> &
 instance_directory::rings_of(const service_id &service) const {
   static const std::map<std::string, replica_ring> none;
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -36,7 +36,7 @@
   duration_ms cold_for{0};
 
   [[nodiscard]] incarnation start() const {
-    return {.id = id, .born_ms = born_ms};
+    return {.id = id, .born_ms = born_ms, .version = version};
   }
 
   bool operator==(const instance_record &) const = default;
@@ -70,6 +70,9 @@
   std::uint32_t consecutive_failures = 0;
   /// Until then it gets new requests only if no other replica is available.
   timestamp avoid_until{};
+  /// When a change of its entry from ready to draining arrived; the epoch if
+  /// none did.
+  timestamp drain_seen_at{};
   /// Response times relative to the service.
   balance::replica_speed speed;
   /// Slow-start state, including the requests sent by this gateway.
@@ -111,6 +114,10 @@
   /// The replicas of a service, including draining ones.
   [[nodiscard]] const std::vector<instance_ptr> &
   replicas_of(const service_id &service) const;
+  /// The number of listed replicas of a service by version, including draining
+  /// ones.
+  [[nodiscard]] const std::map<software_version, std::size_t> &
+  versions_of(const service_id &service) const;
   /// The rings of a service's replicas, by zone.
   [[nodiscard]] const std::map<std::string, replica_ring> &
   rings_of(const service_id &service) const;
@@ -137,6 +144,7 @@
   std::map<instance_id, instance_ptr> by_id_;
   std::map<service_id, std::vector<instance_ptr>> by_service_;
   std::map<service_id, std::map<std::string, replica_ring>> rings_;
+  std::map<service_id, std::map<software_version, std::size_t>> versions_;
 };
 
 } // namespace heathtrestle::routing
--- a/tests/routing/instance_directory_test.cpp
+++ b/tests/routing/instance_directory_test.cpp
@@ -34,10 +34,44 @@
   CPPUNIT_TEST(a_record_without_start_time_removes_the_instance);
   CPPUNIT_TEST(a_listing_keeps_the_newer_incarnation);
   CPPUNIT_TEST(without_start_times_an_id_is_one_instance);
+  CPPUNIT_TEST(another_version_under_an_id_is_another_incarnation);
+  CPPUNIT_TEST(versions_are_counted_while_they_are_listed);
   CPPUNIT_TEST(ended_incarnations_are_bounded);
   CPPUNIT_TEST_SUITE_END();
 
+  static instance_record versioned(const std::string &id,
+                                   const std::string &version) {
+    instance_record made = record(id, "s");
+    made.version = software_version{version};
+    return made;
+  }
+
 public:
+  void another_version_under_an_id_is_another_incarnation() {
+    instance_directory directory;
+    directory.put(versioned("a", "v1"));
+    const instance_ptr before = directory.find(instance_id{"a"});
+    CPPUNIT_ASSERT(put_outcome::restarted ==
+                   directory.put(versioned("a", "v2")));
+    CPPUNIT_ASSERT(!before->listed);
+    CPPUNIT_ASSERT(!directory.contains(before->record.start()));
+    CPPUNIT_ASSERT(directory.find(instance_id{"a"}) != before);
+  }
+
+  void versions_are_counted_while_they_are_listed() {
+    instance_directory directory;
+    const service_id service{"s"};
+    directory.put(versioned("a", "v1"));
+    directory.put(versioned("b", "v1"));
+    directory.put(versioned("c", "v2"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.versions_of(service).size());
+    directory.remove(instance_id{"a"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.versions_of(service).at(
+                                             software_version{"v1"}));
+    directory.put(versioned("b", "v2"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.versions_of(service).size());
+  }
+
   void an_identical_record_is_unchanged() {
     instance_directory directory;
     CPPUNIT_ASSERT(put_outcome::added == directory.put(record("a", "s")));
