A stream goes on only at the software version that began it

Cause: the choice of a replica for a stream that goes on went by the number of the next event alone. Nothing kept the version that began it, neither within the gateway, nor outside of it for the client's next attempt; the version was read from the directory and dropped. The class: state that ties an operation's later steps to its first one, held nowhere, while any process may carry out the later steps.

Why this works: the version is in the record group before the first event leaves a gateway, and every later choice, retry and check before sending requires it. Until the first event it may change, after that was recorded. With its version gone a stream is refused at once; where its last replicas have just begun to drain it goes there.

--- a/src/forwarding/attempt_plan.hpp
+++ b/src/forwarding/attempt_plan.hpp
@@ -36,6 +36,10 @@
   std::set<routing::incarnation> excluded;
   /// When not empty, only these replicas may receive the request.
   std::set<routing::incarnation> only;
+  /// When set, only replicas of this version may receive the request.
+  std::optional<software_version> version{};
+  /// Whether a replica may receive the request that has just begun to drain.
+  bool allows_draining = false;
 };
 
 /// Waits before the next step, because no replica accepts the request now.
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -125,6 +125,7 @@
       .policies = policies_without(settings.disabled_policies),
       .gateway_key = stable_hash(settings.name),
       .zone_drain = settings.zone_drain,
+      .drain_notice = settings.drain_notice,
       .slow_start = {.overshoot = settings.slow_start_overshoot,
                      .slack = settings.slow_start_slack}};
   const auto window = std::chrono::duration_cast<duration_ms>(
--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -17,6 +17,11 @@
 /// grant. It is below one half so that a refused client still has time to
 /// retry.
 constexpr double grant_wait_fraction = 0.4;
+/// The longest wait for a record that is not needed as long as only one version
+/// serves.
+constexpr duration_ms max_optional_wait{300};
+/// How long a recorded version is kept after the attempt's time is over.
+constexpr duration_ms version_retention{30000};
 /// The minimum retention of a turn.
 constexpr duration_ms min_retention{60000};
 /// A lifetime of zero would mean that it is not known.
@@ -32,11 +37,13 @@
 }
 
 turn_header header_of(const client_request &request, const tenant_id &tenant) {
-  const turn_header without_program{.program = request.attempt_id,
-                                    .session = {},
-                                    .budget = unlimited_budget,
-                                    .most_tokens = 0,
-                                    .previous = request.previous_turn};
+  // A stream without a program is recorded under the attempt that began it.
+  const turn_header without_program{
+      .program = request.resumes.empty() ? request.attempt_id : request.resumes,
+      .session = {},
+      .budget = unlimited_budget,
+      .most_tokens = 0,
+      .previous = request.previous_turn};
   turn_header header = request.turn.value_or(without_program);
   header.program = scoped(tenant, header.program);
   header.previous = scoped(tenant, header.previous);
@@ -82,7 +89,11 @@
       turn_(header_of(request, tenant)),
       attempt_(scoped(tenant, request.attempt_id)),
       retention_(std::max(route.retention, min_retention)),
-      previous_(route.retained ? turn_.previous : std::string()) {
+      previous_(route.retained ? turn_.previous : std::string()),
+      resumes_(scoped(tenant, request.resumes)) {
+  if (records_only_version()) {
+    retention_ = deadline - request.arrived + version_retention;
+  }
   if (previous_.empty()) {
     return;
   }
@@ -118,7 +129,15 @@
           .previous = previous_,
           .want_history = !previous_.empty() && !history_known_,
           .keep = retention_,
-          .lifetime = std::max(deadline_ - steady_now(), min_lifetime)};
+          .lifetime = std::max(deadline_ - steady_now(), min_lifetime),
+          .version = version_.value_or(software_version{}),
+          .version_choice = version_choice_,
+          .resumes = resumes_};
+}
+
+void program_turn::shorten_wait() {
+  wait_deadline_ =
+      std::min(wait_deadline_, request_.arrived + max_optional_wait);
 }
 
 asio::awaitable<records::turn_verdict> program_turn::begin() {
@@ -136,6 +155,24 @@
   co_return grant_.verdict;
 }
 
+asio::awaitable<std::optional<software_version>>
+program_turn::change_version(software_version version) {
+  version_ = std::move(version);
+  ++version_choice_;
+  records::turn_request request = make_request();
+  request.previous.clear(); // its history came with the grant
+  request.want_history = false;
+  const timestamp now = steady_now();
+  const timestamp wait_until =
+      now + std::chrono::duration_cast<duration_ms>(grant_wait_fraction *
+                                                    (deadline_ - now));
+  const records::turn_grant changed =
+      co_await gateway_.ledger().begin(std::move(request), wait_until);
+  co_return changed.verdict == records::turn_verdict::granted
+      ? std::optional(changed.origin.version)
+      : std::nullopt;
+}
+
 bool program_turn::budget_is_only_reserved() const {
   return grant_.verdict == records::turn_verdict::budget_spent &&
          grant_.reserved > 0 &&
@@ -182,7 +219,7 @@
 }
 
 void program_turn::settle(std::uint64_t used_tokens) {
-  if (!granted_) {
+  if (!granted_ || records_only_version()) {
     return;
   }
   granted_ = false;
@@ -190,7 +227,7 @@
 }
 
 void program_turn::cancel_copies() {
-  if (granted_ || !copies_in_flight_) {
+  if (granted_ || !copies_in_flight_ || records_only_version()) {
     return;
   }
   end_attempt(0);
--- a/src/forwarding/program_turn.hpp
+++ b/src/forwarding/program_turn.hpp
@@ -28,6 +28,29 @@
   [[nodiscard]] std::optional<records::storage_place>
   storage_outside_home() const;
 
+  /// Sets the version of the replicas that are to run the turn, which is
+  /// recorded with the grant; nothing for a version that is not recorded.
+  void set_version(std::optional<software_version> version) {
+    version_ = std::move(version);
+  }
+  /// The recorded version, after the grant.
+  [[nodiscard]] const records::stream_origin &origin() const {
+    return grant_.origin;
+  }
+  /// Records another version for a granted turn.
+  /// @return the recorded version, empty when the group records none; nothing
+  /// when there is no confirmation, and any of the versions may be recorded.
+  asio::awaitable<std::optional<software_version>>
+  change_version(software_version version);
+  /// Whether the grant serves only to record the version: the request belongs
+  /// to no program, and nothing of it is retained.
+  [[nodiscard]] bool records_only_version() const {
+    return !request_.turn && !route_.retained;
+  }
+
+  /// Waits only briefly for the grant, since the request can do without.
+  void shorten_wait();
+
   /// Requests the grant once, waiting until `wait_deadline`. May be called
   /// again after a refusal.
   asio::awaitable<records::turn_verdict> begin();
@@ -90,6 +113,10 @@
   duration_ms retention_;
   /// The turn that a retained turn continues; empty for none.
   std::string previous_;
+  /// The attempt that began the stream that this one resumes; empty for none.
+  std::string resumes_;
+  std::optional<software_version> version_;
+  std::uint32_t version_choice_ = 0;
 
   records::turn_grant grant_;
   bool granted_ = false;
--- a/src/forwarding/replica_choice.cpp
+++ b/src/forwarding/replica_choice.cpp
@@ -71,8 +71,7 @@
     if (!wanted) {
       return offer_result::unsuitable;
     }
-    const routing::exclusion cause =
-        selector_.exclusion_of(*each, home_, position_, now_);
+    const routing::exclusion cause = exclusion_of(*each);
     common_.add(cause);
     if (cause == routing::exclusion::warming_up) {
       next_admission_ =
@@ -130,6 +129,18 @@
   [[nodiscard]] bool is_first_attempt() const {
     return step_.only.empty() && step_.excluded.empty();
   }
+  [[nodiscard]] routing::exclusion
+  exclusion_of(const routing::instance &each) const {
+    using routing::exclusion;
+    const exclusion cause = selector_.exclusion_of(each, home_, position_, now_,
+                                                   step_.allows_draining);
+    const bool is_other_version =
+        step_.version && *step_.version != each.record.version;
+    const bool may_serve_others =
+        cause == exclusion::none || cause == exclusion::warming_up;
+    return is_other_version && may_serve_others ? exclusion::other_version
+                                                : cause;
+  }
   [[nodiscard]] offer_result result_for(const routing::instance &each) const {
     const double running =
         each.in_flight + selector_.load_by_others(each).running;
@@ -293,11 +304,17 @@
   return !zones.empty();
 }
 
-routing::exclusion replica_selector::exclusion_of(
-    const routing::instance &target, const routing::residency &home,
-    const routing::drain_position &place, timestamp now) const {
+routing::exclusion
+replica_selector::exclusion_of(const routing::instance &target,
+                               const routing::residency &home,
+                               const routing::drain_position &place,
+                               timestamp now, bool allows_draining) const {
+  const bool accepts_work = target.accepts_work() ||
+                            (allows_draining && accepts_last_work(target, now));
   const routing::exclusion lasting =
-      routing::exclusion_of(target, home, options_.places, drains_, place);
+      accepts_work ? routing::zone_exclusion(target.record.zone, home,
+                                             options_.places, drains_, place)
+                   : routing::exclusion::leaving;
   if (lasting != routing::exclusion::none || !target.slow_start.cold(now)) {
     return lasting;
   }
@@ -305,6 +322,14 @@
                                       : routing::exclusion::none;
 }
 
+bool replica_selector::accepts_last_work(const routing::instance &target,
+                                         timestamp now) const {
+  // Half of the notice is left for the time until the drain was seen here.
+  const bool was_seen = target.drain_seen_at != timestamp{};
+  return target.listed && target.record.draining && was_seen &&
+         now < target.drain_seen_at + options_.drain_notice / 2;
+}
+
 timestamp replica_selector::next_send(const routing::instance &cold,
                                       timestamp now) const {
   const timestamp warm = cold.slow_start.cold_until();
@@ -312,13 +337,14 @@
                   warm);
 }
 
-routing::exclusion
-replica_selector::claim_send(routing::instance &target,
-                             const client_request &request,
-                             const routing::residency &home) {
+routing::exclusion replica_selector::claim_send(routing::instance &target,
+                                                const client_request &request,
+                                                const routing::residency &home,
+                                                bool allows_draining) {
   const timestamp now = steady_now();
   const routing::exclusion cause =
-      exclusion_of(target, home, traffic_place_of(request, drains_, now), now);
+      exclusion_of(target, home, traffic_place_of(request, drains_, now), now,
+                   allows_draining);
   if (cause == routing::exclusion::none) {
     target.slow_start.record_sent(now);
   }
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -61,6 +61,7 @@
                                     record_source source) {
   const routing::instance_record entry = record;
   const routing::instance_ptr before = directory_.find(record.id);
+  const bool was_ready = before != nullptr && before->accepts_work();
   const routing::put_outcome outcome = directory_.put(std::move(record));
   bool changed = false;
   switch (outcome) {
@@ -87,6 +88,11 @@
     changed = true;
     break;
   }
+  const bool begins_drain =
+      was_ready && before->listed && before->record.draining;
+  if (begins_drain && source == record_source::change) {
+    before->drain_seen_at = steady_now();
+  }
   rejected_.forget(entry.id.value());
   if (changed || source == record_source::change) {
     update_slow_start(directory_.find(entry.id));
@@ -107,11 +113,15 @@
 void replica_selector::on_started_again(const routing::instance &before,
                                         const routing::instance_record &now) {
   const routing::incarnation ended = before.record.start();
+  versions_.on_unlisted(before.record.service, before.record.version,
+                        steady_now());
   // Two processes cannot listen on the same address, so there the earlier one
   // has certainly ended. At another address it may still be finishing its
   // requests.
   const bool same_address = before.record.address == now.address;
-  if (same_address && ended.born_ms != 0) {
+  const bool has_ended =
+      ended.born_ms != 0 || before.record.version != now.version;
+  if (same_address && has_ended) {
     pool_.close_all(ended);
   } else {
     pool_.close_idle(ended);
@@ -233,6 +243,8 @@
 
 void replica_selector::on_instance_removed(const routing::instance_ptr &gone) {
   pool_.close_idle(gone->record.start());
+  versions_.on_unlisted(gone->record.service, gone->record.version,
+                        steady_now());
   logging::line(logging::event::instances_changed)
       .field("instance", gone->record.id.value())
       .field("state", "gone")
@@ -242,6 +254,7 @@
 void replica_selector::replace_all(
     std::vector<routing::instance_record> records,
     const std::vector<routing::rejected_entry> &rejected) {
+  listed_since_ = std::min(listed_since_, steady_now());
   std::set<routing::instance_id> kept;
   std::set<std::string> named;
   for (const routing::instance_record &record : records) {
@@ -284,6 +297,20 @@
   }
 }
 
+std::optional<software_version> replica_selector::only_possible_version(
+    const routing::service_id &service) const {
+  const timestamp earliest = steady_now() - options_.max_stream_age;
+  if (listed_since_ > earliest) {
+    return std::nullopt; // versions may have left before the first listing
+  }
+  std::set<software_version> possible =
+      versions_.unlisted_since(service, earliest);
+  for (const auto &[version, replicas] : directory_.versions_of(service)) {
+    possible.insert(version);
+  }
+  return possible.size() == 1 ? std::optional(*possible.begin()) : std::nullopt;
+}
+
 std::uint32_t replica_selector::running_in(const std::string &zone) const {
   std::uint32_t running = 0;
   for (const routing::instance_ptr &each : busy_) {
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -26,6 +26,7 @@
 #include "routing/residency.hpp"
 #include "routing/route_table.hpp"
 #include "routing/topology.hpp"
+#include "routing/version_history.hpp"
 #include "routing/zone_drains.hpp"
 #include "wire/messages.hpp"
 
@@ -56,6 +57,10 @@
   /// Time from the operator's request to drain a zone until its replicas
   /// receive no more requests; zero when zones are never drained.
   duration_ms zone_drain{0};
+  /// No client waits longer than this for one stream.
+  duration_ms max_stream_age{30000};
+  /// How long a replica accepts requests after its drain was recorded.
+  duration_ms drain_notice{0};
   /// Limits on the requests sent to a replica that is warming up.
   balance::slow_start_limits slow_start;
 };
@@ -106,6 +111,10 @@
   [[nodiscard]] const routing::instance_directory &directory() const {
     return directory_;
   }
+  /// Returns the version that began a stream of which no record exists, if only
+  /// one can have begun it.
+  [[nodiscard]] std::optional<software_version>
+  only_possible_version(const routing::service_id &service) const;
   /// The zones that are being drained.
   [[nodiscard]] routing::zone_drains &drains() { return drains_; }
   [[nodiscard]] const routing::zone_drains &drains() const { return drains_; }
@@ -125,9 +134,11 @@
   /// Checks again, immediately before sending, whether the request may go to
   /// the replica chosen earlier. When the result is `none`, the request is
   /// counted as sent.
+  /// @param allows_draining as in `send_step`.
   [[nodiscard]] routing::exclusion claim_send(routing::instance &target,
                                               const client_request &request,
-                                              const routing::residency &home);
+                                              const routing::residency &home,
+                                              bool allows_draining = false);
   /// Ends the slow start of replicas that have become warm. Called
   /// periodically.
   void end_slow_starts();
@@ -192,7 +203,12 @@
                        candidate_collector &collector);
   [[nodiscard]] routing::exclusion
   exclusion_of(const routing::instance &target, const routing::residency &home,
-               const routing::drain_position &place, timestamp now) const;
+               const routing::drain_position &place, timestamp now,
+               bool allows_draining) const;
+  /// Returns whether the replica has begun to drain so recently that it still
+  /// accepts requests.
+  [[nodiscard]] bool accepts_last_work(const routing::instance &target,
+                                       timestamp now) const;
   /// Returns when this gateway may send the next request to a replica in slow
   /// start.
   [[nodiscard]] timestamp next_send(const routing::instance &cold,
@@ -233,6 +249,9 @@
   std::shared_ptr<const routing::route_table> routes_;
   routing::instance_directory directory_;
   routing::rejected_entries rejected_;
+  routing::version_history versions_;
+  /// When the directory was first listed; the maximum before that.
+  timestamp listed_since_ = timestamp::max();
   /// Replicas with requests of this gateway in flight; some may no longer be
   /// listed.
   std::set<routing::instance_ptr> busy_;
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -52,6 +52,8 @@
 /// A zone drain lasts for seconds, but clients ignore a Retry-After that
 /// exceeds most of their remaining time.
 constexpr duration_ms zone_drain_retry{500};
+/// A replica of the stream's version may start again or be rolled back to.
+constexpr duration_ms other_version_retry{500};
 constexpr std::string_view record_outside_reason =
     "its record would leave its home regions";
 constexpr std::string_view answered_reason = "answered";
@@ -317,7 +319,7 @@
 // The turn of a program.
 
 bool request_exchange::needs_grant() const {
-  return request_.turn.has_value() || route_->retained;
+  return request_.turn.has_value() || route_->retained || is_resumable_stream();
 }
 
 asio::awaitable<bool> request_exchange::pause_for_budget() {
@@ -335,6 +337,10 @@
   if (!co_await check_storage_residency()) {
     co_return false;
   }
+  turn_->set_version(preferred_version());
+  if (turn_->records_only_version() && !resumes_stream() && !has_versions()) {
+    turn_->shorten_wait();
+  }
   records::turn_verdict verdict = co_await turn_->begin();
   while (turn_->budget_is_only_reserved()) {
     if (!co_await pause_for_budget()) {
@@ -353,6 +359,12 @@
     }
     gateway_.replicas().learn_prefix_location(turn_->previous_place(),
                                               request_.prompt);
+    co_return co_await apply_recorded_version();
+  }
+  const bool may_run_unrecorded =
+      verdict == records::turn_verdict::unavailable &&
+      turn_->records_only_version() && !resumes_stream();
+  if (may_run_unrecorded) {
     co_return true;
   }
   turn_->cancel_copies();
@@ -393,6 +405,119 @@
   return events_forwarded_ * tokens_per_event;
 }
 
+// The software version of a stream's replicas.
+
+bool request_exchange::is_resumable_stream() const {
+  return route_->kind == routing::request_kind::streaming && route_->resumable;
+}
+
+bool request_exchange::resumes_stream() const {
+  return is_resumable_stream() && !request_.resumes.empty();
+}
+
+bool request_exchange::has_versions() const {
+  const auto &listed = gateway_.replicas().directory().versions_of(service_);
+  return listed.size() > 1;
+}
+
+std::optional<software_version> request_exchange::preferred_version() {
+  const auto &listed = gateway_.replicas().directory().versions_of(service_);
+  if (!is_resumable_stream() || listed.empty()) {
+    return std::nullopt;
+  }
+  const bool is_decided = !has_versions() || resumes_stream();
+  if (is_decided) {
+    return listed.begin()->first;
+  }
+  const placement preferred =
+      gateway_.replicas().choose(service_, send_step{}, request_, home_);
+  return preferred.target ? std::optional(preferred.target->record.version)
+                          : std::nullopt;
+}
+
+asio::awaitable<bool> request_exchange::apply_recorded_version() {
+  const records::stream_origin &origin = turn_->origin();
+  const bool is_recorded = !origin.version.value().empty();
+  if (!resumes_stream()) {
+    if (is_recorded) {
+      version_.choose(origin.version);
+    }
+    co_return true;
+  }
+  if (origin.is_continuation) {
+    version_.fix(origin.version);
+    co_return true;
+  }
+  const auto only = gateway_.replicas().only_possible_version(service_);
+  if (only) {
+    version_.fix(*only);
+    co_return true;
+  }
+  gateway_.metrics().on_refused("unknown_version");
+  co_await answer(status_unavailable, duration_ms{0},
+                  "the software version that began the stream is not known");
+  co_return false;
+}
+
+asio::awaitable<placement> request_exchange::choose_replica(send_step step) {
+  step.version = version_.required();
+  placement chosen =
+      gateway_.replicas().choose(service_, step, request_, home_);
+  if (!is_resumable_stream()) {
+    co_return chosen;
+  }
+  if (!chosen.target && step.version && !version_.is_final()) {
+    step.version.reset();
+    chosen = gateway_.replicas().choose(service_, step, request_, home_);
+  }
+  if (!chosen.target && version_.is_final()) {
+    // Its last replicas may all be draining.
+    step.allows_draining = true;
+    chosen = gateway_.replicas().choose(service_, step, request_, home_);
+  }
+  if (!chosen.target) {
+    co_return chosen;
+  }
+  const software_version found = chosen.target->record.version;
+  const bool is_required = version_.required() == found;
+  if (!is_required && !co_await change_version(found)) {
+    chosen.target = nullptr;
+  }
+  co_return chosen;
+}
+
+asio::awaitable<bool>
+request_exchange::change_version(const software_version &version) {
+  if (!turn_->granted() || version.value().empty()) {
+    serve_unrecorded(version);
+    co_return true;
+  }
+  version_.withdraw();
+  const auto recorded = co_await turn_->change_version(version);
+  if (!recorded) {
+    co_return false;
+  }
+  if (!recorded->value().empty()) {
+    version_.choose(*recorded);
+    co_return *recorded == version;
+  }
+  const bool none_recorded = turn_->origin().version.value().empty();
+  if (none_recorded) {
+    serve_unrecorded(version);
+  }
+  co_return none_recorded;
+}
+
+void request_exchange::serve_unrecorded(const software_version &version) {
+  version_.fix(version);
+  logging::line(logging::event::stream_version_unrecorded)
+      .field("id", request_.attempt_id)
+      .field("service", service_.value())
+      .field("software", version.value())
+      .field("granted", turn_->granted())
+      .write();
+}
+
 // Attempts.
 
 asio::awaitable<void> request_exchange::run_attempts() {
@@ -414,7 +539,7 @@
                       final->retry_after, final->reason);
     } else {
       const auto &send = std::get<send_step>(step);
-      placement_ = gateway_.replicas().choose(service_, send, request_, home_);
+      placement_ = co_await choose_replica(send);
       if (const auto cause = gateway_.recheck_admission(request_, *route_)) {
         co_await refuse_before_send(*cause);
       } else if (placement_.target) {
@@ -422,6 +547,10 @@
       } else if (placement_.excluded_by == routing::exclusion::warming_up) {
         gateway_.metrics().on_slow_start_wait();
         plan_->on_warming_up(placement_.next_admission);
+      } else if (placement_.excluded_by == routing::exclusion::other_version) {
+        gateway_.metrics().on_refused(
+            std::string(name_of(placement_.excluded_by)));
+        plan_->on_blocked(name_of(placement_.excluded_by), other_version_retry);
       } else if (placement_.excluded_by == routing::exclusion::outside_home) {
         record_home_refusal(name_of(placement_.excluded_by), {}, {});
         plan_->on_blocked(name_of(placement_.excluded_by), home_retry);
@@ -503,7 +632,8 @@
         "the client disconnected or the deadline passed before it was sent";
     return false;
   }
-  const auto cause = gateway_.replicas().claim_send(target, request_, home_);
+  const auto cause = gateway_.replicas().claim_send(target, request_, home_,
+                                                    version_.is_final());
   if (cause != routing::exclusion::none) {
     last_failure_ = name_of(cause);
     return false;
@@ -805,6 +935,7 @@
     }
     fresh += event.bytes;
     ++events_forwarded_;
+    version_.on_event();
   }
   if (fresh.empty()) {
     co_return true;
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -16,6 +16,7 @@
 #include "forwarding/gateway.hpp"
 #include "forwarding/program_turn.hpp"
 #include "forwarding/send_permit.hpp"
+#include "forwarding/stream_version.hpp"
 #include "runtime/asio.hpp"
 
 #include <cstdint>
@@ -100,6 +101,29 @@
   asio::awaitable<bool> check_storage_residency();
   [[nodiscard]] std::uint64_t used_tokens() const;
 
+  // The software version of a stream's replicas.
+  /// Whether the stream may continue at another replica.
+  [[nodiscard]] bool is_resumable_stream() const;
+  /// Whether another attempt of the client began the stream.
+  [[nodiscard]] bool resumes_stream() const;
+  /// Whether replicas of several versions are listed.
+  [[nodiscard]] bool has_versions() const;
+  /// Returns the version at which the stream would be served now.
+  [[nodiscard]] std::optional<software_version> preferred_version();
+  /// Applies the version that the grant recorded.
+  /// @return false when it is not known which version began the stream; then
+  /// the client has been answered.
+  asio::awaitable<bool> apply_recorded_version();
+  /// Chooses a replica of the stream's version, or one of another version while
+  /// that can still change.
+  asio::awaitable<placement> choose_replica(send_step step);
+  /// Records that the stream is served at another version.
+  /// @return false when that is not confirmed.
+  asio::awaitable<bool> change_version(const software_version &version);
+  /// Serves the stream at a version that is not recorded. Other gateways then
+  /// cannot resume it while replicas of several versions serve.
+  void serve_unrecorded(const software_version &version);
+
   // Attempts.
   asio::awaitable<void> run_attempts();
   asio::awaitable<void> attempt(routing::instance_ptr target);
@@ -184,6 +208,7 @@
 
   std::optional<send_permit> permit_; // for tenants with a quota
   std::optional<program_turn> turn_;  // for requests that need a grant
+  stream_version version_;            // of resumable streams
   /// The history and the input, when there is a history; else empty.
   std::string body_with_history_;
   /// Set once the head of a stream was sent.
--- a/tests/support/open_ledger.hpp
+++ b/tests/support/open_ledger.hpp
@@ -33,6 +33,10 @@
   int asked = 0;
   records::turn_place previous_place;
   bool is_cut_off = false;
+  /// The recorded versions by attempt.
+  std::map<std::string, software_version> origins;
+  /// This many first versions after the grant are recorded without a reply.
+  int lost_version_replies = 0;
 
   [[nodiscard]] bool cut_off() const override { return is_cut_off; }
 
@@ -53,12 +57,19 @@
     }
     ++asked;
     const bool refused = asked <= refused_for_reservations;
+    if (requests.back().version_choice > 0 && lost_version_replies > 0) {
+      --lost_version_replies;
+      record_origin(requests.back());
+      co_return records::turn_grant{};
+    }
+    const records::stream_origin origin = record_origin(requests.back());
     co_return records::turn_grant{
         .verdict = refused ? records::turn_verdict::budget_spent : verdict,
         .history = {},
         .spent = spent,
         .reserved = refused ? std::uint64_t{1} : std::uint64_t{0},
-        .previous_place = previous_place};
+        .previous_place = previous_place,
+        .origin = origin};
   }
   asio::awaitable<bool> finish(records::turn_end end, timestamp) override {
     ends.push_back(std::move(end));
@@ -103,6 +114,18 @@
   int void_permits = 0;
 
 private:
+  records::stream_origin record_origin(const records::turn_request &request) {
+    if (request.version.value().empty()) {
+      return {};
+    }
+    const auto first = origins.find(request.resumes);
+    const bool is_continuation = first != origins.end();
+    const software_version version =
+        is_continuation ? first->second : request.version;
+    origins[request.attempt] = version;
+    return {.version = version, .is_continuation = is_continuation};
+  }
+
   struct account {
     tenants::quota_account permits;
     std::uint64_t number = 0;
