Soak: replicas of two versions, releases, clients that take streams up

Four engines of two versions serve; a strike replaces one to three of them by another version, with or without a drain, gateways killed in between.

--- a/scripts/lib/soak_faults.sh
+++ b/scripts/lib/soak_faults.sh
@@ -14,7 +14,8 @@
   soak_gateways+=("gateway-$number")
 done
 soak_processes=("${soak_storages[@]}" "${soak_gateways[@]}")
-soak_replicas=(engine-1 engine-2 tool-1)
+soak_engines=(1 2 4 5)
+soak_replicas=(engine-1 engine-2 tool-1 engine-4 engine-5)
 proxy_control="127.0.0.1:$((base + 1099))"
 struck=()
 
@@ -43,7 +44,7 @@
   for ((number = 1; number <= storages; number++)); do
     links+=(--link "storage-$number=$(advertised "$(storage_rpc "$number")")=$(storage_rpc "$number")")
   done
-  for number in 1 2 3; do
+  for number in 1 2 3 4 5; do
     links+=(--link "replica-$number=$(advertised "$(replica_address "$number")")=$(replica_address "$number")")
   done
   for ((number = 1; number <= gateways; number++)); do
@@ -65,6 +66,39 @@
   esac
 }
 
+# Starts the replica of a number under an id of its own. Its id and version are kept
+# in a file, for the one that replaces it.
+start_engine_version() { # number version
+  local number=$1 version=$2 id flags=()
+  id="engine-$number-$(date +%s%N)"
+  [[ $number == 1 ]] && flags=(--replica.break_every 9)
+  echo "$id $version" >"$run/engine-$number.entry"
+  start_process "engine-$number" "$platform_bin/heathtrestle-platform-stand-in" \
+    --role replica --address "$(replica_address "$number")" \
+    --replica.advertised "$(advertised "$(replica_address "$number")")" \
+    --store "$(store_for "engine-$number")" --replica.id "$id" \
+    --replica.service models --replica.zone zone-1 --replica.version "$version" \
+    --replica.events 5 --replica.event_pause 20 "${flags[@]}"
+}
+
+# Replaces a replica by one of another version. Some drain first, others crash.
+strike_release() { # number version
+  local name="engine-$1" id version
+  hold "$name" || return 0
+  refresh_id "$name"
+  read -r id version <"$run/$name.entry"
+  if ((RANDOM % 3 > 0)); then
+    drain_replica "$1" "$id" models "$version" || true
+    sleep "1.$((RANDOM % 9))"
+  fi
+  end_process "$name" KILL
+  sleep "0.$((RANDOM % 5))"
+  start_engine_version "$1" "$2"
+  echo "${pid_of[$name]}" >"$run/restarted-$name"
+  remove_replica_entry "$id"
+  let_go "$name"
+}
+
 start_soak_cluster() {
   start_object_store
   start_proxy
@@ -72,8 +106,10 @@
   for name in "${soak_processes[@]}"; do
     start_soak_process "$name" true
   done
-  start_replica 1 engine-1 models --replica.events 5 --replica.break_every 9
-  start_replica 2 engine-2 models --replica.events 5
+  start_engine_version 1 v1
+  start_engine_version 2 v1
+  start_engine_version 4 v1.1
+  start_engine_version 5 v1.1
   start_replica 3 tool-1 tools --replica.surplus_every 5
   change_configuration
   for ((number = 1; number <= gateways; number++)); do
@@ -101,10 +137,10 @@
 # begins while the first lasts.
 strike_at_random() {
   sleep "0.$((RANDOM % 9))"
-  strike "$(draw link link store pause kill wipe stop power roll)" &
+  strike "$(draw link link store pause kill wipe stop power roll release)" &
   local first=$!
   if ((RANDOM % 3 == 0)); then
-    strike "$(draw link store kill_gateway)"
+    strike "$(draw link store kill_gateway release)"
   fi
   if ((RANDOM % 3 == 0)); then
     strike "$(draw change reload)"
@@ -177,7 +213,7 @@
   name=$(draw "${soak_processes[@]}")
   case $1 in
   link)
-    link=$(draw "${soak_processes[@]}" replica-1 replica-2 replica-3)
+    link=$(draw "${soak_processes[@]}" replica-1 replica-2 replica-3 replica-4 replica-5)
     fault=$(draw delay-40 delay-150 silent hold-requests hold-answers refuse reset)
     note_strike "$link:$fault"
     set_link "$link" "$fault"
@@ -232,6 +268,15 @@
       restart "$name"
     done
     ;;
+  release) # replicas of a service are replaced, one soon after the other
+    local version count=$((RANDOM % 3 + 1))
+    version=$(draw v1 v1.1 v1.2)
+    note_strike "release:$version:$count"
+    while ((count-- > 0)); do
+      strike_release "$(draw "${soak_engines[@]}")" "$version"
+      [[ $(draw kill none none) == none ]] || strike kill_gateway
+    done
+    ;;
   change) # a series of versions, some in quick succession
     local count=$((RANDOM % 4 + 1))
     note_strike "change:$count"
@@ -288,9 +333,13 @@
     echo "FAILED: round $1: the load ended without an outcome: $(tail -n 3 "$outcome")"
     return 1
   fi
-  if grep -q '^violation' "$outcome"; then
+  if ! grep -q '^streams' "$run/streams-$1"; then
+    echo "FAILED: round $1: the streams ended without an outcome"
+    return 1
+  fi
+  if grep -q '^violation' "$outcome" "$run/streams-$1"; then
     echo "FAILED: round $1:"
-    cat "$outcome"
+    cat "$outcome" "$run/streams-$1"
     return 1
   fi
   wait_until 200 group_is_whole || {
