--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -41,6 +41,12 @@
   asio::awaitable<bool> run();
 
 private:
+  /// Replicas and storage nodes take seconds to start. A client that retries
+  /// sooner only uses up its attempts.
+  static constexpr duration_ms home_retry{1000};
+  static constexpr std::string_view record_outside_reason =
+      "its record would leave its home regions";
+
   using response_parser = beast_http::response_parser<beast_http::buffer_body>;
   using response_head = beast_http::response_header<beast_http::fields>;
 
