Permissions: the grant of a turn in short steps; one retention of recorded versions

begin_turn did four things; request_grant, on_granted and refuse_turn are taken out. How long a version is kept stood twice. A new version under the same id and address closes idle connections only, as before for replicas that tell no start. No other change of behaviour.

--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/storage_residency.hpp"
 #include "logging/log.hpp"
+#include "records/stream_origins.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -20,8 +21,6 @@
 /// The longest wait for a record that is not needed as long as only one version
 /// serves.
 constexpr duration_ms max_optional_wait{300};
-/// How long a recorded version is kept after the attempt's time is over.
-constexpr duration_ms version_retention{30000};
 /// The minimum retention of a turn.
 constexpr duration_ms min_retention{60000};
 /// A lifetime of zero would mean that it is not known.
@@ -92,7 +91,7 @@
       previous_(route.retained ? turn_.previous : std::string()),
       resumes_(scoped(tenant, request.resumes)) {
   if (records_only_version()) {
-    retention_ = deadline - request.arrived + version_retention;
+    retention_ = deadline - request.arrived + records::stream_origin_retention;
   }
   if (previous_.empty()) {
     return;
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -119,9 +119,7 @@
   // has certainly ended. At another address it may still be finishing its
   // requests.
   const bool same_address = before.record.address == now.address;
-  const bool has_ended =
-      ended.born_ms != 0 || before.record.version != now.version;
-  if (same_address && has_ended) {
+  if (same_address && ended.born_ms != 0) {
     pool_.close_all(ended);
   } else {
     pool_.close_idle(ended);
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -98,6 +98,13 @@
   /// @return true when the request may run; otherwise the client has been
   /// answered.
   asio::awaitable<bool> begin_turn();
+  /// Requests the grant, also again while the budget is only reserved.
+  asio::awaitable<records::turn_verdict> request_grant();
+  /// Applies what came with the grant.
+  /// @return false when the request may not run; then the client has been
+  /// answered.
+  asio::awaitable<bool> on_granted();
+  asio::awaitable<void> refuse_turn(records::turn_verdict verdict);
   /// Waits before the grant is requested again.
   /// @return false when the client has left or too little time remains for
   /// another reply.
@@ -113,7 +120,7 @@
   /// Whether another attempt of the client began the stream.
   [[nodiscard]] bool resumes_stream() const;
   /// Whether replicas of several versions are listed.
-  [[nodiscard]] bool has_versions() const;
+  [[nodiscard]] bool lists_several_versions() const;
   /// Returns the version at which the stream would be served now.
   [[nodiscard]] std::optional<software_version> preferred_version();
   /// Applies the version that the grant recorded.
--- a/src/forwarding/request_permissions.cpp
+++ b/src/forwarding/request_permissions.cpp
@@ -153,9 +153,23 @@
     co_return false;
   }
   turn_->set_version(preferred_version());
-  if (turn_->records_only_version() && !resumes_stream() && !has_versions()) {
+  const bool can_do_without =
+      turn_->records_only_version() && !resumes_stream();
+  if (can_do_without && !lists_several_versions()) {
     turn_->shorten_wait();
   }
+  const records::turn_verdict verdict = co_await request_grant();
+  if (verdict == records::turn_verdict::granted) {
+    co_return co_await on_granted();
+  }
+  if (verdict == records::turn_verdict::unavailable && can_do_without) {
+    co_return true;
+  }
+  co_await refuse_turn(verdict);
+  co_return false;
+}
+
+asio::awaitable<records::turn_verdict> request_exchange::request_grant() {
   records::turn_verdict verdict = co_await turn_->begin();
   while (turn_->budget_is_only_reserved()) {
     if (!co_await pause_for_budget()) {
@@ -163,25 +177,25 @@
     }
     verdict = co_await turn_->begin();
   }
-  if (verdict == records::turn_verdict::granted) {
-    // The grant may have added storage nodes to the known ones.
-    if (!co_await check_storage_residency()) {
-      co_return false;
-    }
-    if (!turn_->history().empty()) {
-      body_with_history_ = turn_->history() + request_.message.body();
-      held_.grow(turn_->history().size() + body_with_history_.size());
-    }
-    gateway_.replicas().learn_prefix_location(turn_->previous_place(),
-                                              request_.prompt);
-    co_return co_await apply_recorded_version();
+  co_return verdict;
+}
+
+asio::awaitable<bool> request_exchange::on_granted() {
+  // The grant may have added storage nodes to the known ones.
+  if (!co_await check_storage_residency()) {
+    co_return false;
   }
-  const bool may_run_unrecorded =
-      verdict == records::turn_verdict::unavailable &&
-      turn_->records_only_version() && !resumes_stream();
-  if (may_run_unrecorded) {
-    co_return true;
+  if (!turn_->history().empty()) {
+    body_with_history_ = turn_->history() + request_.message.body();
+    held_.grow(turn_->history().size() + body_with_history_.size());
   }
+  gateway_.replicas().learn_prefix_location(turn_->previous_place(),
+                                            request_.prompt);
+  co_return co_await apply_recorded_version();
+}
+
+asio::awaitable<void>
+request_exchange::refuse_turn(records::turn_verdict verdict) {
   turn_->cancel_copies();
   turn_->log_refusal();
   if (turn_->budget_is_only_reserved()) {
@@ -200,7 +214,6 @@
                     std::max(ledger_retry, turn_->retry_after()),
                     "record group unavailable");
   }
-  co_return false;
 }
 
 asio::awaitable<bool> request_exchange::check_storage_residency() {
@@ -230,7 +243,7 @@
   return is_resumable_stream() && !request_.resumes.empty();
 }
 
-bool request_exchange::has_versions() const {
+bool request_exchange::lists_several_versions() const {
   const auto &listed = gateway_.replicas().directory().versions_of(service_);
   return listed.size() > 1;
 }
@@ -240,7 +253,7 @@
   if (!is_resumable_stream() || listed.empty()) {
     return std::nullopt;
   }
-  const bool is_decided = !has_versions() || resumes_stream();
+  const bool is_decided = !lists_several_versions() || resumes_stream();
   if (is_decided) {
     return listed.begin()->first;
   }
--- a/src/records/stream_origins.cpp
+++ b/src/records/stream_origins.cpp
@@ -2,14 +2,6 @@
 
 namespace heathtrestle::records {
 
-namespace {
-
-/// How long a version is kept after the attempt's time is over. A client may
-/// wait longer for a stream than the route lets one attempt run.
-constexpr std::uint64_t retention_ms = 30000;
-
-} // namespace
-
 std::optional<wire::StreamOrigin>
 stream_origins::record(const wire::BeginTurn &wanted, std::uint64_t now_ms) {
   std::erase_if(by_attempt_, [now_ms](const auto &entry) {
@@ -22,7 +14,9 @@
     return std::nullopt;
   }
   origin chosen = resolve(wanted);
-  chosen.expires_ms = now_ms + wanted.lifetime_ms() + retention_ms;
+  chosen.expires_ms =
+      now_ms + wanted.lifetime_ms() +
+      static_cast<std::uint64_t>(stream_origin_retention.count());
   by_attempt_[wanted.attempt()] = chosen;
   return to_wire(chosen);
 }
--- a/src/records/stream_origins.hpp
+++ b/src/records/stream_origins.hpp
@@ -12,6 +12,7 @@
 // Times are those of the partition's quota clock, in milliseconds.
 #pragma once
 
+#include "base/time.hpp"
 #include "wire/messages.hpp"
 
 #include <cstdint>
@@ -21,6 +22,10 @@
 
 namespace heathtrestle::records {
 
+/// How long a version is kept after the attempt's time is over. A client may
+/// wait longer for a stream than the route lets one attempt run.
+inline constexpr duration_ms stream_origin_retention{30000};
+
 class stream_origins {
 public:
   /// Records the version that an attempt chose, unless a later choice or the
--- a/src/routing/version_history.cpp
+++ b/src/routing/version_history.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+/// Longer than any span that is asked for.
 constexpr duration_ms max_age{600000};
 
 } // namespace
--- a/src/routing/version_history.hpp
+++ b/src/routing/version_history.hpp
@@ -23,8 +23,7 @@
   unlisted_since(const service_id &service, timestamp since) const;
 
 private:
-  /// When a replica of the version was last unlisted. A release adds one entry
-  /// to its service; entries older than `max_age` are dropped.
+  /// When a replica of the version was last unlisted. Old entries are dropped.
   std::map<service_id, std::map<software_version, timestamp>> unlisted_;
 };
 
