--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -100,10 +100,8 @@
   asio::awaitable<bool> begin_turn();
   /// Requests the grant, also again while the budget is only reserved.
   asio::awaitable<records::turn_verdict> request_grant();
-  /// Applies what came with the grant.
-  /// @return false when the request may not run; then the client has been
-  /// answered.
-  asio::awaitable<bool> on_granted();
+  /// Applies the history that came with the grant.
+  void apply_history();
   asio::awaitable<void> refuse_turn(records::turn_verdict verdict);
   /// Waits before the grant is requested again.
   /// @return false when the client has left or too little time remains for
--- a/src/forwarding/request_permissions.cpp
+++ b/src/forwarding/request_permissions.cpp
@@ -160,7 +160,12 @@
   }
   const records::turn_verdict verdict = co_await request_grant();
   if (verdict == records::turn_verdict::granted) {
-    co_return co_await on_granted();
+    // The grant may have added storage nodes to the known ones.
+    if (!co_await check_storage_residency()) {
+      co_return false;
+    }
+    apply_history();
+    co_return co_await apply_recorded_version();
   }
   if (verdict == records::turn_verdict::unavailable && can_do_without) {
     co_return true;
@@ -180,18 +185,13 @@
   co_return verdict;
 }
 
-asio::awaitable<bool> request_exchange::on_granted() {
-  // The grant may have added storage nodes to the known ones.
-  if (!co_await check_storage_residency()) {
-    co_return false;
-  }
+void request_exchange::apply_history() {
   if (!turn_->history().empty()) {
     body_with_history_ = turn_->history() + request_.message.body();
     held_.grow(turn_->history().size() + body_with_history_.size());
   }
   gateway_.replicas().learn_prefix_location(turn_->previous_place(),
                                             request_.prompt);
-  co_return co_await apply_recorded_version();
 }
 
 asio::awaitable<void>
