The choice of a replica asks routing::exclusion_of again

replica_choice.cpp had written its logic once more beside the exception for replicas that have just begun to drain, and left the function to its tests alone. No change of behaviour.

--- a/src/forwarding/replica_choice.cpp
+++ b/src/forwarding/replica_choice.cpp
@@ -309,12 +309,13 @@
                                const routing::residency &home,
                                const routing::drain_position &place,
                                timestamp now, bool allows_draining) const {
-  const bool accepts_work = target.accepts_work() ||
-                            (allows_draining && accepts_last_work(target, now));
+  const bool takes_last_work =
+      allows_draining && accepts_last_work(target, now);
   const routing::exclusion lasting =
-      accepts_work ? routing::zone_exclusion(target.record.zone, home,
-                                             options_.places, drains_, place)
-                   : routing::exclusion::leaving;
+      takes_last_work ? routing::zone_exclusion(target.record.zone, home,
+                                                options_.places, drains_, place)
+                      : routing::exclusion_of(target, home, options_.places,
+                                              drains_, place);
   if (lasting != routing::exclusion::none || !target.slow_start.cold(now)) {
     return lasting;
   }
