--- a/scripts/lib/platform_cluster.sh
+++ b/scripts/lib/platform_cluster.sh
@@ -89,7 +89,10 @@
   "max-attempts":2,"resumable":true,"target-gap-ms":300},
  {"name":"tools","host":"agents.example","path-prefix":"/tools/",
   "kind":"non_idempotent","timeout-ms":2000,"target-latency-ms":200,"priority":2,
-  "service":"tools","max-attempts":1}],
+  "service":"tools","max-attempts":1},
+ {"name":"lookups","host":"agents.example","path-prefix":"/lookups/",
+  "kind":"idempotent","timeout-ms":2000,"target-latency-ms":200,"priority":2,
+  "service":"tools","max-attempts":2}],
  "services":[
  {"name":"models","health-path":"/health","connection-limit":160,
   "engine":{"slots":8,"tokens-per-event":10}},
