Log what became of a replica at which an attempt was lost

Cause: line 1003 says that an attempt was lost, not whether its replica ended or only the connection broke, and nothing names a request over its client's tries.

Change: after a loss the gateway opens a connection to the replica, in the background, and logs what it found (1027: alive, crashed, unlisted, unreachable) with the identity that all attempts of the request share: a hash of tenant, method, host, path, program, session, turn before, object, prompt and body. A connection that opens goes to the pool. A counter of crashes. No decision depends on them.

--- a/src/forwarding/gateway_metrics.cpp
+++ b/src/forwarding/gateway_metrics.cpp
@@ -53,6 +53,11 @@
                               "could be sent")
                         .Register(*registry_)
                         .Add({})),
+      crashes_(prometheus::BuildCounter()
+                   .Name("heathtrestle_gateway_crashes_total")
+                   .Help("attempts at replicas that crashed meanwhile")
+                   .Register(*registry_)
+                   .Add({})),
       configuration_age_(
           prometheus::BuildGauge()
               .Name("heathtrestle_gateway_configuration_age_seconds")
@@ -162,6 +167,8 @@
   permits_.Add({{"verdict", verdict}}).Increment();
 }
 
+void gateway_metrics::on_crash() { crashes_.Increment(); }
+
 void gateway_metrics::on_void_permit() { void_permits_.Increment(); }
 
 void gateway_metrics::on_refused(const std::string &cause) {
--- a/src/forwarding/gateway_metrics.hpp
+++ b/src/forwarding/gateway_metrics.hpp
@@ -29,6 +29,8 @@
   /// @param locality the distance of the replica: zone or region.
   void on_sent(const std::string &locality);
   void on_turn_verdict(const std::string &verdict, double seconds);
+  /// Counts a replica that crashed, or may have, under a request.
+  void on_crash();
   /// Counts a refused request.
   void on_refused(const std::string &cause);
   /// Counts an answer to a permit request.
@@ -73,6 +75,7 @@
   prometheus::Family<prometheus::Counter> &refused_;
   prometheus::Family<prometheus::Counter> &permits_;
   prometheus::Counter &void_permits_;
+  prometheus::Counter &crashes_;
   prometheus::Gauge &configuration_age_;
   prometheus::Gauge &drained_zones_;
   prometheus::Gauge &drained_zone_requests_;
--- /dev/null
+++ b/src/forwarding/replica_check.hpp
@@ -0,0 +1,29 @@
+// Finds out why an attempt was lost at a replica: whether the replica has
+// crashed or only the connection broke.
+#pragma once
+
+#include "forwarding/gateway.hpp"
+#include "routing/instance_directory.hpp"
+#include "runtime/asio.hpp"
+
+#include <cstdint>
+#include <string_view>
+
+namespace heathtrestle::forwarding {
+
+/// What became of a replica at which an attempt was lost.
+enum class replica_fate : std::uint8_t {
+  alive,       // it accepts connections: only the attempt's connection broke
+  crashed,     // nothing listens at its address
+  unlisted,    // its entry is gone, or belongs to a later start
+  unreachable, // it does not answer; whether it runs is not known
+};
+
+std::string_view name_of(replica_fate fate);
+
+/// Checks whether a replica at which an attempt was lost still runs, by opening
+/// a connection, which goes to the pool.
+asio::awaitable<replica_fate> check_replica(gateway &shared,
+                                            const routing::instance &target);
+
+} // namespace heathtrestle::forwarding
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -1,6 +1,8 @@
 #include "forwarding/request_exchange.hpp"
 
 #include "forwarding/http_status.hpp"
+#include "forwarding/replica_check.hpp"
+#include "forwarding/request_identity.hpp"
 #include "forwarding/socket_options.hpp"
 #include "logging/log.hpp"
 
@@ -9,6 +11,8 @@
 #include <string>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
@@ -68,6 +72,21 @@
   return "unknown";
 }
 
+/// Finds out and logs why an attempt was lost.
+asio::awaitable<void> log_fate(gateway &shared, routing::instance_ptr target,
+                               std::string attempt, request_identity request) {
+  const replica_fate fate = co_await check_replica(shared, *target);
+  if (fate != replica_fate::alive) {
+    shared.metrics().on_crash();
+  }
+  logging::line(logging::event::replica_checked)
+      .field("id", attempt)
+      .field("request", fmt::format("{:016x}", request.value()))
+      .field("instance", target->record.id.value())
+      .field("fate", name_of(fate))
+      .write();
+}
+
 } // namespace
 
 request_exchange::request_exchange(gateway &shared, tcp::socket &client,
@@ -288,6 +307,11 @@
     const bool ended_by_gateway = client_gone_ || steady_now() >= deadline_;
     if (*end == attempt_outcome::lost && !ended_by_gateway) {
       gateway_.replicas().on_failed(*target, last_failure_);
+      asio::co_spawn(gateway_.io(),
+                     log_fate(gateway_, target, request_.attempt_id,
+                              identity_of(request_, gateway_.options().headers,
+                                          caller_.tenant)),
+                     asio::detached);
     }
   } else {
     gateway_.metrics().on_attempt("answered");
--- a/src/forwarding/upstream_pool.cpp
+++ b/src/forwarding/upstream_pool.cpp
@@ -34,6 +34,11 @@
   if (connection_ptr idle = take_idle(start)) {
     co_return track(start, idle);
   }
+  co_return co_await connect(target);
+}
+
+asio::awaitable<result_or<connection_ptr, connect_error>>
+upstream_pool::connect(const routing::instance_record &target) {
   const auto address = http::parse_address(target.address);
   if (!address) {
     co_return connect_error::failed;
@@ -65,7 +70,7 @@
         : connect_error::failed;
   }
   enable_liveness_checks(connection->socket, options_.liveness);
-  co_return track(start, std::move(connection));
+  co_return track(target.start(), std::move(connection));
 }
 
 connection_ptr upstream_pool::track(const routing::incarnation &start,
--- a/src/forwarding/upstream_pool.hpp
+++ b/src/forwarding/upstream_pool.hpp
@@ -57,6 +57,10 @@
   asio::awaitable<result_or<connection_ptr, connect_error>>
   acquire(const routing::instance_record &target);
 
+  /// Opens a new connection to the instance.
+  asio::awaitable<result_or<connection_ptr, connect_error>>
+  connect(const routing::instance_record &target);
+
   /// Returns whether there is an idle connection to the instance.
   [[nodiscard]] bool has_idle(const routing::incarnation &start,
                               timestamp now) const;
