--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -14,8 +14,12 @@
   grep -q "^$test: " "$(dirname "${BASH_SOURCE[0]}")/../../KNOWN-RED.txt"
 }
 
+# Ends what a test has started by other means than `start_process`.
+end_others() { :; }
+
 finish() {
   local status=$?
+  end_others
   if ((status != 0)); then
     echo "FAILED; the last lines of the logs in $run:"
     tail -n 5 "$run"/*.log || true
