--- a/src/balance/instance_choice.cpp
+++ b/src/balance/instance_choice.cpp
@@ -180,6 +180,14 @@
   });
 }
 
+std::optional<std::size_t>
+choose_least_loaded(std::span<const candidate> candidates,
+                    std::uint64_t random) {
+  return cheapest(candidates, random, [&candidates](std::size_t index) {
+    return candidates[index].running;
+  });
+}
+
 std::uint64_t rendezvous_weight(std::string_view object,
                                 std::string_view instance) {
   return stable_hash(instance, stable_hash(object));
--- a/src/balance/instance_choice.hpp
+++ b/src/balance/instance_choice.hpp
@@ -84,6 +84,13 @@
                                         std::uint64_t random,
                                         const plain_choice_options &options);
 
+/// Chooses the replica with the fewest running requests.
+/// @param random breaks ties.
+/// @return the index of the chosen candidate; nothing if there are none.
+std::optional<std::size_t>
+choose_least_loaded(std::span<const candidate> candidates,
+                    std::uint64_t random);
+
 /// Rendezvous hashing weight of an object at a replica; equal on all gateways.
 std::uint64_t rendezvous_weight(std::string_view object,
                                 std::string_view instance);
--- a/src/forwarding/attempt_plan.cpp
+++ b/src/forwarding/attempt_plan.cpp
@@ -100,7 +100,7 @@
 answer_step attempt_plan::give_up(std::string_view reason) const {
   constexpr std::uint32_t bad_gateway = 502;
   constexpr std::uint32_t unavailable = 503;
-  if (may_have_run_) {
+  if (may_have_run_ || failed_before_) {
     return {.status = bad_gateway, .retry_after = {}, .reason = reason};
   }
   return {.status = unavailable,
--- a/src/forwarding/attempt_plan.hpp
+++ b/src/forwarding/attempt_plan.hpp
@@ -40,6 +40,9 @@
   std::optional<software_version> version{};
   /// Whether a replica may receive the request that has just begun to drain.
   bool allows_draining = false;
+  /// Replicas that have crashed under the request; above zero it is suspected
+  /// of crashing the next one as well, and is kept apart from others.
+  std::uint32_t crashes = 0;
 };
 
 /// Waits before the next step, because no replica accepts the request now.
@@ -93,6 +96,14 @@
     limits_.retry_delay = retry_delay;
   }
 
+  /// Records that the request must not be sent any more, because of earlier
+  /// attempts of its client. They may have been executed.
+  /// @param reason must outlive the plan.
+  void on_failed_before(std::string_view reason) {
+    blocked_reason_ = reason;
+    failed_before_ = true;
+  }
+
   /// Records that all suitable replicas are in slow start, and that the next
   /// request may be sent to one of them at `next_admission`. The plan waits
   /// until then, or answers at once if that is past the wait deadline.
@@ -125,6 +136,7 @@
   std::uint32_t losses_ = 0;
   bool no_candidate_ = false;
   std::string_view blocked_reason_; // empty: not blocked
+  bool failed_before_ = false;
   std::optional<timestamp> next_admission_;
   /// Set while the request is offered again to `possible_executors_` because no
   /// other replica is available.
--- a/src/forwarding/client_request.cpp
+++ b/src/forwarding/client_request.cpp
@@ -120,6 +120,11 @@
   return request;
 }
 
+std::string scoped_name(const tenant_id &tenant, const std::string &name) {
+  const bool plain = tenant.value().empty() || name.empty();
+  return plain ? name : tenant.value() + '\n' + name;
+}
+
 bool is_hop_by_hop(std::string_view name, std::string_view connection) {
   constexpr std::array fixed{"connection",
                              "keep-alive",
--- a/src/forwarding/client_request.hpp
+++ b/src/forwarding/client_request.hpp
@@ -57,6 +57,11 @@
 client_request interpret(beast_http::request<beast_http::string_body> message,
                          timestamp arrived, const header_names &names);
 
+/// Returns a client's name in the tenant's namespace. The separator is
+/// unambiguous, because tenant names travel in header fields and cannot contain
+/// a line feed.
+std::string scoped_name(const tenant_id &tenant, const std::string &name);
+
 /// Returns whether a header field applies to a single connection and must not
 /// be forwarded.
 /// @param connection the value of the message's Connection field.
--- /dev/null
+++ b/src/forwarding/crash_limit.cpp
@@ -0,0 +1,183 @@
+#include "forwarding/crash_limit.hpp"
+
+#include "base/random.hpp"
+#include "forwarding/request_identity.hpp"
+#include "logging/log.hpp"
+#include "records/crash_history.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+namespace heathtrestle::forwarding {
+
+namespace {
+
+/// Fraction of the remaining time for which a request waits for the permission
+/// to be sent. It leaves time for the attempt.
+constexpr double permission_wait_fraction = 0.4;
+/// How long an answer is delayed until the crashes are reported.
+constexpr duration_ms max_answer_delay{100};
+/// How long the end of a request is reported. Longer than an election of the
+/// record group takes.
+constexpr duration_ms end_report_timeout{10000};
+
+/// Returns the account that counts a request. Accounts of requests without a
+/// program start with a line feed, which no program's name does.
+std::string account_of(const client_request &request, const tenant_id &tenant,
+                       request_identity identity) {
+  if (request.turn) {
+    return scoped_name(tenant, request.turn->program);
+  }
+  return fmt::format("\n{:016x}", identity.value());
+}
+
+} // namespace
+
+crash_limit::crash_limit(gateway &shared, const client_request &request,
+                         const routing::route &route, const tenant_id &tenant,
+                         timestamp deadline)
+    : gateway_(shared), request_(request), tenant_(tenant),
+      retention_(std::max(route.retention, records::min_crash_retention) +
+                 (deadline - request.arrived)),
+      deadline_(deadline) {
+  const crash_notices &notices = gateway_.crashes();
+  const bool is_announced =
+      !notices.empty() && notices.contains(identity(), steady_now());
+  crashes_ = is_announced ? 1 : 0;
+}
+
+request_identity crash_limit::identity() {
+  if (!identity_) {
+    identity_ = identity_of(request_, gateway_.options().headers, tenant_);
+  }
+  return *identity_;
+}
+
+std::string crash_limit::name() {
+  return fmt::format("{:016x}", identity().value());
+}
+
+void crash_limit::learn(const std::vector<records::crash_count> &counts) {
+  for (const records::crash_count &each : counts) {
+    if (each.request == identity()) {
+      crashes_ = std::max(crashes_, each.crashed + each.at_risk);
+    }
+  }
+}
+
+records::crash_report crash_limit::make_report(bool wants_send,
+                                               bool completed) {
+  if (attempt_.empty()) {
+    attempt_ = fmt::format("{:016x}", draw_system_random());
+  }
+  return {.account = account_of(request_, tenant_, identity()),
+          .request = identity(),
+          .attempt = attempt_,
+          .number = ++reports_,
+          .crashed = unreported_,
+          .wants_send = wants_send,
+          .completed = completed,
+          .keep = retention_};
+}
+
+asio::awaitable<bool> crash_limit::allow_send() {
+  if (crashes_ == 0 || may_send_) {
+    co_return true;
+  }
+  const timestamp now = steady_now();
+  const timestamp wait_until =
+      now + std::chrono::duration_cast<duration_ms>(permission_wait_fraction *
+                                                    (deadline_ - now));
+  last_ = co_await gateway_.ledger().report_crashes(make_report(true, false),
+                                                    wait_until);
+  apply_verdict();
+  may_send_ = last_.verdict == records::send_verdict::allowed;
+  co_return may_send_;
+}
+
+asio::awaitable<replica_fate>
+crash_limit::on_lost(const routing::instance &target) {
+  const replica_fate fate = co_await check_replica(gateway_, target);
+  logging::line(logging::event::replica_checked)
+      .field("id", request_.attempt_id)
+      .field("request", name())
+      .field("instance", target.record.id.value())
+      .field("fate", name_of(fate))
+      .write();
+  if (fate != replica_fate::alive) {
+    add_crash(target);
+  }
+  co_return fate;
+}
+
+void crash_limit::add_crash(const routing::instance &target) {
+  gateway_.metrics().on_crash();
+  unreported_.push_back(routing::name_of(target.record.start()));
+  ++crashes_;
+  may_send_ = false;
+  gateway_.crashes().add(identity(), steady_now());
+  if (!request_.turn) {
+    gateway_.ledger().announce({.request = identity()});
+  }
+}
+
+asio::awaitable<void> crash_limit::report() {
+  if (unreported_.empty()) {
+    co_return;
+  }
+  last_ = co_await gateway_.ledger().report_crashes(
+      make_report(false, false), steady_now() + max_answer_delay);
+  apply_verdict();
+}
+
+void crash_limit::apply_verdict() {
+  if (last_.verdict != records::send_verdict::unavailable) {
+    unreported_.clear();
+    crashes_ = std::max(crashes_, last_.count.crashed);
+  }
+}
+
+void crash_limit::on_send(const routing::instance &target) {
+  if (crashes_ > 0) {
+    gateway_.ledger().announce(
+        {.request = identity(), .sent_to = target.load_key});
+  }
+}
+
+void crash_limit::finish(bool completed) {
+  const bool has_news = !unreported_.empty() || may_send_ || completed;
+  if (crashes_ == 0 || !has_news) {
+    return;
+  }
+  asio::co_spawn(gateway_.io(),
+                 report_end(gateway_, make_report(false, completed),
+                            completed ? nullptr : aborted_at_),
+                 asio::detached);
+}
+
+asio::awaitable<void>
+crash_limit::report_end(gateway &shared, records::crash_report report,
+                        routing::instance_ptr aborted_at) {
+  if (aborted_at != nullptr) {
+    const replica_fate fate = co_await check_replica(shared, *aborted_at);
+    if (fate != replica_fate::alive) {
+      report.crashed.push_back(routing::name_of(aborted_at->record.start()));
+    }
+  }
+  const std::string attempt = report.attempt;
+  const request_identity request = report.request;
+  const auto answer = co_await shared.ledger().report_crashes(
+      std::move(report), steady_now() + end_report_timeout);
+  if (answer.verdict == records::send_verdict::unavailable) {
+    logging::line(logging::event::crash_unreported)
+        .field("request", fmt::format("{:016x}", request.value()))
+        .field("attempt", attempt)
+        .write();
+  }
+}
+
+} // namespace heathtrestle::forwarding
--- /dev/null
+++ b/src/forwarding/crash_limit.hpp
@@ -0,0 +1,98 @@
+// Keeps a request from crashing one replica after the other. The replicas that
+// crashed under a request are counted in the record group, over all the
+// attempts of its client at all gateways; once too many have, it is sent to
+// none.
+//
+// A request costs nothing here until a replica crashes under it. From then on
+// each send is allowed by the group beforehand (`records::crash_history`).
+#pragma once
+
+#include "forwarding/client_request.hpp"
+#include "forwarding/gateway.hpp"
+#include "forwarding/replica_check.hpp"
+#include "records/turn_ledger.hpp"
+#include "routing/instance_directory.hpp"
+#include "runtime/asio.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace heathtrestle::forwarding {
+
+class crash_limit {
+public:
+  /// @param request must outlive this object.
+  /// @param deadline the time until which the client waits for its answer.
+  crash_limit(gateway &shared, const client_request &request,
+              const routing::route &route, const tenant_id &tenant,
+              timestamp deadline);
+
+  /// Applies the counts of the program's requests that came with a grant.
+  void learn(const std::vector<records::crash_count> &counts);
+
+  /// Asks for permission to send the request if replicas have crashed under it.
+  /// @return false when it may not be sent; see `verdict`.
+  asio::awaitable<bool> allow_send();
+  [[nodiscard]] records::send_verdict verdict() const { return last_.verdict; }
+  /// Returns the request's identity as text, for the log.
+  [[nodiscard]] std::string name();
+  /// Returns the last known count.
+  [[nodiscard]] const records::crash_count &count() const {
+    return last_.count;
+  }
+
+  /// The replicas that are known to have crashed under the request; above zero
+  /// it is suspected of crashing the next one as well.
+  [[nodiscard]] std::uint32_t crashes() const { return crashes_; }
+  /// Tells the other gateways that the request is sent to a replica, if it is
+  /// suspected.
+  void on_send(const routing::instance &target);
+
+  /// Finds out what became of a replica at which an attempt was lost, and
+  /// counts a crash.
+  asio::awaitable<replica_fate> on_lost(const routing::instance &target);
+  /// Notes that this gateway has broken an attempt off.
+  void on_aborted(routing::instance_ptr target) {
+    aborted_at_ = std::move(target);
+  }
+
+  /// Reports the crashes that are not reported yet, before the client is
+  /// answered, since it may retry at once. Waits a short time.
+  asio::awaitable<void> report();
+  /// Reports the end of the request in the background.
+  /// @param completed whether a replica has answered it completely.
+  void finish(bool completed);
+
+private:
+  [[nodiscard]] request_identity identity();
+  [[nodiscard]] records::crash_report make_report(bool wants_send,
+                                                  bool completed);
+  void add_crash(const routing::instance &target);
+  /// Applies the group's answer in `last_`.
+  void apply_verdict();
+  /// Reports until the group has answered or a time limit has passed.
+  static asio::awaitable<void> report_end(gateway &shared,
+                                          records::crash_report report,
+                                          routing::instance_ptr aborted_at);
+
+  gateway &gateway_;
+  const client_request &request_;
+  tenant_id tenant_;
+  duration_ms retention_;
+  timestamp deadline_;
+
+  /// Computed when it is needed first.
+  std::optional<request_identity> identity_;
+  /// Distinguishes this attempt of the client from its others.
+  std::string attempt_;
+  std::uint32_t reports_ = 0;
+  std::uint32_t crashes_ = 0;
+  bool may_send_ = false;
+  std::vector<std::string> unreported_; // names of replicas
+  routing::instance_ptr aborted_at_;
+  records::crash_verdict last_;
+};
+
+} // namespace heathtrestle::forwarding
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/client_session.hpp"
 #include "logging/log.hpp"
+#include "records/crash_history.hpp"
 #include "routing/home_regions.hpp"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
     : io_(io), options_(std::move(options)), ledger_(ledger),
       tenants_(options_.tenants), pool_(io, options_.pool),
       replicas_(options_.selection, pool_), turns_(options_.turn_cache_bytes),
+      crashes_(options_.crash_notices, records::min_crash_retention),
       held_bytes_(std::make_shared<byte_budget>(options_.held_bytes_limit)) {
   if (!options_.selection.policies.patience) {
     options_.plan.wait_fraction = 0;
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -7,6 +7,7 @@
 #include "forwarding/byte_budget.hpp"
 #include "forwarding/client_request.hpp"
 #include "forwarding/client_stream.hpp"
+#include "forwarding/crash_notices.hpp"
 #include "forwarding/gateway_metrics.hpp"
 #include "forwarding/header_names.hpp"
 #include "forwarding/replica_selector.hpp"
@@ -43,6 +44,8 @@
   client_stream_options client_streams;
   /// A client that reads slowly must not be taken for a dead one.
   liveness_options client_liveness{.unacknowledged = client_stall_limit};
+  /// Number of announced crashes that are remembered (`crash_notices`).
+  std::size_t crash_notices = 4096;
   /// Capacity of the turn cache in bytes.
   std::size_t turn_cache_bytes = 32U << 20U;
 };
@@ -147,6 +150,8 @@
   [[nodiscard]] records::turn_cache &turns() { return turns_; }
   [[nodiscard]] routing::split_rotation &rotation() { return rotation_; }
   [[nodiscard]] gateway_metrics &metrics() { return metrics_; }
+  /// The requests under which replicas have crashed lately.
+  [[nodiscard]] crash_notices &crashes() { return crashes_; }
 
 private:
   /// Logs a change in the state of the byte budget.
@@ -168,6 +173,7 @@
   replica_selector replicas_;
   records::turn_cache turns_;
   gateway_metrics metrics_;
+  crash_notices crashes_;
   std::mt19937_64 random_{std::random_device{}()};
   /// Shared with the bookings, which may outlive the gateway.
   std::shared_ptr<byte_budget> held_bytes_;
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -74,6 +74,7 @@
   /// object store.
   asio::awaitable<bool> look_up_members(bool may_ask_store);
   void on_message(const wire::Envelope &envelope);
+  void on_crash_notice(const wire::CrashNotice &notice);
   [[nodiscard]] objects::relay_order relays() const;
   asio::awaitable<void> drain();
   void on_reload();
@@ -225,11 +226,20 @@
       // is gone.
       asio::post(io_, [] { ::malloc_trim(0); });
     }
+  } else if (envelope.has_crash_notice()) {
+    on_crash_notice(envelope.crash_notice());
   } else {
     ledger_.on_message(envelope);
   }
 }
 
+void gateway_process::on_crash_notice(const wire::CrashNotice &notice) {
+  gateway_.crashes().add(request_identity{notice.request()}, steady_now());
+  if (notice.sent_to() != 0) {
+    gateway_.replicas().on_suspected_elsewhere(notice.sent_to());
+  }
+}
+
 void gateway_process::send(const std::string &address,
                            const wire::Envelope &envelope) {
   transport_->send(address, envelope);
--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -27,14 +27,6 @@
 constexpr duration_ms min_lifetime{1};
 constexpr std::uint64_t unlimited_budget = 1ULL << 62U;
 
-/// Returns a client's name in the tenant's namespace. The separator is
-/// unambiguous, because tenant names travel in header fields and cannot contain
-/// a line feed.
-std::string scoped(const tenant_id &tenant, const std::string &name) {
-  const bool plain = tenant.value().empty() || name.empty();
-  return plain ? name : tenant.value() + '\n' + name;
-}
-
 turn_header header_of(const client_request &request, const tenant_id &tenant) {
   // A stream without a program is recorded under the attempt that began it.
   const turn_header without_program{
@@ -44,8 +36,8 @@
       .most_tokens = 0,
       .previous = request.previous_turn};
   turn_header header = request.turn.value_or(without_program);
-  header.program = scoped(tenant, header.program);
-  header.previous = scoped(tenant, header.previous);
+  header.program = scoped_name(tenant, header.program);
+  header.previous = scoped_name(tenant, header.previous);
   return header;
 }
 
@@ -86,10 +78,10 @@
                      std::chrono::duration_cast<duration_ms>(
                          grant_wait_fraction * (deadline - request.arrived))),
       turn_(header_of(request, tenant)),
-      attempt_(scoped(tenant, request.attempt_id)),
+      attempt_(scoped_name(tenant, request.attempt_id)),
       retention_(std::max(route.retention, min_retention)),
       previous_(route.retained ? turn_.previous : std::string()),
-      resumes_(scoped(tenant, request.resumes)) {
+      resumes_(scoped_name(tenant, request.resumes)) {
   if (records_only_version()) {
     retention_ = deadline - request.arrived + records::stream_origin_retention;
   }
--- a/src/forwarding/program_turn.hpp
+++ b/src/forwarding/program_turn.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace heathtrestle::forwarding {
 
@@ -37,6 +38,10 @@
   [[nodiscard]] const records::stream_origin &origin() const {
     return grant_.origin;
   }
+  /// The program's requests under which replicas have crashed, after the grant.
+  [[nodiscard]] const std::vector<records::crash_count> &crashes() const {
+    return grant_.crashes;
+  }
   /// Records another version for a granted turn.
   /// @return the recorded version, empty when the group records none; nothing
   /// when there is no confirmation, and any of the versions may be recorded.
--- a/src/forwarding/replica_choice.cpp
+++ b/src/forwarding/replica_choice.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+/// A request under which so many replicas have crashed shares a replica with no
+/// other suspected request. After a first crash it does so only when there is
+/// no other replica, since then all that ran at the crashed one are suspected.
+constexpr std::uint32_t crashes_to_isolate = 2;
+
 /// Finds the exclusion that applies to all replicas of a service.
 class common_exclusion {
 public:
@@ -80,6 +85,10 @@
     if (cause != routing::exclusion::none || step_.excluded.contains(start)) {
       return offer_result::unsuitable;
     }
+    const bool must_be_alone = step_.crashes >= crashes_to_isolate;
+    if (must_be_alone && each->may_crash(now_)) {
+      return offer_result::unsuitable;
+    }
     if (is_shortlist_ && std::ranges::find(fitting_, each) != fitting_.end()) {
       return result_for(*each);
     }
@@ -174,7 +183,8 @@
   view.same_zone = !policies.zone_preference ||
                    options_.places.locality_of(each.record.zone) ==
                        routing::locality::same_zone;
-  view.suspect = policies.avoidance && now < each.avoid_until;
+  view.suspect =
+      each.may_crash(now) || (policies.avoidance && now < each.avoid_until);
   if (policies.replica_speed) {
     view.slowdown = each.speed.slowdown();
   }
@@ -221,7 +231,10 @@
   offer_candidates(service, step, request, collector);
   std::vector<balance::candidate> &candidates = collector.candidates();
   std::optional<std::size_t> chosen;
-  if (request.prompt.empty()) {
+  if (step.crashes > 0) {
+    // Its next replica may crash as well, so the fewest requests share it.
+    chosen = balance::choose_least_loaded(candidates, random_());
+  } else if (request.prompt.empty()) {
     chosen =
         balance::choose_plain(candidates, random_(), options_.plain_choice);
   } else {
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -317,18 +317,30 @@
   return running;
 }
 
-void replica_selector::begin_attempt(const routing::instance_ptr &target) {
+void replica_selector::begin_attempt(const routing::instance_ptr &target,
+                                     bool suspected) {
   ++target->in_flight;
+  target->suspected_in_flight += suspected ? 1 : 0;
   busy_.insert(target);
 }
 
-void replica_selector::end_attempt(const routing::instance_ptr &target) {
+void replica_selector::end_attempt(const routing::instance_ptr &target,
+                                   bool suspected) {
   --target->in_flight;
+  target->suspected_in_flight -= suspected ? 1 : 0;
   if (target->in_flight == 0) {
     busy_.erase(target);
   }
 }
 
+void replica_selector::on_suspected_elsewhere(std::uint32_t load_key) {
+  for (const auto &[id, each] : directory_.all()) {
+    if (each->load_key == load_key) {
+      each->suspected_until = steady_now() + options_.avoid_suspected_for;
+    }
+  }
+}
+
 void replica_selector::learn_prefix_location(
     const records::turn_place &place,
     const std::vector<balance::prompt_part> &prompt) {
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -54,6 +54,9 @@
   std::uint64_t gateway_key = 0;
   /// How long a replica is avoided after a failure.
   duration_ms avoid_for{1000};
+  /// How long a replica is avoided after another gateway has sent it a request
+  /// that may crash it.
+  duration_ms avoid_suspected_for{1000};
   /// Time from the operator's request to drain a zone until its replicas
   /// receive no more requests; zero when zones are never drained.
   duration_ms zone_drain{0};
@@ -151,8 +154,13 @@
   [[nodiscard]] slow_start_totals slow_starts() const;
 
   /// Counts a request of this gateway that goes to the replica as in flight.
-  void begin_attempt(const routing::instance_ptr &target);
-  void end_attempt(const routing::instance_ptr &target);
+  /// @param suspected whether replicas have crashed under it.
+  void begin_attempt(const routing::instance_ptr &target,
+                     bool suspected = false);
+  void end_attempt(const routing::instance_ptr &target, bool suspected = false);
+  /// Notes that another gateway sends a suspected request to a replica.
+  /// @param load_key of the replica.
+  void on_suspected_elsewhere(std::uint32_t load_key);
 
   /// Records the prefix that an engine has cached, according to the record of
   /// an earlier turn.
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -1,8 +1,6 @@
 #include "forwarding/request_exchange.hpp"
 
 #include "forwarding/http_status.hpp"
-#include "forwarding/replica_check.hpp"
-#include "forwarding/request_identity.hpp"
 #include "forwarding/socket_options.hpp"
 #include "logging/log.hpp"
 
@@ -11,8 +9,6 @@
 #include <string>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
@@ -35,6 +31,8 @@
 constexpr duration_ms zone_drain_retry{500};
 /// A replica of the stream's version may start again or be rolled back to.
 constexpr duration_ms other_version_retry{500};
+/// The record group elects a leader within about a second.
+constexpr duration_ms uncounted_crashes_retry{300};
 constexpr std::string_view answered_reason = "answered";
 
 std::string_view to_view(boost::beast::string_view text) {
@@ -72,21 +70,6 @@
   return "unknown";
 }
 
-/// Finds out and logs why an attempt was lost.
-asio::awaitable<void> log_fate(gateway &shared, routing::instance_ptr target,
-                               std::string attempt, request_identity request) {
-  const replica_fate fate = co_await check_replica(shared, *target);
-  if (fate != replica_fate::alive) {
-    shared.metrics().on_crash();
-  }
-  logging::line(logging::event::replica_checked)
-      .field("id", attempt)
-      .field("request", fmt::format("{:016x}", request.value()))
-      .field("instance", target->record.id.value())
-      .field("fate", name_of(fate))
-      .write();
-}
-
 } // namespace
 
 request_exchange::request_exchange(gateway &shared, tcp::socket &client,
@@ -123,9 +106,11 @@
   if (const auto *part = gateway_.rotation().next(*route_)) {
     service_ = *part;
   }
+  crashes_.emplace(gateway_, request_, *route_, caller_.tenant, deadline_);
   if (co_await acquire_permissions()) {
     co_await run_attempts();
   }
+  crashes_->finish(was_answered_);
   if (turn_) {
     turn_->settle(used_tokens());
   }
@@ -221,6 +206,7 @@
       pause_timer_.expires_after(wait->pause);
       co_await pause_timer_.async_wait(as_result);
     } else if (const auto *final = std::get_if<answer_step>(&step)) {
+      co_await crashes_->report();
       const bool late = steady_now() >= deadline_ && plan_->may_have_run();
       co_await answer(late ? status_gateway_timeout : final->status,
                       final->retry_after, final->reason);
@@ -231,26 +217,63 @@
         co_await refuse_before_send(*cause);
       } else if (placement_.target) {
         co_await attempt(placement_.target);
-      } else if (placement_.excluded_by == routing::exclusion::warming_up) {
-        gateway_.metrics().on_slow_start_wait();
-        plan_->on_warming_up(placement_.next_admission);
-      } else if (placement_.excluded_by == routing::exclusion::other_version) {
-        gateway_.metrics().on_refused(
-            std::string(name_of(placement_.excluded_by)));
-        plan_->on_blocked(name_of(placement_.excluded_by), other_version_retry);
-      } else if (placement_.excluded_by == routing::exclusion::outside_home) {
-        record_home_refusal(name_of(placement_.excluded_by), {}, {});
-        plan_->on_blocked(name_of(placement_.excluded_by), home_retry);
-      } else if (placement_.excluded_by != routing::exclusion::none) {
-        plan_->on_blocked(name_of(placement_.excluded_by), zone_drain_retry);
       } else {
-        forget_ended(send);
-        plan_->on_no_candidate();
+        on_no_target(send);
       }
     }
   }
 }
 
+void request_exchange::on_no_target(const send_step &step) {
+  using routing::exclusion;
+  const std::string_view reason = name_of(placement_.excluded_by);
+  switch (placement_.excluded_by) {
+  case exclusion::none:
+    forget_ended(step);
+    plan_->on_no_candidate();
+    break;
+  case exclusion::warming_up:
+    gateway_.metrics().on_slow_start_wait();
+    plan_->on_warming_up(placement_.next_admission);
+    break;
+  case exclusion::crash_limit:
+    block_for_crashes();
+    break;
+  case exclusion::other_version:
+    gateway_.metrics().on_refused(std::string(reason));
+    plan_->on_blocked(reason, other_version_retry);
+    break;
+  case exclusion::outside_home:
+    record_home_refusal(reason, {}, {});
+    plan_->on_blocked(reason, home_retry);
+    break;
+  default:
+    plan_->on_blocked(reason, zone_drain_retry);
+    break;
+  }
+}
+
+void request_exchange::block_for_crashes() {
+  gateway_.metrics().on_refused(
+      std::string(name_of(routing::exclusion::crash_limit)));
+  const bool is_counted =
+      crashes_->verdict() != records::send_verdict::unavailable;
+  logging::line(logging::event::crash_limit_reached)
+      .field("id", request_.attempt_id)
+      .field("request", crashes_->name())
+      .field("crashed", crashes_->count().crashed)
+      .field("at_risk", crashes_->count().at_risk)
+      .field("counted", is_counted)
+      .field("attempts", attempts_)
+      .write();
+  if (is_counted) {
+    plan_->on_failed_before("replicas have crashed under the request");
+  } else {
+    plan_->on_blocked("crashes under the request cannot be counted now",
+                      uncounted_crashes_retry);
+  }
+}
+
 void request_exchange::forget_ended(const send_step &step) {
   for (const routing::incarnation &start : step.only) {
     if (!gateway_.replicas().directory().contains(start)) {
@@ -264,10 +287,12 @@
   const routing::incarnation started = target->record.start();
   last_start_ = started;
   last_version_ = target->record.version;
-  gateway_.replicas().begin_attempt(target);
+  const bool suspected = crashes_->crashes() > 0;
+  gateway_.replicas().begin_attempt(target, suspected);
+  crashes_->on_send(*target);
   const auto connection = co_await gateway_.pool().acquire(target->record);
   if (!connection) {
-    gateway_.replicas().end_attempt(target);
+    gateway_.replicas().end_attempt(target, suspected);
     const bool refused = connection.error() == connect_error::refused;
     const std::string_view reason =
         refused ? "connection refused" : "connection failed";
@@ -281,7 +306,7 @@
   if (!co_await await_permit()) {
     gateway_.pool().release(started, active_, duration_ms{0});
     active_.reset();
-    gateway_.replicas().end_attempt(target);
+    gateway_.replicas().end_attempt(target, suspected);
     co_return;
   }
   attempt_end end = attempt_outcome::not_sent;
@@ -296,7 +321,7 @@
     gateway_.pool().release(started, active_, duration_ms{0});
   }
   active_.reset();
-  gateway_.replicas().end_attempt(target);
+  gateway_.replicas().end_attempt(target, suspected);
   if (permit_ && end == attempt_outcome::not_executed) {
     permit_->return_unused();
   }
@@ -304,17 +329,25 @@
     gateway_.metrics().on_attempt(std::string(name_of(*end)));
     log_attempt(*target, *end, last_failure_);
     plan_->on_attempt(started, *end);
-    const bool ended_by_gateway = client_gone_ || steady_now() >= deadline_;
-    if (*end == attempt_outcome::lost && !ended_by_gateway) {
-      gateway_.replicas().on_failed(*target, last_failure_);
-      asio::co_spawn(gateway_.io(),
-                     log_fate(gateway_, target, request_.attempt_id,
-                              identity_of(request_, gateway_.options().headers,
-                                          caller_.tenant)),
-                     asio::detached);
+    if (*end == attempt_outcome::lost) {
+      co_await on_lost(target);
     }
   } else {
     gateway_.metrics().on_attempt("answered");
+    was_answered_ = true;
+  }
+}
+
+asio::awaitable<void> request_exchange::on_lost(routing::instance_ptr target) {
+  const bool ended_by_gateway = client_gone_ || steady_now() >= deadline_;
+  if (ended_by_gateway) {
+    crashes_->on_aborted(std::move(target));
+    co_return;
+  }
+  gateway_.replicas().on_failed(*target, last_failure_);
+  const replica_fate fate = co_await crashes_->on_lost(*target);
+  if (fate == replica_fate::crashed || fate == replica_fate::unlisted) {
+    plan_->on_instance_ended(target->record.start());
   }
 }
 
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -12,6 +12,7 @@
 #include "forwarding/attempt_plan.hpp"
 #include "forwarding/client_request.hpp"
 #include "forwarding/client_stream.hpp"
+#include "forwarding/crash_limit.hpp"
 #include "forwarding/event_stream.hpp"
 #include "forwarding/gateway.hpp"
 #include "forwarding/program_turn.hpp"
@@ -137,6 +138,13 @@
 
   // Attempts.
   asio::awaitable<void> run_attempts();
+  /// Decides what follows when no replica may receive the request now.
+  void on_no_target(const send_step &step);
+  /// Ends the request because too many replicas have crashed under it, or
+  /// because they cannot be counted.
+  void block_for_crashes();
+  /// Finds out why an attempt was lost.
+  asio::awaitable<void> on_lost(routing::instance_ptr target);
   asio::awaitable<void> attempt(routing::instance_ptr target);
   /// Checks deadline, client and replica immediately before sending.
   /// @return true when the request may be sent; it is then counted as sent.
@@ -220,6 +228,7 @@
   std::optional<send_permit> permit_; // for tenants with a quota
   std::optional<program_turn> turn_;  // for requests that need a grant
   stream_version version_;            // of resumable streams
+  std::optional<crash_limit> crashes_;
   /// The history and the input, when there is a history; else empty.
   std::string body_with_history_;
   /// Set once the head of a stream was sent.
@@ -228,6 +237,8 @@
   // The answer.
   bool keep_open_ = true;
   bool head_sent_ = false;
+  /// A replica has answered the request completely.
+  bool was_answered_ = false;
   std::optional<std::uint64_t> last_event_id_;
   std::uint64_t events_forwarded_ = 0;
   std::uint32_t status_ = 0;
--- a/src/forwarding/request_permissions.cpp
+++ b/src/forwarding/request_permissions.cpp
@@ -164,6 +164,7 @@
     if (!co_await check_storage_residency()) {
       co_return false;
     }
+    crashes_->learn(turn_->crashes());
     apply_history();
     co_return co_await apply_recorded_version();
   }
@@ -288,7 +289,11 @@
 }
 
 asio::awaitable<placement> request_exchange::choose_replica(send_step step) {
+  if (!co_await crashes_->allow_send()) {
+    co_return placement{.excluded_by = routing::exclusion::crash_limit};
+  }
   step.version = version_.required();
+  step.crashes = crashes_->crashes();
   placement chosen =
       gateway_.replicas().choose(service_, step, request_, home_);
   if (!is_resumable_stream()) {
--- a/src/objects/object_relay.cpp
+++ b/src/objects/object_relay.cpp
@@ -156,12 +156,22 @@
 
 void object_relay::push() {
   push_posted_ = false;
-  const timestamp now = steady_now();
+  forget_silent_followers(steady_now());
+  for (auto &[address, to] : followers_) {
+    send_update(address, to, nullptr);
+  }
+}
+
+void object_relay::forget_silent_followers(timestamp now) {
   std::erase_if(followers_, [now](const auto &each) {
     return now >= each.second.last_heard_at + follower_timeout;
   });
-  for (auto &[address, to] : followers_) {
-    send_update(address, to, nullptr);
+}
+
+void object_relay::broadcast(const wire::Envelope &envelope) {
+  forget_silent_followers(steady_now());
+  for (const auto &[address, to] : followers_) {
+    send_(address, envelope);
   }
 }
 
--- a/src/objects/object_relay.hpp
+++ b/src/objects/object_relay.hpp
@@ -37,6 +37,8 @@
   void start();
   /// Answers a follower's heartbeat.
   void on_follow(const wire::FollowObjects &follow);
+  /// Sends a message to all followers at once.
+  void broadcast(const wire::Envelope &envelope);
 
 private:
   struct kind_copy {
@@ -79,6 +81,7 @@
                               const change_log &log, timestamp now) const;
   void schedule_push();
   void push();
+  void forget_silent_followers(timestamp now);
   /// Sends a follower the changes that it has not received.
   /// @param heartbeat the heartbeat to answer; null for a pushed update, which
   /// leaves out kinds without changes.
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -80,6 +80,27 @@
   return change;
 }
 
+wire::RecordChange to_change(crash_report report) {
+  wire::RecordChange change;
+  wire::ReportCrashes &message = *change.mutable_report_crashes();
+  message.set_account(std::move(report.account));
+  message.set_request(report.request.value());
+  message.set_attempt(std::move(report.attempt));
+  message.set_number(report.number);
+  message.mutable_crashed()->Assign(report.crashed.begin(),
+                                    report.crashed.end());
+  message.set_wants_send(report.wants_send);
+  message.set_completed(report.completed);
+  message.set_keep_ms(to_milliseconds(report.keep));
+  return change;
+}
+
+crash_count from_wire_count(const wire::CrashCount &count) {
+  return {.request = request_identity{count.request()},
+          .crashed = count.crashed(),
+          .at_risk = count.at_risk()};
+}
+
 turn_verdict verdict_of(wire::RecordVerdict verdict) {
   switch (verdict) {
   case wire::RECORD_GRANTED:
@@ -173,6 +194,25 @@
   co_return unserved;
 }
 
+asio::awaitable<crash_verdict>
+ledger_client::report_crashes(crash_report report, timestamp deadline) {
+  crash_verdict answer;
+  if (!breaker_.is_served()) {
+    co_return answer;
+  }
+  const pending_ptr entry =
+      co_await submit_and_wait(to_change(std::move(report)), deadline);
+  const wire::RecordReplyItem &reply = entry->reply;
+  if (!entry->answered || reply.crash_counts().empty()) {
+    co_return answer; // storage nodes of an earlier release count no crashes
+  }
+  answer.verdict = reply.verdict() == wire::RECORD_GRANTED
+                       ? send_verdict::allowed
+                       : send_verdict::refused;
+  answer.count = from_wire_count(reply.crash_counts(0));
+  co_return answer;
+}
+
 permit_answer ledger_client::to_permit(const pending &entry) {
   const wire::PermitAnswer &answer = entry.reply.permit();
   const permit_verdict refusal =
@@ -233,6 +273,9 @@
   const wire::StreamOrigin &origin = entry.reply.origin();
   grant.origin = {.version = software_version{origin.version()},
                   .is_continuation = origin.is_continuation()};
+  for (const wire::CrashCount &count : entry.reply.crash_counts()) {
+    grant.crashes.push_back(from_wire_count(count));
+  }
   for (const wire::RecordTurn &turn : entry.reply.history()) {
     grant.history.push_back(from_wire_turn(turn));
   }
@@ -491,8 +534,9 @@
 
 void ledger_client::cancel_grants() {
   for (const auto &[id, entry] : pending_) {
-    const bool is_grant =
-        entry->change.has_begin() || entry->change.has_take_permit();
+    const bool is_grant = entry->change.has_begin() ||
+                          entry->change.has_take_permit() ||
+                          entry->change.has_report_crashes();
     if (entry->awaited && is_grant) {
       entry->done.cancel();
     }
--- a/src/records/ledger_client.hpp
+++ b/src/records/ledger_client.hpp
@@ -71,6 +71,11 @@
   asio::awaitable<permit_answer> take_permit(permit_request request,
                                              timestamp deadline) override;
 
+  asio::awaitable<crash_verdict> report_crashes(crash_report report,
+                                                timestamp deadline) override;
+  /// Does nothing: one client reaches the nodes of one partition.
+  void announce(crash_notice) override {}
+
   /// Reads the chain of turns that ends with `last`, whichever program recorded
   /// them.
   asio::awaitable<turn_grant> read(std::string last, timestamp deadline);
--- a/src/records/partitioned_ledger.cpp
+++ b/src/records/partitioned_ledger.cpp
@@ -27,7 +27,7 @@
                                        const ledger_options &options,
                                        std::size_t partitions,
                                        const ledger_client::sender &send)
-    : io_(io), tick_timer_(io) {
+    : io_(io), send_(send), tick_timer_(io) {
   for (std::size_t number = 0; number < partitions; ++number) {
     ledger_options own = options;
     own.partition = static_cast<std::uint32_t>(number);
@@ -159,6 +159,24 @@
   co_return co_await client.take_permit(std::move(request), deadline);
 }
 
+asio::awaitable<crash_verdict>
+partitioned_ledger::report_crashes(crash_report report, timestamp deadline) {
+  if (detector_.cut_off()) {
+    co_return crash_verdict{};
+  }
+  ledger_client &client = client_of(report.account);
+  co_return co_await client.report_crashes(std::move(report), deadline);
+}
+
+void partitioned_ledger::announce(crash_notice notice) {
+  wire::Envelope envelope;
+  envelope.mutable_crash_notice()->set_request(notice.request.value());
+  envelope.mutable_crash_notice()->set_sent_to(notice.sent_to);
+  for (const wire::RecordMember &each : members().members()) {
+    send_(each.address(), envelope);
+  }
+}
+
 void partitioned_ledger::settle(turn_end end) {
   ledger_client &client = client_of(end.program);
   client.settle(std::move(end));
--- a/src/records/partitioned_ledger.hpp
+++ b/src/records/partitioned_ledger.hpp
@@ -32,6 +32,12 @@
   asio::awaitable<permit_answer> take_permit(permit_request request,
                                              timestamp deadline) override;
 
+  asio::awaitable<crash_verdict> report_crashes(crash_report report,
+                                                timestamp deadline) override;
+  /// Sends a notice to all known storage nodes, which forward it to the
+  /// gateways that follow them.
+  void announce(crash_notice notice) override;
+
   [[nodiscard]] bool cut_off() const override { return detector_.cut_off(); }
   [[nodiscard]] std::vector<storage_place> storage_places() const override;
   /// Updates the failure detector, and sends probes while the group is
@@ -74,6 +80,7 @@
   void end_pause();
 
   asio::io_context &io_;
+  ledger_client::sender send_;
   asio::steady_timer tick_timer_;
   /// True while `run` waits for the longer interval of idle clients.
   bool paused_ = false;
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -296,6 +296,12 @@
     }
     return;
   }
+  if (envelope.has_crash_notice()) {
+    if (crash_notice_handler_) {
+      crash_notice_handler_(envelope.crash_notice());
+    }
+    return;
+  }
   const std::size_t number = envelope.record_partition();
   if (number >= partitions_.size()) {
     return; // the sender is configured with more partitions
--- a/src/records/record_runtime.hpp
+++ b/src/records/record_runtime.hpp
@@ -65,6 +65,10 @@
   void on_follow(std::function<void(const wire::FollowObjects &)> handler) {
     follow_handler_ = std::move(handler);
   }
+  /// Sets the handler of notices of crashes, which it forwards to gateways.
+  void on_crash_notice(std::function<void(const wire::CrashNotice &)> handler) {
+    crash_notice_handler_ = std::move(handler);
+  }
   /// Sets the handler of copies from the relay that this node follows.
   void on_copies(std::function<void(const wire::ObjectCopies &)> handler) {
     copies_handler_ = std::move(handler);
@@ -137,6 +141,7 @@
   std::set<std::size_t> partitions_with_input_;
   std::function<void(const wire::FollowObjects &)> follow_handler_;
   std::function<void(const wire::ObjectCopies &)> copies_handler_;
+  std::function<void(const wire::CrashNotice &)> crash_notice_handler_;
   std::unique_ptr<rpc::transport> transport_;
 
   std::mutex mutex_;
--- a/src/records/record_table.cpp
+++ b/src/records/record_table.cpp
@@ -45,6 +45,8 @@
     return keep(change.keep());
   case wire::RecordChange::kReserveQuota:
     return reserve(change.reserve_quota());
+  case wire::RecordChange::kReportCrashes:
+    return report(change.report_crashes());
   case wire::RecordChange::kTakePermit: // answered by leaders without the log
   case wire::RecordChange::BODY_NOT_SET:
     break;
@@ -112,6 +114,9 @@
     }
   }
   const bool granted = reply.verdict() == wire::RECORD_GRANTED;
+  if (granted) {
+    account.crashes.add_counts(reply, quota_time_);
+  }
   if (granted && wanted.want_history()) {
     add_history(wanted.previous(), reply);
   }
@@ -128,6 +133,8 @@
     return decided_outcome(change.begin());
   case wire::RecordChange::kEnd:
     return decided_outcome(change.end());
+  case wire::RecordChange::kReportCrashes:
+    return decided_outcome(change.report_crashes());
   case wire::RecordChange::kRead:
     // A stored turn never changes, but its absence must be decided by the log.
     return find_turn(change.read().last()) != nullptr
@@ -175,6 +182,14 @@
   return reply;
 }
 
+std::optional<wire::RecordReplyItem>
+record_table::decided_outcome(const wire::ReportCrashes &reported) const {
+  const program *account = find_account(reported.account());
+  return account != nullptr
+             ? account->crashes.decided_outcome(reported, quota_time_)
+             : std::nullopt;
+}
+
 wire::RecordReplyItem record_table::end(const wire::EndTurn &ended) {
   program &account = account_of(ended.program(), ended.keep_ms());
   account.tokens.end(ended.attempt(), ended.used());
@@ -196,6 +211,12 @@
   return reply;
 }
 
+wire::RecordReplyItem
+record_table::report(const wire::ReportCrashes &reported) {
+  program &account = account_of(reported.account(), reported.keep_ms());
+  return account.crashes.report(reported, quota_time_);
+}
+
 record_table::program &record_table::account_of(const std::string &id,
                                                 std::uint64_t keep_ms) {
   program &account = programs_[id];
@@ -303,6 +324,7 @@
     saved.set_expires_ms(account.expires_ms);
     account.tokens.save(saved);
     account.origins.save(saved);
+    account.crashes.save(saved);
   }
   std::vector<stored_turn> turns;
   turns.reserve(turns_.size());
@@ -336,6 +358,7 @@
   for (const wire::RecordProgram &saved : snapshot.programs()) {
     programs_[saved.id()] = {.tokens = token_account::restore(saved),
                              .origins = stream_origins::restore(saved),
+                             .crashes = crash_history::restore(saved),
                              .expires_ms = saved.expires_ms()};
   }
   for (const wire::RecordKeptTurn &saved : snapshot.turns()) {
--- a/src/records/record_table.hpp
+++ b/src/records/record_table.hpp
@@ -2,10 +2,16 @@
 // turns, and quota accounts of tenants. Only the parts of a turn that decisions
 // need are held here; bodies are passed on to their storage (`turn_bodies`).
 //
+// A program's account holds everything that binds later attempts of its
+// requests to earlier ones: the budget, the versions of streams, and the
+// replicas that crashed. A request without a program has an account of its own
+// when replicas have crashed under it.
+//
 // It is deterministic: time comes with each batch and never runs backwards, so
 // the same batches in the same order leave the same state on every replica.
 #pragma once
 
+#include "records/crash_history.hpp"
 #include "records/snapshot_image.hpp"
 #include "records/stream_origins.hpp"
 #include "records/token_account.hpp"
@@ -59,6 +65,7 @@
   struct program {
     token_account tokens;
     stream_origins origins;
+    crash_history crashes;
     std::uint64_t expires_ms = 0;
   };
   wire::RecordReplyItem apply(const wire::RecordChange &change);
@@ -68,16 +75,20 @@
   decided_outcome(const wire::BeginTurn &wanted) const;
   [[nodiscard]] std::optional<wire::RecordReplyItem>
   decided_outcome(const wire::EndTurn &ended) const;
+  [[nodiscard]] std::optional<wire::RecordReplyItem>
+  decided_outcome(const wire::ReportCrashes &reported) const;
   wire::RecordReplyItem keep(const wire::KeepTurns &copies);
   wire::RecordReplyItem end(const wire::EndTurn &ended);
   wire::RecordReplyItem reserve(const wire::ReserveQuota &wanted);
+  wire::RecordReplyItem report(const wire::ReportCrashes &reported);
   /// @return null when there is no account or it has expired.
   [[nodiscard]] const program *find_account(const std::string &id) const;
   /// Adds the account's balance.
   void add_balance(const program &account, wire::RecordReplyItem &reply) const;
   static void add_origin(std::optional<wire::StreamOrigin> origin,
                          wire::RecordReplyItem &reply);
-  /// Adds the balance, and for a granted turn its history and place.
+  /// Adds the balance, and for a granted turn its history and place and the
+  /// program's crashes.
   void add_grant_details(const wire::BeginTurn &wanted, const program &account,
                          wire::RecordReplyItem &reply) const;
   /// The account, created or reset if it does not exist or has expired, with
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -107,6 +107,23 @@
                  "of warnings; the rest is counted");
 }
 
+namespace {
+
+/// Forwards a gateway's notice to the followers of this node. Some of them are
+/// storage nodes, which the gateway has told itself.
+void forward_to_gateways(const wire::CrashNotice &notice,
+                         objects::object_relay &relay) {
+  if (notice.forwarded()) {
+    return;
+  }
+  wire::Envelope envelope;
+  *envelope.mutable_crash_notice() = notice;
+  envelope.mutable_crash_notice()->set_forwarded(true);
+  relay.broadcast(envelope);
+}
+
+} // namespace
+
 int run_store(asio::io_context &io, const store_settings &settings,
               const store_binding &binding) {
   const auto places = routing::topology::from_settings(settings.places);
@@ -181,6 +198,9 @@
   });
   runtime.on_follow(
       [&relay](const wire::FollowObjects &follow) { relay.on_follow(follow); });
+  runtime.on_crash_notice([&relay](const wire::CrashNotice &notice) {
+    forward_to_gateways(notice, relay);
+  });
   relay.start();
   retirement_watch retirements(io, binding, runtime);
   retirements.start();
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -1,9 +1,11 @@
 // Interface of the record group to the gateway: grants turns within a program's
 // token budget, returns the history that a turn continues, records the end of
-// turns durably, and grants tenants' permits.
+// turns durably, grants tenants' permits, and counts the replicas that crashed
+// under a request.
 #pragma once
 
 #include "base/ids.hpp"
+#include "base/request_identity.hpp"
 #include "base/software_version.hpp"
 #include "base/time.hpp"
 #include "tenants/permit.hpp"
@@ -98,6 +100,54 @@
   bool is_continuation = false;
 };
 
+/// The replicas that crashed while they ran one request, over all its attempts.
+struct crash_count {
+  request_identity request;
+  std::uint32_t crashed = 0;
+  /// Attempts that were allowed to be sent and whose outcome is not reported.
+  std::uint32_t at_risk = 0;
+};
+
+/// Reports the replicas that crashed under an attempt, and asks whether it may
+/// be sent to another one (`crash_history`).
+struct crash_report {
+  /// The account that counts the request: its program's, or its own.
+  std::string account;
+  request_identity request;
+  std::string attempt;
+  /// Counts the reports of this attempt, from 1.
+  std::uint32_t number = 0;
+  /// Names of the replicas that crashed since the last report.
+  std::vector<std::string> crashed;
+  bool wants_send = false;
+  /// A replica has answered the request completely.
+  bool completed = false;
+  /// How long the count is kept.
+  duration_ms keep{0};
+};
+
+/// Tells the gateways that replicas have crashed under a request.
+struct crash_notice {
+  request_identity request;
+  /// The replica to which it is sent next (`routing::instance::load_key`); zero
+  /// for none.
+  std::uint32_t sent_to = 0;
+};
+
+enum class send_verdict : std::uint8_t {
+  allowed,
+  /// Too many replicas have crashed under the request, or may crash under
+  /// attempts at risk.
+  refused,
+  /// No majority of the record group answered in time.
+  unavailable,
+};
+
+struct crash_verdict {
+  send_verdict verdict = send_verdict::unavailable;
+  crash_count count;
+};
+
 struct turn_grant {
   turn_verdict verdict = turn_verdict::unavailable;
   grant_step step = grant_step::grant;
@@ -120,6 +170,8 @@
   /// The place of the turn that this one continues.
   turn_place previous_place;
   stream_origin origin;
+  /// The requests of the program under which replicas have crashed.
+  std::vector<crash_count> crashes;
 };
 
 /// The end of a turn: what it used of its grant and what is kept of it.
@@ -200,6 +252,15 @@
   virtual boost::asio::awaitable<permit_answer>
   take_permit(permit_request request, timestamp deadline) = 0;
 
+  /// Reports crashes; returns by `deadline`. What is allowed is durable: it
+  /// counts like a crash until the attempt reports again.
+  virtual boost::asio::awaitable<crash_verdict>
+  report_crashes(crash_report report, timestamp deadline) = 0;
+
+  /// Tells all gateways of a request under which replicas have crashed. Best
+  /// effort.
+  virtual void announce(crash_notice notice) = 0;
+
   /// True while this process cannot reach the record group and other gateways
   /// can, so that its clients should be sent to those.
   [[nodiscard]] virtual bool cut_off() const { return false; }
--- a/src/routing/eligibility.cpp
+++ b/src/routing/eligibility.cpp
@@ -16,6 +16,8 @@
     return "outside_home";
   case exclusion::other_version:
     return "other_version";
+  case exclusion::crash_limit:
+    return "crash_limit";
   case exclusion::warming_up:
     return "warming_up";
   }
--- a/src/routing/eligibility.hpp
+++ b/src/routing/eligibility.hpp
@@ -27,6 +27,8 @@
   outside_home,
   /// The replica runs another software version than the stream requires.
   other_version,
+  /// Too many replicas have crashed under the request.
+  crash_limit,
   /// The replica is in slow start and has no free admission.
   warming_up,
 };
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -70,6 +70,10 @@
   std::uint32_t consecutive_failures = 0;
   /// Until then it gets new requests only if no other replica is available.
   timestamp avoid_until{};
+  /// In-flight requests of this gateway under which replicas have crashed.
+  std::uint32_t suspected_in_flight = 0;
+  /// Until then another gateway may have sent it such a request.
+  timestamp suspected_until{};
   /// When a change of its entry from ready to draining arrived; the epoch if
   /// none did.
   timestamp drain_seen_at{};
@@ -81,6 +85,10 @@
   balance::prefix_view prefixes{unknown_engine_memory};
 
   [[nodiscard]] bool accepts_work() const { return listed && !record.draining; }
+  /// Returns whether a request runs there that may crash it.
+  [[nodiscard]] bool may_crash(timestamp now) const {
+    return suspected_in_flight > 0 || now < suspected_until;
+  }
 };
 
 /// Result of putting a record into the directory.
--- /dev/null
+++ b/tests/forwarding/crash_limit_test.cpp
@@ -0,0 +1,302 @@
+// Requests under which replicas crash: how often they are sent, what their
+// clients are told, and who else is kept away from them.
+#include "forwarding/client_session.hpp"
+#include "forwarding/crash_notices.hpp"
+#include "forwarding/gateway.hpp"
+#include "forwarding/request_identity.hpp"
+#include "http/status_server.hpp"
+#include "support/coroutines.hpp"
+#include "support/gateway_client.hpp"
+#include "support/header_names.hpp"
+#include "support/open_ledger.hpp"
+#include "support/scripted_replica.hpp"
+
+#include <map>
+#include <memory>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace heathtrestle::forwarding {
+namespace {
+
+using test_support::plain;
+using test_support::scripted;
+using test_support::scripted_replica;
+using client_fields = std::map<std::string, std::string>;
+
+class crash_limit_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(crash_limit_test);
+  CPPUNIT_TEST(no_replica_gets_a_request_after_three_have_crashed);
+  CPPUNIT_TEST(another_try_of_the_client_is_answered_at_once);
+  CPPUNIT_TEST(another_gateway_asks_after_a_notice);
+  CPPUNIT_TEST(a_turn_learns_of_crashes_with_its_grant);
+  CPPUNIT_TEST(a_request_whose_replica_crashed_by_chance_is_served);
+  CPPUNIT_TEST(a_broken_connection_is_no_crash);
+  CPPUNIT_TEST(a_request_without_a_crash_reports_nothing);
+  CPPUNIT_TEST(nothing_is_sent_while_crashes_cannot_be_counted);
+  CPPUNIT_TEST(a_suspected_request_keeps_away_from_another);
+  CPPUNIT_TEST(the_identity_outlasts_the_attempt);
+  CPPUNIT_TEST(the_identity_tells_requests_apart);
+  CPPUNIT_TEST(notices_are_bounded_and_expire);
+  CPPUNIT_TEST_SUITE_END();
+
+  asio::io_context io_;
+  test_support::open_ledger ledger_;
+  std::map<std::string, std::unique_ptr<scripted_replica>> replicas_;
+  std::unique_ptr<gateway> gateway_;
+  std::unique_ptr<tcp::acceptor> clients_;
+
+  void start_gateway() {
+    gateway_options options;
+    options.headers = test_support::test_names();
+    options.selection.places = routing::topology("z");
+    gateway_ = std::make_unique<gateway>(io_, options, ledger_);
+    clients_ = std::make_unique<tcp::acceptor>(
+        std::move(http::listen(io_, "127.0.0.1:0")).value());
+    asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
+    gateway_->apply_routes(settings());
+  }
+
+  static routing::configuration settings() {
+    routing::configuration settings;
+    settings.version = routing::configuration_version{1};
+    routing::route route;
+    route.name = "lookups";
+    route.host = "h";
+    route.path_prefix = "/";
+    route.kind = routing::request_kind::idempotent;
+    route.timeout = duration_ms{2000};
+    route.services = {{routing::service_id{"s"}, 1}};
+    route.max_attempts = 2;
+    settings.routes.push_back(route);
+    routing::service service;
+    service.id = routing::service_id{"s"};
+    settings.services = {service};
+    return settings;
+  }
+
+  void list(const std::string &id) {
+    gateway_->replicas().put({.id = routing::instance_id{id},
+                              .service = routing::service_id{"s"},
+                              .address = replicas_.at(id)->address(),
+                              .zone = "z",
+                              .slots = 4});
+  }
+
+  void add_replica(const std::string &id, scripted answer) {
+    replicas_[id] = std::make_unique<scripted_replica>(io_);
+    replicas_[id]->script.push_back(std::move(answer));
+    list(id);
+  }
+
+  /// Adds replicas whose process ends under the first request.
+  void add_crashing(int count) {
+    for (int number = 1; number <= count; ++number) {
+      const std::string id = "crashing-" + std::to_string(number);
+      add_replica(id, {.bytes = "", .close = true});
+      replicas_.at(id)->before_answer = [this, id] {
+        replicas_.at(id)->stop_listening();
+      };
+    }
+  }
+
+  [[nodiscard]] std::size_t sends() const {
+    std::size_t sum = 0;
+    for (const auto &[id, replica] : replicas_) {
+      sum += replica->received.size();
+    }
+    return sum;
+  }
+
+  unsigned ask(const std::string &attempt, const client_fields &fields = {}) {
+    return test_support::ask_gateway(io_, *clients_, "/go", attempt, fields)
+        ->result_int();
+  }
+
+  void wait_for(duration_ms span) {
+    asio::steady_timer timer(io_, span);
+    test_support::await_result(io_, timer.async_wait(as_result));
+  }
+
+  static request_identity identity(const std::string &body,
+                                   const client_fields &fields) {
+    beast_http::request<beast_http::string_body> message(beast_http::verb::post,
+                                                         "/go", 11);
+    for (const auto &[name, value] : fields) {
+      message.set(name, value);
+    }
+    message.body() = body;
+    const header_names names = test_support::test_names();
+    return identity_of(interpret(std::move(message), {}, names), names,
+                       tenant_id{"t"});
+  }
+
+public:
+  void setUp() override { start_gateway(); }
+  void tearDown() override { io_.stop(); }
+
+  void no_replica_gets_a_request_after_three_have_crashed() {
+    add_crashing(6);
+    CPPUNIT_ASSERT_EQUAL(502U, ask("a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sends());
+  }
+
+  void another_try_of_the_client_is_answered_at_once() {
+    add_crashing(6);
+    ask("a");
+    const timestamp began = steady_now();
+    CPPUNIT_ASSERT_EQUAL(502U, ask("b"));
+    CPPUNIT_ASSERT(steady_now() - began < duration_ms{300});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sends());
+  }
+
+  void another_gateway_asks_after_a_notice() {
+    add_crashing(6);
+    ask("a");
+    CPPUNIT_ASSERT(!ledger_.notices.empty());
+    const std::unique_ptr<gateway> first = std::move(gateway_);
+    const std::unique_ptr<tcp::acceptor> first_clients = std::move(clients_);
+    start_gateway();
+    for (const auto &[id, replica] : replicas_) {
+      list(id);
+    }
+    gateway_->crashes().add(ledger_.notices.front().request, steady_now());
+    CPPUNIT_ASSERT_EQUAL(502U, ask("b"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sends());
+  }
+
+  void a_turn_learns_of_crashes_with_its_grant() {
+    const client_fields turn{
+        {"Program", "p"}, {"Budget", "100"}, {"Tokens", "1,1"}};
+    add_crashing(6);
+    ask("a", turn);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sends());
+    CPPUNIT_ASSERT(ledger_.crash_reports.front().account == "p");
+    ledger_.granted_counts = {
+        {.request = ledger_.crash_reports.front().request, .crashed = 3}};
+    const std::unique_ptr<gateway> first = std::move(gateway_);
+    const std::unique_ptr<tcp::acceptor> first_clients = std::move(clients_);
+    start_gateway();
+    for (const auto &[id, replica] : replicas_) {
+      list(id);
+    }
+    CPPUNIT_ASSERT_EQUAL(502U, ask("b", turn));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sends());
+  }
+
+  void a_request_whose_replica_crashed_by_chance_is_served() {
+    add_crashing(1);
+    const std::string id = "crashing-1";
+    replicas_.at(id)->before_answer = [this, id] {
+      replicas_.at(id)->stop_listening();
+      add_replica("sound", {.bytes = plain("answer")});
+    };
+    CPPUNIT_ASSERT_EQUAL(200U, ask("a"));
+    wait_for(duration_ms{50});
+    // The answer clears it.
+    CPPUNIT_ASSERT(ledger_.crash_reports.back().completed);
+  }
+
+  void a_broken_connection_is_no_crash() {
+    add_replica("r", {.bytes = "", .reset = true});
+    replicas_.at("r")->script.push_back({.bytes = "", .reset = true});
+    replicas_.at("r")->script.push_back({.bytes = "", .reset = true});
+    replicas_.at("r")->script.push_back({.bytes = plain("answer")});
+    ask("a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ledger_.crash_reports.size());
+    CPPUNIT_ASSERT(sends() > 1);
+  }
+
+  void a_request_without_a_crash_reports_nothing() {
+    add_replica("r", {.bytes = plain("answer")});
+    CPPUNIT_ASSERT_EQUAL(200U, ask("a"));
+    CPPUNIT_ASSERT(ledger_.crash_reports.empty());
+    CPPUNIT_ASSERT(ledger_.notices.empty());
+  }
+
+  void nothing_is_sent_while_crashes_cannot_be_counted() {
+    ledger_.no_crash_counts = true;
+    add_crashing(3);
+    CPPUNIT_ASSERT_EQUAL(502U, ask("a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sends());
+    // The next try was sent nowhere, and its client may come back.
+    CPPUNIT_ASSERT_EQUAL(503U, ask("b"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sends());
+  }
+
+  void a_suspected_request_keeps_away_from_another() {
+    add_replica("busy", {.bytes = plain("answer")});
+    add_replica("free", {.bytes = plain("answer")});
+    const auto busy =
+        gateway_->replicas().directory().find(routing::instance_id{"busy"});
+    gateway_->replicas().begin_attempt(busy, true);
+    const auto choose = [this](std::uint32_t crashes) {
+      send_step step;
+      step.crashes = crashes;
+      return gateway_->replicas()
+          .choose(routing::service_id{"s"}, step, {}, {})
+          .target;
+    };
+    for (int draw = 0; draw < 20; ++draw) {
+      for (const std::uint32_t crashes : {0U, 1U, 2U}) {
+        CPPUNIT_ASSERT(choose(crashes)->record.id.value() == "free");
+      }
+    }
+    gateway_->replicas().remove(routing::instance_id{"free"});
+    CPPUNIT_ASSERT(choose(0) == busy);
+    CPPUNIT_ASSERT(choose(1) == busy);
+    CPPUNIT_ASSERT(choose(2) == nullptr);
+    gateway_->replicas().end_attempt(busy, true);
+    CPPUNIT_ASSERT(choose(2) == busy);
+    gateway_->replicas().on_suspected_elsewhere(busy->load_key);
+    CPPUNIT_ASSERT(choose(2) == nullptr);
+  }
+
+  void the_identity_outlasts_the_attempt() {
+    const auto first = identity("b", {{"Attempt", "a1"},
+                                      {"Deadline", "900"},
+                                      {"Program", "p"},
+                                      {"Previous", "t"}});
+    const auto second = identity("b", {{"Attempt", "a2"},
+                                       {"Deadline", "500"},
+                                       {"Last-Event-Id", "3"},
+                                       {"Resumes", "a1"},
+                                       {"Program", "p"},
+                                       {"Previous", "t"}});
+    CPPUNIT_ASSERT(first == second);
+  }
+
+  void the_identity_tells_requests_apart() {
+    const auto one = identity("b", {{"Program", "p"}});
+    CPPUNIT_ASSERT(one != identity("c", {{"Program", "p"}}));
+    CPPUNIT_ASSERT(one != identity("b", {{"Program", "q"}}));
+    CPPUNIT_ASSERT(one != identity("b", {{"Program", "p"}, {"Previous", "t"}}));
+    CPPUNIT_ASSERT(one != identity("", {{"Program", "pb"}}));
+  }
+
+  void notices_are_bounded_and_expire() {
+    constexpr std::size_t capacity = 3;
+    crash_notices notices(capacity, duration_ms{100});
+    const timestamp start = steady_now();
+    for (std::uint64_t request = 1; request <= 10; ++request) {
+      notices.add(request_identity{request}, start + duration_ms{request});
+    }
+    CPPUNIT_ASSERT_EQUAL(capacity, notices.size());
+    const timestamp now = start + duration_ms{10};
+    CPPUNIT_ASSERT(!notices.contains(request_identity{7}, now));
+    CPPUNIT_ASSERT(notices.contains(request_identity{8}, now));
+    notices.add(request_identity{8}, now); // renewed: the next oldest goes
+    notices.add(request_identity{11}, now);
+    CPPUNIT_ASSERT(notices.contains(request_identity{8}, now));
+    CPPUNIT_ASSERT(!notices.contains(request_identity{9}, now));
+    CPPUNIT_ASSERT(
+        !notices.contains(request_identity{11}, now + duration_ms{100}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(crash_limit_test);
+
+} // namespace
+} // namespace heathtrestle::forwarding
--- a/tests/support/open_ledger.hpp
+++ b/tests/support/open_ledger.hpp
@@ -1,6 +1,7 @@
 // A fake record group for tests of the gateway, which grants turns at once.
 #pragma once
 
+#include "records/crash_history.hpp"
 #include "records/turn_ledger.hpp"
 #include "runtime/asio.hpp"
 #include "tenants/quota_account.hpp"
@@ -69,7 +70,8 @@
         .spent = spent,
         .reserved = refused ? std::uint64_t{1} : std::uint64_t{0},
         .previous_place = previous_place,
-        .origin = origin};
+        .origin = origin,
+        .crashes = granted_counts};
   }
   asio::awaitable<bool> finish(records::turn_end end, timestamp) override {
     ends.push_back(std::move(end));
@@ -107,6 +109,44 @@
                           ? asked
                           : asked + tenants::permit_lifetime};
   }
+  asio::awaitable<records::crash_verdict>
+  report_crashes(records::crash_report report, timestamp) override {
+    crash_reports.push_back(report);
+    if (no_crash_counts) {
+      co_return records::crash_verdict{};
+    }
+    wire::ReportCrashes reported;
+    reported.set_request(report.request.value());
+    reported.set_attempt(report.attempt);
+    reported.set_number(report.number);
+    reported.mutable_crashed()->Assign(report.crashed.begin(),
+                                       report.crashed.end());
+    reported.set_wants_send(report.wants_send);
+    reported.set_completed(report.completed);
+    reported.set_keep_ms(1U << 20U);
+    constexpr std::uint64_t any_time = 1;
+    const wire::RecordReplyItem reply =
+        crashes[report.account].report(reported, any_time);
+    const wire::CrashCount &count = reply.crash_counts(0);
+    co_return records::crash_verdict{.verdict =
+                                         reply.verdict() == wire::RECORD_GRANTED
+                                             ? records::send_verdict::allowed
+                                             : records::send_verdict::refused,
+                                     .count = {.request = report.request,
+                                               .crashed = count.crashed(),
+                                               .at_risk = count.at_risk()}};
+  }
+  void announce(records::crash_notice notice) override {
+    notices.push_back(notice);
+  }
+  /// The crashes by account, and what was reported and announced of them.
+  std::map<std::string, records::crash_history> crashes;
+  std::vector<records::crash_report> crash_reports;
+  std::vector<records::crash_notice> notices;
+  /// Reports of crashes get no answer.
+  bool no_crash_counts = false;
+  /// The counts that come with each grant.
+  std::vector<records::crash_count> granted_counts;
   int permits_asked = 0;
   /// Permit requests get no answer.
   bool no_permits = false;
--- a/tests/support/scripted_replica.hpp
+++ b/tests/support/scripted_replica.hpp
@@ -34,6 +34,7 @@
 public:
   explicit scripted_replica(asio::io_context &io)
       : io_(io), acceptor_(std::move(http::listen(io, "127.0.0.1:0")).value()) {
+    address_ = "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
     asio::co_spawn(io, accept(), asio::detached);
   }
 
@@ -42,9 +43,9 @@
   std::function<void()> before_answer;
   std::vector<beast_http::request<beast_http::string_body>> received;
 
-  [[nodiscard]] std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-  }
+  [[nodiscard]] std::string address() const { return address_; }
+  /// Refuses further connections, as a process that has ended does.
+  void stop_listening() { acceptor_.close(); }
 
 private:
   asio::awaitable<void> accept() {
@@ -93,6 +94,7 @@
 
   asio::io_context &io_;
   tcp::acceptor acceptor_;
+  std::string address_;
 };
 
 inline std::string plain(const std::string &body,
