A process that is ending is not taken for alive

Cause: the kernel closes the sockets of a process that ends one after the other. The attempt's connection breaks first, the listening socket still takes the connection by which the gateway looks whether the replica lives. Evidence: both requests have one line 1027 with fate alive for a replica whose own log ends with the crash.

Change: the connection must stay open for 10 ms; otherwise the gateway looks again, three times at most. A replica that closes each connection but goes on listening has more than it takes, and counts as alive.

--- a/src/forwarding/replica_check.cpp
+++ b/src/forwarding/replica_check.cpp
@@ -1,9 +1,22 @@
 #include "forwarding/replica_check.hpp"
 
+#include "forwarding/socket_options.hpp"
+
 #include <utility>
 
 namespace heathtrestle::forwarding {
 
+namespace {
+
+/// A process that is ending may still accept a connection, which then breaks at
+/// once.
+constexpr duration_ms settle_time{10};
+/// A replica that closes so many connections, but goes on accepting them, has
+/// more than it takes.
+constexpr int max_checks = 3;
+
+} // namespace
+
 std::string_view name_of(replica_fate fate) {
   switch (fate) {
   case replica_fate::alive:
@@ -24,15 +37,23 @@
   if (!shared.replicas().directory().contains(record.start())) {
     co_return replica_fate::unlisted;
   }
-  auto connection = co_await shared.pool().connect(record);
-  if (connection) {
-    shared.pool().release(record.start(), std::move(connection).value(),
-                          duration_ms{0});
-    co_return replica_fate::alive;
+  asio::steady_timer timer(shared.io());
+  for (int checked = 0; checked < max_checks; ++checked) {
+    auto connection = co_await shared.pool().connect(record);
+    if (!connection) {
+      co_return connection.error() == connect_error::refused
+          ? replica_fate::crashed
+          : replica_fate::unreachable;
+    }
+    timer.expires_after(settle_time);
+    co_await timer.async_wait(as_result);
+    if (is_open_and_idle(connection.value()->socket)) {
+      shared.pool().release(record.start(), std::move(connection).value(),
+                            duration_ms{0});
+      break;
+    }
   }
-  co_return connection.error() == connect_error::refused
-      ? replica_fate::crashed
-      : replica_fate::unreachable;
+  co_return replica_fate::alive;
 }
 
 } // namespace heathtrestle::forwarding
