Gateways hear notices of crashes while their relay is down

Change: a gateway also registers with as many further storage nodes as may be lost at once, every 500 ms, for broadcasts alone; they send it no copies and don't watch the store for it.

Test: object_relay_test, broadcasts_reach_a_gateway_whose_relay_is_down.

--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -155,7 +155,10 @@
       gateway_(io, options_from(settings_, places, binding), ledger_),
       drain_monitor_(gateway_.replicas(), gateway_.metrics()),
       follower_(
-          io, {.address = advertised_rpc(settings_)},
+          io,
+          {.address = advertised_rpc(settings_),
+           .further_relays =
+               static_cast<std::size_t>(settings_.tolerated_losses)},
           [this] { return relays(); },
           [this](const std::string &address, const wire::Envelope &envelope) {
             send(address, envelope);
--- a/src/objects/object_follower.cpp
+++ b/src/objects/object_follower.cpp
@@ -34,8 +34,29 @@
   if (relay_.empty() || timed_out) {
     switch_to_next_relay();
   }
-  if (!relay_.empty()) {
-    send_heartbeat();
+  if (relay_.empty()) {
+    return;
+  }
+  send_heartbeat();
+  if (steady_now() >= next_registration_) {
+    next_registration_ = steady_now() + options_.registration_interval;
+    register_with_others();
+  }
+}
+
+void object_follower::register_with_others() {
+  const relay_order order = relays_();
+  if (options_.further_relays == 0 || order.relays.empty()) {
+    return;
+  }
+  wire::Envelope envelope;
+  envelope.mutable_follow_objects()->set_reply_to(options_.address);
+  for (std::size_t step = 1; step <= options_.further_relays; ++step) {
+    const std::size_t place = (relay_place_ + step) % order.relays.size();
+    const std::string &address = order.relays[place].address;
+    if (address != relay_) {
+      send_(address, envelope);
+    }
   }
 }
 
@@ -57,7 +78,8 @@
   const std::string before = relay_;
   const std::size_t first =
       stable_hash(options_.address) % std::max<std::size_t>(order.preferred, 1);
-  relay_ = order.relays[(first + relays_tried_) % order.relays.size()].address;
+  relay_place_ = (first + relays_tried_) % order.relays.size();
+  relay_ = order.relays[relay_place_].address;
   ++relays_tried_;
   last_useful_at_ = steady_now();
   logging::line(logging::event::relay_chosen)
--- a/src/objects/object_follower.hpp
+++ b/src/objects/object_follower.hpp
@@ -21,6 +21,11 @@
 struct follow_options {
   /// "ip:port" at which this gateway receives copies.
   std::string address;
+  /// Further relays whose broadcasts this process receives, so that it misses
+  /// none while its own relay is down.
+  std::size_t further_relays = 0;
+  /// Interval at which it registers with these.
+  duration_ms registration_interval{500};
   duration_ms heartbeat{250};
   /// A relay that has not confirmed its copies as current for this long is
   /// replaced. Covers two heartbeats and the time in which a relay starts to
@@ -91,6 +96,8 @@
                                   object_watch &watch);
   void switch_to_next_relay();
   void send_heartbeat();
+  /// Registers for the broadcasts of the further relays.
+  void register_with_others();
   object_watch *find_watch(const std::string &kind);
 
   asio::io_context &io_;
@@ -99,6 +106,9 @@
   sender send_;
   std::vector<followed_kind> kinds_;
   std::string relay_;
+  /// Its place in the order of relays.
+  std::size_t relay_place_ = 0;
+  timestamp next_registration_{};
   /// The number of relays tried since one was current.
   std::size_t relays_tried_ = 0;
   timestamp started_at_;
--- a/src/objects/object_relay.cpp
+++ b/src/objects/object_relay.cpp
@@ -124,6 +124,11 @@
 
 void object_relay::on_follow(const wire::FollowObjects &follow) {
   const timestamp now = steady_now();
+  if (follow.kinds().empty()) {
+    followers_[follow.reply_to()] = {
+        .have = {}, .sent = {}, .last_heard_at = now};
+    return;
+  }
   last_heartbeat_at_ = now;
   if (upstream_ != nullptr && !follows_upstream_) {
     follows_upstream_ = true;
--- a/src/objects/object_relay.hpp
+++ b/src/objects/object_relay.hpp
@@ -35,7 +35,8 @@
   void follow(object_follower &upstream);
   /// Starts the watches, which stay idle until a gateway follows.
   void start();
-  /// Answers a follower's heartbeat.
+  /// Answers a follower's heartbeat. One that names no kinds only registers the
+  /// follower for broadcasts.
   void on_follow(const wire::FollowObjects &follow);
   /// Sends a message to all followers at once.
   void broadcast(const wire::Envelope &envelope);
--- a/tests/objects/object_relay_test.cpp
+++ b/tests/objects/object_relay_test.cpp
@@ -227,6 +227,7 @@
   CPPUNIT_TEST(relay_follows_another_relay);
   CPPUNIT_TEST(long_lists_are_sent_to_few_followers_at_a_time);
   CPPUNIT_TEST(slow_follower_is_sent_little_until_it_confirms);
+  CPPUNIT_TEST(broadcasts_reach_a_gateway_whose_relay_is_down);
   CPPUNIT_TEST_SUITE_END();
 
   asio::io_context io_;
@@ -237,6 +238,9 @@
   std::set<std::string> dead_relays_;
   int copies_to_drop_ = 0;
   int packed_lists_ = 0;
+  /// Broadcasts that reached the gateway.
+  int broadcasts_ = 0;
+  std::size_t further_relays_ = 0;
   /// Followers of the relays that follow others.
   std::map<std::string, std::unique_ptr<object_follower>> upstreams_;
   object_cache cache_;
@@ -263,6 +267,7 @@
         [this, address](const std::string &to, const wire::Envelope &envelope) {
           const bool lost = dead_relays_.contains(address) ||
                             (copies_to_drop_ > 0 && copies_to_drop_-- > 0);
+          broadcasts_ += !lost && envelope.has_crash_notice() ? 1 : 0;
           for (const wire::CopiedKind &each :
                envelope.object_copies().kinds()) {
             packed_lists_ += each.inflated_bytes() > 0 ? 1 : 0;
@@ -344,6 +349,8 @@
     follower_ = std::make_unique<object_follower>(
         io_,
         follow_options{.address = gateway_address,
+                       .further_relays = further_relays_,
+                       .registration_interval = duration_ms{5},
                        .heartbeat = duration_ms{5},
                        .relay_timeout = duration_ms{40},
                        .confirmation_validity = duration_ms{60},
@@ -407,6 +414,23 @@
   }
   void tearDown() override { io_.stop(); }
 
+  void broadcasts_reach_a_gateway_whose_relay_is_down() {
+    further_relays_ = 1;
+    start(both_relays());
+    wait_for({"one"});
+    run_for(duration_ms{20});
+    const std::string followed = follower_->relay();
+    const std::string other = followed == first ? second : first;
+    // The relay that it only registers with does not watch the store for it.
+    CPPUNIT_ASSERT_EQUAL(0, store_of(other).listings);
+    dead_relays_.insert(followed);
+    wire::Envelope notice;
+    notice.mutable_crash_notice()->set_request(1);
+    relays_.at(followed)->broadcast(notice);
+    relays_.at(other)->broadcast(notice);
+    CPPUNIT_ASSERT_EQUAL(1, broadcasts_);
+  }
+
   void gateway_stays_current_without_calling_the_store() {
     start(both_relays());
     wait_for({"one"});
