Announce a crash again for gateways that are down at first

Cause: notices pass through the storage nodes; those sent while these start again are lost, and the gateway of the next try asks nobody.

Change: a crash under a request of no program is announced again after 0.3, 1 and 3 s.

--- a/src/forwarding/crash_limit.cpp
+++ b/src/forwarding/crash_limit.cpp
@@ -6,6 +6,7 @@
 #include "records/crash_history.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -35,6 +36,21 @@
   return fmt::format("\n{:016x}", identity.value());
 }
 
+/// Announces a crash, and again for gateways and storage nodes that are down at
+/// first.
+asio::awaitable<void> announce_repeatedly(gateway &shared,
+                                          request_identity request) {
+  constexpr std::array pauses{duration_ms{300}, duration_ms{700},
+                              duration_ms{2000}};
+  shared.ledger().announce({.request = request});
+  asio::steady_timer timer(shared.io());
+  for (const duration_ms pause : pauses) {
+    timer.expires_after(pause);
+    co_await timer.async_wait(as_result);
+    shared.ledger().announce({.request = request});
+  }
+}
+
 } // namespace
 
 crash_limit::crash_limit(gateway &shared, const client_request &request,
@@ -121,7 +137,8 @@
   may_send_ = false;
   gateway_.crashes().add(identity(), steady_now());
   if (!request_.turn) {
-    gateway_.ledger().announce({.request = identity()});
+    asio::co_spawn(gateway_.io(), announce_repeatedly(gateway_, identity()),
+                   asio::detached);
   }
 }
 
