Expired notices of crashes are dropped without a new one

Cause: notices were dropped only when another arrived, so that a gateway hashed each request for as long as it lived after one notice.

--- a/src/forwarding/crash_notices.cpp
+++ b/src/forwarding/crash_notices.cpp
@@ -3,9 +3,7 @@
 namespace heathtrestle::forwarding {
 
 void crash_notices::add(request_identity request, timestamp now) {
-  while (!by_age_.empty() && now >= by_age_.front().first + lifetime_) {
-    remove_oldest();
-  }
+  remove_expired(now);
   while (last_seen_.size() >= capacity_ && !by_age_.empty()) {
     remove_oldest();
   }
@@ -15,6 +13,12 @@
   }
 }
 
+void crash_notices::remove_expired(timestamp now) {
+  while (!by_age_.empty() && now >= by_age_.front().first + lifetime_) {
+    remove_oldest();
+  }
+}
+
 void crash_notices::remove_oldest() {
   const auto [added, request] = by_age_.front();
   by_age_.pop_front();
--- a/src/forwarding/crash_notices.hpp
+++ b/src/forwarding/crash_notices.hpp
@@ -23,6 +23,7 @@
 
   void add(request_identity request, timestamp now);
   [[nodiscard]] bool contains(request_identity request, timestamp now) const;
+  void remove_expired(timestamp now);
   [[nodiscard]] bool empty() const { return last_seen_.empty(); }
   [[nodiscard]] std::size_t size() const { return last_seen_.size(); }
 
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -429,6 +429,7 @@
     gateway_.pool().close_expired(steady_now());
     drain_monitor_.check(steady_now());
     gateway_.replicas().end_slow_starts();
+    gateway_.crashes().remove_expired(steady_now());
   }
 }
 
--- a/tests/forwarding/crash_limit_test.cpp
+++ b/tests/forwarding/crash_limit_test.cpp
@@ -291,8 +291,10 @@
     notices.add(request_identity{11}, now);
     CPPUNIT_ASSERT(notices.contains(request_identity{8}, now));
     CPPUNIT_ASSERT(!notices.contains(request_identity{9}, now));
-    CPPUNIT_ASSERT(
-        !notices.contains(request_identity{11}, now + duration_ms{100}));
+    const timestamp later = now + duration_ms{100};
+    CPPUNIT_ASSERT(!notices.contains(request_identity{11}, later));
+    notices.remove_expired(later);
+    CPPUNIT_ASSERT(notices.empty());
   }
 };
 
