A request is kept apart after its second crash, not after the first

Suspected cause: a crash makes suspects of all that ran at the replica, some 70 requests at once. Each was sent to the replica with the fewest requests, and replicas that had got one were avoided for a second by all gateways, so that the load gathered at the others.

Change: one crash counts, but changes nothing in the choice of a replica. After the second a request is isolated: sent where the fewest run, with no other isolated request, and announced.

--- a/src/forwarding/attempt_plan.hpp
+++ b/src/forwarding/attempt_plan.hpp
@@ -40,9 +40,9 @@
   std::optional<software_version> version{};
   /// Whether a replica may receive the request that has just begun to drain.
   bool allows_draining = false;
-  /// Replicas that have crashed under the request; above zero it is suspected
-  /// of crashing the next one as well, and is kept apart from others.
-  std::uint32_t crashes = 0;
+  /// Whether the request is likely to crash its replica, so that it is kept
+  /// apart from others (`crash_limit`).
+  bool is_isolated = false;
 };
 
 /// Waits before the next step, because no replica accepts the request now.
--- a/src/forwarding/crash_limit.cpp
+++ b/src/forwarding/crash_limit.cpp
@@ -159,7 +159,7 @@
 }
 
 void crash_limit::on_send(const routing::instance &target) {
-  if (crashes_ > 0) {
+  if (must_be_isolated()) {
     gateway_.ledger().announce(
         {.request = identity(), .sent_to = target.load_key});
   }
--- a/src/forwarding/crash_limit.hpp
+++ b/src/forwarding/crash_limit.hpp
@@ -43,11 +43,13 @@
     return last_.count;
   }
 
-  /// The replicas that are known to have crashed under the request; above zero
-  /// it is suspected of crashing the next one as well.
-  [[nodiscard]] std::uint32_t crashes() const { return crashes_; }
-  /// Tells the other gateways that the request is sent to a replica, if it is
-  /// suspected.
+  /// Returns whether the request is likely to crash its replica, so that it is
+  /// kept apart from others. One crash says little: it counts against all that
+  /// ran at the replica.
+  [[nodiscard]] bool must_be_isolated() const {
+    return crashes_ >= crashes_to_isolate;
+  }
+  /// Tells the other gateways to which replica an isolated request is sent.
   void on_send(const routing::instance &target);
 
   /// Finds out what became of a replica at which an attempt was lost, and
@@ -66,6 +68,8 @@
   void finish(bool completed);
 
 private:
+  static constexpr std::uint32_t crashes_to_isolate = 2;
+
   [[nodiscard]] request_identity identity();
   [[nodiscard]] records::crash_report make_report(bool wants_send,
                                                   bool completed);
@@ -88,6 +92,8 @@
   /// Distinguishes this attempt of the client from its others.
   std::string attempt_;
   std::uint32_t reports_ = 0;
+  /// The replicas that are known to have crashed under the request, at any
+  /// gateway.
   std::uint32_t crashes_ = 0;
   bool may_send_ = false;
   std::vector<std::string> unreported_; // names of replicas
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -239,7 +239,7 @@
 void gateway_process::on_crash_notice(const wire::CrashNotice &notice) {
   gateway_.crashes().add(request_identity{notice.request()}, steady_now());
   if (notice.sent_to() != 0) {
-    gateway_.replicas().on_suspected_elsewhere(notice.sent_to());
+    gateway_.replicas().on_isolated_elsewhere(notice.sent_to());
   }
 }
 
--- a/src/forwarding/replica_choice.cpp
+++ b/src/forwarding/replica_choice.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-/// A request under which so many replicas have crashed shares a replica with no
-/// other suspected request. After a first crash it does so only when there is
-/// no other replica, since then all that ran at the crashed one are suspected.
-constexpr std::uint32_t crashes_to_isolate = 2;
-
 /// Finds the exclusion that applies to all replicas of a service.
 class common_exclusion {
 public:
@@ -88,8 +83,7 @@
     if (now_ < each->refused_until) {
       return offer_result::unsuitable;
     }
-    const bool must_be_alone = step_.crashes >= crashes_to_isolate;
-    if (must_be_alone && each->may_crash(now_)) {
+    if (step_.is_isolated && each->may_crash(now_)) {
       return offer_result::unsuitable;
     }
     if (is_shortlist_ && std::ranges::find(fitting_, each) != fitting_.end()) {
@@ -234,7 +228,7 @@
   offer_candidates(service, step, request, collector);
   std::vector<balance::candidate> &candidates = collector.candidates();
   std::optional<std::size_t> chosen;
-  if (step.crashes > 0) {
+  if (step.is_isolated) {
     // Its next replica may crash as well, so the fewest requests share it.
     chosen = balance::choose_least_loaded(candidates, random_());
   } else if (request.prompt.empty()) {
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -318,25 +318,25 @@
 }
 
 void replica_selector::begin_attempt(const routing::instance_ptr &target,
-                                     bool suspected) {
+                                     bool isolated) {
   ++target->in_flight;
-  target->suspected_in_flight += suspected ? 1 : 0;
+  target->isolated_in_flight += isolated ? 1 : 0;
   busy_.insert(target);
 }
 
 void replica_selector::end_attempt(const routing::instance_ptr &target,
-                                   bool suspected) {
+                                   bool isolated) {
   --target->in_flight;
-  target->suspected_in_flight -= suspected ? 1 : 0;
+  target->isolated_in_flight -= isolated ? 1 : 0;
   if (target->in_flight == 0) {
     busy_.erase(target);
   }
 }
 
-void replica_selector::on_suspected_elsewhere(std::uint32_t load_key) {
+void replica_selector::on_isolated_elsewhere(std::uint32_t load_key) {
   for (const auto &[id, each] : directory_.all()) {
     if (each->load_key == load_key) {
-      each->suspected_until = steady_now() + options_.avoid_suspected_for;
+      each->isolated_until = steady_now() + options_.avoid_isolated_for;
     }
   }
 }
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -58,7 +58,7 @@
   duration_ms refused_pause{500};
   /// How long a replica is avoided after another gateway has sent it a request
   /// that may crash it.
-  duration_ms avoid_suspected_for{1000};
+  duration_ms avoid_isolated_for{1000};
   /// Time from the operator's request to drain a zone until its replicas
   /// receive no more requests; zero when zones are never drained.
   duration_ms zone_drain{0};
@@ -156,13 +156,13 @@
   [[nodiscard]] slow_start_totals slow_starts() const;
 
   /// Counts a request of this gateway that goes to the replica as in flight.
-  /// @param suspected whether replicas have crashed under it.
+  /// @param isolated whether it is kept apart from others (`send_step`).
   void begin_attempt(const routing::instance_ptr &target,
-                     bool suspected = false);
-  void end_attempt(const routing::instance_ptr &target, bool suspected = false);
-  /// Notes that another gateway sends a suspected request to a replica.
+                     bool isolated = false);
+  void end_attempt(const routing::instance_ptr &target, bool isolated = false);
+  /// Notes that another gateway sends an isolated request to a replica.
   /// @param load_key of the replica.
-  void on_suspected_elsewhere(std::uint32_t load_key);
+  void on_isolated_elsewhere(std::uint32_t load_key);
 
   /// Records the prefix that an engine has cached, according to the record of
   /// an earlier turn.
--- a/src/forwarding/request_attempts.cpp
+++ b/src/forwarding/request_attempts.cpp
@@ -129,12 +129,12 @@
   const routing::incarnation started = target->record.start();
   last_start_ = started;
   last_version_ = target->record.version;
-  const bool suspected = crashes_->crashes() > 0;
-  gateway_.replicas().begin_attempt(target, suspected);
+  const bool isolated = crashes_->must_be_isolated();
+  gateway_.replicas().begin_attempt(target, isolated);
   crashes_->on_send(*target);
   const auto connection = co_await gateway_.pool().acquire(target->record);
   if (!connection) {
-    gateway_.replicas().end_attempt(target, suspected);
+    gateway_.replicas().end_attempt(target, isolated);
     const bool refused = connection.error() == connect_error::refused;
     const std::string_view reason =
         refused ? "connection refused" : "connection failed";
@@ -152,7 +152,7 @@
   if (!co_await await_permit()) {
     gateway_.pool().release(started, active_, duration_ms{0});
     active_.reset();
-    gateway_.replicas().end_attempt(target, suspected);
+    gateway_.replicas().end_attempt(target, isolated);
     co_return;
   }
   attempt_end end = attempt_outcome::not_sent;
@@ -167,7 +167,7 @@
     gateway_.pool().release(started, active_, duration_ms{0});
   }
   active_.reset();
-  gateway_.replicas().end_attempt(target, suspected);
+  gateway_.replicas().end_attempt(target, isolated);
   if (permit_ && end == attempt_outcome::not_executed) {
     permit_->return_unused();
   }
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -70,10 +70,10 @@
   std::uint32_t consecutive_failures = 0;
   /// Until then it gets new requests only if no other replica is available.
   timestamp avoid_until{};
-  /// In-flight requests of this gateway under which replicas have crashed.
-  std::uint32_t suspected_in_flight = 0;
-  /// Until then another gateway may have sent it such a request.
-  timestamp suspected_until{};
+  /// In-flight requests of this gateway that are likely to crash the replica.
+  std::uint32_t isolated_in_flight = 0;
+  /// Until then such a request of another gateway may run there.
+  timestamp isolated_until{};
   /// When a change of its entry from ready to draining arrived; the epoch if
   /// none did.
   timestamp drain_seen_at{};
@@ -90,7 +90,7 @@
   [[nodiscard]] bool accepts_work() const { return listed && !record.draining; }
   /// Returns whether a request runs there that may crash it.
   [[nodiscard]] bool may_crash(timestamp now) const {
-    return suspected_in_flight > 0 || now < suspected_until;
+    return isolated_in_flight > 0 || now < isolated_until;
   }
 };
 
