Few replicas are taken by requests that are isolated after a single crash

What callers saw: with isolation only after the second crash 2 of 643 sound requests of platform_sent_after_three_crashes were refused as crashing their replicas: three crashes of others had come under them.

Change: after a single crash a request is isolated while under a quarter of its service's replicas are taken so. A single deadly request then meets few others; after a crash of many replicas at once the rest is chosen for as ever.

--- a/src/forwarding/crash_limit.cpp
+++ b/src/forwarding/crash_limit.cpp
@@ -158,8 +158,15 @@
   }
 }
 
+bool crash_limit::decide_isolation(const routing::service_id &service) {
+  is_isolated_ =
+      crashes_ >= crashes_to_isolate ||
+      (crashes_ > 0 && gateway_.replicas().can_isolate_more(service));
+  return is_isolated_;
+}
+
 void crash_limit::on_send(const routing::instance &target) {
-  if (must_be_isolated()) {
+  if (is_isolated_) {
     gateway_.ledger().announce(
         {.request = identity(), .sent_to = target.load_key});
   }
--- a/src/forwarding/crash_limit.hpp
+++ b/src/forwarding/crash_limit.hpp
@@ -43,12 +43,13 @@
     return last_.count;
   }
 
-  /// Returns whether the request is likely to crash its replica, so that it is
-  /// kept apart from others. One crash says little: it counts against all that
-  /// ran at the replica.
-  [[nodiscard]] bool must_be_isolated() const {
-    return crashes_ >= crashes_to_isolate;
-  }
+  /// Decides whether the request is kept apart from others at its next replica,
+  /// which it is likely to crash. One crash says little, since it counts
+  /// against all that ran at the replica; after it the request is isolated only
+  /// while few replicas of the service are taken by such requests.
+  bool decide_isolation(const routing::service_id &service);
+  /// Returns the last decision.
+  [[nodiscard]] bool is_isolated() const { return is_isolated_; }
   /// Tells the other gateways to which replica an isolated request is sent.
   void on_send(const routing::instance &target);
 
@@ -96,6 +97,7 @@
   /// gateway.
   std::uint32_t crashes_ = 0;
   bool may_send_ = false;
+  bool is_isolated_ = false;
   std::vector<std::string> unreported_; // names of replicas
   routing::instance_ptr aborted_at_;
   records::crash_verdict last_;
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -333,6 +333,16 @@
   }
 }
 
+bool replica_selector::can_isolate_more(
+    const routing::service_id &service) const {
+  const timestamp now = steady_now();
+  const auto &replicas = directory_.replicas_of(service);
+  const auto taken = std::ranges::count_if(
+      replicas, [now](const auto &each) { return each->may_crash(now); });
+  return static_cast<double>(taken) <
+         options_.isolated_share * static_cast<double>(replicas.size());
+}
+
 void replica_selector::on_isolated_elsewhere(std::uint32_t load_key) {
   for (const auto &[id, each] : directory_.all()) {
     if (each->load_key == load_key) {
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -59,6 +59,9 @@
   /// How long a replica is avoided after another gateway has sent it a request
   /// that may crash it.
   duration_ms avoid_isolated_for{1000};
+  /// Fraction of a service's replicas that requests are isolated at after a
+  /// single crash.
+  double isolated_share = 0.25;
   /// Time from the operator's request to drain a zone until its replicas
   /// receive no more requests; zero when zones are never drained.
   duration_ms zone_drain{0};
@@ -160,6 +163,10 @@
   void begin_attempt(const routing::instance_ptr &target,
                      bool isolated = false);
   void end_attempt(const routing::instance_ptr &target, bool isolated = false);
+  /// Returns whether few replicas of a service are taken by isolated requests.
+  /// After a crash of many replicas all that ran there might be isolated, and
+  /// the other requests would gather at the replicas that are left.
+  [[nodiscard]] bool can_isolate_more(const routing::service_id &service) const;
   /// Notes that another gateway sends an isolated request to a replica.
   /// @param load_key of the replica.
   void on_isolated_elsewhere(std::uint32_t load_key);
--- a/src/forwarding/request_attempts.cpp
+++ b/src/forwarding/request_attempts.cpp
@@ -129,7 +129,7 @@
   const routing::incarnation started = target->record.start();
   last_start_ = started;
   last_version_ = target->record.version;
-  const bool isolated = crashes_->must_be_isolated();
+  const bool isolated = crashes_->is_isolated();
   gateway_.replicas().begin_attempt(target, isolated);
   crashes_->on_send(*target);
   const auto connection = co_await gateway_.pool().acquire(target->record);
--- a/src/forwarding/request_permissions.cpp
+++ b/src/forwarding/request_permissions.cpp
@@ -293,7 +293,7 @@
     co_return placement{.excluded_by = routing::exclusion::crash_limit};
   }
   step.version = version_.required();
-  step.is_isolated = crashes_->must_be_isolated();
+  step.is_isolated = crashes_->decide_isolation(service_);
   placement chosen =
       gateway_.replicas().choose(service_, step, request_, home_);
   if (!is_resumable_stream()) {
--- a/tests/forwarding/crash_limit_test.cpp
+++ b/tests/forwarding/crash_limit_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(a_request_without_a_crash_reports_nothing);
   CPPUNIT_TEST(nothing_is_sent_while_crashes_cannot_be_counted);
   CPPUNIT_TEST(an_isolated_request_keeps_away_from_another);
+  CPPUNIT_TEST(few_replicas_are_taken_by_isolated_requests);
   CPPUNIT_TEST(the_identity_outlasts_the_attempt);
   CPPUNIT_TEST(the_identity_tells_requests_apart);
   CPPUNIT_TEST(notices_are_bounded_and_expire);
@@ -253,6 +254,21 @@
     CPPUNIT_ASSERT(choose(true) == nullptr);
   }
 
+  void few_replicas_are_taken_by_isolated_requests() {
+    for (int number = 1; number <= 8; ++number) {
+      add_replica("r" + std::to_string(number), {.bytes = plain("answer")});
+    }
+    const routing::service_id service{"s"};
+    const auto &all = gateway_->replicas().directory().replicas_of(service);
+    CPPUNIT_ASSERT(gateway_->replicas().can_isolate_more(service));
+    gateway_->replicas().begin_attempt(all.at(0), true);
+    CPPUNIT_ASSERT(gateway_->replicas().can_isolate_more(service));
+    gateway_->replicas().on_isolated_elsewhere(all.at(1)->load_key);
+    CPPUNIT_ASSERT(!gateway_->replicas().can_isolate_more(service));
+    gateway_->replicas().end_attempt(all.at(0), true);
+    CPPUNIT_ASSERT(gateway_->replicas().can_isolate_more(service));
+  }
+
   void the_identity_outlasts_the_attempt() {
     const auto first = identity("b", {{"Attempt", "a1"},
                                       {"Deadline", "900"},
