A stream that begins without the group's answer keeps the version it asked for

Cause: a stream of no program that gets no answer in time begins without a record. It had asked for a version with its grant and then chose its replica anew, of either version. The group recorded what had been asked for when its disk was through (a write took 2.7 s), and the attempt that took the stream up got that. spec/stream_origin.pml serves at the version asked for; the code did not.

Change: such a stream is served at the version that it asked for, for good.

--- a/src/forwarding/program_turn.hpp
+++ b/src/forwarding/program_turn.hpp
@@ -34,6 +34,9 @@
   void set_version(std::optional<software_version> version) {
     version_ = std::move(version);
   }
+  [[nodiscard]] const std::optional<software_version> &version() const {
+    return version_;
+  }
   /// The recorded version, after the grant.
   [[nodiscard]] const records::stream_origin &origin() const {
     return grant_.origin;
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -132,6 +132,9 @@
   /// Records that the stream is served at another version.
   /// @return false when that is not confirmed.
   asio::awaitable<bool> change_version(const software_version &version);
+  /// Serves the stream at the version that was requested with the grant. The
+  /// group may record it although its reply did not arrive in time.
+  void keep_requested_version();
   /// Serves the stream at a version that is not recorded. Other gateways then
   /// cannot resume it while replicas of several versions serve.
   void serve_unrecorded(const software_version &version);
--- a/src/forwarding/request_permissions.cpp
+++ b/src/forwarding/request_permissions.cpp
@@ -169,6 +169,7 @@
     co_return co_await apply_recorded_version();
   }
   if (verdict == records::turn_verdict::unavailable && can_do_without) {
+    keep_requested_version();
     co_return true;
   }
   co_await refuse_turn(verdict);
@@ -341,6 +342,13 @@
   co_return none_recorded;
 }
 
+void request_exchange::keep_requested_version() {
+  const std::optional<software_version> &requested = turn_->version();
+  if (requested && !requested->value().empty()) {
+    serve_unrecorded(*requested);
+  }
+}
+
 void request_exchange::serve_unrecorded(const software_version &version) {
   version_.fix(version);
   logging::line(logging::event::stream_version_unrecorded)
--- a/tests/forwarding/stream_of_two_versions_test.cpp
+++ b/tests/forwarding/stream_of_two_versions_test.cpp
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(the_version_may_change_before_the_first_event);
   CPPUNIT_TEST(nothing_is_sent_while_a_change_of_version_is_uncertain);
   CPPUNIT_TEST(a_new_stream_is_served_without_the_group);
+  CPPUNIT_TEST(a_stream_that_began_without_an_answer_keeps_what_it_asked_for);
   CPPUNIT_TEST(a_stream_without_a_named_attempt_goes_on_as_before);
   CPPUNIT_TEST(other_streams_and_calls_record_no_version);
   CPPUNIT_TEST(another_version_under_the_same_id_is_another_replica);
@@ -370,6 +371,28 @@
     CPPUNIT_ASSERT_EQUAL(200U, ask("a")->result_int());
   }
 
+  void a_stream_that_began_without_an_answer_keeps_what_it_asked_for() {
+    // The group records the version although its answer came too late, and an
+    // attempt that resumes the stream gets that version.
+    add_replica("old", "v1");
+    add_replica("new", "v2");
+    ledger_.verdict = records::turn_verdict::unavailable;
+    for (int stream = 0; stream < 20; ++stream) {
+      const std::string attempt = "a" + std::to_string(stream);
+      const std::size_t before = received_by("old");
+      for (const char *id : {"old", "new"}) {
+        // Without an idle connection either replica may be chosen.
+        scripted answer = events(1, 2);
+        answer.close = true;
+        replicas_.at(id)->script.assign(1, answer);
+      }
+      CPPUNIT_ASSERT_EQUAL(200U, ask(attempt)->result_int());
+      const bool at_old = received_by("old") > before;
+      CPPUNIT_ASSERT(ledger_.origins.at(attempt) ==
+                     software_version{at_old ? "v1" : "v2"});
+    }
+  }
+
   void a_stream_without_a_named_attempt_goes_on_as_before() {
     add_replica("new", "v2");
     script("new", events(3, 4));
