A refused connection is counted as one failure; storage nodes order no relays for nothing

It now only holds the replica back. A follower without further relays (each storage node) no longer sorts the list of nodes twice a second.

--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -420,7 +420,6 @@
 }
 
 void replica_selector::on_refused(routing::instance &failed) {
-  on_failed(failed, "connection refused");
   failed.refused_until = steady_now() + options_.refused_pause;
 }
 
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -192,7 +192,7 @@
 
   /// Records that the replica could not be reached or broke the connection off.
   void on_failed(routing::instance &failed, std::string_view reason);
-  /// Records that nothing listens at the replica's address.
+  /// Records, after `on_failed`, that nothing listens at the replica's address.
   void on_refused(routing::instance &failed);
   /// Records a complete answer that is not a stream.
   void on_answered(routing::instance &answered, const std::string &route,
--- a/src/forwarding/request_attempts.cpp
+++ b/src/forwarding/request_attempts.cpp
@@ -138,10 +138,9 @@
     const bool refused = connection.error() == connect_error::refused;
     const std::string_view reason =
         refused ? "connection refused" : "connection failed";
+    gateway_.replicas().on_failed(*target, reason);
     if (refused) {
       gateway_.replicas().on_refused(*target);
-    } else {
-      gateway_.replicas().on_failed(*target, reason);
     }
     log_attempt(*target, attempt_outcome::not_sent, reason);
     plan_->on_attempt(started, attempt_outcome::not_sent);
--- a/src/objects/object_follower.cpp
+++ b/src/objects/object_follower.cpp
@@ -45,8 +45,11 @@
 }
 
 void object_follower::register_with_others() {
+  if (options_.further_relays == 0) {
+    return;
+  }
   const relay_order order = relays_();
-  if (options_.further_relays == 0 || order.relays.empty()) {
+  if (order.relays.empty()) {
     return;
   }
   wire::Envelope envelope;
