Review case 3: a disk lost beside a retirement stops the group of stores for good

The removal of the retiring voter waits for a voter that has lost its disk, and a change in progress keeps that voter from being replaced.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in repeated_refusals; do
+for name in repeated_refusals retired_beside_loss; do
   g++ -std=c++20 -O2 -Wall -Wextra -pthread -Ireview/lib "review/lib/$name.cpp" \
     -o "target/review/$name"
 done
