--- a/scripts/lib/platform_cluster.sh
+++ b/scripts/lib/platform_cluster.sh
@@ -92,7 +92,10 @@
   "service":"tools","max-attempts":1},
  {"name":"lookups","host":"agents.example","path-prefix":"/lookups/",
   "kind":"idempotent","timeout-ms":2000,"target-latency-ms":200,"priority":2,
-  "service":"tools","max-attempts":2}],
+  "service":"tools","max-attempts":2},
+ {"name":"single-lookups","host":"agents.example","path-prefix":"/single-lookups/",
+  "kind":"idempotent","timeout-ms":2000,"target-latency-ms":200,"priority":2,
+  "service":"tools","max-attempts":1}],
  "services":[
  {"name":"models","health-path":"/health","connection-limit":160,
   "engine":{"slots":8,"tokens-per-event":10}},
--- a/tests/process/crashing_replicas.sh
+++ b/tests/process/crashing_replicas.sh
@@ -9,6 +9,16 @@
 entry_lapse=2.4   # seconds from a crash until the entry is gone
 play=0
 
+# Takes the entry of a replica away some time after it has crashed or fallen silent,
+# as the platform does.
+remove_entry_after_crash() { # id process
+  while kill -0 "$2" 2>/dev/null && ! grep -qs ' crashes ' "$run/$1.out"; do
+    sleep 0.2
+  done
+  sleep "$entry_lapse"
+  remove_replica_entry "$1"
+}
+
 # Runs one replica after the other at the same address until the play is over.
 keep_replica_running() { # number service flags...
   local number=$1 service=$2 start=0 id pid
@@ -22,8 +32,8 @@
       --replica.crash_marker poison "$@" >>"$run/$id.out" 2>>"$run/$id.log" &
     pid=$!
     echo "$pid" >"$run/pid-$play-$number"
+    remove_entry_after_crash "$id" "$pid" &
     wait "$pid" 2>/dev/null || true
-    (sleep "$entry_lapse" && remove_replica_entry "$id") &
     sleep "$restart_pause"
   done
   wait || true
