--- a/src/forwarding/crash_limit.cpp
+++ b/src/forwarding/crash_limit.cpp
@@ -118,16 +118,25 @@
 asio::awaitable<replica_fate>
 crash_limit::on_lost(const routing::instance &target) {
   const replica_fate fate = co_await check_replica(gateway_, target);
+  log_fate(target, fate);
+  if (fate != replica_fate::alive) {
+    add_crash(target);
+  }
+  co_return fate;
+}
+
+void crash_limit::on_aborted(routing::instance_ptr target) {
+  log_fate(*target, replica_fate::unknown);
+  aborted_at_ = std::move(target);
+}
+
+void crash_limit::log_fate(const routing::instance &target, replica_fate fate) {
   logging::line(logging::event::replica_checked)
       .field("id", request_.attempt_id)
       .field("request", name())
       .field("instance", target.record.id.value())
       .field("fate", name_of(fate))
       .write();
-  if (fate != replica_fate::alive) {
-    add_crash(target);
-  }
-  co_return fate;
 }
 
 void crash_limit::add_crash(const routing::instance &target) {
@@ -188,6 +197,11 @@
                         routing::instance_ptr aborted_at) {
   if (aborted_at != nullptr) {
     const replica_fate fate = co_await check_replica(shared, *aborted_at);
+    logging::line(logging::event::replica_checked)
+        .field("request", fmt::format("{:016x}", report.request.value()))
+        .field("instance", aborted_at->record.id.value())
+        .field("fate", name_of(fate))
+        .write();
     if (fate != replica_fate::alive) {
       report.crashed.push_back(routing::name_of(aborted_at->record.start()));
     }
--- a/src/forwarding/crash_limit.hpp
+++ b/src/forwarding/crash_limit.hpp
@@ -57,9 +57,7 @@
   /// counts a crash.
   asio::awaitable<replica_fate> on_lost(const routing::instance &target);
   /// Notes that this gateway has broken an attempt off.
-  void on_aborted(routing::instance_ptr target) {
-    aborted_at_ = std::move(target);
-  }
+  void on_aborted(routing::instance_ptr target);
 
   /// Reports the crashes that are not reported yet, before the client is
   /// answered, since it may retry at once. Waits a short time.
@@ -75,6 +73,7 @@
   [[nodiscard]] records::crash_report make_report(bool wants_send,
                                                   bool completed);
   void add_crash(const routing::instance &target);
+  void log_fate(const routing::instance &target, replica_fate fate);
   /// Applies the group's answer in `last_`.
   void apply_verdict();
   /// Reports until the group has answered or a time limit has passed.
--- a/src/forwarding/replica_check.cpp
+++ b/src/forwarding/replica_check.cpp
@@ -27,6 +27,8 @@
     return "unlisted";
   case replica_fate::unreachable:
     return "unreachable";
+  case replica_fate::unknown:
+    return "unknown";
   }
   return "unknown";
 }
--- a/src/forwarding/replica_check.hpp
+++ b/src/forwarding/replica_check.hpp
@@ -17,6 +17,7 @@
   crashed,     // nothing listens at its address
   unlisted,    // its entry is gone, or belongs to a later start
   unreachable, // it does not answer; whether it runs is not known
+  unknown,     // not checked
 };
 
 std::string_view name_of(replica_fate fate);
