Replicas that end unseen are found, and counted under what ran there

What callers saw: a request that ends its replicas by silence, or after its client has left, was sent to one more replica with each try, and its caller, like all others there, waited to the deadline for a replica that was dead.

Cause: only the attempt under way learnt of an end, and only from its own broken connection. Where the gateway broke the attempt off, nobody looked again.

Closed idle connections, a refused connection, its leaving the directory and another start at its address lead to a check or to the count too. A suspected attempt stays at risk until its replica's fate is known.

--- a/src/forwarding/crash_limit.cpp
+++ b/src/forwarding/crash_limit.cpp
@@ -36,6 +36,17 @@
   return fmt::format("\n{:016x}", identity.value());
 }
 
+/// Logs what became of a replica at which an attempt of the request was lost.
+void log_fate(const std::string &attempt_id, request_identity request,
+              const routing::instance &target, replica_fate fate) {
+  logging::line(logging::event::replica_checked)
+      .field("id", attempt_id)
+      .field("request", fmt::format("{:016x}", request.value()))
+      .field("instance", target.record.id.value())
+      .field("fate", name_of(fate))
+      .write();
+}
+
 /// Announces a crash, and again for gateways and storage nodes that are down at
 /// first.
 asio::awaitable<void> announce_repeatedly(gateway &shared,
@@ -51,6 +62,32 @@
   }
 }
 
+/// Remembers a crash under a request at this gateway, and tells the others.
+/// @param is_turn whether they hear of it with the turn's grant instead.
+void note_crash(gateway &shared, request_identity request, bool is_turn) {
+  shared.metrics().on_crash();
+  shared.crashes().add(request, steady_now());
+  if (!is_turn) {
+    asio::co_spawn(shared.io(), announce_repeatedly(shared, request),
+                   asio::detached);
+  }
+}
+
+/// Reports until the group has answered or a time limit has passed.
+asio::awaitable<void> report_end(gateway &shared,
+                                 records::crash_report report) {
+  const std::string attempt = report.attempt;
+  const request_identity request = report.request;
+  const auto answer = co_await shared.ledger().report_crashes(
+      std::move(report), steady_now() + end_report_timeout);
+  if (answer.verdict == records::send_verdict::unavailable) {
+    logging::line(logging::event::crash_unreported)
+        .field("request", fmt::format("{:016x}", request.value()))
+        .field("attempt", attempt)
+        .write();
+  }
+}
+
 } // namespace
 
 crash_limit::crash_limit(gateway &shared, const client_request &request,
@@ -88,7 +125,7 @@
 records::crash_report crash_limit::make_report(bool wants_send,
                                                bool completed) {
   if (attempt_.empty()) {
-    attempt_ = fmt::format("{:016x}", draw_system_random());
+    attempt_ = draw_attempt();
   }
   return {.account = account_of(request_, tenant_, identity()),
           .request = identity(),
@@ -115,40 +152,44 @@
   co_return may_send_;
 }
 
-asio::awaitable<replica_fate>
-crash_limit::on_lost(const routing::instance &target) {
-  const replica_fate fate = co_await check_replica(gateway_, target);
-  log_fate(target, fate);
-  if (fate != replica_fate::alive) {
-    add_crash(target);
-  }
-  co_return fate;
+std::string crash_limit::draw_attempt() {
+  return fmt::format("{:016x}", draw_system_random());
 }
 
-void crash_limit::on_aborted(routing::instance_ptr target) {
-  log_fate(*target, replica_fate::unknown);
-  aborted_at_ = std::move(target);
+asio::awaitable<replica_fate> crash_limit::on_lost(routing::instance_ptr target,
+                                                   timestamp sent_at) {
+  const routing::incarnation start = target->record.start();
+  const auto known_end = gateway_.watch().known_end(start);
+  const replica_fate fate =
+      known_end ? *known_end : co_await check_replica(gateway_, *target);
+  log_fate(request_.attempt_id, identity(), *target, fate);
+  if (fate == replica_fate::alive) {
+    unresolved_.push_back({.target = std::move(target), .sent_at = sent_at});
+    co_return fate;
+  }
+  if (fate == replica_fate::crashed) {
+    gateway_.watch().on_ended(start, fate);
+  }
+  add_crash(*target);
+  co_return fate;
 }
 
-void crash_limit::log_fate(const routing::instance &target, replica_fate fate) {
-  logging::line(logging::event::replica_checked)
-      .field("id", request_.attempt_id)
-      .field("request", name())
-      .field("instance", target.record.id.value())
-      .field("fate", name_of(fate))
-      .write();
+void crash_limit::on_aborted(routing::instance_ptr target, timestamp sent_at) {
+  const auto known_end = gateway_.watch().known_end(target->record.start());
+  log_fate(request_.attempt_id, identity(), *target,
+           known_end.value_or(replica_fate::unknown));
+  if (known_end) {
+    add_crash(*target);
+  } else {
+    unresolved_.push_back({.target = std::move(target), .sent_at = sent_at});
+  }
 }
 
 void crash_limit::add_crash(const routing::instance &target) {
-  gateway_.metrics().on_crash();
   unreported_.push_back(routing::name_of(target.record.start()));
   ++crashes_;
   may_send_ = false;
-  gateway_.crashes().add(identity(), steady_now());
-  if (!request_.turn) {
-    asio::co_spawn(gateway_.io(), announce_repeatedly(gateway_, identity()),
-                   asio::detached);
-  }
+  note_crash(gateway_, identity(), request_.turn.has_value());
 }
 
 asio::awaitable<void> crash_limit::report() {
@@ -182,40 +223,46 @@
 }
 
 void crash_limit::finish(bool completed) {
+  if (completed) {
+    unresolved_.clear(); // the answer shows that the request is sound
+  }
+  // An attempt at risk stays counted until its replica's fate is known.
+  const bool stays_at_risk = may_send_ && !unresolved_.empty();
   const bool has_news = !unreported_.empty() || may_send_ || completed;
-  if (crashes_ == 0 || !has_news) {
-    return;
-  }
-  asio::co_spawn(gateway_.io(),
-                 report_end(gateway_, make_report(false, completed),
-                            completed ? nullptr : aborted_at_),
-                 asio::detached);
-}
-
-asio::awaitable<void>
-crash_limit::report_end(gateway &shared, records::crash_report report,
-                        routing::instance_ptr aborted_at) {
-  if (aborted_at != nullptr) {
-    const replica_fate fate = co_await check_replica(shared, *aborted_at);
-    logging::line(logging::event::replica_checked)
-        .field("request", fmt::format("{:016x}", report.request.value()))
-        .field("instance", aborted_at->record.id.value())
-        .field("fate", name_of(fate))
-        .write();
-    if (fate != replica_fate::alive) {
-      report.crashed.push_back(routing::name_of(aborted_at->record.start()));
-    }
+  if (crashes_ > 0 && has_news && !stays_at_risk) {
+    asio::co_spawn(gateway_.io(),
+                   report_end(gateway_, make_report(false, completed)),
+                   asio::detached);
   }
-  const std::string attempt = report.attempt;
-  const request_identity request = report.request;
-  const auto answer = co_await shared.ledger().report_crashes(
-      std::move(report), steady_now() + end_report_timeout);
-  if (answer.verdict == records::send_verdict::unavailable) {
-    logging::line(logging::event::crash_unreported)
-        .field("request", fmt::format("{:016x}", request.value()))
-        .field("attempt", attempt)
-        .write();
+  for (const unresolved_attempt &lost : unresolved_) {
+    const bool is_last = &lost == &unresolved_.back();
+    follow(lost, stays_at_risk && is_last);
+  }
+}
+
+void crash_limit::follow(const unresolved_attempt &lost, bool is_at_risk) {
+  records::crash_report report = make_report(false, false);
+  if (!is_at_risk) {
+    // A report of this attempt may come later, so this one is by itself.
+    report.attempt = draw_attempt();
   }
+  report.crashed.clear();
+  auto on_fate = [&shared = gateway_, report, is_at_risk, target = lost.target,
+                  attempt_id = request_.attempt_id,
+                  is_turn = request_.turn.has_value()](replica_fate fate) {
+    records::crash_report late = report;
+    const bool has_ended = fate != replica_fate::alive;
+    if (has_ended) {
+      log_fate(attempt_id, late.request, *target, fate);
+      note_crash(shared, late.request, is_turn);
+      late.crashed.push_back(routing::name_of(target->record.start()));
+    }
+    if (has_ended || is_at_risk) {
+      asio::co_spawn(shared.io(), report_end(shared, std::move(late)),
+                     asio::detached);
+    }
+  };
+  gateway_.watch().follow(lost.target, lost.sent_at, std::move(on_fate));
 }
 
 } // namespace heathtrestle::forwarding
--- a/src/forwarding/crash_limit.hpp
+++ b/src/forwarding/crash_limit.hpp
@@ -55,31 +55,41 @@
 
   /// Finds out what became of a replica at which an attempt was lost, and
   /// counts a crash.
-  asio::awaitable<replica_fate> on_lost(const routing::instance &target);
-  /// Notes that this gateway has broken an attempt off.
-  void on_aborted(routing::instance_ptr target);
+  /// @param sent_at when the attempt was sent.
+  asio::awaitable<replica_fate> on_lost(routing::instance_ptr target,
+                                        timestamp sent_at);
+  /// Notes that this gateway has broken an attempt off, since its client left
+  /// or its deadline passed.
+  void on_aborted(routing::instance_ptr target, timestamp sent_at);
 
   /// Reports the crashes that are not reported yet, before the client is
   /// answered, since it may retry at once. Waits a short time.
   asio::awaitable<void> report();
-  /// Reports the end of the request in the background.
+  /// Reports the end of the request in the background. Without an answer, the
+  /// replicas that may have survived its attempts are followed
+  /// (`replica_watch`), and counted if they end.
   /// @param completed whether a replica has answered it completely.
   void finish(bool completed);
 
 private:
   static constexpr std::uint32_t crashes_to_isolate = 2;
 
+  /// An attempt whose replica was not found to have ended.
+  struct unresolved_attempt {
+    routing::instance_ptr target;
+    timestamp sent_at{};
+  };
+
   [[nodiscard]] request_identity identity();
   [[nodiscard]] records::crash_report make_report(bool wants_send,
                                                   bool completed);
+  [[nodiscard]] static std::string draw_attempt();
   void add_crash(const routing::instance &target);
-  void log_fate(const routing::instance &target, replica_fate fate);
   /// Applies the group's answer in `last_`.
   void apply_verdict();
-  /// Reports until the group has answered or a time limit has passed.
-  static asio::awaitable<void> report_end(gateway &shared,
-                                          records::crash_report report,
-                                          routing::instance_ptr aborted_at);
+  /// Counts a crash of the replica once it is known to have ended.
+  /// @param is_at_risk whether the group counts the attempt until then.
+  void follow(const unresolved_attempt &lost, bool is_at_risk);
 
   gateway &gateway_;
   const client_request &request_;
@@ -98,7 +108,7 @@
   bool may_send_ = false;
   bool is_isolated_ = false;
   std::vector<std::string> unreported_; // names of replicas
-  routing::instance_ptr aborted_at_;
+  std::vector<unresolved_attempt> unresolved_;
   records::crash_verdict last_;
 };
 
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -18,6 +18,7 @@
       tenants_(options_.tenants), pool_(io, options_.pool),
       replicas_(options_.selection, pool_), turns_(options_.turn_cache_bytes),
       crashes_(options_.crash_notices, records::min_crash_retention),
+      watch_(*this, options_.watch),
       held_bytes_(std::make_shared<byte_budget>(options_.held_bytes_limit)) {
   if (!options_.selection.policies.patience) {
     options_.plan.wait_fraction = 0;
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -11,6 +11,7 @@
 #include "forwarding/gateway_metrics.hpp"
 #include "forwarding/header_names.hpp"
 #include "forwarding/replica_selector.hpp"
+#include "forwarding/replica_watch.hpp"
 #include "forwarding/tenant_gate.hpp"
 #include "forwarding/upstream_pool.hpp"
 #include "records/turn_cache.hpp"
@@ -44,6 +45,7 @@
   client_stream_options client_streams;
   /// A client that reads slowly must not be taken for a dead one.
   liveness_options client_liveness{.unacknowledged = client_stall_limit};
+  replica_watch_options watch;
   /// Number of announced crashes that are remembered (`crash_notices`).
   std::size_t crash_notices = 4096;
   /// Capacity of the turn cache in bytes.
@@ -152,6 +154,8 @@
   [[nodiscard]] gateway_metrics &metrics() { return metrics_; }
   /// The requests under which replicas have crashed lately.
   [[nodiscard]] crash_notices &crashes() { return crashes_; }
+  /// The replicas that run requests, and those followed after one was lost.
+  [[nodiscard]] replica_watch &watch() { return watch_; }
 
 private:
   /// Logs a change in the state of the byte budget.
@@ -174,6 +178,7 @@
   records::turn_cache turns_;
   gateway_metrics metrics_;
   crash_notices crashes_;
+  replica_watch watch_;
   std::mt19937_64 random_{std::random_device{}()};
   /// Shared with the bookings, which may outlive the gateway.
   std::shared_ptr<byte_budget> held_bytes_;
--- a/src/forwarding/replica_check.cpp
+++ b/src/forwarding/replica_check.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/replica_check.hpp"
 
+#include "forwarding/gateway.hpp"
 #include "forwarding/socket_options.hpp"
 
 #include <utility>
@@ -33,12 +34,9 @@
   return "unknown";
 }
 
-asio::awaitable<replica_fate> check_replica(gateway &shared,
-                                            const routing::instance &target) {
-  const routing::instance_record record = target.record;
-  if (!shared.replicas().directory().contains(record.start())) {
-    co_return replica_fate::unlisted;
-  }
+asio::awaitable<replica_fate>
+probe_replica(gateway &shared, const routing::instance_record &target) {
+  const routing::instance_record record = target;
   asio::steady_timer timer(shared.io());
   for (int checked = 0; checked < max_checks; ++checked) {
     auto connection = co_await shared.pool().connect(record);
@@ -58,4 +56,12 @@
   co_return replica_fate::alive;
 }
 
+asio::awaitable<replica_fate> check_replica(gateway &shared,
+                                            const routing::instance &target) {
+  if (!shared.replicas().directory().contains(target.record.start())) {
+    co_return replica_fate::unlisted;
+  }
+  co_return co_await probe_replica(shared, target.record);
+}
+
 } // namespace heathtrestle::forwarding
--- a/src/forwarding/replica_check.hpp
+++ b/src/forwarding/replica_check.hpp
@@ -2,7 +2,6 @@
 // crashed or only the connection broke.
 #pragma once
 
-#include "forwarding/gateway.hpp"
 #include "routing/instance_directory.hpp"
 #include "runtime/asio.hpp"
 
@@ -11,6 +10,8 @@
 
 namespace heathtrestle::forwarding {
 
+class gateway;
+
 /// What became of a replica at which an attempt was lost.
 enum class replica_fate : std::uint8_t {
   alive,       // it accepts connections: only the attempt's connection broke
@@ -22,8 +23,13 @@
 
 std::string_view name_of(replica_fate fate);
 
-/// Checks whether a replica at which an attempt was lost still runs, by opening
-/// a connection, which goes to the pool.
+/// Checks whether a replica accepts connections, by opening one, which goes to
+/// the pool.
+asio::awaitable<replica_fate>
+probe_replica(gateway &shared, const routing::instance_record &target);
+
+/// Checks whether a replica at which an attempt was lost is still listed and
+/// accepts connections.
 asio::awaitable<replica_fate> check_replica(gateway &shared,
                                             const routing::instance &target);
 
--- a/src/forwarding/request_attempts.cpp
+++ b/src/forwarding/request_attempts.cpp
@@ -141,6 +141,7 @@
     gateway_.replicas().on_failed(*target, reason);
     if (refused) {
       gateway_.replicas().on_refused(*target);
+      gateway_.watch().on_ended(started, replica_fate::crashed);
     }
     log_attempt(*target, attempt_outcome::not_sent, reason);
     plan_->on_attempt(started, attempt_outcome::not_sent);
@@ -154,6 +155,7 @@
     gateway_.replicas().end_attempt(target, isolated);
     co_return;
   }
+  const auto watched = watch_replica(target);
   attempt_end end = attempt_outcome::not_sent;
   // The conditions of the selection may have changed while connecting.
   const auto refusal = gateway_.recheck_admission(request_, *route_);
@@ -166,6 +168,9 @@
     gateway_.pool().release(started, active_, duration_ms{0});
   }
   active_.reset();
+  if (replica_ended_) {
+    last_failure_ = "the replica does not answer any more";
+  }
   gateway_.replicas().end_attempt(target, isolated);
   if (permit_ && end == attempt_outcome::not_executed) {
     permit_->return_unused();
@@ -175,7 +180,7 @@
     log_attempt(*target, *end, last_failure_);
     plan_->on_attempt(started, *end);
     if (*end == attempt_outcome::lost) {
-      co_await on_lost(target);
+      co_await on_lost(target, watched->sent_at);
     }
   } else {
     gateway_.metrics().on_attempt("answered");
@@ -183,18 +188,29 @@
   }
 }
 
-asio::awaitable<void> request_exchange::on_lost(routing::instance_ptr target) {
+std::shared_ptr<watched_attempt>
+request_exchange::watch_replica(const routing::instance_ptr &target) {
+  replica_ended_ = false;
+  return gateway_.watch().begin(target, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->on_replica_ended();
+    }
+  });
+}
+
+asio::awaitable<void> request_exchange::on_lost(routing::instance_ptr target,
+                                                timestamp sent_at) {
   const bool ended_by_gateway = client_gone_ || steady_now() >= deadline_;
   if (ended_by_gateway) {
-    crashes_->on_aborted(std::move(target));
+    crashes_->on_aborted(std::move(target), sent_at);
     co_return;
   }
   gateway_.replicas().on_failed(*target, last_failure_);
-  const replica_fate fate = co_await crashes_->on_lost(*target);
+  const replica_fate fate = co_await crashes_->on_lost(target, sent_at);
   if (fate == replica_fate::crashed) {
     gateway_.replicas().on_refused(*target);
   }
-  if (fate == replica_fate::crashed || fate == replica_fate::unlisted) {
+  if (fate != replica_fate::alive) {
     plan_->on_instance_ended(target->record.start());
   }
 }
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -157,6 +157,13 @@
   }
 }
 
+void request_exchange::on_replica_ended() {
+  if (route_->repeatable() && active_) {
+    replica_ended_ = true;
+    abort_attempt();
+  }
+}
+
 void request_exchange::disarm() {
   done_ = true;
   deadline_timer_.cancel();
@@ -346,6 +353,7 @@
       last_failure_ = "no answer: " + failure.message();
       co_return false;
     }
+    note_heard();
     const response_head &head = parser->get().base();
     const bool informational = head.result_int() < status_informational_end;
     if (!informational && is_own(head)) {
@@ -374,6 +382,7 @@
     if (!whole) {
       co_return false;
     }
+    note_heard();
     const std::size_t filled = chunk.size() - parser.get().body().size;
     body.append(chunk.data(), filled);
     held_.grow(filled);
@@ -406,6 +415,9 @@
         connection.socket, connection.buffer, parser, as_result);
     const std::size_t filled = chunk.size() - parser.get().body().size;
     auto events = splitter.feed({chunk.data(), filled});
+    if (filled > 0) {
+      note_heard();
+    }
     relayed_.note(events.size(), steady_now());
     if (!events.empty() && !co_await forward_events(std::move(events))) {
       last_failure_ = "writing to the client failed";
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -74,6 +74,8 @@
   void watch_client();
   void on_client_gone();
   void abort_attempt();
+  /// Breaks the attempt off if the request may go on elsewhere.
+  void on_replica_ended();
   void disarm();
 
   // Tenants.
@@ -147,11 +149,18 @@
   /// because they cannot be counted.
   void block_for_crashes();
   /// Finds out why an attempt was lost.
-  asio::awaitable<void> on_lost(routing::instance_ptr target);
+  /// @param sent_at when the attempt was sent.
+  asio::awaitable<void> on_lost(routing::instance_ptr target,
+                                timestamp sent_at);
   asio::awaitable<void> attempt(routing::instance_ptr target);
   /// Checks deadline, client and replica immediately before sending.
   /// @return true when the request may be sent; it is then counted as sent.
   bool claim_send_to(routing::instance &target);
+  /// Watches the replica of the attempt until the result is released.
+  std::shared_ptr<watched_attempt>
+  watch_replica(const routing::instance_ptr &target);
+  /// Notes that the replica of the attempt has sent something.
+  void note_heard() { placement_.target->heard_at = steady_now(); }
   /// Logs and counts that the home regions prevent the request from being
   /// served.
   /// @param region the region outside of them; empty when there are several.
@@ -224,6 +233,8 @@
   asio::steady_timer deadline_timer_;
   asio::steady_timer pause_timer_;
   connection_ptr active_;
+  /// The current attempt was broken off because its replica has ended.
+  bool replica_ended_ = false;
   bool watching_ = false;
   bool client_gone_ = false;
   bool done_ = false;
--- a/src/forwarding/upstream_pool.cpp
+++ b/src/forwarding/upstream_pool.cpp
@@ -96,6 +96,16 @@
   in_use_.erase(found);
 }
 
+bool upstream_pool::drop_closed(const routing::incarnation &start) {
+  const auto found = idle_.find(start);
+  if (found == idle_.end() || found->second.empty() ||
+      !peer_has_closed(found->second.back()->socket)) {
+    return false;
+  }
+  found->second.pop_back();
+  return true;
+}
+
 bool upstream_pool::has_idle(const routing::incarnation &start,
                              timestamp now) const {
   const auto found = idle_.find(start);
--- a/src/forwarding/upstream_pool.hpp
+++ b/src/forwarding/upstream_pool.hpp
@@ -71,6 +71,11 @@
   void release(const routing::incarnation &start, connection_ptr connection,
                duration_ms keep_alive);
 
+  /// Drops the newest idle connection to the instance if the instance has
+  /// closed it. A process that ends closes all of them.
+  /// @return true when it was dropped.
+  bool drop_closed(const routing::incarnation &start);
+
   /// Closes the idle connections to an instance that is no longer listed.
   void close_idle(const routing::incarnation &start) { idle_.erase(start); }
   /// Closes all connections to an instance whose process has certainly ended,
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -80,6 +80,8 @@
   /// It refused a connection, and gets no request until then: what refuses
   /// connections does not run.
   timestamp refused_until{};
+  /// When it last sent anything to this gateway.
+  timestamp heard_at{};
   /// Response times relative to the service.
   balance::replica_speed speed;
   /// Slow-start state, including the requests sent by this gateway.
--- a/tests/forwarding/crash_limit_test.cpp
+++ b/tests/forwarding/crash_limit_test.cpp
@@ -1,32 +1,19 @@
 // Requests under which replicas crash: how often they are sent, what their
 // clients are told, and who else is kept away from them.
-#include "forwarding/client_session.hpp"
 #include "forwarding/crash_notices.hpp"
-#include "forwarding/gateway.hpp"
 #include "forwarding/request_identity.hpp"
-#include "http/status_server.hpp"
-#include "support/coroutines.hpp"
-#include "support/gateway_client.hpp"
-#include "support/header_names.hpp"
-#include "support/open_ledger.hpp"
-#include "support/scripted_replica.hpp"
+#include "support/one_service.hpp"
 
-#include <map>
 #include <memory>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace heathtrestle::forwarding {
 namespace {
 
 using test_support::plain;
-using test_support::scripted;
-using test_support::scripted_replica;
-using client_fields = std::map<std::string, std::string>;
 
-class crash_limit_test : public CppUnit::TestFixture {
+class crash_limit_test : public test_support::one_service_fixture {
   CPPUNIT_TEST_SUITE(crash_limit_test);
   CPPUNIT_TEST(no_replica_gets_a_request_after_three_have_crashed);
   CPPUNIT_TEST(another_try_of_the_client_is_answered_at_once);
@@ -43,55 +30,6 @@
   CPPUNIT_TEST(notices_are_bounded_and_expire);
   CPPUNIT_TEST_SUITE_END();
 
-  asio::io_context io_;
-  test_support::open_ledger ledger_;
-  std::map<std::string, std::unique_ptr<scripted_replica>> replicas_;
-  std::unique_ptr<gateway> gateway_;
-  std::unique_ptr<tcp::acceptor> clients_;
-
-  void start_gateway() {
-    gateway_options options;
-    options.headers = test_support::test_names();
-    options.selection.places = routing::topology("z");
-    gateway_ = std::make_unique<gateway>(io_, options, ledger_);
-    clients_ = std::make_unique<tcp::acceptor>(
-        std::move(http::listen(io_, "127.0.0.1:0")).value());
-    asio::co_spawn(io_, accept_clients(*gateway_, *clients_), asio::detached);
-    gateway_->apply_routes(settings());
-  }
-
-  static routing::configuration settings() {
-    routing::configuration settings;
-    settings.version = routing::configuration_version{1};
-    routing::route route;
-    route.name = "lookups";
-    route.host = "h";
-    route.path_prefix = "/";
-    route.kind = routing::request_kind::idempotent;
-    route.timeout = duration_ms{2000};
-    route.services = {{routing::service_id{"s"}, 1}};
-    route.max_attempts = 2;
-    settings.routes.push_back(route);
-    routing::service service;
-    service.id = routing::service_id{"s"};
-    settings.services = {service};
-    return settings;
-  }
-
-  void list(const std::string &id) {
-    gateway_->replicas().put({.id = routing::instance_id{id},
-                              .service = routing::service_id{"s"},
-                              .address = replicas_.at(id)->address(),
-                              .zone = "z",
-                              .slots = 4});
-  }
-
-  void add_replica(const std::string &id, scripted answer) {
-    replicas_[id] = std::make_unique<scripted_replica>(io_);
-    replicas_[id]->script.push_back(std::move(answer));
-    list(id);
-  }
-
   /// Adds replicas whose process ends under the first request.
   void add_crashing(int count) {
     for (int number = 1; number <= count; ++number) {
@@ -103,24 +41,6 @@
     }
   }
 
-  [[nodiscard]] std::size_t sends() const {
-    std::size_t sum = 0;
-    for (const auto &[id, replica] : replicas_) {
-      sum += replica->received.size();
-    }
-    return sum;
-  }
-
-  unsigned ask(const std::string &attempt, const client_fields &fields = {}) {
-    return test_support::ask_gateway(io_, *clients_, "/go", attempt, fields)
-        ->result_int();
-  }
-
-  void wait_for(duration_ms span) {
-    asio::steady_timer timer(io_, span);
-    test_support::await_result(io_, timer.async_wait(as_result));
-  }
-
   static request_identity identity(const std::string &body,
                                    const client_fields &fields) {
     beast_http::request<beast_http::string_body> message(beast_http::verb::post,
@@ -136,7 +56,6 @@
 
 public:
   void setUp() override { start_gateway(); }
-  void tearDown() override { io_.stop(); }
 
   void no_replica_gets_a_request_after_three_have_crashed() {
     add_crashing(6);
--- a/tests/support/scripted_replica.hpp
+++ b/tests/support/scripted_replica.hpp
@@ -4,9 +4,11 @@
 
 #include "http/status_server.hpp"
 #include "runtime/asio.hpp"
+#include "silent_listener.hpp"
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +30,7 @@
   std::string bytes; // sent unchanged except that {id} becomes the attempt id
   bool close = false;
   bool reset = false;
+  duration_ms delay{0};
 };
 
 class scripted_replica {
@@ -46,6 +49,21 @@
   [[nodiscard]] std::string address() const { return address_; }
   /// Refuses further connections, as a process that has ended does.
   void stop_listening() { acceptor_.close(); }
+  /// Ignores all that comes, as a machine without power does.
+  void fall_silent() {
+    is_silent_ = true;
+    acceptor_.cancel();
+    platform::stand_ins::silence_listener(acceptor_.native_handle());
+  }
+  /// Closes all connections and ends.
+  void end() {
+    stop_listening();
+    for (const auto &each : open_) {
+      if (const auto socket = each.lock()) {
+        socket->close();
+      }
+    }
+  }
 
 private:
   asio::awaitable<void> accept() {
@@ -55,11 +73,20 @@
       if (failure) {
         co_return;
       }
-      asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
+      const auto accepted = std::make_shared<tcp::socket>(std::move(socket));
+      open_.push_back(accepted);
+      asio::co_spawn(io_, serve(accepted), asio::detached);
     }
   }
 
-  asio::awaitable<void> serve(tcp::socket socket) {
+  /// Waits for longer than any test takes.
+  asio::awaitable<void> stay_silent() {
+    asio::steady_timer timer(io_, std::chrono::hours(1));
+    co_await timer.async_wait(as_result);
+  }
+
+  asio::awaitable<void> serve(std::shared_ptr<tcp::socket> accepted) {
+    tcp::socket &socket = *accepted;
     boost::beast::flat_buffer buffer;
     while (true) {
       beast_http::request<beast_http::string_body> request;
@@ -79,6 +106,13 @@
       if (before_answer) {
         before_answer();
       }
+      if (next.delay.count() > 0) {
+        asio::steady_timer timer(io_, next.delay);
+        co_await timer.async_wait(as_result);
+      }
+      if (is_silent_) {
+        co_await stay_silent();
+      }
       // Some tests disconnect before the answer, so a write error is ignored.
       static_cast<void>(co_await asio::async_write(
           socket, asio::buffer(next.bytes), as_result));
@@ -95,6 +129,8 @@
   asio::io_context &io_;
   tcp::acceptor acceptor_;
   std::string address_;
+  bool is_silent_ = false;
+  std::vector<std::weak_ptr<tcp::socket>> open_;
 };
 
 inline std::string plain(const std::string &body,
