A repeated refusal is no answer to the next send of the request (TWICE)

What callers saw: a request that can't be repeated ran twice.

Cause: after a refusal the connection went back to the pool and the next send of the same request, which carries the same id, took it again; a late copy of the refusal came where its answer was due.

A request that must not run twice gets no connection that remembers a refusal of it. Repeatable requests go on as before: for them a new connection after each refusal would cost more than it saves.

Unit test: a_repeated_refusal_is_not_the_answer_to_the_next_send.

--- a/src/forwarding/request_attempts.cpp
+++ b/src/forwarding/request_attempts.cpp
@@ -132,7 +132,8 @@
   const bool isolated = crashes_->is_isolated();
   gateway_.replicas().begin_attempt(target, isolated);
   crashes_->on_send(*target);
-  const auto connection = co_await gateway_.pool().acquire(target->record);
+  const auto connection =
+      co_await gateway_.pool().acquire(target->record, request_.attempt_id);
   if (!connection) {
     gateway_.replicas().end_attempt(target, isolated);
     const bool refused = connection.error() == connect_error::refused;
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -218,6 +218,9 @@
     last_failure_ = "the connection broke before the answer was complete";
     co_return attempt_outcome::lost;
   }
+  if (not_executed && !route_->repeatable()) {
+    upstream_pool::note_refusal(*connection, request_.attempt_id);
+  }
   recycle(target, std::move(connection), head, parser->keep_alive());
   const bool another_may_take_it = status == status_unavailable ||
                                    status == status_too_many ||
--- a/src/forwarding/upstream_pool.cpp
+++ b/src/forwarding/upstream_pool.cpp
@@ -2,21 +2,30 @@
 
 #include "http/address.hpp"
 
+#include <algorithm>
+#include <cstddef>
 #include <utility>
 
 #include <boost/asio/error.hpp>
 
 namespace heathtrestle::forwarding {
 
-connection_ptr upstream_pool::take_idle(const routing::incarnation &start) {
+connection_ptr upstream_pool::take_idle(const routing::incarnation &start,
+                                        const std::string &attempt_id) {
   const auto found = idle_.find(start);
   if (found == idle_.end()) {
     return nullptr;
   }
   const timestamp now = steady_now();
-  while (!found->second.empty()) {
-    connection_ptr candidate = std::move(found->second.back());
-    found->second.pop_back();
+  std::vector<connection_ptr> &idle = found->second;
+  for (std::size_t left = idle.size(); left > 0; --left) {
+    const auto at = idle.begin() + static_cast<std::ptrdiff_t>(left - 1);
+    connection_ptr candidate = *at;
+    if (std::ranges::find(candidate->refused_attempts, attempt_id) !=
+        candidate->refused_attempts.end()) {
+      continue;
+    }
+    idle.erase(at);
     // Unread bytes belong to no request, so such a connection is not reused.
     const bool usable =
         now < candidate->usable_until && is_open_and_idle(candidate->socket);
@@ -29,9 +38,10 @@
 }
 
 asio::awaitable<result_or<connection_ptr, connect_error>>
-upstream_pool::acquire(const routing::instance_record &target) {
+upstream_pool::acquire(const routing::instance_record &target,
+                       std::string attempt_id) {
   const routing::incarnation start = target.start();
-  if (connection_ptr idle = take_idle(start)) {
+  if (connection_ptr idle = take_idle(start, attempt_id)) {
     co_return track(start, idle);
   }
   co_return co_await connect(target);
@@ -96,6 +106,15 @@
   in_use_.erase(found);
 }
 
+void upstream_pool::note_refusal(upstream_connection &connection,
+                                 const std::string &attempt_id) {
+  constexpr std::size_t max_remembered = 32;
+  connection.refused_attempts.push_back(attempt_id);
+  if (connection.refused_attempts.size() > max_remembered) {
+    connection.refused_attempts.pop_front();
+  }
+}
+
 bool upstream_pool::drop_closed(const routing::incarnation &start) {
   const auto found = idle_.find(start);
   if (found == idle_.end() || found->second.empty() ||
--- a/src/forwarding/upstream_pool.hpp
+++ b/src/forwarding/upstream_pool.hpp
@@ -8,8 +8,10 @@
 #include "routing/instance_directory.hpp"
 #include "runtime/asio.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -26,6 +28,10 @@
   timestamp usable_until{};
   /// Set when the connection has served a request before.
   bool reused = false;
+  /// The ids of requests that were refused here and must not run twice, the
+  /// latest last. A replica may repeat a refusal late, and the id does not tell
+  /// that from the answer to another send of the same request.
+  std::deque<std::string> refused_attempts;
   /// Set while connecting, until the connection is established or times out.
   bool connecting = false;
 };
@@ -54,8 +60,10 @@
       : io_(io), options_(options) {}
 
   /// Returns an idle connection to the instance, or opens a new one.
+  /// @param attempt_id of the request, which gets no connection that remembers
+  /// a refusal of it.
   asio::awaitable<result_or<connection_ptr, connect_error>>
-  acquire(const routing::instance_record &target);
+  acquire(const routing::instance_record &target, std::string attempt_id);
 
   /// Opens a new connection to the instance.
   asio::awaitable<result_or<connection_ptr, connect_error>>
@@ -76,6 +84,10 @@
   /// @return true when it was dropped.
   bool drop_closed(const routing::incarnation &start);
 
+  /// Remembers that a request was refused on a connection.
+  static void note_refusal(upstream_connection &connection,
+                           const std::string &attempt_id);
+
   /// Closes the idle connections to an instance that is no longer listed.
   void close_idle(const routing::incarnation &start) { idle_.erase(start); }
   /// Closes all connections to an instance whose process has certainly ended,
@@ -90,7 +102,8 @@
   [[nodiscard]] std::uint64_t opened() const { return opened_; }
 
 private:
-  connection_ptr take_idle(const routing::incarnation &start);
+  connection_ptr take_idle(const routing::incarnation &start,
+                           const std::string &attempt_id);
   connection_ptr track(const routing::incarnation &start,
                        connection_ptr connection);
 
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(an_unframed_answer_ends_with_its_connection);
   CPPUNIT_TEST(an_unframed_answer_that_is_reset_is_not_whole);
   CPPUNIT_TEST(a_refused_request_goes_to_another_replica);
+  CPPUNIT_TEST(a_repeated_refusal_is_not_the_answer_to_the_next_send);
   CPPUNIT_TEST(refusal_by_all_replicas_sets_retry_after);
   CPPUNIT_TEST(a_draining_replica_gets_nothing);
   CPPUNIT_TEST(a_stream_resumes_after_its_last_whole_event);
@@ -315,6 +316,19 @@
     CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
   }
 
+  /// A replica may repeat its refusal late. On the same connection that would
+  /// come where the answer to the next send of the request is due.
+  void a_repeated_refusal_is_not_the_answer_to_the_next_send() {
+    replicas_[0]->script.assign({{refusal}, {plain("one")}});
+    CPPUNIT_ASSERT_EQUAL(200U, ask("/call/x")->result_int());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replicas_[0]->received.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replicas_[0]->connections());
+    // What may run twice is sent again on the connection that is there.
+    replicas_[0]->script.assign({{refusal}, {plain("two")}});
+    CPPUNIT_ASSERT_EQUAL(200U, ask("/get/x")->result_int());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replicas_[0]->connections());
+  }
+
   void refusal_by_all_replicas_sets_retry_after() {
     for (int time = 0; time < 100; ++time) {
       replicas_[0]->script.push_back({refusal});
--- a/tests/support/scripted_replica.hpp
+++ b/tests/support/scripted_replica.hpp
@@ -47,6 +47,8 @@
   std::vector<beast_http::request<beast_http::string_body>> received;
 
   [[nodiscard]] std::string address() const { return address_; }
+  /// The number of connections that were opened.
+  [[nodiscard]] std::size_t connections() const { return open_.size(); }
   /// Refuses further connections, as a process that has ended does.
   void stop_listening() { acceptor_.close(); }
   /// Ignores all that comes, as a machine without power does.
