Isolated requests do not share a replica, and free it when they leave

And a replica that had been marked for an isolated request stayed marked for a second although it had crashed, so that the quarter was used up and the deadly one not isolated.

A gateway now tells where an isolated request goes, waits 15 ms, and leaves the replica to the request with the lower identity; it tells when the request has left and whether the replica has ended. Replicas that have failed don't count as taken. CrashNotice has two more fields, which earlier nodes ignore.

--- a/src/forwarding/crash_limit.cpp
+++ b/src/forwarding/crash_limit.cpp
@@ -22,6 +22,9 @@
 constexpr double permission_wait_fraction = 0.4;
 /// How long an answer is delayed until the crashes are reported.
 constexpr duration_ms max_answer_delay{100};
+/// How long an isolated request waits for others that were sent to its replica
+/// at the same time. Longer than a notice takes within a region.
+constexpr duration_ms claim_wait{15};
 /// How long the end of a request is reported. Longer than an election of the
 /// record group takes.
 constexpr duration_ms end_report_timeout{10000};
@@ -215,11 +218,20 @@
   return is_isolated_;
 }
 
-void crash_limit::on_send(const routing::instance &target) {
-  if (is_isolated_) {
-    gateway_.ledger().announce(
-        {.request = identity(), .sent_to = target.load_key});
-  }
+asio::awaitable<bool> crash_limit::claim(routing::instance_ptr target) {
+  gateway_.ledger().announce(
+      {.request = identity(), .sent_to = target->load_key});
+  asio::steady_timer timer(gateway_.io(), claim_wait);
+  co_await timer.async_wait(as_result);
+  const bool is_claimed = steady_now() < target->isolated_until;
+  co_return !is_claimed || identity() <= target->isolated_request;
+}
+
+void crash_limit::on_left(const routing::instance &target) {
+  gateway_.ledger().announce(
+      {.request = identity(),
+       .left = target.load_key,
+       .has_ended = steady_now() < target.refused_until});
 }
 
 void crash_limit::finish(bool completed) {
--- a/src/forwarding/crash_limit.hpp
+++ b/src/forwarding/crash_limit.hpp
@@ -50,8 +50,12 @@
   bool decide_isolation(const routing::service_id &service);
   /// Returns the last decision.
   [[nodiscard]] bool is_isolated() const { return is_isolated_; }
-  /// Tells the other gateways to which replica an isolated request is sent.
-  void on_send(const routing::instance &target);
+  /// Tells the other gateways to which replica an isolated request is sent, and
+  /// waits shortly, so that two of them do not share one.
+  /// @return false when another one keeps the replica.
+  asio::awaitable<bool> claim(routing::instance_ptr target);
+  /// Tells the other gateways that an isolated request has left a replica.
+  void on_left(const routing::instance &target);
 
   /// Finds out what became of a replica at which an attempt was lost, and
   /// counts a crash.
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -239,7 +239,11 @@
 void gateway_process::on_crash_notice(const wire::CrashNotice &notice) {
   gateway_.crashes().add(request_identity{notice.request()}, steady_now());
   if (notice.sent_to() != 0) {
-    gateway_.replicas().on_isolated_elsewhere(notice.sent_to());
+    gateway_.replicas().on_isolated_elsewhere(
+        notice.sent_to(), request_identity{notice.request()});
+  }
+  if (notice.left() != 0) {
+    gateway_.replicas().on_left_elsewhere(notice.left(), notice.has_ended());
   }
 }
 
--- a/src/forwarding/replica_check.cpp
+++ b/src/forwarding/replica_check.cpp
@@ -34,12 +34,11 @@
   return "unknown";
 }
 
-asio::awaitable<replica_fate>
-probe_replica(gateway &shared, const routing::instance_record &target) {
-  const routing::instance_record record = target;
+asio::awaitable<replica_fate> probe_replica(gateway &shared,
+                                            routing::instance_record target) {
   asio::steady_timer timer(shared.io());
   for (int checked = 0; checked < max_checks; ++checked) {
-    auto connection = co_await shared.pool().connect(record);
+    auto connection = co_await shared.pool().connect(target);
     if (!connection) {
       co_return connection.error() == connect_error::refused
           ? replica_fate::crashed
@@ -48,7 +47,7 @@
     timer.expires_after(settle_time);
     co_await timer.async_wait(as_result);
     if (is_open_and_idle(connection.value()->socket)) {
-      shared.pool().release(record.start(), std::move(connection).value(),
+      shared.pool().release(target.start(), std::move(connection).value(),
                             duration_ms{0});
       break;
     }
--- a/src/forwarding/replica_check.hpp
+++ b/src/forwarding/replica_check.hpp
@@ -25,8 +25,8 @@
 
 /// Checks whether a replica accepts connections, by opening one, which goes to
 /// the pool.
-asio::awaitable<replica_fate>
-probe_replica(gateway &shared, const routing::instance_record &target);
+asio::awaitable<replica_fate> probe_replica(gateway &shared,
+                                            routing::instance_record target);
 
 /// Checks whether a replica at which an attempt was lost is still listed and
 /// accepts connections.
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -337,17 +337,46 @@
     const routing::service_id &service) const {
   const timestamp now = steady_now();
   const auto &replicas = directory_.replicas_of(service);
-  const auto taken = std::ranges::count_if(
-      replicas, [now](const auto &each) { return each->may_crash(now); });
+  // One that has failed already serves nobody.
+  const auto taken = std::ranges::count_if(replicas, [now](const auto &each) {
+    return each->may_crash(now) && now >= each->avoid_until;
+  });
   return static_cast<double>(taken) <
          options_.isolated_share * static_cast<double>(replicas.size());
 }
 
-void replica_selector::on_isolated_elsewhere(std::uint32_t load_key) {
-  for (const auto &[id, each] : directory_.all()) {
-    if (each->load_key == load_key) {
-      each->isolated_until = steady_now() + options_.avoid_isolated_for;
-    }
+routing::instance_ptr
+replica_selector::find_by_key(std::uint32_t load_key) const {
+  const auto &all = directory_.all();
+  const auto found = std::ranges::find_if(all, [load_key](const auto &each) {
+    return each.second->load_key == load_key;
+  });
+  return found != all.end() ? found->second : nullptr;
+}
+
+void replica_selector::on_isolated_elsewhere(std::uint32_t load_key,
+                                             request_identity request) {
+  const routing::instance_ptr target = find_by_key(load_key);
+  if (target == nullptr) {
+    return;
+  }
+  const timestamp now = steady_now();
+  const bool is_kept =
+      now < target->isolated_until && target->isolated_request < request;
+  target->isolated_request = is_kept ? target->isolated_request : request;
+  target->isolated_until = now + options_.avoid_isolated_for;
+}
+
+void replica_selector::on_left_elsewhere(std::uint32_t load_key,
+                                         bool has_ended) {
+  const routing::instance_ptr target = find_by_key(load_key);
+  if (target == nullptr) {
+    return;
+  }
+  target->isolated_until = {};
+  if (has_ended) {
+    on_failed(*target, "it has ended, as another gateway reports");
+    on_refused(*target);
   }
 }
 
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -167,9 +167,13 @@
   /// After a crash of many replicas all that ran there might be isolated, and
   /// the other requests would gather at the replicas that are left.
   [[nodiscard]] bool can_isolate_more(const routing::service_id &service) const;
-  /// Notes that another gateway sends an isolated request to a replica.
+  /// Notes that another gateway sends an isolated request to a replica. Of
+  /// several requests the one with the lowest identity keeps the replica.
   /// @param load_key of the replica.
-  void on_isolated_elsewhere(std::uint32_t load_key);
+  void on_isolated_elsewhere(std::uint32_t load_key, request_identity request);
+  /// Notes that an isolated request of another gateway has left a replica.
+  /// @param has_ended whether the replica has ended meanwhile.
+  void on_left_elsewhere(std::uint32_t load_key, bool has_ended);
 
   /// Records the prefix that an engine has cached, according to the record of
   /// an earlier turn.
@@ -246,6 +250,8 @@
   void end_slow_start(routing::instance &warm);
   /// Applies the configuration of the replica's service.
   void configure(routing::instance &each) const;
+  /// @return null if no listed replica has the key.
+  [[nodiscard]] routing::instance_ptr find_by_key(std::uint32_t load_key) const;
   /// Builds the view of a replica that the selection policies use.
   [[nodiscard]] balance::candidate candidate_of(const routing::instance &each,
                                                 const client_request &request,
--- a/src/forwarding/replica_watch.cpp
+++ b/src/forwarding/replica_watch.cpp
@@ -243,8 +243,8 @@
   const auto is_open = [now](const followed_attempt &each) {
     return now < each.until;
   };
-  const auto first_expired =
-      std::ranges::stable_partition(watched.followed, is_open).begin();
+  const auto first_expired = std::stable_partition(
+      watched.followed.begin(), watched.followed.end(), is_open);
   const std::vector<followed_attempt> expired(first_expired,
                                               watched.followed.end());
   watched.followed.erase(first_expired, watched.followed.end());
--- a/src/forwarding/request_attempts.cpp
+++ b/src/forwarding/request_attempts.cpp
@@ -125,17 +125,29 @@
 }
 
 asio::awaitable<void> request_exchange::attempt(routing::instance_ptr target) {
+  const bool isolated = crashes_->is_isolated();
   ++attempts_;
+  gateway_.replicas().begin_attempt(target, isolated);
+  if (!isolated) {
+    co_await attempt_at(target);
+  } else if (co_await crashes_->claim(target)) {
+    co_await attempt_at(target);
+    crashes_->on_left(*target);
+  } else {
+    log_attempt(*target, attempt_outcome::not_sent, "another request keeps it");
+    plan_->on_attempt(target->record.start(), attempt_outcome::not_sent);
+  }
+  gateway_.replicas().end_attempt(target, isolated);
+}
+
+asio::awaitable<void>
+request_exchange::attempt_at(routing::instance_ptr target) {
   const routing::incarnation started = target->record.start();
   last_start_ = started;
   last_version_ = target->record.version;
-  const bool isolated = crashes_->is_isolated();
-  gateway_.replicas().begin_attempt(target, isolated);
-  crashes_->on_send(*target);
   const auto connection =
       co_await gateway_.pool().acquire(target->record, request_.attempt_id);
   if (!connection) {
-    gateway_.replicas().end_attempt(target, isolated);
     const bool refused = connection.error() == connect_error::refused;
     const std::string_view reason =
         refused ? "connection refused" : "connection failed";
@@ -153,7 +165,6 @@
   if (!co_await await_permit()) {
     gateway_.pool().release(started, active_, duration_ms{0});
     active_.reset();
-    gateway_.replicas().end_attempt(target, isolated);
     co_return;
   }
   const auto watched = watch_replica(target);
@@ -172,7 +183,6 @@
   if (replica_ended_) {
     last_failure_ = "the replica does not answer any more";
   }
-  gateway_.replicas().end_attempt(target, isolated);
   if (permit_ && end == attempt_outcome::not_executed) {
     permit_->return_unused();
   }
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -152,7 +152,10 @@
   /// @param sent_at when the attempt was sent.
   asio::awaitable<void> on_lost(routing::instance_ptr target,
                                 timestamp sent_at);
+  /// Sends the request to a replica, unless that is kept by another request
+  /// that may crash it.
   asio::awaitable<void> attempt(routing::instance_ptr target);
+  asio::awaitable<void> attempt_at(routing::instance_ptr target);
   /// Checks deadline, client and replica immediately before sending.
   /// @return true when the request may be sent; it is then counted as sent.
   bool claim_send_to(routing::instance &target);
--- a/src/records/partitioned_ledger.cpp
+++ b/src/records/partitioned_ledger.cpp
@@ -170,8 +170,11 @@
 
 void partitioned_ledger::announce(crash_notice notice) {
   wire::Envelope envelope;
-  envelope.mutable_crash_notice()->set_request(notice.request.value());
-  envelope.mutable_crash_notice()->set_sent_to(notice.sent_to);
+  wire::CrashNotice &told = *envelope.mutable_crash_notice();
+  told.set_request(notice.request.value());
+  told.set_sent_to(notice.sent_to);
+  told.set_left(notice.left);
+  told.set_has_ended(notice.has_ended);
   for (const wire::RecordMember &each : members().members()) {
     send_(each.address(), envelope);
   }
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -132,6 +132,9 @@
   /// The replica to which it is sent next (`routing::instance::load_key`); zero
   /// for none.
   std::uint32_t sent_to = 0;
+  /// The replica that it has left, likewise, and whether that has ended.
+  std::uint32_t left = 0;
+  bool has_ended = false;
 };
 
 enum class send_verdict : std::uint8_t {
--- a/src/routing/instance_directory.hpp
+++ b/src/routing/instance_directory.hpp
@@ -5,6 +5,7 @@
 #include "balance/prefix_view.hpp"
 #include "balance/replica_speed.hpp"
 #include "balance/slow_start.hpp"
+#include "base/request_identity.hpp"
 #include "base/software_version.hpp"
 #include "base/time.hpp"
 #include "routing/configuration.hpp"
@@ -72,8 +73,9 @@
   timestamp avoid_until{};
   /// In-flight requests of this gateway that are likely to crash the replica.
   std::uint32_t isolated_in_flight = 0;
-  /// Until then such a request of another gateway may run there.
+  /// Until then such a request of another gateway may run there, and which.
   timestamp isolated_until{};
+  request_identity isolated_request{};
   /// When a change of its entry from ready to draining arrived; the epoch if
   /// none did.
   timestamp drain_seen_at{};
--- a/tests/forwarding/crash_limit_test.cpp
+++ b/tests/forwarding/crash_limit_test.cpp
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(nothing_is_sent_while_crashes_cannot_be_counted);
   CPPUNIT_TEST(an_isolated_request_keeps_away_from_another);
   CPPUNIT_TEST(few_replicas_are_taken_by_isolated_requests);
+  CPPUNIT_TEST(a_replica_is_free_once_its_isolated_request_has_left);
+  CPPUNIT_TEST(of_two_isolated_requests_one_keeps_the_replica);
   CPPUNIT_TEST(the_identity_outlasts_the_attempt);
   CPPUNIT_TEST(the_identity_tells_requests_apart);
   CPPUNIT_TEST(notices_are_bounded_and_expire);
@@ -169,7 +171,8 @@
     CPPUNIT_ASSERT(choose(true) == nullptr);
     gateway_->replicas().end_attempt(busy, true);
     CPPUNIT_ASSERT(choose(true) == busy);
-    gateway_->replicas().on_isolated_elsewhere(busy->load_key);
+    gateway_->replicas().on_isolated_elsewhere(busy->load_key,
+                                               request_identity{1});
     CPPUNIT_ASSERT(choose(true) == nullptr);
   }
 
@@ -182,12 +185,39 @@
     CPPUNIT_ASSERT(gateway_->replicas().can_isolate_more(service));
     gateway_->replicas().begin_attempt(all.at(0), true);
     CPPUNIT_ASSERT(gateway_->replicas().can_isolate_more(service));
-    gateway_->replicas().on_isolated_elsewhere(all.at(1)->load_key);
+    gateway_->replicas().on_isolated_elsewhere(all.at(1)->load_key,
+                                               request_identity{1});
     CPPUNIT_ASSERT(!gateway_->replicas().can_isolate_more(service));
     gateway_->replicas().end_attempt(all.at(0), true);
     CPPUNIT_ASSERT(gateway_->replicas().can_isolate_more(service));
   }
 
+  void a_replica_is_free_once_its_isolated_request_has_left() {
+    add_replica("r", {.bytes = plain("answer")});
+    replica_selector &selector = gateway_->replicas();
+    const auto r = selector.directory().find(routing::instance_id{"r"});
+    selector.on_isolated_elsewhere(r->load_key, request_identity{1});
+    CPPUNIT_ASSERT(r->may_crash(steady_now()));
+    selector.on_left_elsewhere(r->load_key, false);
+    CPPUNIT_ASSERT(!r->may_crash(steady_now()));
+    CPPUNIT_ASSERT(steady_now() >= r->refused_until);
+    selector.on_isolated_elsewhere(r->load_key, request_identity{1});
+    selector.on_left_elsewhere(r->load_key, true);
+    CPPUNIT_ASSERT(steady_now() < r->refused_until);
+    CPPUNIT_ASSERT(selector.can_isolate_more(routing::service_id{"s"}));
+  }
+
+  void of_two_isolated_requests_one_keeps_the_replica() {
+    add_replica("r", {.bytes = plain("answer")});
+    replica_selector &selector = gateway_->replicas();
+    const auto r = selector.directory().find(routing::instance_id{"r"});
+    selector.on_isolated_elsewhere(r->load_key, request_identity{2});
+    selector.on_isolated_elsewhere(r->load_key, request_identity{3});
+    CPPUNIT_ASSERT(r->isolated_request == request_identity{2});
+    selector.on_isolated_elsewhere(r->load_key, request_identity{1});
+    CPPUNIT_ASSERT(r->isolated_request == request_identity{1});
+  }
+
   void the_identity_outlasts_the_attempt() {
     const auto first = identity("b", {{"Attempt", "a1"},
                                       {"Deadline", "900"},
