The watch over a replica goes on when the replica takes requests again

Found by reading: an end that was noticed stayed until the replica sent a byte or had no requests. A request that it took meanwhile was not watched, and waited to its deadline if the replica fell silent again. And where the entry of a replica lapsed and came back, its bytes were noted at another object than the watch looked at, so that it was checked without need.

An attempt that begins there takes the end back, since its connection was accepted. Checks leave one idle connection at most.

--- a/src/forwarding/replica_check.cpp
+++ b/src/forwarding/replica_check.cpp
@@ -46,11 +46,14 @@
     }
     timer.expires_after(settle_time);
     co_await timer.async_wait(as_result);
-    if (is_open_and_idle(connection.value()->socket)) {
+    if (!is_open_and_idle(connection.value()->socket)) {
+      continue;
+    }
+    if (!shared.pool().has_idle(target.start(), steady_now())) {
       shared.pool().release(target.start(), std::move(connection).value(),
                             duration_ms{0});
-      break;
     }
+    break;
   }
   co_return replica_fate::alive;
 }
--- a/src/forwarding/replica_check.hpp
+++ b/src/forwarding/replica_check.hpp
@@ -23,8 +23,8 @@
 
 std::string_view name_of(replica_fate fate);
 
-/// Checks whether a replica accepts connections, by opening one, which goes to
-/// the pool.
+/// Checks whether a replica accepts connections, by opening one. It goes to the
+/// pool if no other is idle there.
 asio::awaitable<replica_fate> probe_replica(gateway &shared,
                                             routing::instance_record target);
 
--- a/src/forwarding/replica_watch.cpp
+++ b/src/forwarding/replica_watch.cpp
@@ -28,9 +28,9 @@
   watched_ptr &watched = watched_[target->record.start()];
   if (watched == nullptr) {
     watched = std::make_shared<watched_replica>();
-    watched->target = target;
     watched->silence_limit = options_.silence_limit;
   }
+  watched->target = target; // another object once its entry has come back
   if (!is_running_) {
     is_running_ = true;
     asio::co_spawn(gateway_.io(), run(), asio::detached);
@@ -45,6 +45,8 @@
   attempt->sent_at = steady_now();
   attempt->break_off = std::move(break_off);
   watched_replica &watched = entry_of(target);
+  // It has accepted a connection for this attempt.
+  watched.end.reset();
   std::erase_if(watched.running,
                 [](const auto &each) { return each.expired(); });
   watched.running.push_back(attempt);
--- a/tests/forwarding/replica_watch_test.cpp
+++ b/tests/forwarding/replica_watch_test.cpp
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(an_attempt_stays_at_risk_until_its_replica_is_known_to_live);
   CPPUNIT_TEST(few_attempts_are_followed);
   CPPUNIT_TEST(nothing_is_watched_without_requests);
+  CPPUNIT_TEST(an_end_is_forgotten_once_the_replica_takes_a_request);
+  CPPUNIT_TEST(checks_leave_one_idle_connection);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr duration_ms follow_time{600};
@@ -195,6 +197,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gateway_->watch().followed());
   }
 
+  void an_end_is_forgotten_once_the_replica_takes_a_request() {
+    add_replica("r", {.bytes = plain("answer")});
+    const auto r =
+        gateway_->replicas().directory().find(routing::instance_id{"r"});
+    const auto first = gateway_->watch().begin(r, [] {});
+    gateway_->watch().on_ended(r->record.start(), replica_fate::unreachable);
+    CPPUNIT_ASSERT(gateway_->watch().known_end(r->record.start()).has_value());
+    const auto second = gateway_->watch().begin(r, [] {});
+    CPPUNIT_ASSERT(!gateway_->watch().known_end(r->record.start()).has_value());
+  }
+
+  void checks_leave_one_idle_connection() {
+    scripted_replica &slow = add_replica(
+        "slow", {.bytes = plain("answer"), .delay = duration_ms{1500}});
+    CPPUNIT_ASSERT_EQUAL(200U, ask("a"));
+    CPPUNIT_ASSERT(slow.connections() > 2);
+    wait_for(duration_ms{20});
+    std::size_t open = 0;
+    for (std::size_t opened = 0; opened < slow.connections(); ++opened) {
+      open += slow.is_open(opened) ? 1 : 0;
+    }
+    // The one of the request, and the one of the first check.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, open);
+  }
+
   void nothing_is_watched_without_requests() {
     scripted_replica &replica = add_replica("r", {.bytes = plain("answer")});
     CPPUNIT_ASSERT_EQUAL(200U, ask("a"));
--- a/tests/support/scripted_replica.hpp
+++ b/tests/support/scripted_replica.hpp
@@ -49,6 +49,10 @@
   [[nodiscard]] std::string address() const { return address_; }
   /// The number of connections that were opened.
   [[nodiscard]] std::size_t connections() const { return open_.size(); }
+  /// Whether a connection, in the order of their opening, is still served.
+  [[nodiscard]] bool is_open(std::size_t opened) const {
+    return !open_.at(opened).expired();
+  }
   /// Refuses further connections, as a process that has ended does.
   void stop_listening() { acceptor_.close(); }
   /// Ignores all that comes, as a machine without power does.
