--- a/tests/process/crashing_replicas.sh
+++ b/tests/process/crashing_replicas.sh
@@ -55,6 +55,14 @@
   sleep 0.5 # until the gateways have heard of them
 }
 
+# Starts the replicas of a play and waits until all gateways are ready.
+begin_play() { # service flags...
+  start_replicas "$@"
+  for number in 1 2 3; do
+    wait_until 100 gateway_is_ready "$number"
+  done
+}
+
 kill_replica() { # number
   kill -KILL "$(cat "$run/pid-$play-$1")" 2>/dev/null || true
 }
--- a/tests/process/platform_crashes_beside_faults.sh
+++ b/tests/process/platform_crashes_beside_faults.sh
@@ -52,10 +52,7 @@
 play_beside_faults() { # what service flags_of_replicas flags_of_clients...
   local what=$1 service=$2 of_replicas=$3 load
   shift 3
-  start_replicas "$service" $of_replicas
-  for number in 1 2 3; do
-    wait_until 100 gateway_is_ready "$number"
-  done
+  begin_play "$service" $of_replicas
   wait_until 200 group_is_whole
   play_retries --retries.seed "$((seed + play))" --retries.marked 8 \
     --retries.marked_at_once 2 --retries.marker "poison-$play" "$@" \
--- a/tests/process/platform_crashes_by_chance.sh
+++ b/tests/process/platform_crashes_by_chance.sh
@@ -19,10 +19,7 @@
 play_case() { # what service flags_of_replicas flags_of_clients...
   local what=$1 service=$2 of_replicas=$3 load outcome
   shift 3
-  start_replicas "$service" $of_replicas
-  for number in 1 2 3; do
-    wait_until 100 gateway_is_ready "$number"
-  done
+  begin_play "$service" $of_replicas
   play_retries --retries.marked 0 --retries.sound_time "$((seconds * 1000))" \
     --retries.seed "$((seed + play))" "$@" >"$run/outcome" &
   load=$!
--- a/tests/process/platform_sent_after_three_crashes.sh
+++ b/tests/process/platform_sent_after_three_crashes.sh
@@ -8,10 +8,7 @@
 play_case() { # what service flags_of_replicas flags_of_clients...
   local what=$1 service=$2 of_replicas=$3 outcome
   shift 3
-  start_replicas "$service" $of_replicas
-  for number in 1 2 3; do
-    wait_until 100 gateway_is_ready "$number"
-  done
+  begin_play "$service" $of_replicas
   # Seed and marker differ from play to play, so that no request comes again.
   outcome=$(play_retries --retries.seed "$((seed + play))" \
     --retries.marker "poison-$play" "$@")
--- a/tests/process/platform_silent_by_chance.sh
+++ b/tests/process/platform_silent_by_chance.sh
@@ -17,16 +17,9 @@
   done
 }
 
-begin_case() { # service flags_of_replicas
-  start_replicas "$1" $2
-  for number in 1 2 3; do
-    wait_until 100 gateway_is_ready "$number"
-  done
-}
-
 play_case() { # what service flags_of_replicas flags_of_clients...
   local what=$1 load outcome
-  begin_case "$2" "$3"
+  begin_play "$2" $3
   shift 3
   play_retries --retries.marked 0 --retries.sound_time "$((seconds * 1000))" \
     --retries.seed "$((seed + play))" "$@" >"$run/outcome" &
@@ -44,7 +37,7 @@
 play_slow() { # what service flags_of_replicas flags_of_clients...
   local what=$1 before ended
   before=$(log_lines replica_ended)
-  begin_case "$2" "$3"
+  begin_play "$2" $3
   shift 3
   echo "$what: $(play_retries --retries.marked 0 --retries.sound_time 3000 \
     --retries.seed "$((seed + play))" "$@")"
