--- a/src/forwarding/request_attempts.cpp
+++ b/src/forwarding/request_attempts.cpp
@@ -145,8 +145,7 @@
   const routing::incarnation started = target->record.start();
   last_start_ = started;
   last_version_ = target->record.version;
-  const auto connection =
-      co_await gateway_.pool().acquire(target->record, request_.attempt_id);
+  const auto connection = co_await connect_to(target->record);
   if (!connection) {
     const bool refused = connection.error() == connect_error::refused;
     const std::string_view reason =
@@ -199,6 +198,15 @@
   }
 }
 
+asio::awaitable<result_or<connection_ptr, connect_error>>
+request_exchange::connect_to(const routing::instance_record &target) {
+  // Nothing tells the answer to a request without an id from other answers.
+  if (request_.attempt_id.empty()) {
+    co_return co_await gateway_.pool().connect(target);
+  }
+  co_return co_await gateway_.pool().acquire(target, used_connections_);
+}
+
 std::shared_ptr<watched_attempt>
 request_exchange::watch_replica(const routing::instance_ptr &target) {
   replica_ended_ = false;
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -186,6 +186,7 @@
       name_of(gateway_.replicas().places().locality_of(target.record.zone));
   gateway_.metrics().on_sent(std::string(last_locality_));
   sent_at_ = steady_now();
+  used_connections_.push_back(connection->number);
   if (!co_await send(target, *connection)) {
     last_failure_ = "the connection broke while the request was sent";
     co_return attempt_outcome::lost;
@@ -218,9 +219,6 @@
     last_failure_ = "the connection broke before the answer was complete";
     co_return attempt_outcome::lost;
   }
-  if (not_executed && !route_->repeatable()) {
-    upstream_pool::note_refusal(*connection, request_.attempt_id);
-  }
   recycle(target, std::move(connection), head, parser->keep_alive());
   const bool another_may_take_it = status == status_unavailable ||
                                    status == status_too_many ||
@@ -334,12 +332,7 @@
 bool request_exchange::is_own(const response_head &head) const {
   const header_names &names = gateway_.options().headers;
   const std::string_view echoed = to_view(head[names.attempt_id]);
-  if (!echoed.empty()) {
-    return echoed == request_.attempt_id;
-  }
-  // A refusal may omit the id of the request that it refuses.
-  return !to_view(head[names.not_executed]).empty() ||
-         head.result_int() == status_misdirected || request_.attempt_id.empty();
+  return echoed == request_.attempt_id;
 }
 
 asio::awaitable<bool>
@@ -483,7 +476,8 @@
                                connection_ptr connection,
                                const response_head &head, bool keep_alive) {
   const bool surplus = connection->buffer.size() > 0;
-  if (keep_alive && !surplus && connection->socket.is_open()) {
+  const bool has_id = !request_.attempt_id.empty();
+  if (keep_alive && has_id && !surplus && connection->socket.is_open()) {
     gateway_.pool().release(target.record.start(), std::move(connection),
                             keep_alive_of(head));
   }
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -25,6 +25,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -156,6 +157,9 @@
   /// that may crash it.
   asio::awaitable<void> attempt(routing::instance_ptr target);
   asio::awaitable<void> attempt_at(routing::instance_ptr target);
+  /// Returns a connection on which the request was not sent before.
+  asio::awaitable<result_or<connection_ptr, connect_error>>
+  connect_to(const routing::instance_record &target);
   /// Checks deadline, client and replica immediately before sending.
   /// @return true when the request may be sent; it is then counted as sent.
   bool claim_send_to(routing::instance &target);
@@ -176,7 +180,8 @@
   asio::awaitable<bool> send(const routing::instance &target,
                              upstream_connection &connection);
   /// Reads response heads until the one that belongs to this request. Answers
-  /// to other requests are discarded.
+  /// to other requests are discarded. An answer is known by the id of the
+  /// request, which is on each connection sent once.
   asio::awaitable<bool> read_own_head(upstream_connection &connection,
                                       std::optional<response_parser> &parser);
   /// Updates the cost model and the prefix cache estimate from a completed
@@ -236,6 +241,10 @@
   asio::steady_timer deadline_timer_;
   asio::steady_timer pause_timer_;
   connection_ptr active_;
+  /// The connections on which the request was sent. A replica may repeat an
+  /// answer late, and the id does not tell that from the answer to another send
+  /// of the same request.
+  std::vector<connection_number> used_connections_;
   /// The current attempt was broken off because its replica has ended.
   bool replica_ended_ = false;
   bool watching_ = false;
--- a/src/forwarding/upstream_pool.cpp
+++ b/src/forwarding/upstream_pool.cpp
@@ -10,8 +10,9 @@
 
 namespace heathtrestle::forwarding {
 
-connection_ptr upstream_pool::take_idle(const routing::incarnation &start,
-                                        const std::string &attempt_id) {
+connection_ptr
+upstream_pool::take_idle(const routing::incarnation &start,
+                         const std::vector<connection_number> &excluded) {
   const auto found = idle_.find(start);
   if (found == idle_.end()) {
     return nullptr;
@@ -21,8 +22,7 @@
   for (std::size_t left = idle.size(); left > 0; --left) {
     const auto at = idle.begin() + static_cast<std::ptrdiff_t>(left - 1);
     connection_ptr candidate = *at;
-    if (std::ranges::find(candidate->refused_attempts, attempt_id) !=
-        candidate->refused_attempts.end()) {
+    if (std::ranges::find(excluded, candidate->number) != excluded.end()) {
       continue;
     }
     idle.erase(at);
@@ -39,9 +39,9 @@
 
 asio::awaitable<result_or<connection_ptr, connect_error>>
 upstream_pool::acquire(const routing::instance_record &target,
-                       std::string attempt_id) {
+                       const std::vector<connection_number> &excluded) {
   const routing::incarnation start = target.start();
-  if (connection_ptr idle = take_idle(start, attempt_id)) {
+  if (connection_ptr idle = take_idle(start, excluded)) {
     co_return track(start, idle);
   }
   co_return co_await connect(target);
@@ -53,7 +53,7 @@
   if (!address) {
     co_return connect_error::failed;
   }
-  auto connection = std::make_shared<upstream_connection>(io_);
+  auto connection = std::make_shared<upstream_connection>(io_, ++opened_);
   connection->connecting = true;
   asio::steady_timer timer(io_, options_.connect_timeout);
   timer.async_wait(
@@ -65,7 +65,6 @@
           waiting->socket.close(ignored);
         }
       });
-  ++opened_;
   const auto [failure] = co_await connection->socket.async_connect(
       tcp::endpoint(address.value().ip, address.value().port), as_result);
   timer.cancel();
@@ -106,15 +105,6 @@
   in_use_.erase(found);
 }
 
-void upstream_pool::note_refusal(upstream_connection &connection,
-                                 const std::string &attempt_id) {
-  constexpr std::size_t max_remembered = 32;
-  connection.refused_attempts.push_back(attempt_id);
-  if (connection.refused_attempts.size() > max_remembered) {
-    connection.refused_attempts.pop_front();
-  }
-}
-
 bool upstream_pool::drop_closed(const routing::incarnation &start) {
   const auto found = idle_.find(start);
   if (found == idle_.end() || found->second.empty() ||
--- a/src/forwarding/upstream_pool.hpp
+++ b/src/forwarding/upstream_pool.hpp
@@ -8,30 +8,30 @@
 #include "routing/instance_directory.hpp"
 #include "runtime/asio.hpp"
 
-#include <deque>
+#include <cstdint>
 #include <map>
 #include <memory>
-#include <string>
 #include <vector>
 
 #include <boost/beast/core/flat_buffer.hpp>
 
 namespace heathtrestle::forwarding {
 
+/// Numbers the connections of a pool in the order of their opening.
+using connection_number = std::uint64_t;
+
 struct upstream_connection {
-  explicit upstream_connection(asio::io_context &io) : socket(io) {}
+  upstream_connection(asio::io_context &io, connection_number opened_as)
+      : socket(io), number(opened_as) {}
 
   tcp::socket socket;
+  connection_number number;
   boost::beast::flat_buffer buffer;
   /// The time after which an idle connection is not reused, because the replica
   /// may close it.
   timestamp usable_until{};
   /// Set when the connection has served a request before.
   bool reused = false;
-  /// The ids of requests that were refused here and must not run twice, the
-  /// latest last. A replica may repeat a refusal late, and the id does not tell
-  /// that from the answer to another send of the same request.
-  std::deque<std::string> refused_attempts;
   /// Set while connecting, until the connection is established or times out.
   bool connecting = false;
 };
@@ -60,10 +60,10 @@
       : io_(io), options_(options) {}
 
   /// Returns an idle connection to the instance, or opens a new one.
-  /// @param attempt_id of the request, which gets no connection that remembers
-  /// a refusal of it.
+  /// @param excluded the connections that are not returned.
   asio::awaitable<result_or<connection_ptr, connect_error>>
-  acquire(const routing::instance_record &target, std::string attempt_id);
+  acquire(const routing::instance_record &target,
+          const std::vector<connection_number> &excluded);
 
   /// Opens a new connection to the instance.
   asio::awaitable<result_or<connection_ptr, connect_error>>
@@ -84,10 +84,6 @@
   /// @return true when it was dropped.
   bool drop_closed(const routing::incarnation &start);
 
-  /// Remembers that a request was refused on a connection.
-  static void note_refusal(upstream_connection &connection,
-                           const std::string &attempt_id);
-
   /// Closes the idle connections to an instance that is no longer listed.
   void close_idle(const routing::incarnation &start) { idle_.erase(start); }
   /// Closes all connections to an instance whose process has certainly ended,
@@ -103,7 +99,7 @@
 
 private:
   connection_ptr take_idle(const routing::incarnation &start,
-                           const std::string &attempt_id);
+                           const std::vector<connection_number> &excluded);
   connection_ptr track(const routing::incarnation &start,
                        connection_ptr connection);
 
