Surplus answers do not fail the request that comes behind them

Cause: a connection that had brought five surplus answers was given up after the request was sent on it.

Change: up to 64 are skipped, and a connection that had one is not used again.

Test: platform_repeated_refusals.sh, real processes. Unit test: repeated_refusals_of_others_do_not_fail_a_request.

--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -338,7 +338,8 @@
 asio::awaitable<bool>
 request_exchange::read_own_head(upstream_connection &connection,
                                 std::optional<response_parser> &parser) {
-  constexpr int most_surplus_answers = 4;
+  constexpr int most_surplus_answers = 64;
+  had_surplus_ = false;
   for (int surplus = 0; surplus < most_surplus_answers; ++surplus) {
     parser.emplace();
     parser->body_limit(gateway_.options().answer_limit);
@@ -355,6 +356,7 @@
     if (!informational && is_own(head)) {
       co_return true;
     }
+    had_surplus_ = had_surplus_ || !informational;
     std::string discarded;
     if (!co_await read_body(connection, *parser, discarded)) {
       break;
@@ -475,7 +477,7 @@
 void request_exchange::recycle(const routing::instance &target,
                                connection_ptr connection,
                                const response_head &head, bool keep_alive) {
-  const bool surplus = connection->buffer.size() > 0;
+  const bool surplus = had_surplus_ || connection->buffer.size() > 0;
   const bool has_id = !request_.attempt_id.empty();
   if (keep_alive && has_id && !surplus && connection->socket.is_open()) {
     gateway_.pool().release(target.record.start(), std::move(connection),
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -278,6 +278,8 @@
   /// State of the current attempt.
   placement placement_;
   relayed_events relayed_;
+  /// An answer to another request came first.
+  bool had_surplus_ = false;
 
   /// Times of the stages of the request; the epoch if a stage was not reached.
   timestamp sent_at_{};
--- a/tests/forwarding/request_exchange_test.cpp
+++ b/tests/forwarding/request_exchange_test.cpp
@@ -29,6 +29,7 @@
 using test_support::open_ledger;
 using test_support::plain;
 using test_support::refusal;
+using test_support::refusal_of;
 using test_support::scripted_replica;
 using test_support::stream_end;
 using test_support::stream_head;
@@ -48,6 +49,7 @@
   CPPUNIT_TEST(a_repeated_refusal_is_not_the_answer_to_the_next_send);
   CPPUNIT_TEST(a_refusal_of_no_named_request_is_no_answer);
   CPPUNIT_TEST(a_request_without_an_id_shares_no_connection);
+  CPPUNIT_TEST(repeated_refusals_of_others_do_not_fail_a_request);
   CPPUNIT_TEST(refusal_by_all_replicas_sets_retry_after);
   CPPUNIT_TEST(a_draining_replica_gets_nothing);
   CPPUNIT_TEST(a_stream_resumes_after_its_last_whole_event);
@@ -361,6 +363,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas_[0]->received_on.at(1));
   }
 
+  void repeated_refusals_of_others_do_not_fail_a_request() {
+    std::string copies;
+    for (int copy = 0; copy < 40; ++copy) {
+      copies += refusal_of("a0");
+    }
+    replicas_[0]->script.assign({{copies + plain("1")}, {plain("2")}});
+    CPPUNIT_ASSERT_EQUAL(200U, ask("/call/x")->result_int());
+    CPPUNIT_ASSERT_EQUAL(200U, ask("/call/x")->result_int());
+    // More of them may follow, so the connection is not used again.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replicas_[0]->connections());
+  }
+
   void refusal_by_all_replicas_sets_retry_after() {
     for (int time = 0; time < 100; ++time) {
       replicas_[0]->script.push_back({refusal});
