Requests of clients are bounded in framing and time (bytes without end)

What was seen: eight clients that send the extension of a chunk, or trailers, without end take a gateway to 1.8 GB in 6 s and get no answer; so do drops of a body, of its framing or of trailers, which hold a connection for 10 s.

Cause: the library reads until an element of the message is complete, and buffers it without a limit; the limit on the body doesn't count its framing, and the time for a body was the same whatever came.

Change: `http/message_reader` parses what has arrived or receives once, so that bounds are checked in between. An element has the bytes of a head, the framing 32 KB and 8 bytes for each byte of the body (413); a body has the time of a head and a second for each 500 bytes, and the client's deadline (408). The memory of a body is booked by its capacity.

--- a/src/forwarding/client_session.cpp
+++ b/src/forwarding/client_session.cpp
@@ -2,8 +2,10 @@
 
 #include "forwarding/request_exchange.hpp"
 #include "forwarding/socket_options.hpp"
+#include "http/message_reader.hpp"
 #include "logging/log.hpp"
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 #include <utility>
@@ -32,17 +34,21 @@
 /// Another gateway can probably serve the request.
 constexpr duration_ms memory_retry{50};
 constexpr std::uint32_t status_unavailable = 503;
+constexpr std::uint32_t status_content_too_large = 413;
+/// Bytes a second of a body, without its framing, below which a client is given
+/// up.
+constexpr std::size_t min_body_rate = 500;
+constexpr std::size_t ms_per_second = 1000;
 
 std::uint32_t status_for(boost::system::error_code failure) {
   constexpr std::uint32_t bad_request = 400;
-  constexpr std::uint32_t content_too_large = 413;
   constexpr std::uint32_t header_too_large = 431;
   if (failure == beast_http::error::header_limit ||
       failure == beast_http::error::buffer_overflow) {
     return header_too_large;
   }
   if (failure == beast_http::error::body_limit) {
-    return content_too_large;
+    return status_content_too_large;
   }
   return bad_request;
 }
@@ -119,6 +125,11 @@
   socket_.close(ignored);
 }
 
+routing::client_limits client_session::limits() const {
+  return gateway_.routes() ? gateway_.routes()->limits()
+                           : routing::client_limits{};
+}
+
 void client_session::begin_drain() {
   if (phase_ == phase::idle && buffer_.size() == 0) {
     boost::system::error_code ignored;
@@ -128,10 +139,9 @@
 
 asio::awaitable<std::optional<client_session::received_request>>
 client_session::read_request() {
-  const routing::client_limits limits = gateway_.routes()
-                                            ? gateway_.routes()->limits()
-                                            : routing::client_limits{};
+  const routing::client_limits limits = this->limits();
   timed_out_ = false;
+  buffer_.max_size(limits.header_bytes + first_read_bytes);
   if (buffer_.size() == 0) {
     enter(phase::idle, limits.idle_timeout + idle_slack);
     const auto [failure, bytes] = co_await socket_.async_read_some(
@@ -182,19 +192,31 @@
 
 asio::awaitable<bool> client_session::read_body(request_parser &parser,
                                                 byte_budget::booking &held) {
-  if (!parser.is_done()) {
-    enter(phase::body, gateway_.options().body_timeout);
-  }
+  const timestamp begun = steady_now();
+  const duration_ms limit = body_time(parser);
+  const duration_ms grace = limits().header_timeout;
+  http::message_reader<true> reader(socket_, buffer_, parser);
   while (!parser.is_done()) {
-    const auto [failure, bytes] = co_await beast_http::async_read_some(
-        socket_, buffer_, parser, as_result);
+    const std::size_t received = parser.get().body().size();
+    const duration_ms earned{
+        static_cast<std::int64_t>(ms_per_second * received / min_body_rate)};
+    const timestamp deadline = begun + std::min(limit, grace + earned);
+    enter(phase::body, deadline - steady_now());
+    const auto failure = co_await reader.step();
+    const std::size_t body_bytes = parser.get().body().size();
+    const bool framing_too_long =
+        failure == beast_http::error::buffer_overflow ||
+        http::is_excessive_framing(reader.parsed_bytes() - body_bytes,
+                                   body_bytes);
+    if (framing_too_long) {
+      co_await reject_with(status_content_too_large);
+      co_return false;
+    }
     if (failure) {
       co_await reject(failure);
       co_return false;
     }
-    const std::size_t needed =
-        request_overhead_bytes + parser.get().body().size();
-    if (needed > held.bytes() && !held.try_resize(needed)) {
+    if (!book_body(parser, held)) {
       gateway_.metrics().on_refused("memory");
       co_await reject_with(status_unavailable, memory_retry);
       co_return false;
@@ -203,6 +225,24 @@
   co_return true;
 }
 
+duration_ms client_session::body_time(const request_parser &parser) const {
+  const duration_ms limit = gateway_.options().body_timeout;
+  const auto text = parser.get()[gateway_.options().headers.deadline_ms];
+  const auto deadline = parse_number({text.data(), text.size()});
+  if (!deadline) {
+    return limit;
+  }
+  // Nobody waits for the answer after that.
+  return std::min(limit, duration_ms{static_cast<std::int64_t>(*deadline)});
+}
+
+bool client_session::book_body(const request_parser &parser,
+                               byte_budget::booking &held) {
+  const std::size_t needed =
+      request_overhead_bytes + parser.get().body().capacity();
+  return needed <= held.bytes() || held.try_resize(needed);
+}
+
 asio::awaitable<bool> client_session::read_header(request_parser &parser) {
   const auto [failure, bytes] = co_await beast_http::async_read_header(
       socket_, buffer_, parser, as_result);
--- a/src/forwarding/client_session.hpp
+++ b/src/forwarding/client_session.hpp
@@ -51,12 +51,19 @@
     byte_budget::booking held;
   };
 
+  [[nodiscard]] routing::client_limits limits() const;
   asio::awaitable<std::optional<received_request>> read_request();
   asio::awaitable<bool> read_header(request_parser &parser);
   /// Reads the body and books it.
   /// @return false when it was not read; the client has been answered.
   asio::awaitable<bool> read_body(request_parser &parser,
                                   byte_budget::booking &held);
+  /// Returns how long the body may take as a whole.
+  [[nodiscard]] duration_ms body_time(const request_parser &parser) const;
+  /// Books the body as far as it was received.
+  /// @return false when there is no memory for it.
+  static bool book_body(const request_parser &parser,
+                        byte_budget::booking &held);
   /// Decides whether there is memory for the request whose header was read.
   [[nodiscard]] bool has_memory_for(const request_parser &parser) const;
   asio::awaitable<void> reject(boost::system::error_code failure);
