Answers of replicas are bounded in framing, time and memory (bytes without end)

What callers saw: a replica that sends the extension of a chunk or trailers without end takes a gateway to 1.1 GB; its callers wait until their deadline, also where a head, a body or its framing comes drop by drop.

Cause: as for clients: nothing bounds an element that is not complete; a head, an event and a body had only the deadline, and each byte counted as a sign of life. An answer could take 16 MB, of however many requests.

Change: `answer_reader` reads answers with bounds: 32 KB for an element, framing as for clients, 0.5 s of waiting within a head, a chunk's header, trailers or an event, 0.4 of the time left for a body (with a length: until it can't end in time), 1 MB without a new event. Answers and events beyond 64 KB share a sixteenth of the memory. What exceeds a bound is given up at once, and the request goes on elsewhere or gets 502. Time in which received bytes wait to be read doesn't count, so that a gateway short of processor time doesn't blame the replica.

--- a/src/forwarding/event_stream.hpp
+++ b/src/forwarding/event_stream.hpp
@@ -2,6 +2,7 @@
 // is forwarded up to its last complete event.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
 
   /// Returns whether no partial event is buffered.
   [[nodiscard]] bool at_boundary() const { return partial_.empty(); }
+  /// The bytes of the partial event.
+  [[nodiscard]] std::size_t buffered() const { return partial_.size(); }
 
 private:
   std::string partial_;
--- a/src/forwarding/gateway.cpp
+++ b/src/forwarding/gateway.cpp
@@ -19,7 +19,9 @@
       replicas_(options_.selection, pool_), turns_(options_.turn_cache_bytes),
       crashes_(options_.crash_notices, records::min_crash_retention),
       watch_(*this, options_.watch),
-      held_bytes_(std::make_shared<byte_budget>(options_.held_bytes_limit)) {
+      held_bytes_(std::make_shared<byte_budget>(options_.held_bytes_limit)),
+      large_answers_(
+          std::make_shared<byte_budget>(options_.large_answers_limit)) {
   if (!options_.selection.policies.patience) {
     options_.plan.wait_fraction = 0;
   }
--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -3,6 +3,8 @@
 // and the turn cache. It is used from a single thread and is not locked.
 #pragma once
 
+#include "forwarding/answer_memory.hpp"
+#include "forwarding/answer_reader.hpp"
 #include "forwarding/attempt_plan.hpp"
 #include "forwarding/byte_budget.hpp"
 #include "forwarding/client_request.hpp"
@@ -38,8 +40,11 @@
   plan_limits plan;
   /// Time limit for reading a request body after its header.
   duration_ms body_timeout{10000};
-  /// Largest answer in bytes that is buffered before it is forwarded.
-  std::uint64_t answer_limit = 16U << 20U;
+  answer_limits answers;
+  /// Bytes of each answer that are buffered in any case.
+  std::size_t free_answer_bytes = 64U << 10U;
+  /// Bytes beyond them that all answers may take together.
+  std::size_t large_answers_limit = 16U << 20U;
   /// Bytes that may be held for open requests (`byte_budget`); 0 for no limit.
   std::size_t held_bytes_limit = 0;
   client_stream_options client_streams;
@@ -142,6 +147,16 @@
     return byte_budget::booking(held_bytes_);
   }
   [[nodiscard]] const byte_budget &held_bytes() const { return *held_bytes_; }
+  /// Books memory for an answer that is buffered.
+  [[nodiscard]] answer_memory book_answer() const {
+    return {open_booking(), byte_budget::booking(large_answers_),
+            options_.free_answer_bytes};
+  }
+  /// Books memory for the incomplete event of a stream, beyond what is free.
+  [[nodiscard]] answer_memory book_partial_event() const {
+    return {byte_budget::booking(), byte_budget::booking(large_answers_),
+            options_.free_answer_bytes};
+  }
   void add_session(client_session &session) { sessions_.insert(&session); }
   void remove_session(client_session &session) { sessions_.erase(&session); }
 
@@ -182,6 +197,7 @@
   std::mt19937_64 random_{std::random_device{}()};
   /// Shared with the bookings, which may outlive the gateway.
   std::shared_ptr<byte_budget> held_bytes_;
+  std::shared_ptr<byte_budget> large_answers_;
   byte_budget::state held_bytes_state_ = byte_budget::state::free;
   std::set<client_session *> sessions_;
   std::size_t open_requests_ = 0;
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -46,6 +46,8 @@
 /// first.
 constexpr int rounds_without_store = 4;
 constexpr duration_ms max_lookup_interval{4000};
+/// The fraction of the memory that is kept for large answers.
+constexpr std::size_t large_answers_part = 16;
 constexpr std::uint32_t status_not_found = 404;
 constexpr std::uint32_t status_unavailable = 503;
 
@@ -119,8 +121,11 @@
   gateway_options options;
   options.name = settings.name;
   options.headers = binding.headers;
-  options.held_bytes_limit =
-      settings.memory_mb * (std::size_t{1} << 20U) / 5 * 2;
+  const std::size_t memory = settings.memory_mb * (std::size_t{1} << 20U);
+  options.held_bytes_limit = memory / 5 * 2;
+  if (memory > 0) {
+    options.large_answers_limit = memory / large_answers_part;
+  }
   options.selection = {
       .places = places,
       .policies = policies_without(settings.disabled_policies),
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -191,11 +191,11 @@
     last_failure_ = "the connection broke while the request was sent";
     co_return attempt_outcome::lost;
   }
-  std::optional<response_parser> parser;
-  if (!co_await read_own_head(*connection, parser)) {
+  answer_reader answer(*connection, gateway_.options().answers);
+  if (!co_await read_own_head(answer)) {
     co_return attempt_outcome::lost;
   }
-  const response_head head = parser->get().base();
+  const response_head head = answer.head();
   const std::uint32_t status = head.result_int();
   const std::string_view refusal =
       to_view(head[gateway_.options().headers.not_executed]);
@@ -207,19 +207,18 @@
     gateway_.replicas().record_prefix(placement_.target, request_.prompt);
     const bool from_start = events_forwarded_ == 0;
     relayed_ = {};
-    const attempt_end end = co_await relay_stream(*connection, *parser);
+    const attempt_end end = co_await relay_stream(answer);
     if (!end) {
       record_turn_timing(target, from_start);
-      recycle(target, std::move(connection), head, parser->keep_alive());
+      recycle(target, std::move(connection), head, answer.keep_alive());
     }
     co_return end;
   }
-  std::string body;
-  if (!co_await read_body(*connection, *parser, body)) {
-    last_failure_ = "the connection broke before the answer was complete";
+  buffered_body body{.text = {}, .memory = gateway_.book_answer()};
+  if (!co_await read_body(answer, body)) {
     co_return attempt_outcome::lost;
   }
-  recycle(target, std::move(connection), head, parser->keep_alive());
+  recycle(target, std::move(connection), head, answer.keep_alive());
   const bool another_may_take_it = status == status_unavailable ||
                                    status == status_too_many ||
                                    status == status_misdirected;
@@ -240,7 +239,7 @@
   }
   gateway_.replicas().on_answered(target, route_->name,
                                   milliseconds_since(sent_at_));
-  co_await forward_answer(head, std::move(body));
+  co_await forward_answer(head, std::move(body.text));
   co_return std::nullopt;
 }
 
@@ -335,30 +334,24 @@
   return echoed == request_.attempt_id;
 }
 
-asio::awaitable<bool>
-request_exchange::read_own_head(upstream_connection &connection,
-                                std::optional<response_parser> &parser) {
-  constexpr int most_surplus_answers = 64;
+asio::awaitable<bool> request_exchange::read_own_head(answer_reader &answer) {
+  const answer_limits &limits = gateway_.options().answers;
+  const bool to_head = request_.message.method() == beast_http::verb::head;
   had_surplus_ = false;
-  for (int surplus = 0; surplus < most_surplus_answers; ++surplus) {
-    parser.emplace();
-    parser->body_limit(gateway_.options().answer_limit);
-    parser->skip(request_.message.method() == beast_http::verb::head);
-    const auto [failure, bytes] = co_await beast_http::async_read_header(
-        connection.socket, connection.buffer, *parser, as_result);
-    if (failure) {
-      last_failure_ = "no answer: " + failure.message();
+  for (std::uint32_t surplus = 0; surplus < limits.surplus_answers; ++surplus) {
+    const auto read = co_await answer.read_head(to_head);
+    if (!read) {
+      last_failure_ = "no answer: " + describe(read.error());
       co_return false;
     }
-    note_heard();
-    const response_head &head = parser->get().base();
+    const response_head &head = answer.head();
     const bool informational = head.result_int() < status_informational_end;
     if (!informational && is_own(head)) {
+      note_heard();
       co_return true;
     }
     had_surplus_ = had_surplus_ || !informational;
-    std::string discarded;
-    if (!co_await read_body(connection, *parser, discarded)) {
+    if (!co_await skip_body(answer)) {
       break;
     }
   }
@@ -366,32 +359,63 @@
   co_return false;
 }
 
-asio::awaitable<bool>
-request_exchange::read_body(upstream_connection &connection,
-                            response_parser &parser, std::string &body) {
+asio::awaitable<bool> request_exchange::skip_body(answer_reader &answer) {
+  answer.limit_body_time(deadline_);
+  std::uint64_t skipped = 0;
+  std::array<char, read_chunk_bytes> chunk{};
+  while (!answer.is_done()) {
+    const auto part = co_await answer.read_part(chunk);
+    if (!part) {
+      co_return false;
+    }
+    skipped += part.value();
+    if (skipped > gateway_.options().answers.surplus_bytes) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> request_exchange::read_body(answer_reader &answer,
+                                                  buffered_body &body) {
+  answer.limit_body_time(deadline_);
+  std::size_t needed = answer.announced_length().value_or(0);
   std::array<char, read_chunk_bytes> chunk{};
-  while (!parser.is_done()) {
-    auto &target = parser.get().body();
-    target.data = chunk.data();
-    target.size = chunk.size();
-    const auto [failure, bytes] = co_await beast_http::async_read_some(
-        connection.socket, connection.buffer, parser, as_result);
-    const bool whole = !failure || failure == beast_http::error::need_buffer;
-    if (!whole) {
+  while (!answer.is_done()) {
+    const auto part = co_await answer.read_part(chunk);
+    if (!part) {
+      last_failure_ = "the answer is not complete: " + describe(part.error());
+      co_return false;
+    }
+    needed = std::max(needed, body.text.size() + part.value());
+    if (!reserve(body, needed)) {
+      last_failure_ = "the answer is not complete: no memory for it";
       co_return false;
     }
     note_heard();
-    const std::size_t filled = chunk.size() - parser.get().body().size;
-    body.append(chunk.data(), filled);
-    held_.grow(filled);
+    body.text.append(chunk.data(), part.value());
   }
   co_return true;
 }
 
+bool request_exchange::reserve(buffered_body &body, std::size_t bytes) {
+  const std::size_t capacity = body.text.capacity();
+  if (bytes <= capacity) {
+    return true;
+  }
+  const std::size_t grown =
+      body.text.empty() ? bytes : std::max(bytes, 2 * capacity);
+  // While the text moves it takes both its old and its new place.
+  if (!body.memory.try_resize(body.text.size() + grown)) {
+    return false;
+  }
+  body.text.reserve(grown);
+  return true;
+}
+
 asio::awaitable<request_exchange::attempt_end>
-request_exchange::relay_stream(upstream_connection &connection,
-                               response_parser &parser) {
-  const response_head head = parser.get().base();
+request_exchange::relay_stream(answer_reader &answer) {
+  const response_head head = answer.head();
   if (!head_sent_ && !co_await start_stream(head)) {
     co_return attempt_outcome::lost;
   }
@@ -404,25 +428,27 @@
         .write();
   }
   event_splitter splitter;
+  answer_memory partial_event = gateway_.book_partial_event();
+  eventless_bytes_ = 0;
   std::array<char, read_chunk_bytes> chunk{};
-  while (!parser.is_done()) {
-    auto &target = parser.get().body();
-    target.data = chunk.data();
-    target.size = chunk.size();
-    const auto [failure, bytes] = co_await beast_http::async_read_some(
-        connection.socket, connection.buffer, parser, as_result);
-    const std::size_t filled = chunk.size() - parser.get().body().size;
-    auto events = splitter.feed({chunk.data(), filled});
-    if (filled > 0) {
-      note_heard();
+  while (!answer.is_done()) {
+    const auto part = co_await answer.read_part(chunk);
+    if (!part) {
+      last_failure_ = "the stream broke: " + describe(part.error());
+      co_return attempt_outcome::lost;
     }
+    auto events = splitter.feed({chunk.data(), part.value()});
     relayed_.note(events.size(), steady_now());
+    const std::uint64_t forwarded = events_forwarded_;
     if (!events.empty() && !co_await forward_events(std::move(events))) {
       last_failure_ = "writing to the client failed";
       co_return attempt_outcome::lost;
     }
-    if (failure && failure != beast_http::error::need_buffer) {
-      last_failure_ = "the stream broke: " + failure.message();
+    const bool has_new_events = events_forwarded_ > forwarded;
+    if (!partial_event.try_resize(splitter.buffered()) ||
+        !note_progress(answer, part.value(), has_new_events,
+                       !splitter.at_boundary())) {
+      last_failure_ = "the stream brings no events";
       co_return attempt_outcome::lost;
     }
   }
@@ -439,6 +465,23 @@
   co_return std::nullopt;
 }
 
+bool request_exchange::note_progress(answer_reader &answer, std::size_t bytes,
+                                     bool has_new_events,
+                                     bool is_within_event) {
+  if (has_new_events) {
+    note_heard();
+    eventless_bytes_ = 0;
+  } else {
+    eventless_bytes_ += bytes;
+  }
+  const bool is_late = !has_new_events && answer.is_event_late();
+  if (has_new_events) {
+    answer.set_within_event(false); // the next one begins
+  }
+  answer.set_within_event(is_within_event);
+  return !is_late && eventless_bytes_ <= gateway_.options().answers.event_bytes;
+}
+
 asio::awaitable<bool>
 request_exchange::forward_events(std::vector<stream_event> events) {
   std::string fresh;
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -9,6 +9,7 @@
 // the end of the stream.
 #pragma once
 
+#include "forwarding/answer_reader.hpp"
 #include "forwarding/attempt_plan.hpp"
 #include "forwarding/client_request.hpp"
 #include "forwarding/client_stream.hpp"
@@ -27,9 +28,6 @@
 #include <string_view>
 #include <vector>
 
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-
 namespace heathtrestle::forwarding {
 
 class request_exchange : public std::enable_shared_from_this<request_exchange> {
@@ -49,8 +47,7 @@
   static constexpr std::string_view record_outside_reason =
       "its record would leave its home regions";
 
-  using response_parser = beast_http::response_parser<beast_http::buffer_body>;
-  using response_head = beast_http::response_header<beast_http::fields>;
+  using response_head = answer_reader::response_head;
 
   /// The number and the times of the events received in one attempt.
   struct relayed_events {
@@ -67,6 +64,12 @@
     }
   };
 
+  /// The body of an answer that is read before it is forwarded.
+  struct buffered_body {
+    std::string text;
+    answer_memory memory;
+  };
+
   /// How one attempt ended; empty when the client has been answered.
   using attempt_end = std::optional<attempt_outcome>;
 
@@ -182,18 +185,25 @@
   /// Reads response heads until the one that belongs to this request. Answers
   /// to other requests are discarded. An answer is known by the id of the
   /// request, which is on each connection sent once.
-  asio::awaitable<bool> read_own_head(upstream_connection &connection,
-                                      std::optional<response_parser> &parser);
+  asio::awaitable<bool> read_own_head(answer_reader &answer);
+  /// Skips the body of an answer to another request.
+  /// @return false when it is too long, or the connection broke.
+  asio::awaitable<bool> skip_body(answer_reader &answer);
   /// Updates the cost model and the prefix cache estimate from a completed
   /// stream.
   void record_turn_timing(routing::instance &target, bool from_start);
   /// Returns the priority sent to the engine, from 0 (most urgent) to 9.
   [[nodiscard]] std::uint32_t engine_priority() const;
   [[nodiscard]] bool is_own(const response_head &head) const;
-  asio::awaitable<bool> read_body(upstream_connection &connection,
-                                  response_parser &parser, std::string &body);
-  asio::awaitable<attempt_end> relay_stream(upstream_connection &connection,
-                                            response_parser &parser);
+  asio::awaitable<bool> read_body(answer_reader &answer, buffered_body &body);
+  asio::awaitable<attempt_end> relay_stream(answer_reader &answer);
+  /// Notes what a part of the stream has brought.
+  /// @return false when the stream brings bytes but no new events.
+  bool note_progress(answer_reader &answer, std::size_t bytes,
+                     bool has_new_events, bool is_within_event);
+  /// Makes room for so many bytes of an answer, and books the memory.
+  /// @return false when there is none.
+  [[nodiscard]] static bool reserve(buffered_body &body, std::size_t bytes);
   /// Passes events on, and waits while the client has too many untaken ones.
   /// @return false when the client is gone.
   asio::awaitable<bool> forward_events(std::vector<stream_event> events);
@@ -280,6 +290,8 @@
   relayed_events relayed_;
   /// An answer to another request came first.
   bool had_surplus_ = false;
+  /// Bytes of the stream since its last new event.
+  std::size_t eventless_bytes_ = 0;
 
   /// Times of the stages of the request; the epoch if a stage was not reached.
   timestamp sent_at_{};
--- a/tests/support/scripted_replica.hpp
+++ b/tests/support/scripted_replica.hpp
@@ -31,6 +31,9 @@
   bool close = false;
   bool reset = false;
   duration_ms delay{0};
+  /// Sent after `bytes` until the connection ends, if not empty.
+  std::string repeated{};
+  duration_ms repeated_pause{0};
 };
 
 class scripted_replica {
@@ -93,6 +96,29 @@
     co_await timer.async_wait(as_result);
   }
 
+  /// Sends the repeated bytes until the gateway closes the connection.
+  asio::awaitable<void> repeat(std::shared_ptr<tcp::socket> accepted,
+                               scripted answer) {
+    constexpr std::size_t batch_bytes = 65536;
+    const bool is_fast = answer.repeated_pause.count() == 0;
+    std::string batch = answer.repeated;
+    while (is_fast && batch.size() < batch_bytes) {
+      batch += answer.repeated;
+    }
+    asio::steady_timer timer(io_);
+    while (true) {
+      const auto [failure, written] =
+          co_await asio::async_write(*accepted, asio::buffer(batch), as_result);
+      if (failure) {
+        co_return;
+      }
+      if (!is_fast) {
+        timer.expires_after(answer.repeated_pause);
+        co_await timer.async_wait(as_result);
+      }
+    }
+  }
+
   asio::awaitable<void> serve(std::shared_ptr<tcp::socket> accepted,
                               std::size_t opened) {
     tcp::socket &socket = *accepted;
@@ -126,6 +152,10 @@
       // Some tests disconnect before the answer, so a write error is ignored.
       static_cast<void>(co_await asio::async_write(
           socket, asio::buffer(next.bytes), as_result));
+      if (!next.repeated.empty()) {
+        co_await repeat(accepted, next);
+        co_return;
+      }
       if (next.reset) {
         socket.set_option(asio::socket_base::linger(true, 0));
       }
