Every other reader of HTTP has bounds on bytes and time

Calls end 5 s after the first byte of their answer, whose body has 16 MB in place of 64; pages give a request 5 s; the daemon's client keeps 16 MB of an answer and gives the whole of it the time that each part had; a line of an engine's stream has 128 KB.

Besides, a connection of `call_client` whose answer had bytes behind it went back to the idle ones, and they would have been read as the answer to the next call: it is closed.

--- a/src/engine_client/engine_client.cpp
+++ b/src/engine_client/engine_client.cpp
@@ -28,7 +28,8 @@
 /// lines are ignored.
 class sse_parser {
 public:
-  template <typename OnData> void feed(std::string_view part, OnData on_data) {
+  /// @return false when a line is too long.
+  template <typename OnData> bool feed(std::string_view part, OnData on_data) {
     pending_ += part;
     std::size_t start = 0;
     std::size_t end = 0;
@@ -45,10 +46,12 @@
       start = end + 1;
     }
     pending_.erase(0, start);
+    return pending_.size() <= max_line_bytes;
   }
 
 private:
   static constexpr std::string_view data_prefix = "data: ";
+  static constexpr std::size_t max_line_bytes = 128U << 10U;
   std::string pending_;
 };
 
@@ -172,10 +175,11 @@
         command.address(),
         generation_request(command, start_allowed, state.text.size()),
         generation_timeouts, [&](std::string_view part) {
-          parser.feed(part, [&](const json::object &data) {
-            apply_stream_data(data, command, state, post);
-          });
-          return !state.usage.has_value();
+          const bool is_sound =
+              parser.feed(part, [&](const json::object &data) {
+                apply_stream_data(data, command, state, post);
+              });
+          return is_sound && !state.usage.has_value();
         });
     if (state.usage.has_value()) {
       wire::EngineFinished finished;
--- a/src/http/call_client.cpp
+++ b/src/http/call_client.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/socket_options.hpp"
 #include "http/address.hpp"
+#include "http/message_reader.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -15,12 +16,16 @@
 
 namespace {
 
-constexpr std::uint64_t answer_limit = 64U << 20U;
+/// The lists of the largest deployments take some megabytes.
+constexpr std::uint64_t answer_limit = 16U << 20U;
+/// Time from the first byte of an answer to its end.
+constexpr duration_ms answer_time{5000};
 
 } // namespace
 
 struct call_client::connection {
-  explicit connection(asio::io_context &io) : socket(io), timer(io) {}
+  explicit connection(asio::io_context &io)
+      : socket(io), timer(io), buffer(max_element_bytes) {}
 
   tcp::socket socket;
   asio::steady_timer timer;
@@ -89,6 +94,7 @@
   if (sent != nullptr) {
     *sent = true;
   }
+  const timestamp deadline = steady_now() + timeout;
   connection::arm(over, timeout);
   request.prepare_payload();
   const auto [write_failure, written] =
@@ -99,6 +105,10 @@
   }
   beast_http::response_parser<beast_http::string_body> parser;
   parser.body_limit(answer_limit);
+  // A failure to wait shows again when the answer is read.
+  static_cast<void>(
+      co_await over->socket.async_wait(tcp::socket::wait_read, as_result));
+  connection::arm(over, std::min(deadline - steady_now(), answer_time));
   const auto [read_failure, bytes] = co_await beast_http::async_read(
       over->socket, over->buffer, parser, as_result);
   over->disarm();
@@ -106,7 +116,9 @@
     co_return std::nullopt;
   }
   call_response answer = parser.release();
-  if (answer.keep_alive() && over->socket.is_open()) {
+  // Bytes behind the answer would be taken for the answer to the next call.
+  const bool is_clean = over->buffer.size() == 0;
+  if (answer.keep_alive() && is_clean && over->socket.is_open()) {
     idle_.push_back(std::move(over));
   }
   co_return answer;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/address.hpp"
 #include "http/await.hpp"
+#include "http/message_reader.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -21,7 +22,9 @@
 
 constexpr unsigned http_1_1 = 11;
 constexpr std::size_t read_size = 16384;
-constexpr std::uint64_t response_limit = 1ULL << 32U;
+/// A response that is kept as a whole; a streamed one is bounded by its sink.
+constexpr std::uint64_t response_limit = 16ULL << 20U;
+constexpr std::uint64_t streamed_limit = 1ULL << 32U;
 constexpr std::uint32_t ok_status = 200;
 
 std::string target_of(const request &outgoing) {
@@ -96,9 +99,9 @@
     close();
     return broken("send", address, written.failure, ran_status::unknown);
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(max_element_bytes);
   beast::http::response_parser<beast::http::buffer_body> parser;
-  parser.body_limit(response_limit);
+  parser.body_limit(sink != nullptr ? streamed_limit : response_limit);
   const io_outcome head = await(executor, [&](auto done) {
     stream.expires_after(timeouts.silence);
     beast::http::async_read_header(stream, buffer, parser, std::move(done));
@@ -114,18 +117,34 @@
         std::string(field.value());
   }
   const bool streams = sink != nullptr && answer.status == ok_status;
+  const auto body_deadline =
+      std::chrono::steady_clock::now() + timeouts.silence;
   std::array<char, read_size> part{};
   while (!parser.is_done()) {
     parser.get().body().data = part.data();
     parser.get().body().size = part.size();
     const io_outcome read = await(executor, [&](auto done) {
-      stream.expires_after(timeouts.silence);
+      // Parts that keep coming do not prolong a response that is kept as a
+      // whole.
+      if (streams) {
+        stream.expires_after(timeouts.silence);
+      } else {
+        stream.expires_at(body_deadline);
+      }
       beast::http::async_read_some(stream, buffer, parser, std::move(done));
     });
     const bool failed =
         read.failure && read.failure != beast::http::error::need_buffer;
     const std::string_view received(part.data(),
                                     part.size() - parser.get().body().size);
+    if (!streams && answer.body.size() + received.size() > response_limit) {
+      close();
+      return error{.code = error_code::too_large,
+                   .message = "the response is too long",
+                   .step = "read response",
+                   .peer = address,
+                   .ran = ran_status::unknown};
+    }
     if (!streams) {
       answer.body += received;
     } else if (!received.empty() && !sink(received)) {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "base/error.hpp"
 #include "http/address.hpp"
 #include "http/await.hpp"
+#include "http/message_reader.hpp"
 #include "logging/log.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -176,7 +177,7 @@
 
 void server::state::serve(tcp::socket socket) {
   beast::tcp_stream stream(std::move(socket));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(max_element_bytes);
   bool open = true;
   while (open && !stopping) {
     beast::http::request_parser<beast::http::string_body> parser;
@@ -203,8 +204,10 @@
     }
     stream.expires_never();
     if (read.failure) {
-      const bool too_large = read.failure == beast::http::error::body_limit ||
-                             read.failure == beast::http::error::header_limit;
+      const bool too_large =
+          read.failure == beast::http::error::body_limit ||
+          read.failure == beast::http::error::header_limit ||
+          read.failure == beast::http::error::buffer_overflow;
       const error_code code =
           too_large ? error_code::too_large : error_code::invalid_request;
       logging::write(logging::event::http_request_rejected,
--- a/src/http/status_server.cpp
+++ b/src/http/status_server.cpp
@@ -1,6 +1,8 @@
 #include "http/status_server.hpp"
 
+#include "forwarding/stall_guard.hpp"
 #include "http/address.hpp"
+#include "http/message_reader.hpp"
 
 #include <memory>
 #include <utility>
@@ -21,6 +23,9 @@
 constexpr std::uint32_t status_not_allowed = 405;
 constexpr std::uint64_t largest_body = 65536;
 constexpr duration_ms accept_pause{50};
+/// Time from the first byte of a request to its end, and for each part of an
+/// answer.
+constexpr duration_ms transfer_time{5000};
 
 page page_for(const beast_http::request<beast_http::string_body> &request,
               const page_handler &handler) {
@@ -33,16 +38,23 @@
 
 asio::awaitable<void> serve_connection(tcp::socket socket,
                                        std::shared_ptr<page_handler> handler) {
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer(max_element_bytes);
   bool open = true;
   while (open) {
     beast_http::request_parser<beast_http::string_body> parser;
     parser.body_limit(largest_body);
+    if (buffer.size() == 0) {
+      // A failure to wait shows again when the request is read.
+      static_cast<void>(
+          co_await socket.async_wait(tcp::socket::wait_read, as_result));
+    }
+    forwarding::stall_guard guard(socket, transfer_time);
     const auto [failure, bytes] =
         co_await beast_http::async_read(socket, buffer, parser, as_result);
     if (failure) {
       co_return;
     }
+    guard.on_progress();
     page answer = page_for(parser.get(), *handler);
     beast_http::response<beast_http::string_body> message;
     message.result(answer.status);
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(a_stream_arrives_part_by_part);
   CPPUNIT_TEST(malformed_http_is_refused);
   CPPUNIT_TEST(an_oversized_body_is_refused);
+  CPPUNIT_TEST(framing_without_end_is_refused);
   CPPUNIT_TEST(a_refused_connection_is_reported_as_not_run);
   CPPUNIT_TEST_SUITE_END();
 
@@ -83,6 +84,14 @@
     CPPUNIT_ASSERT(answer.value().body.find("too_large") != std::string::npos);
   }
 
+  void framing_without_end_is_refused() {
+    constexpr std::size_t extension_bytes = 100000;
+    const std::string answer =
+        raw("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;" +
+            std::string(extension_bytes, 'a'));
+    CPPUNIT_ASSERT(answer.find("413") != std::string::npos);
+  }
+
   void a_refused_connection_is_reported_as_not_run() {
     const std::string address = server_->address();
     server_->stop_accepting();
