--- a/src/records/membership_plan.cpp
+++ b/src/records/membership_plan.cpp
@@ -8,6 +8,33 @@
 
 namespace {
 
+/// A node that can hold a copy of the log for as long as it takes. Briefly
+/// silent nodes are included: only the silence after which a voter is replaced
+/// counts.
+bool is_usable(const node_view &each) {
+  return !each.long_silent && !each.retiring && !each.dead;
+}
+
+/// Clears the wish to remove the machines that the group needs for its full
+/// number of voters, those of voters first. Until others take their place they
+/// are nodes like all others.
+std::vector<node_view> keep_needed(std::vector<node_view> nodes,
+                                   const group_size &size) {
+  auto usable = static_cast<std::size_t>(
+      std::count_if(nodes.begin(), nodes.end(), is_usable));
+  for (const bool votes : {true, false}) {
+    for (node_view &each : nodes) {
+      const bool is_needed = usable < size.voters && each.retiring &&
+                             !each.dead && each.votes == votes;
+      if (is_needed) {
+        each.retiring = false;
+        usable += is_usable(each) ? 1 : 0;
+      }
+    }
+  }
+  return nodes;
+}
+
 /// The live identity of the node of a dead replica; null if there is none.
 const node_view *successor_of(const node_view &dead,
                               const std::vector<node_view> &nodes) {
@@ -69,7 +96,7 @@
 
 /// A voter that is reachable or may return before it is worth replacing.
 bool is_healthy_voter(const node_view &each) {
-  return each.votes && !each.long_silent && !each.retiring && !each.dead;
+  return each.votes && is_usable(each);
 }
 
 /// A learner in excess of the spares, unless a voter is about to be replaced.
@@ -140,12 +167,6 @@
   return found == nodes.end() ? nullptr : &*found;
 }
 
-/// A node that may still become a voter. Briefly silent nodes are included:
-/// only the silence after which a voter is replaced counts.
-bool may_become_voter(const node_view &each) {
-  return !each.votes && !each.long_silent && !each.retiring && !each.dead;
-}
-
 /// Of the voters that fit, the one to remove first: lost ones, then retiring
 /// ones, and the leader last because it has to transfer leadership before.
 template <typename Fits>
@@ -167,11 +188,11 @@
   return least;
 }
 
-/// The voter to remove now: a surplus or lost one, or a retiring one that no
-/// node can replace while all others hold the log.
+/// The voter to remove now: a surplus one, or a retiring one that is lost
+/// anyway. A smaller group could not bear the losses that it is sized for, so a
+/// retiring voter waits for a node that takes its place.
 const node_view *next_voter_to_remove(const std::vector<node_view> &nodes,
-                                      const group_size &size,
-                                      bool recruit_spares) {
+                                      const group_size &size) {
   const std::size_t voters = count_voters(nodes);
   if (voters <= 1) {
     return nullptr;
@@ -185,18 +206,7 @@
   }
   const node_view *leaving =
       least_needed(nodes, [](const node_view &each) { return each.retiring; });
-  if (leaving == nullptr || leaving->dead) {
-    return leaving; // removing a dead voter loses nothing
-  }
-  if (!recruit_spares) {
-    return nullptr;
-  }
-  const bool may_leave =
-      std::ranges::all_of(nodes, [leaving](const node_view &each) {
-        const bool stays_in_touch = !each.votes || holds_log(each);
-        return &each == leaving || (stays_in_touch && !may_become_voter(each));
-      });
-  return may_leave ? leaving : nullptr;
+  return leaving != nullptr && leaving->dead ? leaving : nullptr;
 }
 
 } // namespace
@@ -208,9 +218,10 @@
 }
 
 std::optional<membership_change>
-next_membership_change(const std::vector<node_view> &nodes,
+next_membership_change(const std::vector<node_view> &all,
                        const std::vector<replica_id> &learners,
                        const group_size &size, bool recruit_spares) {
+  const std::vector<node_view> nodes = keep_needed(all, size);
   for (const node_view &each : nodes) {
     if (!each.votes || !each.dead) {
       continue;
@@ -236,7 +247,7 @@
   if (spare != nullptr && wanted && voters <= size.voters) {
     return add_voter{spare->replica};
   }
-  const node_view *removed = next_voter_to_remove(nodes, size, recruit_spares);
+  const node_view *removed = next_voter_to_remove(nodes, size);
   if (removed == nullptr) {
     const node_view *released = surplus_learner(nodes, learners, size);
     return released == nullptr ? std::nullopt
@@ -251,12 +262,7 @@
 
 bool tolerates_losses(const std::vector<node_view> &nodes,
                       const group_size &size) {
-  if (count_log_holders(nodes) >= size.voters) {
-    return true;
-  }
-  return std::ranges::none_of(nodes, [](const node_view &each) {
-    return may_become_voter(each) || (each.votes && !holds_log(each));
-  });
+  return count_log_holders(nodes) >= size.voters;
 }
 
 } // namespace heathtrestle::records
--- a/src/records/membership_plan.hpp
+++ b/src/records/membership_plan.hpp
@@ -78,25 +78,24 @@
 };
 
 /// True when the group tolerates the losses that it is sized for: its full
-/// number of voters, or one on every available node, is reachable and holds the
-/// log.
+/// number of voters is reachable and holds the log.
 bool tolerates_losses(const std::vector<node_view> &nodes,
                       const group_size &size);
 
 /// Decides the next membership change, if any. Voters and spares are spread
 /// over the zones as evenly as the nodes allow.
+/// @param all the nodes that the leader knows.
 /// @param learners nodes that already receive the log without a vote.
 /// @param recruit_spares false while a new leader cannot know yet which nodes
 /// are available. A full set of voters then adds only successors of dead
-/// voters, since a new follower needs a transfer of the whole state, and no
-/// voter leaves without a successor.
+/// voters, since a new follower needs a transfer of the whole state.
 ///
 /// A reachable voter that holds the log is removed only once as many others
 /// hold it as the group has voters, so that removing machines does not use up
-/// the tolerated losses. When no node can take its place, it is removed if all
-/// remaining voters are reachable and hold the log.
+/// the tolerated losses. When no node can take its place, it stays, and is
+/// replaced by its successor if it loses its disk.
 std::optional<membership_change>
-next_membership_change(const std::vector<node_view> &nodes,
+next_membership_change(const std::vector<node_view> &all,
                        const std::vector<replica_id> &learners,
                        const group_size &size, bool recruit_spares = true);
 
--- a/tests/support/record_group.hpp
+++ b/tests/support/record_group.hpp
@@ -93,6 +93,7 @@
     started.node = std::make_unique<records::record_node>(
         std::move(self), std::move(recovered), options_, now_, random_());
     started.node->learn_members(directory());
+    started.node->set_retiring(retiring_); // the requests are read again
   }
   void isolate(const std::string &name) { isolated_.insert(name); }
   void heal() {
