--- a/src/forwarding/gateway_settings.cpp
+++ b/src/forwarding/gateway_settings.cpp
@@ -79,11 +79,12 @@
   schema.choices("policy.disabled", settings.disabled_policies, policy_names(),
                  "mechanisms of choice that are switched off, to measure what "
                  "they are worth");
-  schema.integer("limits.memory_mb", settings.memory_mb, 0, most_memory_mb,
-                 "megabytes of memory that this process may use; two fifths of "
-                 "them may be held for open requests, beyond that new ones are "
-                 "refused, and a sixteenth for answers beyond 64 KB each; 0 for "
-                 "no limit of requests and 16 MB for answers");
+  schema.integer(
+      "limits.memory_mb", settings.memory_mb, 0, most_memory_mb,
+      "megabytes of memory that this process may use; two fifths of "
+      "them may be held for open requests, beyond that new ones are "
+      "refused, and a sixteenth for answers beyond 64 KB each; 0 for "
+      "no limit of requests and 16 MB for answers");
   schema.choice("log.level", settings.log_level,
                 {"debug", "info", "warning", "error"},
                 "least severity that is logged");
