--- a/scripts/lib/platform_cluster.sh
+++ b/scripts/lib/platform_cluster.sh
@@ -137,12 +137,27 @@
     sed -n "s/^heathtrestle_gateway_$2 //p"
 }
 
-start_platform_cluster() {
+# Starts the object store and three storage nodes, which found their group.
+start_store_and_group() {
+  local number
   start_object_store
   wait_until 100 curl -s -m 1 -o /dev/null "http://$store_address/objects/config"
   for number in 1 2 3; do
     start_storage "$number" true
   done
+}
+
+# Waits until all gateways and the record group serve.
+wait_for_cluster() {
+  local number
+  for ((number = 1; number <= gateways; number++)); do
+    wait_until 100 gateway_is_ready "$number"
+  done
+  wait_until 200 group_is_whole
+}
+
+start_platform_cluster() {
+  start_store_and_group
   start_replica 1 engine-1 models --replica.events 5 "$@"
   start_replica 2 engine-2 models --replica.events 5 "$@"
   start_replica 3 tool-1 tools --replica.surplus_every 5
@@ -150,9 +165,7 @@
     start_gateway "$number"
   done
   write_configuration 1
-  wait_until 100 gateway_is_ready 1
-  wait_until 100 gateway_is_ready 2
-  wait_until 200 group_is_whole
+  wait_for_cluster
 }
 
 # The flags that name all gateways to a client.
--- a/tests/process/crashing_replicas.sh
+++ b/tests/process/crashing_replicas.sh
@@ -79,11 +79,7 @@
 end_others() { end_replicas; }
 
 start_crash_cluster() {
-  start_object_store
-  wait_until 100 curl -s -m 1 -o /dev/null "http://$store_address/objects/config"
-  for number in 1 2 3; do
-    start_storage "$number" true
-  done
+  start_store_and_group
   for number in 1 2 3; do
     start_gateway "$number"
   done
--- a/tests/process/platform_endless_bytes.sh
+++ b/tests/process/platform_endless_bytes.sh
@@ -36,11 +36,7 @@
 }
 
 start_fleet() {
-  start_object_store
-  wait_until 100 curl -s -m 1 -o /dev/null "http://$store_address/objects/config"
-  for number in 1 2 3; do
-    start_storage "$number" true
-  done
+  start_store_and_group
   for number in 1 2 3 4; do
     start_replica "$number" "tool-$number" tools --replica.slots 100 \
       --replica.event_pause 250
@@ -51,10 +47,7 @@
     start_gateway "$number" --limits.memory_mb 64
   done
   write_configuration 1
-  for number in 1 2 3; do
-    wait_until 100 gateway_is_ready "$number"
-  done
-  wait_until 200 group_is_whole
+  wait_for_cluster
 }
 
 start_bad_replicas() { # kind
@@ -87,10 +80,6 @@
   loads+=($!)
 }
 
-value_of() { # name line
-  sed -n "s/.* $1[ =]\([0-9]*\).*/\1/p" <<<" $2"
-}
-
 check_load() { # kind name limit_ms may_fail
   local what="$1, $2" outcome requests whole slowest max_wait_ms=$(($3 * 2 / 3))
   outcome=$(cat "$run/load-$2")
--- a/tests/process/platform_repeated_refusals.sh
+++ b/tests/process/platform_repeated_refusals.sh
@@ -13,11 +13,7 @@
 failures=()
 
 start_fleet() { # flags...
-  start_object_store
-  wait_until 100 curl -s -m 1 -o /dev/null "http://$store_address/objects/config"
-  for number in 1 2 3; do
-    start_storage "$number" true
-  done
+  start_store_and_group
   for ((number = 1; number <= 4; number++)); do
     start_replica "$number" "tool-$number" tools --replica.slots 3 \
       --replica.event_pause 600 "$@"
@@ -28,10 +24,7 @@
     start_gateway "$number"
   done
   write_configuration 1
-  for number in 1 2 3; do
-    wait_until 100 gateway_is_ready "$number"
-  done
-  wait_until 200 group_is_whole
+  wait_for_cluster
 }
 
 # Prints how many requests have run, and how many of them more than once.
@@ -43,10 +36,6 @@
       printf "%d %d", ran, twice }'
 }
 
-value_of() { # name line
-  sed -n "s/.* $1[ =]\([0-9]*\).*/\1/p" <<<" $2"
-}
-
 play() { # what flags...
   local what=$1 outcome before after twice_before twice requests refused bad
   shift
--- a/tests/process/versioned_streams.sh
+++ b/tests/process/versioned_streams.sh
@@ -12,11 +12,7 @@
 
 # Two replicas of v1 (numbers 1 and 2) and two of v1.1 (11 and 12).
 start_release_cluster() { # flags of replicas...
-  start_object_store
-  wait_until 100 curl -s -m 1 -o /dev/null "http://$store_address/objects/config"
-  for number in 1 2 3; do
-    start_storage "$number" true
-  done
+  start_store_and_group
   for number in 1 2; do
     start_versioned_replica "$number" v1 "$@"
   done
@@ -27,10 +23,7 @@
     start_gateway "$number"
   done
   write_configuration 1
-  for number in 1 2 3; do
-    wait_until 100 gateway_is_ready "$number"
-  done
-  wait_until 200 group_is_whole
+  wait_for_cluster
 }
 
 value_in() { # outcome name
