--- a/review/lib-2/resumed_turn.cpp
+++ b/review/lib-2/resumed_turn.cpp
@@ -51,7 +51,9 @@
   bool finished = false;
 
 private:
-  std::string headers(const std::string &previous, int after) const {
+  /// @param began the attempt that brought the first event, if any.
+  std::string headers(const std::string &previous, int after,
+                      const std::string &began) const {
     std::string text = "X-Program-Id: 3fa81c" + name_ + "\r\nX-Session-Id: 77d2" +
                        name_ +
                        "\r\nX-Program-Deadline-Ms: 20000\r\n"
@@ -61,7 +63,8 @@
       text += "X-Previous-Turn: " + previous + "\r\n";
     }
     if (after > 0) {
-      text += "Last-Event-Id: " + std::to_string(after) + "\r\n";
+      text += "Last-Event-Id: " + std::to_string(after) +
+              "\r\nResumes: " + began + "\r\n";
     }
     return text;
   }
@@ -71,6 +74,7 @@
   turn take(const std::string &input, const std::string &previous) {
     turn one;
     int got = 0;
+    std::string began;
     for (int tried = 0; tried < 6; ++tried) {
       const int gateway = previous.empty() && tried == 0 ? 1 : 2;
       const std::string attempt =
@@ -85,7 +89,7 @@
       const auto link = connection::to(system_.gateway_port(gateway));
       if (link) {
         link->send(request_text("/turns/x", attempt, deadline,
-                                headers(previous, got), input));
+                                headers(previous, got, began), input));
         const bool first = gateway == 1;
         link->read(answer, deadline + 500, [&](const std::string &body) {
           if (first && count_events(body) == killed_after) {
@@ -98,6 +102,7 @@
                  (answer.complete ? " whole, " : " broken off, ") +
                  std::to_string(count_events(answer.body)) + " events");
       if (answer.status() == 200) {
+        began = got == 0 ? attempt : began;
         one.data += data_of(answer.body);
         got += count_events(answer.body);
       }
@@ -107,6 +112,7 @@
       }
       if (answer.status() != 200) {
         one = {}; // refused: once more from its start
+        began.clear();
         got = 0;
         pause_ms(300);
       }
