--- a/review/lib-2/harness.hpp
+++ b/review/lib-2/harness.hpp
@@ -920,9 +920,28 @@
   std::_Exit(code);
 }
 
-inline bool has_trouble() {
-  const char *set = std::getenv("TROUBLE");
-  return set == nullptr || std::string(set) != "0";
+/// The arguments of a case: the record's path, the folder for temporary files,
+/// and whether the disruption is played.
+struct arguments {
+  std::string record;
+  std::string folder;
+  bool trouble = true;
+};
+
+/// Opens the record. Ends the process when the arguments are wrong.
+inline arguments begin_case(int argc, char **argv) {
+  const std::string mode = argc == 4 ? argv[3] : "";
+  if (mode != "with-trouble" && mode != "without-trouble") {
+    std::fprintf(stderr, "usage: %s RECORD FOLDER "
+                         "with-trouble|without-trouble\n", argv[0]);
+    std::_Exit(could_not_run);
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  log().open(argv[1]);
+  log().line("the case is played " + mode);
+  return {.record = argv[1],
+          .folder = argv[2],
+          .trouble = mode == "with-trouble"};
 }
 
 } // namespace review
--- a/review/lib-2/resumed_turn.cpp
+++ b/review/lib-2/resumed_turn.cpp
@@ -125,8 +125,8 @@
   std::atomic<int> &under_way_;
 };
 
-[[noreturn]] void play(const std::string &folder) {
-  cluster system(folder);
+[[noreturn]] void play(const arguments &given) {
+  cluster system(given.folder);
   if (!system.start(configuration)) {
     finish(system, could_not_run);
   }
@@ -146,7 +146,7 @@
     all.push_back(std::make_unique<line>(system, number, under_way));
     threads.emplace_back([each = all.back().get()] { each->play(); });
   }
-  if (has_trouble()) {
+  if (given.trouble) {
     while (under_way == 0) {
       pause_ms(1);
     }
@@ -185,11 +185,4 @@
 
 } // namespace
 
-int main(int argc, char **argv) {
-  std::signal(SIGPIPE, SIG_IGN);
-  if (argc != 3) {
-    return could_not_run;
-  }
-  log().open(argv[1]);
-  play(argv[2]);
-}
+int main(int argc, char **argv) { play(begin_case(argc, argv)); }
--- a/review/lib-2/smuggled_request.cpp
+++ b/review/lib-2/smuggled_request.cpp
@@ -17,8 +17,8 @@
 
 constexpr int patience = 2500; // ms
 
-[[noreturn]] void play(const std::string &folder) {
-  cluster system(folder);
+[[noreturn]] void play(const arguments &given) {
+  cluster system(given.folder);
   runs noted;
   replica tool(noted, "i-tool", 0, 0);
   if (!system.start(configuration) ||
@@ -36,7 +36,7 @@
     const std::string hidden = request_text(
         "/tools/hidden", "hidden-" + std::to_string(number), 2000, "", "");
     const std::string framing =
-        has_trouble()
+        given.trouble
             ? "Transfer-Encoding: " + coding + "\r\n"
             : "Content-Length: " + std::to_string(hidden.size()) + "\r\n";
     bodies[outer] = hidden;
@@ -55,7 +55,7 @@
       log().line("answer: " + answer.start + ", attempt " +
                  answer.field("x-attempt-id") + ", body \"" +
                  printable(answer.body) + "\"");
-      if (answer.field("connection") == "close" || !has_trouble()) {
+      if (answer.field("connection") == "close" || !given.trouble) {
         break;
       }
     }
@@ -76,7 +76,7 @@
              " with their body, " + std::to_string(changed) +
              " with another body; hidden requests that ran: " +
              std::to_string(smuggled));
-  if (!has_trouble() && whole == 0) {
+  if (!given.trouble && whole == 0) {
     finish(system, could_not_run);
   }
   finish(system, smuggled > 0 ? broken : held);
@@ -84,11 +84,4 @@
 
 } // namespace
 
-int main(int argc, char **argv) {
-  std::signal(SIGPIPE, SIG_IGN);
-  if (argc != 3) {
-    return could_not_run;
-  }
-  log().open(argv[1]);
-  play(argv[2]);
-}
+int main(int argc, char **argv) { play(begin_case(argc, argv)); }
