Refuse to resume a retained turn whose first events are not known

Cause: the record of a turn is what one attempt forwarded, and its end recorded that as the whole turn. Nothing looked at Last-Event-Id.

Change: on a retained route a request that asks for what follows an event gets 503 at once, before it asks for a grant, a permit or a replica. The client begins its turn anew, and that record is whole.

--- a/src/forwarding/client_request.cpp
+++ b/src/forwarding/client_request.cpp
@@ -106,6 +106,7 @@
   request.prompt = parse_prompt(field(names.prompt_parts));
   request.previous_turn = field(names.previous_turn);
   request.resumes = field(names.resumes);
+  request.resumes_after_event = message.count(names.last_event_id) > 0;
   const auto budget = parse_number(field(names.token_budget));
   if (budget && !request.program.empty()) {
     request.turn = turn_header{
--- a/src/forwarding/client_request.hpp
+++ b/src/forwarding/client_request.hpp
@@ -47,6 +47,8 @@
   /// The attempt that brought the first event of the stream that this request
   /// resumes; empty when the client names none.
   std::string resumes;
+  /// Whether the client asks for what follows an event that it already has.
+  bool resumes_after_event = false;
 
   /// Time until the program's deadline, if the client sent it; negative when
   /// the deadline has passed.
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -102,6 +102,9 @@
 
   // The turn of a program.
   [[nodiscard]] bool needs_grant() const;
+  /// Whether the turn would be recorded without its first events: only the
+  /// attempts that forwarded them knew them.
+  [[nodiscard]] bool lacks_first_events() const;
   /// @return true when the request may run; otherwise the client has been
   /// answered.
   asio::awaitable<bool> begin_turn();
--- a/src/forwarding/request_permissions.cpp
+++ b/src/forwarding/request_permissions.cpp
@@ -41,6 +41,12 @@
 }
 
 asio::awaitable<bool> request_exchange::acquire_permissions() {
+  if (lacks_first_events()) {
+    gateway_.metrics().on_refused("unknown_events");
+    co_await answer(status_unavailable, duration_ms{0},
+                    "the first events of the turn are not known");
+    co_return false;
+  }
   if (caller_.permit) {
     permit_.emplace(gateway_, request_, *caller_.permit, deadline_);
     permit_->request();
@@ -137,6 +143,10 @@
   return request_.turn.has_value() || route_->retained || is_resumable_stream();
 }
 
+bool request_exchange::lacks_first_events() const {
+  return route_->retained && request_.resumes_after_event;
+}
+
 asio::awaitable<bool> request_exchange::pause_for_budget() {
   const timestamp last_request = turn_->wait_deadline() - grant_reply_time;
   if (client_gone_ || steady_now() + budget_pause >= last_request) {
