--- a/tests/records/record_table_test.cpp
+++ b/tests/records/record_table_test.cpp
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(a_turn_that_expires_while_a_snapshot_travels_still_decides);
   CPPUNIT_TEST(decided_changes_are_answered_as_by_the_log);
   CPPUNIT_TEST(undecided_changes_need_the_log);
+  CPPUNIT_TEST(a_name_that_is_not_utf8_travels);
   CPPUNIT_TEST_SUITE_END();
 
   record_table table_;
@@ -94,6 +95,32 @@
   }
 
 public:
+  /// A receiver would drop the whole message, with the requests of others.
+  void a_name_that_is_not_utf8_travels() {
+    const std::string name = "a\xff";
+    wire::Envelope message;
+    wire::RecordRequest &request = *message.mutable_record_request();
+    for (wire::RecordChange change :
+         {begin(name, 1, 10, name), end(name, 1, name, true), read(name)}) {
+      if (change.has_begin()) {
+        change.mutable_begin()->set_program(name);
+        change.mutable_begin()->set_session(name);
+        change.mutable_begin()->set_resumes(name);
+      }
+      *request.add_items()->mutable_change() = std::move(change);
+    }
+    wire::ReportCrashes &crashes =
+        *request.add_items()->mutable_change()->mutable_report_crashes();
+    crashes.set_account(name);
+    crashes.set_attempt(name);
+    wire::Envelope read_back;
+    CPPUNIT_ASSERT(read_back.ParseFromString(message.SerializeAsString()));
+    apply(end(name, 1, "", true));
+    wire::RecordSnapshot restored;
+    CPPUNIT_ASSERT(
+        restored.ParseFromString(table_.snapshot().SerializeAsString()));
+  }
+
   void decided_changes_are_answered_as_by_the_log() {
     apply(end("a", 5, "", true));
     apply(begin("b", 10, 100, "a"));
