Resume a stream only where the version that began it is certain

Callers saw, on similar systems: streams that were taken up held events of two software versions (ORDER), after all gateways were killed beside two versions, or at a gateway that had been out of step while a version joined.

Cause, as far as it can happen here: a client that names no attempt was served at any version; and where the record group does not know an attempt, the gateway took the only version of its list, however old that list was. What came and left between two listings shows in neither.

Change: a resumption without a name gets the version of the program's recorded attempts, if it is one; otherwise it goes on where one version alone is known, and gets 503 where several are. The list counts only if a relay has confirmed it within a second, and a full listing or the removal of an unknown replica begins the time anew for which it must be complete.

With the decisions taken out four cases of stream_of_two_versions_test and one of stream_origins_test fail.

--- a/src/forwarding/gateway.hpp
+++ b/src/forwarding/gateway.hpp
@@ -98,6 +98,16 @@
   void set_unconfirmed_everywhere(std::function<bool()> asked) {
     unconfirmed_everywhere_ = std::move(asked);
   }
+  /// Sets the callback that returns whether the listed replicas were confirmed
+  /// a moment ago.
+  void set_replicas_are_current(std::function<bool()> asked) {
+    replicas_are_current_ = std::move(asked);
+  }
+  /// Returns whether the list of replicas is known to be current. That of a
+  /// process that stood still or was cut off is not.
+  [[nodiscard]] bool replicas_are_current() const {
+    return replicas_are_current_();
+  }
   /// Returns the Retry-After for a request whose key cannot be verified: short
   /// when another gateway can serve it, otherwise the time in which the object
   /// store may recover.
@@ -188,6 +198,7 @@
   routing::split_rotation rotation_;
   tenant_gate tenants_;
   std::function<bool()> unconfirmed_everywhere_ = [] { return false; };
+  std::function<bool()> replicas_are_current_ = [] { return true; };
   upstream_pool pool_;
   replica_selector replicas_;
   records::turn_cache turns_;
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -46,6 +46,9 @@
 /// first.
 constexpr int rounds_without_store = 4;
 constexpr duration_ms max_lookup_interval{4000};
+/// Age of a confirmation up to which the list of replicas counts as current.
+/// Spans several heartbeats of the follower.
+constexpr duration_ms max_listing_age{1000};
 /// The fraction of the memory that is kept for large answers.
 constexpr std::size_t large_answers_part = 16;
 constexpr std::uint32_t status_not_found = 404;
@@ -174,6 +177,9 @@
   }
   gateway_.set_unconfirmed_everywhere(
       [this] { return follower_.no_relay_is_current(); });
+  gateway_.set_replicas_are_current([this] {
+    return steady_now() < follower_.confirmed_at() + max_listing_age;
+  });
   const auto not_relayed = [this] { return !follower_.is_current(); };
   const auto no_relay_is_current = [this] {
     return follower_.no_relay_is_current();
--- a/src/forwarding/program_turn.cpp
+++ b/src/forwarding/program_turn.cpp
@@ -123,7 +123,8 @@
           .lifetime = std::max(deadline_ - steady_now(), min_lifetime),
           .version = version_.value_or(software_version{}),
           .version_choice = version_choice_,
-          .resumes = resumes_};
+          .resumes = resumes_,
+          .resumes_unnamed = resumes_.empty() && request_.resumes_after_event};
 }
 
 void program_turn::shorten_wait() {
--- a/src/forwarding/replica_selector.cpp
+++ b/src/forwarding/replica_selector.cpp
@@ -226,7 +226,9 @@
 
 void replica_selector::remove(const routing::instance_id &id) {
   rejected_.forget(id.value());
-  unlist(id);
+  if (!unlist(id)) {
+    complete_since_ = steady_now(); // nothing is known of what has left
+  }
 }
 
 bool replica_selector::unlist(const routing::instance_id &id) {
@@ -252,7 +254,7 @@
 void replica_selector::replace_all(
     std::vector<routing::instance_record> records,
     const std::vector<routing::rejected_entry> &rejected) {
-  listed_since_ = std::min(listed_since_, steady_now());
+  complete_since_ = steady_now();
   std::set<routing::instance_id> kept;
   std::set<std::string> named;
   for (const routing::instance_record &record : records) {
@@ -298,9 +300,13 @@
 std::optional<software_version> replica_selector::only_possible_version(
     const routing::service_id &service) const {
   const timestamp earliest = steady_now() - options_.max_stream_age;
-  if (listed_since_ > earliest) {
-    return std::nullopt; // versions may have left before the first listing
-  }
+  return complete_since_ > earliest ? std::nullopt
+                                    : only_known_version(service);
+}
+
+std::optional<software_version>
+replica_selector::only_known_version(const routing::service_id &service) const {
+  const timestamp earliest = steady_now() - options_.max_stream_age;
   std::set<software_version> possible =
       versions_.unlisted_since(service, earliest);
   for (const auto &[version, replicas] : directory_.versions_of(service)) {
--- a/src/forwarding/replica_selector.hpp
+++ b/src/forwarding/replica_selector.hpp
@@ -123,6 +123,10 @@
   /// one can have begun it.
   [[nodiscard]] std::optional<software_version>
   only_possible_version(const routing::service_id &service) const;
+  /// Returns the version of all replicas that are listed or were lately, if it
+  /// is one. Others may have come and left unseen.
+  [[nodiscard]] std::optional<software_version>
+  only_known_version(const routing::service_id &service) const;
   /// The zones that are being drained.
   [[nodiscard]] routing::zone_drains &drains() { return drains_; }
   [[nodiscard]] const routing::zone_drains &drains() const { return drains_; }
@@ -275,8 +279,10 @@
   routing::instance_directory directory_;
   routing::rejected_entries rejected_;
   routing::version_history versions_;
-  /// When the directory was first listed; the maximum before that.
-  timestamp listed_since_ = timestamp::max();
+  /// Since when no replica can have come and left unseen: a listing does not
+  /// tell of those that were there between it and the one before. The maximum
+  /// before the first listing.
+  timestamp complete_since_ = timestamp::max();
   /// Replicas with requests of this gateway in flight; some may no longer be
   /// listed.
   std::set<routing::instance_ptr> busy_;
--- a/src/forwarding/request_exchange.hpp
+++ b/src/forwarding/request_exchange.hpp
@@ -125,8 +125,11 @@
   // The software version of a stream's replicas.
   /// Whether the stream may continue at another replica.
   [[nodiscard]] bool is_resumable_stream() const;
-  /// Whether another attempt of the client began the stream.
-  [[nodiscard]] bool resumes_stream() const;
+  /// Whether the client names another attempt that began the stream.
+  [[nodiscard]] bool resumes_named_stream() const;
+  /// Whether another attempt of the client began the stream, and it does not
+  /// say which.
+  [[nodiscard]] bool resumes_unnamed_stream() const;
   /// Whether replicas of several versions are listed.
   [[nodiscard]] bool lists_several_versions() const;
   /// Returns the version at which the stream would be served now.
@@ -135,6 +138,9 @@
   /// @return false when it is not known which version began the stream; then
   /// the client has been answered.
   asio::awaitable<bool> apply_recorded_version();
+  /// Applies the only version that can have begun the stream.
+  /// @return false when there is none; then the client has been answered.
+  asio::awaitable<bool> apply_only_version();
   /// Chooses a replica of the stream's version, or one of another version while
   /// that can still change.
   asio::awaitable<placement> choose_replica(send_step step);
--- a/src/forwarding/request_permissions.cpp
+++ b/src/forwarding/request_permissions.cpp
@@ -164,7 +164,7 @@
   }
   turn_->set_version(preferred_version());
   const bool can_do_without =
-      turn_->records_only_version() && !resumes_stream();
+      turn_->records_only_version() && !resumes_named_stream();
   if (can_do_without && !lists_several_versions()) {
     turn_->shorten_wait();
   }
@@ -179,6 +179,9 @@
     co_return co_await apply_recorded_version();
   }
   if (verdict == records::turn_verdict::unavailable && can_do_without) {
+    if (resumes_unnamed_stream()) {
+      co_return co_await apply_only_version();
+    }
     keep_requested_version();
     co_return true;
   }
@@ -251,10 +254,15 @@
   return route_->kind == routing::request_kind::streaming && route_->resumable;
 }
 
-bool request_exchange::resumes_stream() const {
+bool request_exchange::resumes_named_stream() const {
   return is_resumable_stream() && !request_.resumes.empty();
 }
 
+bool request_exchange::resumes_unnamed_stream() const {
+  return is_resumable_stream() && request_.resumes.empty() &&
+         request_.resumes_after_event;
+}
+
 bool request_exchange::lists_several_versions() const {
   const auto &listed = gateway_.replicas().directory().versions_of(service_);
   return listed.size() > 1;
@@ -265,7 +273,10 @@
   if (!is_resumable_stream() || listed.empty()) {
     return std::nullopt;
   }
-  const bool is_decided = !lists_several_versions() || resumes_stream();
+  if (resumes_unnamed_stream() && lists_several_versions()) {
+    return std::nullopt; // only one that is known may be recorded
+  }
+  const bool is_decided = !lists_several_versions() || resumes_named_stream();
   if (is_decided) {
     return listed.begin()->first;
   }
@@ -278,7 +289,7 @@
 asio::awaitable<bool> request_exchange::apply_recorded_version() {
   const records::stream_origin &origin = turn_->origin();
   const bool is_recorded = !origin.version.value().empty();
-  if (!resumes_stream()) {
+  if (!resumes_named_stream() && !resumes_unnamed_stream()) {
     if (is_recorded) {
       version_.choose(origin.version);
     }
@@ -288,7 +299,19 @@
     version_.fix(origin.version);
     co_return true;
   }
-  const auto only = gateway_.replicas().only_possible_version(service_);
+  co_return co_await apply_only_version();
+}
+
+asio::awaitable<bool> request_exchange::apply_only_version() {
+  // A client that names no attempt cannot be told apart from one of before that
+  // rule: its stream goes on where only one version is known.
+  const replica_selector &replicas = gateway_.replicas();
+  std::optional<software_version> only;
+  if (resumes_unnamed_stream()) {
+    only = replicas.only_known_version(service_);
+  } else if (gateway_.replicas_are_current()) {
+    only = replicas.only_possible_version(service_);
+  }
   if (only) {
     version_.fix(*only);
     co_return true;
--- a/src/objects/object_follower.cpp
+++ b/src/objects/object_follower.cpp
@@ -113,11 +113,13 @@
   }
   last_answer_at_ = steady_now();
   bool all_current = true;
+  bool all_complete = true;
   bool any_loading = false;
   for (const wire::CopiedKind &copied : copies.kinds()) {
     if (object_watch *watch = find_watch(copied.kind())) {
       apply_copy(copied, *watch);
       record_confirmation(copies, copied, *watch);
+      all_complete = all_complete && copied.revision() <= watch->revision();
     }
     all_current = all_current && copied.current();
     any_loading = any_loading || copied.loading();
@@ -129,6 +131,10 @@
     last_current_at_ = last_useful_at_;
     current_until_ = last_useful_at_ + options_.confirmation_validity;
     relays_tried_ = 0; // the next search starts at the first relay again
+    if (all_complete && copies.heartbeat_sent_ms() > 0) {
+      confirmed_at_ =
+          std::max(confirmed_at_, timestamp_from(copies.heartbeat_sent_ms()));
+    }
   } else if (heartbeat && any_loading) {
     on_loading();
   }
--- a/src/objects/object_follower.hpp
+++ b/src/objects/object_follower.hpp
@@ -72,6 +72,10 @@
   /// True while a relay has recently confirmed the copies, and during the
   /// startup grace period.
   [[nodiscard]] bool is_current() const;
+  /// When the copies were last known to be complete: a current relay has
+  /// confirmed them in answer to a heartbeat that was sent then. The epoch if
+  /// none has.
+  [[nodiscard]] timestamp confirmed_at() const { return confirmed_at_; }
   /// True while relays answer but none of those tried recently is current: the
   /// store is unavailable to them too.
   [[nodiscard]] bool no_relay_is_current() const;
@@ -120,6 +124,7 @@
   timestamp last_loading_at_{};
   /// When a relay last confirmed the copies as current.
   timestamp last_current_at_{};
+  timestamp confirmed_at_{};
   /// The copies count as current until this time.
   timestamp current_until_{};
 };
--- a/src/records/ledger_client.cpp
+++ b/src/records/ledger_client.cpp
@@ -77,6 +77,7 @@
   message.set_software_version(request.version.value());
   message.set_version_choice(request.version_choice);
   message.set_resumes(std::move(request.resumes));
+  message.set_resumes_unnamed(request.resumes_unnamed);
   return change;
 }
 
--- a/src/records/stream_origins.cpp
+++ b/src/records/stream_origins.cpp
@@ -1,5 +1,7 @@
 #include "records/stream_origins.hpp"
 
+#include <algorithm>
+
 namespace heathtrestle::records {
 
 std::optional<wire::StreamOrigin>
@@ -10,10 +12,10 @@
   if (auto known = recorded(wanted)) {
     return known;
   }
-  if (wanted.software_version().empty()) {
+  origin chosen = resolve(wanted);
+  if (chosen.version.empty()) {
     return std::nullopt;
   }
-  origin chosen = resolve(wanted);
   chosen.expires_ms =
       now_ms + wanted.lifetime_ms() +
       static_cast<std::uint64_t>(stream_origin_retention.count());
@@ -24,20 +26,39 @@
 stream_origins::origin
 stream_origins::resolve(const wire::BeginTurn &wanted) const {
   const auto first = by_attempt_.find(wanted.resumes());
-  if (first != by_attempt_.end()) {
+  if (first != by_attempt_.end() && !wanted.software_version().empty()) {
     return {.version = first->second.version,
             .choice = wanted.version_choice(),
             .is_continuation = true};
   }
+  const auto only = wanted.resumes_unnamed() ? only_version() : std::nullopt;
+  if (only) {
+    return {.version = *only,
+            .choice = wanted.version_choice(),
+            .is_continuation = true};
+  }
   return {.version = wanted.software_version(),
           .choice = wanted.version_choice()};
 }
 
+std::optional<std::string> stream_origins::only_version() const {
+  if (by_attempt_.empty()) {
+    return std::nullopt;
+  }
+  const std::string &first = by_attempt_.begin()->second.version;
+  const bool is_only =
+      std::ranges::all_of(by_attempt_, [&first](const auto &entry) {
+        return entry.second.version == first;
+      });
+  return is_only ? std::optional(first) : std::nullopt;
+}
+
 std::optional<wire::StreamOrigin>
 stream_origins::recorded(const wire::BeginTurn &wanted) const {
   const auto known = by_attempt_.find(wanted.attempt());
-  const bool is_settled = !wanted.software_version().empty() &&
-                          known != by_attempt_.end() &&
+  const bool wants_version =
+      !wanted.software_version().empty() || wanted.resumes_unnamed();
+  const bool is_settled = wants_version && known != by_attempt_.end() &&
                           known->second.choice >= wanted.version_choice();
   return is_settled ? std::optional(to_wire(known->second)) : std::nullopt;
 }
--- a/src/records/stream_origins.hpp
+++ b/src/records/stream_origins.hpp
@@ -5,9 +5,10 @@
 //
 // The version of an attempt is recorded before its first event leaves the
 // gateway. An attempt that resumes a stream takes over the version of the
-// attempt that began it. The gateway may choose another version until the first
-// event, and numbers its choices, so that a late copy of an earlier one changes
-// nothing.
+// attempt that began it; where the client does not name that, the version of
+// all recorded attempts of the program, if they have the same. The gateway may
+// choose another version until the first event, and numbers its choices, so
+// that a late copy of an earlier one changes nothing.
 //
 // Times are those of the partition's quota clock, in milliseconds.
 #pragma once
@@ -31,7 +32,7 @@
   /// Records the version that an attempt chose, unless a later choice or the
   /// version of the resumed stream goes before it.
   /// @return the version that the attempt may run at; nothing when `wanted`
-  /// names none.
+  /// names none and continues none.
   std::optional<wire::StreamOrigin> record(const wire::BeginTurn &wanted,
                                            std::uint64_t now_ms);
 
@@ -53,6 +54,8 @@
   };
 
   [[nodiscard]] origin resolve(const wire::BeginTurn &wanted) const;
+  /// Returns the version of all recorded attempts, if it is one.
+  [[nodiscard]] std::optional<std::string> only_version() const;
   static wire::StreamOrigin to_wire(const origin &known);
 
   std::map<std::string, origin> by_attempt_;
--- a/src/records/turn_ledger.hpp
+++ b/src/records/turn_ledger.hpp
@@ -66,6 +66,9 @@
   /// The attempt that brought the first event of the stream that this attempt
   /// resumes; empty when it begins a stream.
   std::string resumes{};
+  /// The attempt resumes a stream and its client does not name the attempt that
+  /// brought the first event.
+  bool resumes_unnamed = false;
   /// The chain to continue, oldest first, when the program's partition does not
   /// hold it. It is recorded there before the grant.
   std::vector<retained_turn> copies{};
--- a/tests/forwarding/stream_of_two_versions_test.cpp
+++ b/tests/forwarding/stream_of_two_versions_test.cpp
@@ -47,6 +47,13 @@
   CPPUNIT_TEST(a_new_stream_is_served_without_the_group);
   CPPUNIT_TEST(a_stream_that_began_without_an_answer_keeps_what_it_asked_for);
   CPPUNIT_TEST(a_stream_without_a_named_attempt_goes_on_as_before);
+  CPPUNIT_TEST(a_stream_without_a_named_attempt_is_refused_beside_two_versions);
+  CPPUNIT_TEST(a_stream_without_a_named_attempt_is_refused_after_a_release);
+  CPPUNIT_TEST(a_stream_without_a_named_attempt_keeps_its_recorded_version);
+  CPPUNIT_TEST(a_list_that_is_not_current_tells_no_version);
+  CPPUNIT_TEST(a_version_that_came_and_left_unseen_may_have_begun_a_stream);
+  CPPUNIT_TEST(
+      a_version_that_left_with_a_missed_listing_may_have_begun_a_stream);
   CPPUNIT_TEST(other_streams_and_calls_record_no_version);
   CPPUNIT_TEST(another_version_under_the_same_id_is_another_replica);
   CPPUNIT_TEST_SUITE_END();
@@ -400,6 +407,81 @@
     CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
   }
 
+  /// Either version may have begun it.
+  void a_stream_without_a_named_attempt_is_refused_beside_two_versions() {
+    add_replica("old", "v1");
+    add_replica("new", "v2");
+    const timestamp began = steady_now();
+    for (int stream = 0; stream < 4; ++stream) {
+      const auto answer = ask("b", {{"Last-Event-Id", "2"}});
+      CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    }
+    CPPUNIT_ASSERT(steady_now() - began < duration_ms{400});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, received_by("old"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, received_by("new"));
+  }
+
+  void a_stream_without_a_named_attempt_is_refused_after_a_release() {
+    add_replica("old", "v1");
+    add_replica("new", "v2");
+    remove_replica("old");
+    const auto answer = ask("b", {{"Last-Event-Id", "2"}});
+    CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, received_by("new"));
+  }
+
+  void a_stream_without_a_named_attempt_keeps_its_recorded_version() {
+    begin_stream_at_v1("a");
+    add_replica("new", "v2");
+    ledger_.continues_unnamed = "a";
+    script("old", events(3, 4));
+    const auto answer = ask("b", {{"Last-Event-Id", "2"}});
+    CPPUNIT_ASSERT_EQUAL(event(3) + event(4), answer->body());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, received_by("new"));
+    CPPUNIT_ASSERT(ledger_.requests.back().resumes_unnamed);
+  }
+
+  /// A process that stood still has an old list.
+  void a_list_that_is_not_current_tells_no_version() {
+    start_gateway(duration_ms{50});
+    gateway_->replicas().replace_all({});
+    add_replica("old", "v1");
+    wait_for(duration_ms{100});
+    bool is_current = false;
+    gateway_->set_replicas_are_current([&is_current] { return is_current; });
+    CPPUNIT_ASSERT_EQUAL(503U, ask("b", resuming("a"))->result_int());
+    is_current = true;
+    script("old", events(3, 4));
+    CPPUNIT_ASSERT_EQUAL(200U, ask("c", resuming("a"))->result_int());
+  }
+
+  /// A gateway that stood still hears of the replica only that it has left.
+  void a_version_that_came_and_left_unseen_may_have_begun_a_stream() {
+    start_gateway(duration_ms{300});
+    gateway_->replicas().replace_all({});
+    add_replica("old", "v1");
+    wait_for(duration_ms{400});
+    remove_replica("unseen");
+    CPPUNIT_ASSERT_EQUAL(503U, ask("b", resuming("a"))->result_int());
+    wait_for(duration_ms{400});
+    script("old", events(3, 4));
+    CPPUNIT_ASSERT_EQUAL(200U, ask("c", resuming("a"))->result_int());
+  }
+
+  /// What came and left between two listings shows in neither.
+  void a_version_that_left_with_a_missed_listing_may_have_begun_a_stream() {
+    start_gateway(duration_ms{300});
+    gateway_->replicas().replace_all({});
+    add_replica("old", "v1");
+    wait_for(duration_ms{400});
+    gateway_->replicas().replace_all(
+        gateway_->replicas().directory().records());
+    CPPUNIT_ASSERT_EQUAL(503U, ask("b", resuming("a"))->result_int());
+    wait_for(duration_ms{400});
+    script("old", events(3, 4));
+    CPPUNIT_ASSERT_EQUAL(200U, ask("c", resuming("a"))->result_int());
+  }
+
   void other_streams_and_calls_record_no_version() {
     add_replica("old", "v1");
     script("old", events(1, 2));
--- a/tests/objects/object_relay_test.cpp
+++ b/tests/objects/object_relay_test.cpp
@@ -220,6 +220,7 @@
   CPPUNIT_TEST(answer_delay_counts_towards_the_age);
   CPPUNIT_TEST(incomplete_copy_is_not_confirmed);
   CPPUNIT_TEST(changes_of_other_kinds_do_not_prevent_confirmation);
+  CPPUNIT_TEST(a_late_answer_confirms_nothing);
   CPPUNIT_TEST(gateway_without_relays_confirms_with_the_store);
   CPPUNIT_TEST(relay_that_lists_a_long_kind_again_is_kept);
   CPPUNIT_TEST(burst_of_changes_is_fetched_without_pauses);
@@ -777,6 +778,24 @@
     CPPUNIT_ASSERT(watch_->confirmed_at() != timestamp{});
   }
 
+  /// Answers wait unread while the gateway's process stands still.
+  void a_late_answer_confirms_nothing() {
+    start(both_relays());
+    wait_for({"one"});
+    run_until([this] { return follower_->confirmed_at() != timestamp{}; });
+    dead_relays_ = {first, second};
+    run_for(duration_ms{100});
+    const timestamp before = follower_->confirmed_at();
+    const timestamp long_ago = steady_now() - duration_ms{3000};
+    follower_->on_copies(answer_to(long_ago, 1));
+    follower_->on_copies(answer_to({}, 1));
+    CPPUNIT_ASSERT(follower_->confirmed_at() == before);
+    const timestamp sent = steady_now();
+    follower_->on_copies(answer_to(sent, 1));
+    CPPUNIT_ASSERT_EQUAL(milliseconds_of(sent),
+                         milliseconds_of(follower_->confirmed_at()));
+  }
+
   void gateway_without_relays_confirms_with_the_store() {
     dead_relays_ = {first, second};
     start_patience_ = duration_ms{20};
--- a/tests/records/stream_origins_test.cpp
+++ b/tests/records/stream_origins_test.cpp
@@ -46,6 +46,8 @@
   CPPUNIT_TEST(a_snapshot_holds_the_versions);
   CPPUNIT_TEST(versions_are_dropped_after_their_time);
   CPPUNIT_TEST(decided_versions_are_answered_as_by_the_log);
+  CPPUNIT_TEST(an_unnamed_resumption_takes_the_only_version);
+  CPPUNIT_TEST(an_unnamed_resumption_of_two_versions_records_none);
   CPPUNIT_TEST_SUITE_END();
 
   record_table table_;
@@ -138,6 +140,35 @@
                          snapshot.programs(0).origins(0).attempt());
   }
 
+  /// Its client does not say which attempt began the stream.
+  static wire::RecordChange begin_unnamed(const std::string &attempt,
+                                          const std::string &version = {}) {
+    wire::RecordChange change = begin(attempt, version);
+    change.mutable_begin()->set_resumes_unnamed(true);
+    return change;
+  }
+
+  void an_unnamed_resumption_takes_the_only_version() {
+    apply(begin("a", "v1"));
+    apply(begin("b", "v1", "a"));
+    for (const char *asked : {"", "v2"}) {
+      const auto resumed =
+          apply(begin_unnamed(asked[0] == 0 ? "c" : "d", asked));
+      CPPUNIT_ASSERT_EQUAL(std::string("v1"), resumed.origin().version());
+      CPPUNIT_ASSERT(resumed.origin().is_continuation());
+    }
+    const auto copy = table_.decided_outcome(begin_unnamed("c"));
+    CPPUNIT_ASSERT_EQUAL(std::string("v1"), copy->origin().version());
+  }
+
+  void an_unnamed_resumption_of_two_versions_records_none() {
+    CPPUNIT_ASSERT(!apply(begin_unnamed("first")).has_origin());
+    apply(begin("a", "v1"));
+    apply(begin("b", "v2"));
+    CPPUNIT_ASSERT(!apply(begin_unnamed("c")).has_origin());
+    CPPUNIT_ASSERT(!apply(begin_unnamed("d", "v2")).origin().is_continuation());
+  }
+
   void decided_versions_are_answered_as_by_the_log() {
     apply(begin("a", "v1"));
     apply(begin("b", "v2", "a"));
--- a/tests/support/open_ledger.hpp
+++ b/tests/support/open_ledger.hpp
@@ -36,6 +36,8 @@
   bool is_cut_off = false;
   /// The recorded versions by attempt.
   std::map<std::string, software_version> origins;
+  /// The attempt whose stream an unnamed resumption continues.
+  std::string continues_unnamed;
   /// This many first versions after the grant are recorded without a reply.
   int lost_version_replies = 0;
 
@@ -155,10 +157,13 @@
 
 private:
   records::stream_origin record_origin(const records::turn_request &request) {
-    if (request.version.value().empty()) {
+    const bool is_unnamed =
+        request.resumes_unnamed && !continues_unnamed.empty();
+    if (request.version.value().empty() && !is_unnamed) {
       return {};
     }
-    const auto first = origins.find(request.resumes);
+    const auto first =
+        origins.find(is_unnamed ? continues_unnamed : request.resumes);
     const bool is_continuation = first != origins.end();
     const software_version version =
         is_continuation ? first->second : request.version;
