Give up an answer after four interim ones

Callers saw: a replica that sends an interim answer each 100 ms holds its caller to the deadline (504).

Cause: interim answers were skipped like answers to other requests, and counted with those.

Change: more than four interim answers count as none.

Evidence: endless_answers_test, slow_bytes_without_end_are_given_up, fails with the old bound.

--- a/src/forwarding/answer_reader.hpp
+++ b/src/forwarding/answer_reader.hpp
@@ -36,6 +36,8 @@
   duration_ms min_body_time{250};
   /// Bytes that a stream may bring without a new event.
   std::size_t event_bytes = 1U << 20U;
+  /// Interim answers (1xx) that may come before an answer.
+  std::uint32_t interim_answers = 4;
   /// Answers to other requests that are skipped at most, and the bytes of their
   /// bodies.
   std::uint32_t surplus_answers = 64;
--- a/src/forwarding/request_exchange.cpp
+++ b/src/forwarding/request_exchange.cpp
@@ -338,7 +338,10 @@
   const answer_limits &limits = gateway_.options().answers;
   const bool to_head = request_.message.method() == beast_http::verb::head;
   had_surplus_ = false;
-  for (std::uint32_t surplus = 0; surplus < limits.surplus_answers; ++surplus) {
+  std::uint32_t interim = 0;
+  std::uint32_t surplus = 0;
+  while (surplus < limits.surplus_answers &&
+         interim <= limits.interim_answers) {
     const auto read = co_await answer.read_head(to_head);
     if (!read) {
       last_failure_ = "no answer: " + describe(read.error());
@@ -350,12 +353,14 @@
       note_heard();
       co_return true;
     }
+    interim += informational ? 1 : 0;
+    surplus += informational ? 0 : 1;
     had_surplus_ = had_surplus_ || !informational;
     if (!co_await skip_body(answer)) {
       break;
     }
   }
-  last_failure_ = "received only answers to other requests";
+  last_failure_ = "received only interim answers, or those to other requests";
   co_return false;
 }
 
--- a/tests/forwarding/endless_answers_test.cpp
+++ b/tests/forwarding/endless_answers_test.cpp
@@ -167,6 +167,8 @@
     check({answer_head + chunked, chunk("a")}, repeated_pause);
     check({answer_head + "Content-Length: 100000\r\n\r\n", "a"},
           repeated_pause);
+    constexpr duration_ms interim_pause{100};
+    check({"", "HTTP/1.1 103 Early Hints\r\n\r\n"}, interim_pause);
   }
 
   void a_stream_without_events_is_given_up() {
