Count live votes of both sets while a change of voters is in progress

A candidate counted the votes of the newest set alone, though the change to it might not be committed; and a vote counted that its voter gave before it died. Groups of two that grow were open to it.

Change: is_elected_by counts live votes only, and count_votes asks the set before as well until the change is known to be committed.

--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -177,19 +177,25 @@
   return found->second.last_heard;
 }
 
-std::size_t consensus::election_quorum() const {
-  const auto dead = static_cast<std::size_t>(std::count_if(
-      voters_.begin(), voters_.end(),
-      [this](const replica_id &voter) { return dead_.contains(voter); }));
+std::size_t consensus::count_dead(const std::vector<replica_id> &voters) const {
+  return static_cast<std::size_t>(
+      std::count_if(voters.begin(), voters.end(),
+                    [this](const auto &voter) { return is_dead(voter); }));
+}
+
+std::size_t
+consensus::election_quorum(const std::vector<replica_id> &voters) const {
+  const std::size_t majority = voters.size() / 2 + 1;
+  const std::size_t dead = count_dead(voters);
   if (dead == 0) {
-    return majority();
+    return majority;
   }
   // Two conditions make this safe. A committed entry is held by a majority, of
   // which at most `dead` replicas are lost, so that the quorum includes at
   // least one of the remaining holders. And two leaders of one term would need
   // more live voters than exist, since a dead one never votes again.
-  const std::size_t live = voters_.size() - dead;
-  const std::size_t meets_commits = voters_.size() - majority() + 1;
+  const std::size_t live = voters.size() - dead;
+  const std::size_t meets_commits = voters.size() - majority + 1;
   const std::size_t meets_votes = live / 2 + 1;
   return std::max(meets_commits, meets_votes);
 }
@@ -268,7 +274,7 @@
     ++term_;
     voted_for_ = self_;
   }
-  for (const replica_id &voter : voters_) {
+  for (const replica_id &voter : counted_voters()) {
     if (voter == self_) {
       continue;
     }
@@ -286,11 +292,26 @@
   count_votes(now, out);
 }
 
+bool consensus::is_elected_by(const std::vector<replica_id> &voters) const {
+  // A vote that was given before its voter died would count beside the smaller
+  // number of votes that is needed because it is dead.
+  const auto counted =
+      std::count_if(voters.begin(), voters.end(), [this](const auto &voter) {
+        return votes_.contains(voter) && !is_dead(voter);
+      });
+  return static_cast<std::size_t>(counted) >= election_quorum(voters);
+}
+
 void consensus::count_votes(timestamp now, outbox &out) {
-  const auto counted = std::count_if(
-      votes_.begin(), votes_.end(),
-      [this](const replica_id &voter) { return is_voter(voter); });
-  if (static_cast<std::size_t>(counted) < election_quorum()) {
+  if (!is_elected_by(voters_)) {
+    return;
+  }
+  // While a change of voters is not known to be committed, others may elect a
+  // leader by the set before it. Where voters are dead, the votes of two
+  // neighbouring sets need not intersect.
+  const bool counts_previous =
+      change_in_progress() && !previous_voters_.empty();
+  if (counts_previous && !is_elected_by(previous_voters_)) {
     return;
   }
   if (pre_vote_round_) {
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -307,8 +307,17 @@
   [[nodiscard]] std::uint64_t term_at(std::uint64_t index) const;
   [[nodiscard]] std::uint64_t last_term() const { return term_at(last()); }
   [[nodiscard]] const wire::LogEntry &entry(std::uint64_t index) const;
-  [[nodiscard]] std::size_t majority() const { return voters_.size() / 2 + 1; }
-  [[nodiscard]] std::size_t election_quorum() const;
+  [[nodiscard]] std::size_t election_quorum() const {
+    return election_quorum(voters_);
+  }
+  /// The votes that an election needs among some voters. If any of them are
+  /// dead, votes of the others alone count.
+  [[nodiscard]] std::size_t
+  election_quorum(const std::vector<replica_id> &voters) const;
+  [[nodiscard]] std::size_t
+  count_dead(const std::vector<replica_id> &voters) const;
+  /// Whether the votes received suffice among some voters.
+  [[nodiscard]] bool is_elected_by(const std::vector<replica_id> &voters) const;
   /// The last index held by a majority; while a membership change is in
   /// progress, by a majority of the old and one of the new voters.
   [[nodiscard]] std::uint64_t quorum_match_index() const;
--- a/tests/raft/consensus_test.cpp
+++ b/tests/raft/consensus_test.cpp
@@ -168,6 +168,9 @@
   CPPUNIT_TEST(a_suspended_leader_has_no_recent_quorum);
   CPPUNIT_TEST(entries_under_way_are_not_sent_with_every_heartbeat);
   CPPUNIT_TEST(the_survivor_of_two_voters_replaces_the_dead_one);
+  CPPUNIT_TEST(a_removal_in_progress_lets_nobody_lead_alone);
+  CPPUNIT_TEST(a_vote_of_a_dead_voter_counts_no_more);
+  CPPUNIT_TEST(a_voter_of_the_set_before_a_change_has_a_vote);
   CPPUNIT_TEST(a_second_voter_may_lead_before_the_first_change_is_committed);
   CPPUNIT_TEST(growth_from_two_waits_for_both);
   CPPUNIT_TEST(growth_from_four_waits_for_a_majority_of_the_four);
@@ -372,6 +375,52 @@
     CPPUNIT_ASSERT(survivor.is_voter(back));
   }
 
+  // The others may not know of the removal, and have committed without it.
+  void a_removal_in_progress_lets_nobody_lead_alone() {
+    consensus leader = restored({replica(1), replica(2), replica(3)});
+    const timestamp now = elected_ = elect(leader);
+    acknowledge(leader, replica(2), leader.last_index().value(), now);
+    change_to(leader, {1, 2});
+    CPPUNIT_ASSERT(leader.change_in_progress());
+    const timestamp later = depose(leader, now);
+    leader.declare_dead(replica(2));
+    outbox out;
+    leader.tick(later, 1, out);
+    CPPUNIT_ASSERT(!leader.is_leader());
+  }
+
+  void a_vote_of_a_dead_voter_counts_no_more() {
+    consensus candidate = restored({replica(1), replica(2), replica(3)});
+    outbox out;
+    const timestamp now = timestamp_from(60000);
+    candidate.tick(now, 1, out); // asks for pre-votes
+    vote(candidate, replica(2), true, candidate.term().value() + 1, now);
+    CPPUNIT_ASSERT(!candidate.is_leader());
+    candidate.declare_dead(replica(2));
+    vote(candidate, replica(2), false, candidate.term().value(), now);
+    CPPUNIT_ASSERT(!candidate.is_leader());
+    vote(candidate, replica(3), false, candidate.term().value(), now);
+    CPPUNIT_ASSERT(candidate.is_leader());
+  }
+
+  void a_voter_of_the_set_before_a_change_has_a_vote() {
+    consensus leader = restored({replica(1), replica(2)});
+    const timestamp now = elected_ = elect(leader);
+    acknowledge(leader, replica(2), leader.last_index().value(), now);
+    change_to(leader, {1, 2, 3});
+    const timestamp later = depose(leader, now);
+    outbox out;
+    leader.tick(later, 1, out);
+    // The third one is not enough: the first two may elect another leader.
+    vote(leader, replica(3), true, leader.term().value() + 1, later);
+    vote(leader, replica(3), false, leader.term().value(), later);
+    CPPUNIT_ASSERT(!leader.is_leader());
+    vote(leader, replica(2), true, leader.term().value() + 1, later);
+    vote(leader, replica(2), false, leader.term().value(), later);
+    vote(leader, replica(3), false, leader.term().value(), later);
+    CPPUNIT_ASSERT(leader.is_leader());
+  }
+
   // Guards against a storage node that crashes while a group is founded: its
   // log begins with the first change and does not say who voted before.
   void a_second_voter_may_lead_before_the_first_change_is_committed() {
@@ -663,18 +712,36 @@
     for (const bool pre_vote : {true, false}) {
       const std::uint64_t term = candidate.term().value() + (pre_vote ? 1 : 0);
       for (const std::uint64_t voter : {2, 3}) {
-        wire::VoteReply vote;
-        vote.set_granted(true);
-        vote.set_pre_vote(pre_vote);
-        vote.set_term(term);
-        *vote.mutable_voter() = to_wire(replica(voter));
-        candidate.handle(vote, now, out);
+        vote(candidate, replica(voter), pre_vote, term, now);
       }
     }
     CPPUNIT_ASSERT(candidate.is_leader());
     return now;
   }
 
+  /// Makes a leader step down.
+  /// @return a time at which it campaigns again.
+  static timestamp depose(consensus &leader, timestamp now) {
+    wire::AppendReply reply;
+    reply.set_term(leader.term().value() + 1);
+    *reply.mutable_follower() = to_wire(replica(2));
+    outbox out;
+    leader.handle(reply, now, out);
+    CPPUNIT_ASSERT(!leader.is_leader());
+    return now + duration_ms{60000};
+  }
+
+  static void vote(consensus &candidate, const replica_id &voter, bool pre_vote,
+                   std::uint64_t term, timestamp now) {
+    wire::VoteReply reply;
+    reply.set_granted(true);
+    reply.set_pre_vote(pre_vote);
+    reply.set_term(term);
+    *reply.mutable_voter() = to_wire(voter);
+    outbox out;
+    candidate.handle(reply, now, out);
+  }
+
   /// @return the number of snapshots that the leader requests on the
   /// acknowledgement.
   static std::size_t acknowledge(consensus &leader, const replica_id &from,
