Let a voter leave that is gone and that no node can replace

Cause: the group kept three voters, of which one was gone for good. The survivor of the lost disk has all that was committed, but an election among three needs two.

Change: a voter that was silent for 3 s (6 s with several partitions) leaves if no node can take its place and all others hold the log. Each commit needs them anyway. If it comes back it votes again.

--- a/src/records/membership_plan.cpp
+++ b/src/records/membership_plan.cpp
@@ -188,6 +188,22 @@
   return least;
 }
 
+/// A voter that is gone and that no node can replace, if the group can do
+/// without it: all others hold the log.
+const node_view *unneeded_gone_voter(const std::vector<node_view> &nodes,
+                                     const group_size &size) {
+  const bool is_full = count_voters(nodes) == size.voters;
+  const bool others_hold_log = count_log_holders(nodes) + 1 == size.voters;
+  const bool has_replacement =
+      std::ranges::any_of(nodes, [](const node_view &each) {
+        return !each.votes && is_usable(each);
+      });
+  if (!is_full || !others_hold_log || has_replacement) {
+    return nullptr;
+  }
+  return least_needed(nodes, [](const node_view &each) { return each.gone; });
+}
+
 /// The voter to remove now: a surplus one, or a retiring one that is lost
 /// anyway. A smaller group could not bear the losses that it is sized for, so a
 /// retiring voter waits for a node that takes its place.
@@ -248,6 +264,9 @@
     return add_voter{spare->replica};
   }
   const node_view *removed = next_voter_to_remove(nodes, size);
+  if (removed == nullptr && recruit_spares) {
+    removed = unneeded_gone_voter(nodes, size);
+  }
   if (removed == nullptr) {
     const node_view *released = surplus_learner(nodes, learners, size);
     return released == nullptr ? std::nullopt
--- a/src/records/membership_plan.hpp
+++ b/src/records/membership_plan.hpp
@@ -26,6 +26,8 @@
   bool alive = false;
   /// It has been silent long enough to be replaced by a spare node.
   bool long_silent = false;
+  /// It has been silent so long that it counts as lost for good.
+  bool gone = false;
   /// Its node has come back with another identity, so its disk is lost.
   bool dead = false;
   /// It is a learner that is ready to become a voter.
@@ -94,6 +96,12 @@
 /// hold it as the group has voters, so that removing machines does not use up
 /// the tolerated losses. When no node can take its place, it stays, and is
 /// replaced by its successor if it loses its disk.
+///
+/// A voter that is gone leaves also where no node can take its place, if it is
+/// the only one that the group lacks then. Each commit needs the others anyway,
+/// and without it they can bear the loss of a disk: the one that is left may
+/// lead, since it holds all that was committed. If it comes back, it votes
+/// again once it has caught up.
 std::optional<membership_change>
 next_membership_change(const std::vector<node_view> &all,
                        const std::vector<replica_id> &learners,
--- a/src/records/record_node.cpp
+++ b/src/records/record_node.cpp
@@ -734,6 +734,7 @@
          .alive =
              is_self || (!unheard && now < heard + options_.liveness_timeout),
          .long_silent = !is_self && now >= since + options_.replace_after,
+         .gone = !is_self && now >= since + options_.gone_after,
          .dead = log_->is_dead(id),
          .caught_up = log_->is_learner(id) && may_become_voter(id),
          .lagging = !is_self && log_->is_voter(id) && !log_->caught_up(id),
@@ -746,6 +747,7 @@
            .zone = {},
            .votes = true,
            .long_silent = now >= leading_since_ + options_.replace_after,
+           .gone = now >= leading_since_ + options_.gone_after,
            .dead = log_->is_dead(voter)});
     }
   }
@@ -925,7 +927,9 @@
 
 timestamp record_node::last_heard(const replica_id &id) const {
   const auto known = members_.find(id);
-  return known == members_.end() ? started_ : known->second.heard;
+  // One that was learned from a list may be about to send its first message.
+  return known == members_.end() ? started_
+                                 : std::max(known->second.heard, started_);
 }
 
 void record_node::apply_change(const membership_change &change, timestamp now,
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -72,6 +72,10 @@
   duration_ms liveness_timeout{800};
   /// A voter that has sent nothing for this long is replaced by a spare node.
   duration_ms replace_after{1500};
+  /// A voter that has sent nothing for this long leaves the group if no node
+  /// can take its place. Below the time after which a lost machine that was
+  /// replaced counts as made up for.
+  duration_ms gone_after{3000};
   duration_ms hello_interval{300};
   /// Interval of hello messages of a node without a replica of this partition
   /// that has a valid leader hint; it sends them to the leader only, so that
--- a/src/records/record_runtime.cpp
+++ b/src/records/record_runtime.cpp
@@ -39,6 +39,7 @@
   // waiting for restarting nodes.
   options.recruit_after = duration_ms{2000};
   options.replace_after = duration_ms{3000};
+  options.gone_after = duration_ms{6000};
   // Tolerates the delays of a busy node.
   options.raft.election_timeout = duration_ms{500};
   options.liveness_timeout = duration_ms{1200};
--- a/tests/records/membership_plan_property_test.cpp
+++ b/tests/records/membership_plan_property_test.cpp
@@ -123,6 +123,7 @@
 
   void fall_silent(node_view &node) {
     if (!node.is_self && may_lose_another()) {
+      node.gone = node.long_silent;
       node.long_silent = !node.alive;
       node.alive = false;
     }
@@ -147,6 +148,7 @@
     const bool learns = std::ranges::count(learners_, node.replica) > 0;
     node.alive = true;
     node.long_silent = false;
+    node.gone = false;
     node.lagging = false;
     node.caught_up = learns && !node.votes;
   }
--- a/tests/records/membership_plan_test.cpp
+++ b/tests/records/membership_plan_test.cpp
@@ -26,6 +26,12 @@
   CPPUNIT_TEST(a_spare_waits_for_a_dead_nodes_return);
   CPPUNIT_TEST(a_silent_voter_is_replaced_by_a_spare_and_only_then_removed);
   CPPUNIT_TEST(a_silent_voter_stays_without_a_spare);
+  CPPUNIT_TEST(a_gone_voter_leaves_without_a_spare);
+  CPPUNIT_TEST(a_gone_voter_stays_while_another_is_out_of_touch);
+  CPPUNIT_TEST(a_gone_voter_stays_while_a_node_may_take_its_place);
+  CPPUNIT_TEST(a_second_gone_voter_stays);
+  CPPUNIT_TEST(a_gone_voter_that_is_back_votes_again);
+  CPPUNIT_TEST(a_new_leader_removes_no_gone_voter);
   CPPUNIT_TEST(a_retiring_voter_stays_without_a_spare);
   CPPUNIT_TEST(a_retiring_voter_that_stays_gives_way_to_its_successor);
   CPPUNIT_TEST(a_group_without_its_full_number_bears_no_loss);
@@ -110,6 +116,62 @@
     CPPUNIT_ASSERT(!next());
   }
 
+  void lose(std::size_t place) {
+    nodes_[place].alive = false;
+    nodes_[place].long_silent = true;
+    nodes_[place].gone = true;
+  }
+
+  /// Two of three voters could not go on after the loss of a disk.
+  void a_gone_voter_leaves_without_a_spare() {
+    lose(1);
+    CPPUNIT_ASSERT(std::get<remove_voter>(*next()).replica == id(2));
+    nodes_.erase(nodes_.begin() + 1);
+    CPPUNIT_ASSERT(!next());
+  }
+
+  void a_gone_voter_stays_while_another_is_out_of_touch() {
+    lose(1);
+    nodes_[2].alive = false;
+    CPPUNIT_ASSERT(!next());
+    nodes_[2].alive = true;
+    nodes_[2].lagging = true;
+    CPPUNIT_ASSERT(!next());
+  }
+
+  void a_gone_voter_stays_while_a_node_may_take_its_place() {
+    lose(1);
+    nodes_.push_back(spare(4));
+    nodes_.back().caught_up = false;
+    learners_ = {id(4)};
+    CPPUNIT_ASSERT(!next());
+  }
+
+  /// Of five voters three could not bear the loss of two.
+  void a_second_gone_voter_stays() {
+    size_ = group_size::tolerating(2);
+    nodes_.push_back(voter(4));
+    nodes_.push_back(voter(5));
+    lose(1);
+    lose(2);
+    CPPUNIT_ASSERT(!next());
+    nodes_.erase(nodes_.begin() + 1);
+    CPPUNIT_ASSERT(!next());
+  }
+
+  void a_gone_voter_that_is_back_votes_again() {
+    nodes_[1] = spare(2);
+    learners_ = {id(2)};
+    CPPUNIT_ASSERT(std::get<add_voter>(*next()).replica == id(2));
+  }
+
+  /// It cannot know yet which nodes there are.
+  void a_new_leader_removes_no_gone_voter() {
+    lose(1);
+    recruits_ = false;
+    CPPUNIT_ASSERT(!next());
+  }
+
   /// Two voters that are left could not bear the loss of one.
   void a_retiring_voter_stays_without_a_spare() {
     nodes_[1].retiring = true;
--- a/tests/records/record_group_test.cpp
+++ b/tests/records/record_group_test.cpp
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(a_node_lost_for_good_gives_way_to_a_spare);
   CPPUNIT_TEST(a_retired_node_becomes_removable);
   CPPUNIT_TEST(a_disk_is_lost_before_a_retirement);
+  CPPUNIT_TEST(a_disk_is_lost_after_a_retirement_and_a_replacement);
+  CPPUNIT_TEST(a_voter_that_was_gone_for_long_votes_again);
   CPPUNIT_TEST(a_machine_is_replaced_after_a_retirement);
   CPPUNIT_TEST(a_retired_leader_transfers_leadership);
   CPPUNIT_TEST(a_group_keeps_its_voters_while_machines_are_retired);
@@ -312,6 +314,58 @@
     check_kept(group, "t", 10);
   }
 
+  /// One of three machines is emptied, another one replaced as planned: two are
+  /// left, of which one loses its disk.
+  void a_disk_is_lost_after_a_retirement_and_a_replacement() {
+    for (const std::uint64_t seed : {21, 22, 23, 24, 25}) {
+      record_group group(seed);
+      start_group(group, {"a", "b", "c"});
+      keep(group, "t", 10, 500ms);
+      const std::string retired = group.leader() == "c" ? "b" : "c";
+      group.retire(retired);
+      group.run(500ms);
+      group.add("d");
+      group.run(3000ms);
+      CPPUNIT_ASSERT(!group.voters().contains(retired));
+      group.kill(retired);
+      std::set<std::string> left = group.voters();
+      const std::string replaced = *left.begin();
+      group.kill(replaced);
+      left.erase(replaced);
+      group.run(5000ms);
+      keep(group, "u", 5, 500ms);
+      for (const std::string &each : left) {
+        group.kill(each);
+      }
+      group.wipe(*left.begin());
+      for (const std::string &each : left) {
+        group.start(each);
+      }
+      group.run(4000ms);
+      keep(group, "v", 5, 500ms);
+      check_kept(group, "t", 10);
+      check_kept(group, "u", 5);
+    }
+  }
+
+  /// A machine that was out of touch for long is a full member again.
+  void a_voter_that_was_gone_for_long_votes_again() {
+    record_group group(26);
+    start_group(group, {"a", "b", "c"});
+    keep(group, "t", 10, 500ms);
+    const std::string cut = group.leader() == "c" ? "b" : "c";
+    group.isolate(cut);
+    group.run(6000ms);
+    keep(group, "u", 5, 500ms);
+    group.heal();
+    group.run(4000ms);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group.voters().size());
+    group.kill(group.leader());
+    group.run(2000ms);
+    keep(group, "v", 5, 500ms);
+    check_kept(group, "u", 5);
+  }
+
   void a_retired_leader_transfers_leadership() {
     record_group group(9);
     start_group(group, {"a", "b", "c", "d"});
