Reject messages whose end two readers could see differently

Cause: the parser takes a request without a length for one without a body and leaves the transfer coding to its user, who did not look at it. It also takes fields behind a chunked body into the head and joins folded lines.

Change: http/message_framing is asked by every reader of HTTP. Requests get 400 and a closed connection, answers count as none. Fields behind a chunked body are dropped.

--- a/src/forwarding/answer_reader.cpp
+++ b/src/forwarding/answer_reader.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/answer_reader.hpp"
 
+#include "http/message_framing.hpp"
+
 #include <algorithm>
 
 #include <boost/beast/http/error.hpp>
@@ -22,6 +24,8 @@
     return "its head is too long";
   case answer_error::head_too_slow:
     return "its head takes too long";
+  case answer_error::unclear_length:
+    return "its length is not clear";
   case answer_error::body_too_long:
     return "its body is too long";
   case answer_error::body_too_slow:
@@ -81,6 +85,10 @@
                                .cause = {}};
     }
   }
+  if (!http::has_plain_framing(head(), head().version())) {
+    co_return answer_failure{.error = answer_error::unclear_length,
+                             .cause = {}};
+  }
   head_at_ = steady_now();
   head_bytes_ = reader_->parsed_bytes();
   body_bytes_ = 0;
--- a/src/forwarding/answer_reader.hpp
+++ b/src/forwarding/answer_reader.hpp
@@ -49,6 +49,7 @@
   broken, // the connection failed, or the bytes are no HTTP
   head_too_long,
   head_too_slow,
+  unclear_length, // readers could differ on where the answer ends
   body_too_long,
   body_too_slow,
   framing_too_long, // of chunks, or trailers
--- a/src/forwarding/client_session.cpp
+++ b/src/forwarding/client_session.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/request_exchange.hpp"
 #include "forwarding/socket_options.hpp"
+#include "http/message_framing.hpp"
 #include "http/message_reader.hpp"
 #include "logging/log.hpp"
 
@@ -33,6 +34,7 @@
 constexpr std::size_t request_overhead_bytes = 48U << 10U;
 /// Another gateway can probably serve the request.
 constexpr duration_ms memory_retry{50};
+constexpr std::uint32_t status_bad_request = 400;
 constexpr std::uint32_t status_unavailable = 503;
 constexpr std::uint32_t status_content_too_large = 413;
 /// Bytes a second of a body, without its framing, below which a client is given
@@ -41,7 +43,6 @@
 constexpr std::size_t ms_per_second = 1000;
 
 std::uint32_t status_for(boost::system::error_code failure) {
-  constexpr std::uint32_t bad_request = 400;
   constexpr std::uint32_t header_too_large = 431;
   if (failure == beast_http::error::header_limit ||
       failure == beast_http::error::buffer_overflow) {
@@ -50,7 +51,7 @@
   if (failure == beast_http::error::body_limit) {
     return status_content_too_large;
   }
-  return bad_request;
+  return status_bad_request;
 }
 
 bool is_protocol_error(boost::system::error_code failure) {
@@ -166,9 +167,13 @@
     co_return std::nullopt;
   }
   held.resize(request_overhead_bytes + parser.content_length().value_or(0));
+  const auto head = copy_of_head(parser);
   if (!co_await read_body(parser, held)) {
     co_return std::nullopt;
   }
+  if (head) {
+    parser.get().base() = *head;
+  }
   co_return received_request{.request = interpret(parser.release(), arrived,
                                                   gateway_.options().headers),
                              .held = std::move(held)};
@@ -243,11 +248,23 @@
   return needed <= held.bytes() || held.try_resize(needed);
 }
 
+std::optional<client_session::request_head>
+client_session::copy_of_head(const request_parser &parser) {
+  const bool may_have_trailers = parser.chunked();
+  return may_have_trailers ? std::optional(parser.get().base()) : std::nullopt;
+}
+
 asio::awaitable<bool> client_session::read_header(request_parser &parser) {
-  const auto [failure, bytes] = co_await beast_http::async_read_header(
-      socket_, buffer_, parser, as_result);
-  if (failure) {
-    co_await reject(failure);
+  http::message_reader<true> reader(socket_, buffer_, parser);
+  while (!parser.is_header_done()) {
+    const auto failure = co_await reader.step();
+    if (failure) {
+      co_await reject(failure);
+      co_return false;
+    }
+  }
+  if (!http::has_plain_framing(parser.get(), parser.get().version())) {
+    co_await reject_with(status_bad_request);
     co_return false;
   }
   const bool expects =
--- a/src/forwarding/client_session.hpp
+++ b/src/forwarding/client_session.hpp
@@ -39,6 +39,7 @@
   /// What the connection is waiting for. Each phase has its own time limit.
   enum class phase : std::uint8_t { idle, header, body, serving };
   using request_parser = beast_http::request_parser<beast_http::string_body>;
+  using request_head = beast_http::request_header<beast_http::fields>;
 
   void enter(phase next, duration_ms limit);
   /// Runs while the connection is open, and cancels the operation whose phase
@@ -54,6 +55,10 @@
   [[nodiscard]] routing::client_limits limits() const;
   asio::awaitable<std::optional<received_request>> read_request();
   asio::awaitable<bool> read_header(request_parser &parser);
+  /// Copies a head to which the parser will add the fields behind a chunked
+  /// body. Those are dropped, since nothing that was decided by the head may
+  /// change.
+  static std::optional<request_head> copy_of_head(const request_parser &parser);
   /// Reads the body and books it.
   /// @return false when it was not read; the client has been answered.
   asio::awaitable<bool> read_body(request_parser &parser,
--- a/src/http/call_client.cpp
+++ b/src/http/call_client.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/socket_options.hpp"
 #include "http/address.hpp"
+#include "http/message_framing.hpp"
 #include "http/message_reader.hpp"
 
 #include <algorithm>
@@ -112,7 +113,8 @@
   const auto [read_failure, bytes] = co_await beast_http::async_read(
       over->socket, over->buffer, parser, as_result);
   over->disarm();
-  if (read_failure) {
+  if (read_failure ||
+      !has_plain_framing(parser.get(), parser.get().version())) {
     co_return std::nullopt;
   }
   call_response answer = parser.release();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/address.hpp"
 #include "http/await.hpp"
+#include "http/message_framing.hpp"
 #include "http/message_reader.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -102,10 +103,14 @@
   beast::flat_buffer buffer(max_element_bytes);
   beast::http::response_parser<beast::http::buffer_body> parser;
   parser.body_limit(sink != nullptr ? streamed_limit : response_limit);
-  const io_outcome head = await(executor, [&](auto done) {
+  io_outcome head = await(executor, [&](auto done) {
     stream.expires_after(timeouts.silence);
     beast::http::async_read_header(stream, buffer, parser, std::move(done));
   });
+  if (!head.failure &&
+      !has_plain_framing(parser.get(), parser.get().version())) {
+    head.failure = beast::http::error::bad_transfer_encoding;
+  }
   if (head.failure) {
     close();
     return broken("read response", address, head.failure, ran_status::unknown);
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -1,6 +1,9 @@
 #include "http/message_reader.hpp"
 
+#include "http/message_framing.hpp"
+
 #include <algorithm>
+#include <string_view>
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
@@ -39,7 +42,12 @@
 template <bool is_request>
 boost::system::error_code message_reader<is_request>::parse() {
   boost::system::error_code failure;
+  const bool was_in_head = !parser_.is_header_done();
   const std::size_t used = parser_.put(buffer_.data(), failure);
+  if (was_in_head && parser_.is_header_done() &&
+      has_folded_line(buffered(used))) {
+    failure = beast_http::error::bad_obs_fold;
+  }
   buffer_.consume(used);
   parsed_bytes_ += used;
   const bool is_element_complete =
@@ -50,6 +58,11 @@
   return failure;
 }
 
+template <bool is_request>
+std::string_view message_reader<is_request>::buffered(std::size_t bytes) const {
+  return {static_cast<const char *>(buffer_.cdata().data()), bytes};
+}
+
 template <bool is_request>
 bool message_reader<is_request>::has_partial_element() const {
   return buffer_.size() > line_end_bytes;
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -36,7 +37,8 @@
 
   /// Parses buffered bytes, or receives more if they are too few.
   /// @return `need_buffer` as the parser does; `buffer_overflow` when an
-  /// element is too long; `end_of_stream` when nothing of the message came.
+  /// element is too long; `end_of_stream` when nothing of the message came;
+  /// `bad_obs_fold` when a field of the head goes on in the next line.
   asio::awaitable<boost::system::error_code> step();
 
   /// How long the peer has let the reader wait within the present element. Time
@@ -55,6 +57,8 @@
   /// @return `need_more` when the buffered bytes are too few.
   boost::system::error_code parse();
   asio::awaitable<boost::system::error_code> receive();
+  /// The first of the buffered bytes.
+  [[nodiscard]] std::string_view buffered(std::size_t bytes) const;
 
   tcp::socket &socket_;
   boost::beast::flat_buffer &buffer_;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "base/error.hpp"
 #include "http/address.hpp"
 #include "http/await.hpp"
+#include "http/message_framing.hpp"
 #include "http/message_reader.hpp"
 #include "logging/log.hpp"
 
@@ -187,7 +188,7 @@
       const std::scoped_lock lock(idle_mutex);
       idle.insert(&stream);
     }
-    const io_outcome read = await(stream.get_executor(), [&](auto done) {
+    io_outcome read = await(stream.get_executor(), [&](auto done) {
       stream.expires_after(options.idle_timeout);
       beast::http::async_read(stream, buffer, parser, std::move(done));
     });
@@ -203,6 +204,10 @@
       break;
     }
     stream.expires_never();
+    if (!read.failure &&
+        !has_plain_framing(parser.get(), parser.get().version())) {
+      read.failure = beast::http::error::bad_transfer_encoding;
+    }
     if (read.failure) {
       const bool too_large =
           read.failure == beast::http::error::body_limit ||
--- a/src/http/status_server.cpp
+++ b/src/http/status_server.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding/stall_guard.hpp"
 #include "http/address.hpp"
+#include "http/message_framing.hpp"
 #include "http/message_reader.hpp"
 
 #include <memory>
@@ -51,7 +52,7 @@
     forwarding::stall_guard guard(socket, transfer_time);
     const auto [failure, bytes] =
         co_await beast_http::async_read(socket, buffer, parser, as_result);
-    if (failure) {
+    if (failure || !has_plain_framing(parser.get(), parser.get().version())) {
       co_return;
     }
     guard.on_progress();
--- a/tests/http/call_client_test.cpp
+++ b/tests/http/call_client_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST_SUITE(call_client_test);
   CPPUNIT_TEST(bytes_behind_an_answer_belong_to_no_call);
   CPPUNIT_TEST(an_answer_without_end_is_given_up);
+  CPPUNIT_TEST(an_answer_of_unclear_length_is_none);
   CPPUNIT_TEST(a_status_server_gives_up_a_request_without_end);
   CPPUNIT_TEST_SUITE_END();
 
@@ -85,6 +86,20 @@
     }
   }
 
+  void an_answer_of_unclear_length_is_none() {
+    for (const char *framing :
+         {"Transfer-Encoding: gzip", "Transfer-Encoding: chunked, gzip",
+          "Transfer-Encoding: identity\r\nContent-Length: 0"}) {
+      scripted_replica server(io_);
+      server.script.push_back({.bytes = "HTTP/1.1 200 OK\r\n" +
+                                        std::string(framing) + "\r\n\r\n" +
+                                        plain("forged", "a"),
+                               .close = true});
+      call_client client(io_, server.address(), call_limit);
+      CPPUNIT_ASSERT(!call(client, server));
+    }
+  }
+
   void a_status_server_gives_up_a_request_without_end() {
     auto free_port = listen(io_, "127.0.0.1:0").value().local_endpoint();
     const std::string address = "127.0.0.1:" + std::to_string(free_port.port());
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(malformed_http_is_refused);
   CPPUNIT_TEST(an_oversized_body_is_refused);
   CPPUNIT_TEST(framing_without_end_is_refused);
+  CPPUNIT_TEST(ambiguous_framing_is_refused);
   CPPUNIT_TEST(a_refused_connection_is_reported_as_not_run);
   CPPUNIT_TEST_SUITE_END();
 
@@ -92,6 +93,19 @@
     CPPUNIT_ASSERT(answer.find("413") != std::string::npos);
   }
 
+  /// Another reader may see a second request in the body.
+  void ambiguous_framing_is_refused() {
+    const std::string hidden = "POST /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (const char *framing :
+         {"Transfer-Encoding: gzip", "Transfer-Encoding: chunked, identity",
+          "Transfer-Encoding: gzip\r\nContent-Length: 0"}) {
+      const std::string answer = raw(
+          "POST / HTTP/1.1\r\n" + std::string(framing) + "\r\n\r\n" + hidden);
+      CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 400"), answer.substr(0, 12));
+      CPPUNIT_ASSERT_EQUAL(std::string::npos, answer.find("HTTP/1.1", 12));
+    }
+  }
+
   void a_refused_connection_is_reported_as_not_run() {
     const std::string address = server_->address();
     server_->stop_accepting();
