Break off nothing that runs at a replica that refuses connections

Cause: a refused connection counted as proof of a crash. A replica that leaves refuses connections too.

Change: a refusal keeps new requests away and counts for attempts that were lost, but breaks off nothing. What has crashed breaks its connections itself; two unanswered checks, or another process at the address, still break off.

Two cases of replica_watch_test fail with the old rule.

--- a/src/forwarding/replica_watch.cpp
+++ b/src/forwarding/replica_watch.cpp
@@ -122,7 +122,14 @@
   if (watched->target->heard_at > watched->alive_at) {
     watched->silence_limit = options_.silence_limit;
   }
-  if (watched->end || watched->is_checked) {
+  if (watched->is_checked) {
+    return;
+  }
+  if (watched->end) {
+    const duration_ms silence = now - silent_since(*watched);
+    if (silence >= min_silence && is_replaced(*watched->target)) {
+      break_off_running(*watched);
+    }
     return;
   }
   resolve_expired(*watched, now);
@@ -222,6 +229,14 @@
       .write();
   gateway_.pool().close_idle(target.record.start());
   resolve(watched, fate);
+  // A replica that leaves refuses connections too, while it finishes what it
+  // runs. Where it has crashed, the connections of its requests break.
+  if (fate != replica_fate::crashed) {
+    break_off_running(watched);
+  }
+}
+
+void replica_watch::break_off_running(const watched_replica &watched) {
   const auto running = watched.running;
   for (const auto &each : running) {
     if (const auto attempt = each.lock()) {
--- a/src/forwarding/replica_watch.hpp
+++ b/src/forwarding/replica_watch.hpp
@@ -6,7 +6,11 @@
 // - A replica with requests that has sent nothing on any connection for a while
 //   is checked by opening one: once for the replica, not for each request. One
 //   that leaves several checks in a row unanswered is taken as ended, and the
-//   requests that run there may go on elsewhere.
+//   requests that run there may go on elsewhere. So may they once another
+//   process listens at its address.
+// - One that refuses connections gets no requests, but keeps those that it
+// runs:
+//   it may be leaving. If it has crashed, their connections break.
 // - An attempt whose replica is not known to have ended is followed for some
 //   seconds after it was broken off. Its replica is also checked when it closes
 //   idle connections or leaves the directory.
@@ -116,6 +120,7 @@
   /// Whether another start of a replica listens at the address.
   [[nodiscard]] bool is_replaced(const routing::instance &target) const;
   void end(watched_replica &watched, replica_fate fate);
+  static void break_off_running(const watched_replica &watched);
   /// Tells the broken-off attempts what became of the replica.
   void resolve(watched_replica &watched, replica_fate fate);
   /// Tells those whose time is over that it is alive.
--- a/tests/forwarding/replica_watch_test.cpp
+++ b/tests/forwarding/replica_watch_test.cpp
@@ -31,6 +31,9 @@
   CPPUNIT_TEST(nothing_is_watched_without_requests);
   CPPUNIT_TEST(an_end_is_forgotten_once_the_replica_takes_a_request);
   CPPUNIT_TEST(checks_leave_one_idle_connection);
+  CPPUNIT_TEST(a_refused_connection_ends_no_running_request);
+  CPPUNIT_TEST(a_replica_that_left_finishes_what_it_runs);
+  CPPUNIT_TEST(a_request_leaves_a_replica_whose_address_was_reused);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr duration_ms follow_time{600};
@@ -68,6 +71,35 @@
     wait_for(duration_ms{20});
   }
 
+  /// Sends a request whose answer is read later.
+  tcp::socket begin_request(const std::string &attempt) {
+    tcp::socket socket(io_);
+    socket.connect(clients_->local_endpoint());
+    beast_http::request<beast_http::string_body> request(beast_http::verb::post,
+                                                         "/go", 11);
+    request.set(beast_http::field::host, "h");
+    request.set("Attempt", attempt);
+    request.body() = "question";
+    request.prepare_payload();
+    beast_http::write(socket, request);
+    wait_for(duration_ms{100});
+    return socket;
+  }
+
+  unsigned status_of(tcp::socket &socket) {
+    boost::beast::flat_buffer buffer;
+    beast_http::response<beast_http::string_body> answer;
+    test_support::await_result(
+        io_, beast_http::async_read(socket, buffer, answer, as_result));
+    return answer.result_int();
+  }
+
+  /// A replica that runs a request for a second, and one that could take it.
+  scripted_replica &add_busy_replica() {
+    return add_replica("busy",
+                       {.bytes = plain("answer"), .delay = duration_ms{1000}});
+  }
+
   /// The names of the replicas that were reported as ended.
   [[nodiscard]] std::vector<std::string> reported() const {
     std::vector<std::string> names;
@@ -222,6 +254,53 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, open);
   }
 
+  /// A replica that leaves takes no connections and finishes what it runs,
+  /// which its entry may tell late.
+  void a_refused_connection_ends_no_running_request() {
+    scripted_replica &busy = add_busy_replica();
+    tcp::socket running = begin_request("a");
+    busy.stop_listening();
+    CPPUNIT_ASSERT(ask("b") >= 500U);
+    add_replica("other", {.bytes = plain("answer")});
+    CPPUNIT_ASSERT_EQUAL(200U, status_of(running));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, busy.received.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sends());
+  }
+
+  void a_replica_that_left_finishes_what_it_runs() {
+    for (const bool says_draining : {true, false}) {
+      replicas_.clear();
+      scripted_replica &busy = add_busy_replica();
+      tcp::socket running = begin_request("a");
+      busy.stop_listening();
+      if (says_draining) {
+        list("busy", true);
+      } else {
+        gateway_->replicas().remove(routing::instance_id{"busy"});
+      }
+      add_replica("other", {.bytes = plain("answer")});
+      CPPUNIT_ASSERT_EQUAL(200U, status_of(running));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sends());
+      gateway_->replicas().remove(routing::instance_id{"busy"});
+      gateway_->replicas().remove(routing::instance_id{"other"});
+    }
+  }
+
+  /// Another process listens there, so the one before has ended.
+  void a_request_leaves_a_replica_whose_address_was_reused() {
+    scripted_replica &busy = add_busy_replica();
+    tcp::socket running = begin_request("a");
+    gateway_->replicas().remove(routing::instance_id{"busy"});
+    gateway_->replicas().put({.id = routing::instance_id{"again"},
+                              .service = routing::service_id{"s"},
+                              .address = busy.address(),
+                              .zone = "z",
+                              .slots = 4});
+    wait_for(duration_ms{500});
+    CPPUNIT_ASSERT(reported() == std::vector<std::string>{"busy"});
+    running.close();
+  }
+
   void nothing_is_watched_without_requests() {
     scripted_replica &replica = add_replica("r", {.bytes = plain("answer")});
     CPPUNIT_ASSERT_EQUAL(200U, ask("a"));
