Bound the time for which a lost answer of the store goes unnoticed

Cause: the relays' watch calls wait 8 s. One that begins while the store is silent is never answered, and looks like one that waits for news.

Change: relays wait half of the time for which a draining replica may get requests, gateways that watch the store themselves twice that in place of 28 s, the watch of retirement requests 2 s in place of 28 s.

--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -188,6 +188,8 @@
       io, *binding.store, sources_, cache_,
       objects::watch_options{
           .kind = binding.configuration_kind,
+          .long_poll_timeout =
+              objects::gateway_poll_timeout(settings_.drain_notice),
           .enabled = not_relayed,
           .store_down_for_others = no_relay_is_current,
           .confirm_interval =
@@ -197,6 +199,8 @@
       io, *binding.store, sources_, cache_,
       objects::watch_options{
           .kind = binding.instance_kind,
+          .long_poll_timeout =
+              objects::gateway_poll_timeout(settings_.drain_notice),
           .min_poll_interval =
               objects::instance_poll_interval(settings_.drain_notice),
           .enabled = not_relayed,
--- a/src/objects/object_watch.hpp
+++ b/src/objects/object_watch.hpp
@@ -67,6 +67,22 @@
   return drain_notice / polls_per_drain_notice;
 }
 
+/// How long one call of a relay that watches replicas or the configuration
+/// waits for changes. Its connection may have gone silent, which shows only
+/// when the call is given up: the call and a listing after it have to fit into
+/// the time for which a draining replica may still receive requests.
+constexpr duration_ms relay_poll_timeout(duration_ms drain_notice) {
+  constexpr std::int64_t calls_per_drain_notice = 2;
+  return drain_notice / calls_per_drain_notice;
+}
+
+/// The same for a gateway while it follows no relay. All gateways make these
+/// calls then, so they are longer.
+constexpr duration_ms gateway_poll_timeout(duration_ms drain_notice) {
+  constexpr std::int64_t drain_notices_per_call = 2;
+  return drain_notices_per_call * drain_notice;
+}
+
 /// How often a copy of the configuration is confirmed. A gateway whose relay
 /// cannot confirm it has to notice, try other relays and finally the store
 /// itself before its API keys expire: three missed answers, and three relays of
--- a/src/records/retirement_watch.cpp
+++ b/src/records/retirement_watch.cpp
@@ -15,6 +15,8 @@
 
 /// Interval at which the emptied nodes are checked.
 constexpr duration_ms check_interval{200};
+/// Bounds the time for which a lost answer goes unnoticed.
+constexpr duration_ms poll_timeout{2000};
 
 } // namespace
 
@@ -26,6 +28,7 @@
           io, *binding.store, {}, cache_,
           // Only leaders act on the requests.
           {.kind = binding.retirement_kind,
+           .long_poll_timeout = poll_timeout,
            .enabled = [this] { return runtime_.leads_any(); }},
           {.on_listing =
                [this](const objects::listing &listed) { on_listing(listed); },
--- a/src/records/store_process.cpp
+++ b/src/records/store_process.cpp
@@ -25,13 +25,12 @@
 namespace {
 
 constexpr std::uint32_t status_not_found = 404;
-/// Maximum duration of one watch call. It bounds the time for which an object
-/// store that accepts a call and never replies goes unnoticed.
-constexpr duration_ms relay_wait{8000};
 
 /// Watch options of the objects relayed to gateways.
 std::vector<objects::watch_options>
 relayed_kinds(const store_settings &settings, const store_binding &binding) {
+  const duration_ms relay_wait =
+      objects::relay_poll_timeout(settings.drain_notice);
   std::vector<objects::watch_options> watches{
       {.kind = binding.configuration_kind,
        .long_poll_timeout = relay_wait,
