Propose new quota terms at once when they arrive during a proposal

Callers would see: after a lower limit a tenant sends more than that for a window (QUOTA).

Cause: the answer to a reservation that was proposed under the old terms said that the account is full for 3 s, and nothing was proposed until then. The account counted the new terms from 3.6 s later on.

Change: such an answer refuses nobody while newer terms are known, and the next proposal carries them.

--- a/src/records/permit_allocator.cpp
+++ b/src/records/permit_allocator.cpp
@@ -182,6 +182,7 @@
         static_cast<std::uint32_t>(reservation_lifetime.count()));
     allocation.proposal_pending = true;
     allocation.proposed_expiry = now + reservation_lifetime;
+    allocation.proposed_version = allocation.terms.version();
   }
   return wanted;
 }
@@ -198,7 +199,11 @@
   allocation.available += reserved.granted();
   allocation.expires_at = allocation.proposed_expiry;
   allocation.last_reservation = reserved;
-  if (reserved.free_after_ms() > 0) {
+  // Terms that arrived after the proposal have to reach the account with the
+  // next one at once, as their limit counts from then on.
+  const bool has_newer_terms =
+      allocation.terms.version() > allocation.proposed_version;
+  if (reserved.free_after_ms() > 0 && !has_newer_terms) {
     allocation.exhausted_until = now + duration_ms{reserved.free_after_ms()};
   }
   // Serve running programs first.
--- a/src/records/permit_allocator.hpp
+++ b/src/records/permit_allocator.hpp
@@ -84,6 +84,8 @@
     bool proposal_pending = false;
     /// Expiry of the proposed reservation, if any.
     timestamp proposed_expiry{};
+    /// Version of the terms of the last proposal.
+    std::uint64_t proposed_version = 0;
     /// The partition has no free permits before this time.
     timestamp exhausted_until{};
     wire::ReservedQuota last_reservation;
--- a/tests/records/permit_allocator_test.cpp
+++ b/tests/records/permit_allocator_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(over_the_limit_whole_programs_are_served);
   CPPUNIT_TEST(a_lower_limit_holds_within_a_window);
   CPPUNIT_TEST(a_higher_limit_applies_at_once);
+  CPPUNIT_TEST(terms_that_arrive_during_a_proposal_are_proposed_at_once);
   CPPUNIT_TEST(cut_off_gateways_send_nothing);
   CPPUNIT_TEST(restarting_gateways_refuse_nothing_below_the_limit);
   CPPUNIT_TEST(a_restarted_fleet_stays_within_the_bound);
@@ -112,6 +113,38 @@
     CPPUNIT_ASSERT_EQUAL(before, all.refused);
   }
 
+  static gateway_permit_request request_under(std::uint64_t version) {
+    gateway_permit_request request;
+    request.id = version;
+    request.wanted.set_tenant("a");
+    request.wanted.mutable_terms()->set_version(version);
+    request.wanted.mutable_terms()->set_window_ms(5000);
+    return request;
+  }
+
+  /// Until the account is full by the old terms, nothing would be proposed, and
+  /// the lower limit would count from that late moment on.
+  void terms_that_arrive_during_a_proposal_are_proposed_at_once() {
+    permit_allocator allocator;
+    const timestamp now = timestamp_from(1000);
+    constexpr tenants::quota_time time = 1000;
+    allocator.request_permit(request_under(1), time, now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         allocator.take_reservations(now).size());
+    allocator.request_permit(request_under(2), time, now);
+    wire::ReservedQuota full;
+    full.set_tenant("a");
+    full.set_number(1);
+    full.set_free_after_ms(3000);
+    allocator.on_reserved(full, time, now);
+    const auto proposed = allocator.take_reservations(now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, proposed.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, proposed.front().terms().version());
+    allocator.on_reserved(full, time, now);
+    CPPUNIT_ASSERT(allocator.take_reservations(now).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, allocator.take_replies().size());
+  }
+
   void cut_off_gateways_send_nothing() {
     quota_fleet all(gateways, large, 11);
     all.run_programs(duration_ms{8000}, 300, length);
