--- a/src/forwarding/replica_watch.hpp
+++ b/src/forwarding/replica_watch.hpp
@@ -8,9 +8,8 @@
 //   that leaves several checks in a row unanswered is taken as ended, and the
 //   requests that run there may go on elsewhere. So may they once another
 //   process listens at its address.
-// - One that refuses connections gets no requests, but keeps those that it
-// runs:
-//   it may be leaving. If it has crashed, their connections break.
+// - One that refuses connections gets no requests and keeps those that it runs,
+//   since it may be leaving. If it has crashed, their connections break.
 // - An attempt whose replica is not known to have ended is followed for some
 //   seconds after it was broken off. Its replica is also checked when it closes
 //   idle connections or leaves the directory.
