Leave a replica that refuses connections and is silent

One that has crashed need not break its connections.

Change: two signs are asked for: it refuses connections, and it has been silent for the limit while its entry says that it serves. A replica that leaves is heard, or its entry says so.

--- a/src/forwarding/replica_watch.cpp
+++ b/src/forwarding/replica_watch.cpp
@@ -127,7 +127,9 @@
   }
   if (watched->end) {
     const duration_ms silence = now - silent_since(*watched);
-    if (silence >= min_silence && is_replaced(*watched->target)) {
+    const bool is_over =
+        silence >= min_silence && is_replaced(*watched->target);
+    if (is_over || has_crashed(*watched, now)) {
       break_off_running(*watched);
     }
     return;
@@ -229,13 +231,19 @@
       .write();
   gateway_.pool().close_idle(target.record.start());
   resolve(watched, fate);
-  // A replica that leaves refuses connections too, while it finishes what it
-  // runs. Where it has crashed, the connections of its requests break.
-  if (fate != replica_fate::crashed) {
+  if (fate != replica_fate::crashed || has_crashed(watched, watched.ended_at)) {
     break_off_running(watched);
   }
 }
 
+bool replica_watch::has_crashed(const watched_replica &watched,
+                                timestamp now) const {
+  const routing::instance &target = *watched.target;
+  const bool may_be_leaving = target.record.draining || !target.listed;
+  const bool is_silent = now - silent_since(watched) >= options_.silence_limit;
+  return watched.end == replica_fate::crashed && !may_be_leaving && is_silent;
+}
+
 void replica_watch::break_off_running(const watched_replica &watched) {
   const auto running = watched.running;
   for (const auto &each : running) {
--- a/src/forwarding/replica_watch.hpp
+++ b/src/forwarding/replica_watch.hpp
@@ -8,8 +8,8 @@
 //   that leaves several checks in a row unanswered is taken as ended, and the
 //   requests that run there may go on elsewhere. So may they once another
 //   process listens at its address.
-// - One that refuses connections gets no requests and keeps those that it runs,
-//   since it may be leaving. If it has crashed, their connections break.
+// - One that refuses connections gets no requests. It keeps those that it runs
+//   while it is heard, or known to leave: what leaves refuses connections too.
 // - An attempt whose replica is not known to have ended is followed for some
 //   seconds after it was broken off. Its replica is also checked when it closes
 //   idle connections or leaves the directory.
@@ -120,6 +120,10 @@
   [[nodiscard]] bool is_replaced(const routing::instance &target) const;
   void end(watched_replica &watched, replica_fate fate);
   static void break_off_running(const watched_replica &watched);
+  /// Whether a replica that refuses connections has crashed rather than leaves:
+  /// it is silent, and its entry says that it serves.
+  [[nodiscard]] bool has_crashed(const watched_replica &watched,
+                                 timestamp now) const;
   /// Tells the broken-off attempts what became of the replica.
   void resolve(watched_replica &watched, replica_fate fate);
   /// Tells those whose time is over that it is alive.
--- a/tests/forwarding/replica_watch_test.cpp
+++ b/tests/forwarding/replica_watch_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(an_end_is_forgotten_once_the_replica_takes_a_request);
   CPPUNIT_TEST(checks_leave_one_idle_connection);
   CPPUNIT_TEST(a_refused_connection_ends_no_running_request);
+  CPPUNIT_TEST(a_request_leaves_a_silent_replica_that_refuses_connections);
   CPPUNIT_TEST(a_replica_that_left_finishes_what_it_runs);
   CPPUNIT_TEST(a_request_leaves_a_replica_whose_address_was_reused);
   CPPUNIT_TEST_SUITE_END();
@@ -257,7 +258,8 @@
   /// A replica that leaves takes no connections and finishes what it runs,
   /// which its entry may tell late.
   void a_refused_connection_ends_no_running_request() {
-    scripted_replica &busy = add_busy_replica();
+    scripted_replica &busy = add_replica(
+        "busy", {.bytes = plain("answer"), .delay = duration_ms{150}});
     tcp::socket running = begin_request("a");
     busy.stop_listening();
     CPPUNIT_ASSERT(ask("b") >= 500U);
@@ -267,6 +269,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sends());
   }
 
+  /// Its connections may stay open although its process has ended.
+  void a_request_leaves_a_silent_replica_that_refuses_connections() {
+    scripted_replica &busy = add_busy_replica();
+    tcp::socket running = begin_request("a");
+    busy.stop_listening();
+    add_replica("other", {.bytes = plain("answer")});
+    const timestamp begun = steady_now();
+    CPPUNIT_ASSERT_EQUAL(200U, status_of(running));
+    CPPUNIT_ASSERT(steady_now() - begun < duration_ms{600});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sends());
+  }
+
   void a_replica_that_left_finishes_what_it_runs() {
     for (const bool says_draining : {true, false}) {
       replicas_.clear();
