--- a/src/forwarding/answer_reader.cpp
+++ b/src/forwarding/answer_reader.cpp
@@ -85,7 +85,7 @@
                                .cause = {}};
     }
   }
-  if (!http::has_plain_framing(head(), head().version())) {
+  if (!http::has_plain_framing(head())) {
     co_return answer_failure{.error = answer_error::unclear_length,
                              .cause = {}};
   }
--- a/src/forwarding/client_session.cpp
+++ b/src/forwarding/client_session.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/client_session.hpp"
 
+#include "forwarding/http_status.hpp"
 #include "forwarding/request_exchange.hpp"
 #include "forwarding/socket_options.hpp"
 #include "http/message_framing.hpp"
@@ -34,9 +35,6 @@
 constexpr std::size_t request_overhead_bytes = 48U << 10U;
 /// Another gateway can probably serve the request.
 constexpr duration_ms memory_retry{50};
-constexpr std::uint32_t status_bad_request = 400;
-constexpr std::uint32_t status_unavailable = 503;
-constexpr std::uint32_t status_content_too_large = 413;
 /// Bytes a second of a body, without its framing, below which a client is given
 /// up.
 constexpr std::size_t min_body_rate = 500;
@@ -167,12 +165,12 @@
     co_return std::nullopt;
   }
   held.resize(request_overhead_bytes + parser.content_length().value_or(0));
-  const auto head = copy_of_head(parser);
+  auto head = copy_of_head(parser);
   if (!co_await read_body(parser, held)) {
     co_return std::nullopt;
   }
   if (head) {
-    parser.get().base() = *head;
+    parser.get().base() = std::move(*head);
   }
   co_return received_request{.request = interpret(parser.release(), arrived,
                                                   gateway_.options().headers),
@@ -263,7 +261,7 @@
       co_return false;
     }
   }
-  if (!http::has_plain_framing(parser.get(), parser.get().version())) {
+  if (!http::has_plain_framing(parser.get())) {
     co_await reject_with(status_bad_request);
     co_return false;
   }
--- a/src/forwarding/gateway_process.cpp
+++ b/src/forwarding/gateway_process.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/client_session.hpp"
 #include "forwarding/drain_monitor.hpp"
 #include "forwarding/gateway.hpp"
+#include "forwarding/http_status.hpp"
 #include "forwarding/peer_contacts.hpp"
 #include "http/status_server.hpp"
 #include "logging/log.hpp"
@@ -51,8 +52,6 @@
 constexpr duration_ms max_listing_age{1000};
 /// The fraction of the memory that is kept for large answers.
 constexpr std::size_t large_answers_part = 16;
-constexpr std::uint32_t status_not_found = 404;
-constexpr std::uint32_t status_unavailable = 503;
 
 class gateway_process {
 public:
--- a/src/forwarding/http_status.hpp
+++ b/src/forwarding/http_status.hpp
@@ -6,9 +6,11 @@
 namespace heathtrestle::forwarding {
 
 inline constexpr std::uint32_t status_ok = 200;
+inline constexpr std::uint32_t status_bad_request = 400;
 inline constexpr std::uint32_t status_unauthorized = 401;
 inline constexpr std::uint32_t status_payment_required = 402;
 inline constexpr std::uint32_t status_not_found = 404;
+inline constexpr std::uint32_t status_content_too_large = 413;
 inline constexpr std::uint32_t status_misdirected = 421;
 inline constexpr std::uint32_t status_bad_gateway = 502;
 inline constexpr std::uint32_t status_unavailable = 503;
--- a/src/forwarding/replica_watch.cpp
+++ b/src/forwarding/replica_watch.cpp
@@ -126,10 +126,7 @@
     return;
   }
   if (watched->end) {
-    const duration_ms silence = now - silent_since(*watched);
-    const bool is_over =
-        silence >= min_silence && is_replaced(*watched->target);
-    if (is_over || has_crashed(*watched, now)) {
+    if (is_replaced(*watched, now) || has_crashed(*watched, now)) {
       break_off_running(*watched);
     }
     return;
@@ -141,7 +138,7 @@
     return;
   }
   const duration_ms silence = now - silent_since(*watched);
-  if (silence >= min_silence && is_replaced(*watched->target)) {
+  if (is_replaced(*watched, now)) {
     end(*watched, replica_fate::unlisted);
   } else if (must_check(*watched, silence)) {
     start_check(watched);
@@ -171,8 +168,10 @@
   return std::max({oldest, watched.target->heard_at, watched.alive_at});
 }
 
-bool replica_watch::is_replaced(const routing::instance &target) const {
-  if (target.listed) {
+bool replica_watch::is_replaced(const watched_replica &watched,
+                                timestamp now) const {
+  const routing::instance &target = *watched.target;
+  if (target.listed || now - silent_since(watched) < min_silence) {
     return false;
   }
   const auto &listed = gateway_.replicas().directory().all();
--- a/src/forwarding/replica_watch.hpp
+++ b/src/forwarding/replica_watch.hpp
@@ -116,9 +116,12 @@
   [[nodiscard]] static timestamp silent_since(const watched_replica &watched);
   asio::awaitable<void> check(watched_ptr watched);
   void start_check(const watched_ptr &watched);
-  /// Whether another start of a replica listens at the address.
-  [[nodiscard]] bool is_replaced(const routing::instance &target) const;
+  /// Whether the replica is silent and another start of one listens at its
+  /// address.
+  [[nodiscard]] bool is_replaced(const watched_replica &watched,
+                                 timestamp now) const;
   void end(watched_replica &watched, replica_fate fate);
+  /// Breaks off the attempts that run there.
   static void break_off_running(const watched_replica &watched);
   /// Whether a replica that refuses connections has crashed rather than leaves:
   /// it is silent, and its entry says that it serves.
--- a/src/forwarding/request_permissions.cpp
+++ b/src/forwarding/request_permissions.cpp
@@ -303,8 +303,8 @@
 }
 
 asio::awaitable<bool> request_exchange::apply_only_version() {
-  // A client that names no attempt cannot be told apart from one of before that
-  // rule: its stream goes on where only one version is known.
+  // Clients need not name the attempt, so their streams go on unless several
+  // versions are known. A name that the group does not know is unexpected.
   const replica_selector &replicas = gateway_.replicas();
   std::optional<software_version> only;
   if (resumes_unnamed_stream()) {
--- a/src/http/call_client.cpp
+++ b/src/http/call_client.cpp
@@ -113,8 +113,7 @@
   const auto [read_failure, bytes] = co_await beast_http::async_read(
       over->socket, over->buffer, parser, as_result);
   over->disarm();
-  if (read_failure ||
-      !has_plain_framing(parser.get(), parser.get().version())) {
+  if (read_failure || !has_plain_framing(parser.get())) {
     co_return std::nullopt;
   }
   call_response answer = parser.release();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -107,8 +107,7 @@
     stream.expires_after(timeouts.silence);
     beast::http::async_read_header(stream, buffer, parser, std::move(done));
   });
-  if (!head.failure &&
-      !has_plain_framing(parser.get(), parser.get().version())) {
+  if (!head.failure && !has_plain_framing(parser.get())) {
     head.failure = beast::http::error::bad_transfer_encoding;
   }
   if (head.failure) {
--- a/src/http/message_framing.cpp
+++ b/src/http/message_framing.cpp
@@ -21,7 +21,9 @@
 
 } // namespace
 
-bool has_plain_framing(const beast_http::fields &head, unsigned version) {
+template <bool is_request>
+bool has_plain_framing(
+    const beast_http::header<is_request, beast_http::fields> &head) {
   const std::size_t codings = head.count(beast_http::field::transfer_encoding);
   const std::size_t lengths = head.count(beast_http::field::content_length);
   if (codings + lengths > 1) {
@@ -29,7 +31,8 @@
   }
   if (codings == 1) {
     const auto coding = head[beast_http::field::transfer_encoding];
-    return version >= http_1_1 && boost::beast::iequals(coding, "chunked");
+    return head.version() >= http_1_1 &&
+           boost::beast::iequals(coding, "chunked");
   }
   if (lengths == 1) {
     const auto length = head[beast_http::field::content_length];
@@ -38,6 +41,11 @@
   return true;
 }
 
+template bool has_plain_framing<true>(
+    const beast_http::header<true, beast_http::fields> &head);
+template bool has_plain_framing<false>(
+    const beast_http::header<false, beast_http::fields> &head);
+
 bool has_folded_line(std::string_view head) {
   return head.find("\r\n ") != std::string_view::npos ||
          head.find("\r\n\t") != std::string_view::npos;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -204,8 +204,7 @@
       break;
     }
     stream.expires_never();
-    if (!read.failure &&
-        !has_plain_framing(parser.get(), parser.get().version())) {
+    if (!read.failure && !has_plain_framing(parser.get())) {
       read.failure = beast::http::error::bad_transfer_encoding;
     }
     if (read.failure) {
--- a/src/http/status_server.cpp
+++ b/src/http/status_server.cpp
@@ -52,7 +52,7 @@
     forwarding::stall_guard guard(socket, transfer_time);
     const auto [failure, bytes] =
         co_await beast_http::async_read(socket, buffer, parser, as_result);
-    if (failure || !has_plain_framing(parser.get(), parser.get().version())) {
+    if (failure || !has_plain_framing(parser.get())) {
       co_return;
     }
     guard.on_progress();
--- a/src/objects/object_follower.cpp
+++ b/src/objects/object_follower.cpp
@@ -9,6 +9,15 @@
 
 namespace heathtrestle::objects {
 
+namespace {
+
+/// Whether a copy lacks nothing that its relay has.
+bool has_everything(const wire::CopiedKind &copied, const object_watch &watch) {
+  return copied.revision() <= watch.revision();
+}
+
+} // namespace
+
 object_follower::object_follower(asio::io_context &io, follow_options options,
                                  std::function<relay_order()> relays,
                                  sender send)
@@ -119,7 +128,7 @@
     if (object_watch *watch = find_watch(copied.kind())) {
       apply_copy(copied, *watch);
       record_confirmation(copies, copied, *watch);
-      all_complete = all_complete && copied.revision() <= watch->revision();
+      all_complete = all_complete && has_everything(copied, *watch);
     }
     all_current = all_current && copied.current();
     any_loading = any_loading || copied.loading();
@@ -210,8 +219,7 @@
                                           object_watch &watch) {
   const bool answers_heartbeat =
       copies.heartbeat_sent_ms() > 0 && copied.confirmed_age_ms() > 0;
-  const bool has_everything = copied.revision() <= watch.revision();
-  if (!answers_heartbeat || !has_everything) {
+  if (!answers_heartbeat || !has_everything(copied, watch)) {
     return;
   }
   // The relay computes the age when the heartbeat arrives. Counting back from
--- a/src/raft/consensus.cpp
+++ b/src/raft/consensus.cpp
@@ -177,16 +177,12 @@
   return found->second.last_heard;
 }
 
-std::size_t consensus::count_dead(const std::vector<replica_id> &voters) const {
-  return static_cast<std::size_t>(
-      std::count_if(voters.begin(), voters.end(),
-                    [this](const auto &voter) { return is_dead(voter); }));
-}
-
 std::size_t
 consensus::election_quorum(const std::vector<replica_id> &voters) const {
   const std::size_t majority = voters.size() / 2 + 1;
-  const std::size_t dead = count_dead(voters);
+  const auto dead = static_cast<std::size_t>(
+      std::count_if(voters.begin(), voters.end(),
+                    [this](const auto &voter) { return is_dead(voter); }));
   if (dead == 0) {
     return majority;
   }
--- a/src/raft/consensus.hpp
+++ b/src/raft/consensus.hpp
@@ -314,8 +314,6 @@
   /// dead, votes of the others alone count.
   [[nodiscard]] std::size_t
   election_quorum(const std::vector<replica_id> &voters) const;
-  [[nodiscard]] std::size_t
-  count_dead(const std::vector<replica_id> &voters) const;
   /// Whether the votes received suffice among some voters.
   [[nodiscard]] bool is_elected_by(const std::vector<replica_id> &voters) const;
   /// The last index held by a majority; while a membership change is in
--- a/src/records/record_node.hpp
+++ b/src/records/record_node.hpp
@@ -73,8 +73,8 @@
   /// A voter that has sent nothing for this long is replaced by a spare node.
   duration_ms replace_after{1500};
   /// A voter that has sent nothing for this long leaves the group if no node
-  /// can take its place. Below the time after which a lost machine that was
-  /// replaced counts as made up for.
+  /// can take its place. Longer than `replace_after`, so that a node which is
+  /// found meanwhile takes its place instead.
   duration_ms gone_after{3000};
   duration_ms hello_interval{300};
   /// Interval of hello messages of a node without a replica of this partition
--- a/src/records/stream_origins.cpp
+++ b/src/records/stream_origins.cpp
@@ -4,6 +4,16 @@
 
 namespace heathtrestle::records {
 
+namespace {
+
+/// Whether the attempt is to have a version: one that it chose, or that of the
+/// stream that it resumes.
+bool wants_version(const wire::BeginTurn &wanted) {
+  return !wanted.software_version().empty() || wanted.resumes_unnamed();
+}
+
+} // namespace
+
 std::optional<wire::StreamOrigin>
 stream_origins::record(const wire::BeginTurn &wanted, std::uint64_t now_ms) {
   std::erase_if(by_attempt_, [now_ms](const auto &entry) {
@@ -12,6 +22,9 @@
   if (auto known = recorded(wanted)) {
     return known;
   }
+  if (!wants_version(wanted)) {
+    return std::nullopt;
+  }
   origin chosen = resolve(wanted);
   if (chosen.version.empty()) {
     return std::nullopt;
@@ -25,20 +38,18 @@
 
 stream_origins::origin
 stream_origins::resolve(const wire::BeginTurn &wanted) const {
-  const auto first = by_attempt_.find(wanted.resumes());
-  if (first != by_attempt_.end() && !wanted.software_version().empty()) {
-    return {.version = first->second.version,
-            .choice = wanted.version_choice(),
-            .is_continuation = true};
-  }
-  const auto only = wanted.resumes_unnamed() ? only_version() : std::nullopt;
-  if (only) {
-    return {.version = *only,
-            .choice = wanted.version_choice(),
-            .is_continuation = true};
-  }
-  return {.version = wanted.software_version(),
-          .choice = wanted.version_choice()};
+  const auto continued =
+      wanted.resumes_unnamed() ? only_version() : version_of(wanted.resumes());
+  return {.version = continued.value_or(wanted.software_version()),
+          .choice = wanted.version_choice(),
+          .is_continuation = continued.has_value()};
+}
+
+std::optional<std::string>
+stream_origins::version_of(const std::string &attempt) const {
+  const auto known = by_attempt_.find(attempt);
+  return known != by_attempt_.end() ? std::optional(known->second.version)
+                                    : std::nullopt;
 }
 
 std::optional<std::string> stream_origins::only_version() const {
@@ -56,9 +67,7 @@
 std::optional<wire::StreamOrigin>
 stream_origins::recorded(const wire::BeginTurn &wanted) const {
   const auto known = by_attempt_.find(wanted.attempt());
-  const bool wants_version =
-      !wanted.software_version().empty() || wanted.resumes_unnamed();
-  const bool is_settled = wants_version && known != by_attempt_.end() &&
+  const bool is_settled = wants_version(wanted) && known != by_attempt_.end() &&
                           known->second.choice >= wanted.version_choice();
   return is_settled ? std::optional(to_wire(known->second)) : std::nullopt;
 }
--- a/src/records/stream_origins.hpp
+++ b/src/records/stream_origins.hpp
@@ -54,6 +54,9 @@
   };
 
   [[nodiscard]] origin resolve(const wire::BeginTurn &wanted) const;
+  /// Returns the version of an attempt, if it is recorded.
+  [[nodiscard]] std::optional<std::string>
+  version_of(const std::string &attempt) const;
   /// Returns the version of all recorded attempts, if it is one.
   [[nodiscard]] std::optional<std::string> only_version() const;
   static wire::StreamOrigin to_wire(const origin &known);
--- a/tests/forwarding/replica_watch_test.cpp
+++ b/tests/forwarding/replica_watch_test.cpp
@@ -56,8 +56,9 @@
     }
   }
 
-  /// Sends a request and leaves without waiting for its answer.
-  void ask_and_leave(const std::string &attempt, duration_ms patience) {
+  /// Sends a request whose answer is read later, if at all, and waits a while.
+  tcp::socket begin_request(const std::string &attempt,
+                            duration_ms span = duration_ms{100}) {
     tcp::socket socket(io_);
     socket.connect(clients_->local_endpoint());
     beast_http::request<beast_http::string_body> request(beast_http::verb::post,
@@ -67,24 +68,15 @@
     request.body() = "question";
     request.prepare_payload();
     beast_http::write(socket, request);
-    wait_for(patience);
-    socket.close();
-    wait_for(duration_ms{20});
+    wait_for(span);
+    return socket;
   }
 
-  /// Sends a request whose answer is read later.
-  tcp::socket begin_request(const std::string &attempt) {
-    tcp::socket socket(io_);
-    socket.connect(clients_->local_endpoint());
-    beast_http::request<beast_http::string_body> request(beast_http::verb::post,
-                                                         "/go", 11);
-    request.set(beast_http::field::host, "h");
-    request.set("Attempt", attempt);
-    request.body() = "question";
-    request.prepare_payload();
-    beast_http::write(socket, request);
-    wait_for(duration_ms{100});
-    return socket;
+  /// Sends a request and leaves without waiting for its answer.
+  void ask_and_leave(const std::string &attempt, duration_ms patience) {
+    tcp::socket socket = begin_request(attempt, patience);
+    socket.close();
+    wait_for(duration_ms{20});
   }
 
   unsigned status_of(tcp::socket &socket) {
--- a/tests/forwarding/resumed_turn_test.cpp
+++ b/tests/forwarding/resumed_turn_test.cpp
@@ -9,11 +9,9 @@
 namespace heathtrestle::forwarding {
 namespace {
 
-using test_support::chunk;
+using test_support::broken_events;
 using test_support::event;
-using test_support::scripted;
-using test_support::stream_end;
-using test_support::stream_head;
+using test_support::events;
 
 class resumed_turn_test : public test_support::one_service_fixture {
   CPPUNIT_TEST_SUITE(resumed_turn_test);
@@ -39,21 +37,6 @@
     return made;
   }
 
-  static scripted events(int first, int last) {
-    std::string bytes = stream_head;
-    for (int id = first; id <= last; ++id) {
-      bytes += chunk(event(id));
-    }
-    return {.bytes = bytes + stream_end};
-  }
-
-  static scripted broken_events(int first, int last) {
-    scripted broken = events(first, last);
-    broken.bytes.resize(broken.bytes.size() - stream_end.size());
-    broken.close = true;
-    return broken;
-  }
-
   std::optional<http::call_response>
   ask_turn(const std::string &attempt, client_fields fields = {},
            const std::string &path = "/kept/") {
--- a/tests/forwarding/stream_of_two_versions_test.cpp
+++ b/tests/forwarding/stream_of_two_versions_test.cpp
@@ -15,14 +15,13 @@
 namespace heathtrestle::forwarding {
 namespace {
 
-using test_support::chunk;
+using test_support::broken_events;
 using test_support::event;
+using test_support::events;
 using test_support::open_ledger;
 using test_support::refusal;
 using test_support::scripted;
 using test_support::scripted_replica;
-using test_support::stream_end;
-using test_support::stream_head;
 
 using client_fields = std::map<std::string, std::string>;
 
@@ -143,21 +142,6 @@
     replicas_.at(id)->script.push_back(std::move(answer));
   }
 
-  static scripted events(int first, int last) {
-    std::string bytes = stream_head;
-    for (int id = first; id <= last; ++id) {
-      bytes += chunk(event(id));
-    }
-    return {.bytes = bytes + stream_end};
-  }
-
-  static scripted broken_events(int first, int last) {
-    scripted broken = events(first, last);
-    broken.bytes.resize(broken.bytes.size() - stream_end.size());
-    broken.close = true;
-    return broken;
-  }
-
   std::optional<http::call_response> ask(const std::string &attempt,
                                          const client_fields &fields = {},
                                          const std::string &path = "/stream/") {
--- a/tests/support/scripted_replica.hpp
+++ b/tests/support/scripted_replica.hpp
@@ -191,6 +191,24 @@
     "HTTP/1.1 200 OK\r\nAttempt: {id}\r\nSignature: s\r\n"
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 inline const std::string stream_end = "0\r\n\r\n";
+
+/// A stream of events with these ids.
+inline scripted events(int first, int last) {
+  std::string bytes = stream_head;
+  for (int id = first; id <= last; ++id) {
+    bytes += chunk(event(id));
+  }
+  return {.bytes = bytes + stream_end};
+}
+
+/// The same, broken off before its end.
+inline scripted broken_events(int first, int last) {
+  scripted broken = events(first, last);
+  broken.bytes.resize(broken.bytes.size() - stream_end.size());
+  broken.close = true;
+  return broken;
+}
+
 inline std::string refusal_of(const std::string &id) {
   return "HTTP/1.1 503 Busy\r\nAttempt: " + id +
          "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
